--- /dev/null
+++ b/packages/control/src/client/controlClient.ts
@@ -0,0 +1,84 @@
+/** Client of the control group: finds the leader and tries again while leadership changes. */
+import {
+  ConnectionError,
+  SpoolgateError,
+  waitFor,
+  type HttpClient,
+  type TimerService,
+} from '@spoolgate/core'
+import type { ControlCommandKind, ControlCommands, ControlResult } from '../state/controlMachine.js'
+
+/** Options of {@link createControlClient}. */
+export interface ControlClientOptions {
+  /** URLs of the members. */
+  readonly urls: readonly string[]
+  readonly client: HttpClient
+  readonly timers: TimerService
+  /**
+   * Longest time for one command with all tries, in ms.
+   * @default 5000
+   */
+  readonly timeoutMs?: number
+}
+
+/** Sends commands and requests to the leader. */
+export interface ControlClient {
+  /**
+   * Sends a command; commands may be tried again, so they must be safe to repeat.
+   * @throws SpoolgateError `controlUnavailable` when no leader answered in time.
+   */
+  send<Kind extends ControlCommandKind>(
+    command: Omit<ControlCommands[Kind]['command'], 'at' | 'kind'> & { readonly kind: Kind },
+  ): Promise<ControlResult<Kind>>
+  /** Sends any request to the leader. */
+  request<T>(method: string, path: string, json?: unknown): Promise<T>
+}
+
+const DEFAULT_TIMEOUT_MS = 5_000
+const TRY_TIMEOUT_MS = 2_000
+const RETRY_DELAY_MS = 50
+
+/** Creates a client. */
+export function createControlClient(options: ControlClientOptions): ControlClient {
+  const { urls, client, timers } = options
+  let preferred = urls[0]
+
+  const findNextUrl = (failed: string): string => {
+    const index = urls.indexOf(failed)
+    return urls[(index + 1) % urls.length]
+  }
+  /** Decides where to try next; rethrows what another try cannot mend. */
+  const handleFailure = (cause: unknown, tried: string) => {
+    if (cause instanceof ConnectionError) {
+      preferred = findNextUrl(tried)
+      return
+    }
+    const isPassing =
+      cause instanceof SpoolgateError &&
+      (cause.kind === 'notLeader' || cause.kind === 'controlUnavailable')
+    if (!isPassing) throw cause
+    const details = cause.details as { leaderUrl?: string } | undefined
+    preferred = details?.leaderUrl ?? findNextUrl(tried)
+  }
+  const request = async <T>(method: string, path: string, json?: unknown): Promise<T> => {
+    const deadline = timers.now() + (options.timeoutMs ?? DEFAULT_TIMEOUT_MS)
+    while (timers.now() < deadline) {
+      const tried = preferred
+      const timeoutMs = Math.min(TRY_TIMEOUT_MS, Math.max(1, deadline - timers.now()))
+      try {
+        return await client.sendJson<T>({ method, url: `${tried}${path}`, json, timeoutMs })
+      } catch (cause) {
+        handleFailure(cause, tried)
+      }
+      if (preferred === tried || urls.length > 1) await waitFor(timers, RETRY_DELAY_MS)
+    }
+    throw new SpoolgateError('controlUnavailable', 'no control leader answered; try again later', {
+      notRun: false,
+      retryAfterSeconds: 2,
+    })
+  }
+  return {
+    request,
+    send: (command) => request('POST', '/commands', command),
+  }
+}
--- /dev/null
+++ b/packages/control/src/log/logStore.ts
@@ -0,0 +1,269 @@
+/**
+ * The durable part of a control instance: term, vote, entries and the last snapshot, in one data
+ * folder. Writes are grouped: while one sync runs, what arrives waits and shares the next.
+ */
+import { SpoolgateError, type Logger } from '@spoolgate/core'
+import type { AppendFile, DataFolder } from './dataFolder.js'
+import { encodeRecord, parseRecords } from './records.js'
+
+/** One entry of the replicated log. */
+export interface LogEntry {
+  readonly index: number
+  readonly term: number
+  readonly command: unknown
+}
+
+/** State of the machine after the entry at `index`. */
+export interface Snapshot {
+  readonly index: number
+  readonly term: number
+  readonly state: unknown
+}
+
+/** Term and vote, which must survive a restart. */
+export interface Ballot {
+  readonly term: number
+  readonly votedFor: string | undefined
+  /**
+   * Whether this member may vote. A member that started with an empty folder may not until it was
+   * taken in as a learner: it could have forgotten a vote together with its disk.
+   */
+  readonly mayVote: boolean
+}
+
+/** A change to the log, as written to the file. */
+type LogChange =
+  | { readonly kind: 'base'; readonly index: number; readonly term: number }
+  | { readonly kind: 'ballot'; readonly ballot: Ballot }
+  | { readonly kind: 'append'; readonly entries: readonly LogEntry[] }
+  | { readonly kind: 'truncate'; readonly from: number }
+
+/** A durable log. */
+export interface LogStore {
+  ballot(): Ballot
+  snapshot(): Snapshot | undefined
+  /** Index of the last entry, durable or not. */
+  lastIndex(): number
+  lastTerm(): number
+  /** Index of the last entry that is on the disk. */
+  durableIndex(): number
+  /** Index that the snapshot covers; entries at or below it are gone. */
+  baseIndex(): number
+  /** Term of an entry; undefined when it is not held. */
+  findTerm(index: number): number | undefined
+  /** Entries from `from` on, at most `limit`. */
+  list(from: number, limit: number): LogEntry[]
+  /** Saves term and vote; resolves once they are on the disk. */
+  saveBallot(ballot: Ballot): Promise<void>
+  /** Appends entries; resolves once they are on the disk. */
+  append(entries: readonly LogEntry[]): Promise<void>
+  /** Removes the entries from `from` on. */
+  truncate(from: number): Promise<void>
+  /** Replaces everything up to a snapshot by it. */
+  compact(snapshot: Snapshot): Promise<void>
+  close(): Promise<void>
+}
+
+/** Options of {@link openLogStore}. */
+export interface LogStoreOptions {
+  readonly folder: DataFolder
+  readonly logger: Logger
+  /** Called when the disk failed: nothing may be acknowledged any more. */
+  readonly onFailure: (cause: unknown) => void
+}
+
+const LOG_FILE = 'log'
+const LOG_TEMPORARY_FILE = 'log.new'
+const SNAPSHOT_PREFIX = 'snapshot-'
+const TEMPORARY_SUFFIX = '.new'
+
+interface LoadedLog {
+  ballot: Ballot
+  base: { index: number; term: number }
+  entries: LogEntry[]
+  length: number
+}
+
+function formatSnapshotName(index: number): string {
+  return `${SNAPSHOT_PREFIX}${index}`
+}
+
+function applyChange(log: LoadedLog, change: LogChange): void {
+  switch (change.kind) {
+    case 'base':
+      log.base = { index: change.index, term: change.term }
+      return
+    case 'ballot':
+      log.ballot = change.ballot
+      return
+    case 'append':
+      log.entries.push(...change.entries)
+      return
+    case 'truncate':
+      log.entries = log.entries.filter((entry) => entry.index < change.from)
+  }
+}
+
+async function loadLog(folder: DataFolder, logger: Logger): Promise<LoadedLog> {
+  const empty = {
+    ballot: { term: 0, votedFor: undefined, mayVote: false },
+    base: { index: 0, term: 0 },
+  }
+  const log: LoadedLog = { ...empty, entries: [], length: 0 }
+  const data = await folder.read(LOG_FILE)
+  if (!data) return log
+  const scanned = parseRecords(data, LOG_FILE)
+  if (scanned.tornBytes > 0) logger.warn('log.tornTailCut', { bytes: scanned.tornBytes })
+  for (const changes of scanned.payloads as LogChange[][]) {
+    for (const change of changes) applyChange(log, change)
+  }
+  log.length = scanned.length
+  return log
+}
+
+async function loadSnapshot(folder: DataFolder, index: number): Promise<Snapshot | undefined> {
+  if (index === 0) return undefined
+  const name = formatSnapshotName(index)
+  const data = await folder.read(name)
+  const record = data && parseRecords(data, name).payloads[0]
+  if (record) return record as Snapshot
+  throw new SpoolgateError(
+    'internal',
+    `${name} is missing or damaged; move the data folder away and let this member join anew`,
+  )
+}
+
+/** Opens the log of a data folder, cutting a torn tail. */
+export async function openLogStore(options: LogStoreOptions): Promise<LogStore> {
+  const { folder, logger, onFailure } = options
+  const loaded = await loadLog(folder, logger)
+  let snapshot = await loadSnapshot(folder, loaded.base.index)
+  let { ballot, base } = loaded
+  /** Entries after the base; entry i stands at i - base.index - 1. */
+  let entries = loaded.entries
+  let durableIndex = base.index + entries.length
+  let file: AppendFile = await folder.openAppend(LOG_FILE, loaded.length)
+  let pending: { change: LogChange; resolve: () => void }[] = []
+  let writing: Promise<void> | undefined
+  let failure: unknown
+
+  const lastIndex = () => base.index + entries.length
+  const findTerm = (index: number) =>
+    index === base.index ? base.term : entries[index - base.index - 1]?.term
+
+  const recordDurable = (added: readonly LogEntry[]) => {
+    const last = added.at(-1)
+    // An entry that was replaced while it was being written says nothing about its successor.
+    if (!last || findTerm(last.index) !== last.term) return
+    durableIndex = Math.max(durableIndex, last.index)
+  }
+
+  const writeBatch = async () => {
+    const batch = pending
+    pending = []
+    await file.append(encodeRecord(batch.map(({ change }) => change)))
+    await file.sync()
+    for (const { change, resolve } of batch) {
+      if (change.kind === 'append') recordDurable(change.entries)
+      resolve()
+    }
+  }
+  const runWriter = async () => {
+    try {
+      while (pending.length > 0) await writeBatch()
+    } catch (cause) {
+      // After a failed sync nobody can say what the disk holds: this member must stop.
+      failure = cause
+      pending = []
+      onFailure(cause)
+    }
+    writing = undefined
+  }
+  const write = (change: LogChange): Promise<void> =>
+    new Promise((resolve) => {
+      // A waiter of a failed disk is never answered; the member has stopped by then.
+      if (failure) return
+      pending.push({ change, resolve })
+      writing ??= runWriter()
+    })
+
+  const writeCompacted = async (next: Snapshot, kept: readonly LogEntry[]) => {
+    const name = formatSnapshotName(next.index)
+    await folder.write(`${name}${TEMPORARY_SUFFIX}`, encodeRecord(next))
+    await folder.rename(`${name}${TEMPORARY_SUFFIX}`, name)
+    await folder.sync()
+    const changes: LogChange[] = [
+      { kind: 'base', index: next.index, term: next.term },
+      { kind: 'ballot', ballot },
+      { kind: 'append', entries: kept },
+    ]
+    const record = encodeRecord(changes)
+    await folder.write(LOG_TEMPORARY_FILE, record)
+    await file.close()
+    await folder.rename(LOG_TEMPORARY_FILE, LOG_FILE)
+    await folder.sync()
+    file = await folder.openAppend(LOG_FILE, record.length)
+  }
+  const removeOldSnapshots = async (keptIndex: number) => {
+    for (const name of await folder.list()) {
+      const isOld = name.startsWith(SNAPSHOT_PREFIX) && name !== formatSnapshotName(keptIndex)
+      if (isOld) await folder.remove(name)
+    }
+  }
+  const compact = async (next: Snapshot) => {
+    while (writing) await writing
+    if (failure || next.index <= base.index) return
+    const run = async () => {
+      const isHeld = findTerm(next.index) === next.term
+      const kept = isHeld ? entries.slice(next.index - base.index) : []
+      try {
+        await writeCompacted(next, kept)
+        entries = isHeld ? entries.slice(next.index - base.index) : []
+        base = { index: next.index, term: next.term }
+        snapshot = next
+        durableIndex = Math.min(base.index + kept.length, lastIndex())
+        await removeOldSnapshots(next.index)
+      } catch (cause) {
+        failure = cause
+        onFailure(cause)
+      }
+      writing = undefined
+      if (!failure && pending.length > 0) writing = runWriter()
+    }
+    writing = run()
+    await writing
+  }
+
+  return {
+    ballot: () => ballot,
+    snapshot: () => snapshot,
+    lastIndex,
+    lastTerm: () => entries.at(-1)?.term ?? base.term,
+    durableIndex: () => durableIndex,
+    baseIndex: () => base.index,
+    findTerm,
+    list: (from, limit) => {
+      const start = from - base.index - 1
+      return entries.slice(start, start + limit)
+    },
+    saveBallot: (next) => {
+      ballot = next
+      return write({ kind: 'ballot', ballot: next })
+    },
+    append: (added) => {
+      if (added.length === 0) return Promise.resolve()
+      entries.push(...added)
+      return write({ kind: 'append', entries: added })
+    },
+    truncate: (from) => {
+      entries.length = Math.max(0, from - base.index - 1)
+      durableIndex = Math.min(durableIndex, from - 1)
+      return write({ kind: 'truncate', from })
+    },
+    compact,
+    close: async () => {
+      while (writing) await writing
+      await file.close()
+    },
+  }
+}
--- /dev/null
+++ b/packages/control/src/log/records.ts
@@ -0,0 +1,75 @@
+/**
+ * Records of the log file: a header of length and checksums, then JSON. One record is one group
+ * commit, synced before the next is begun, so only the last record of a file can be torn.
+ */
+import { SpoolgateError } from '@spoolgate/core'
+import crc32 from 'crc-32'
+
+/** Length, checksum of the length, checksum of the payload; 4 bytes each, big-endian. */
+const HEADER_BYTES = 12
+const LENGTH_BYTES = 4
+
+/** What a file held. */
+export interface ScannedRecords {
+  readonly payloads: readonly unknown[]
+  /** Bytes up to the end of the last whole record. */
+  readonly length: number
+  /** Bytes of a torn last record that must be cut. */
+  readonly tornBytes: number
+}
+
+/** Encodes one record. */
+export function encodeRecord(payload: unknown): Buffer {
+  const body = Buffer.from(JSON.stringify(payload))
+  const header = Buffer.alloc(HEADER_BYTES)
+  header.writeUInt32BE(body.length, 0)
+  header.writeInt32BE(crc32.buf(header.subarray(0, LENGTH_BYTES)), LENGTH_BYTES)
+  header.writeInt32BE(crc32.buf(body), 2 * LENGTH_BYTES)
+  return Buffer.concat([header, body])
+}
+
+/** Decodes the record at `offset`; undefined when there is no whole one. */
+function decodeRecord(data: Buffer, offset: number): { body: Buffer; end: number } | undefined {
+  if (offset + HEADER_BYTES > data.length) return undefined
+  const header = data.subarray(offset, offset + HEADER_BYTES)
+  const lengthSum = crc32.buf(header.subarray(0, LENGTH_BYTES))
+  if (header.readInt32BE(LENGTH_BYTES) !== lengthSum) return undefined
+  const end = offset + HEADER_BYTES + header.readUInt32BE(0)
+  if (end > data.length) return undefined
+  const body = data.subarray(offset + HEADER_BYTES, end)
+  if (header.readInt32BE(2 * LENGTH_BYTES) !== crc32.buf(body)) return undefined
+  return { body, end }
+}
+
+function findRecordAfter(data: Buffer, offset: number): number | undefined {
+  for (let start = offset; start + HEADER_BYTES <= data.length; start += 1) {
+    const record = decodeRecord(data, start)
+    if (record && record.body.length > 0) return start
+  }
+  return undefined
+}
+
+/**
+ * Scans a file of records.
+ * @throws SpoolgateError `internal` when a record in the middle is damaged: whole records follow
+ * it, so it was synced once and cutting it would lose what was acknowledged.
+ */
+export function parseRecords(data: Buffer, file: string): ScannedRecords {
+  const payloads: unknown[] = []
+  let offset = 0
+  while (offset < data.length) {
+    const record = decodeRecord(data, offset)
+    if (!record) break
+    payloads.push(JSON.parse(record.body.toString('utf8')))
+    offset = record.end
+  }
+  const next = offset < data.length ? findRecordAfter(data, offset + 1) : undefined
+  if (next !== undefined) {
+    throw new SpoolgateError(
+      'internal',
+      `${file}: damaged at byte ${offset} with whole records from byte ${next}; ` +
+        'move the data folder away and let this member join anew from the others',
+    )
+  }
+  return { payloads, length: offset, tornBytes: data.length - offset }
+}
--- /dev/null
+++ b/packages/control/src/raft/messages.ts
@@ -0,0 +1,78 @@
+/** Messages between the members of the control group. */
+import type { LogEntry, Snapshot } from '../log/logStore.js'
+
+/** What a member may do: learners follow the log and neither vote nor count for a majority. */
+export type MemberKind = 'voter' | 'learner'
+
+/** One member of the group. */
+export interface MemberInfo {
+  readonly url: string
+  readonly kind: MemberKind
+}
+
+/** The group by member name. */
+export type MemberMap = Readonly<Record<string, MemberInfo>>
+
+/** Asks for a vote; a pre-vote asks whether a real one would be worth while. */
+export interface VoteRequest {
+  readonly isPreVote: boolean
+  readonly term: number
+  readonly candidate: string
+  readonly lastIndex: number
+  readonly lastTerm: number
+}
+
+export interface VoteReply {
+  readonly term: number
+  readonly isGranted: boolean
+}
+
+/** Hands entries to a follower; without entries it is a heartbeat. */
+export interface AppendRequest {
+  readonly term: number
+  readonly leader: string
+  readonly leaderUrl: string
+  readonly previousIndex: number
+  readonly previousTerm: number
+  readonly entries: readonly LogEntry[]
+  readonly commitIndex: number
+}
+
+export interface AppendReply {
+  readonly term: number
+  readonly isAccepted: boolean
+  /** Last index known to match when accepted; otherwise where the leader should try next. */
+  readonly index: number
+}
+
+/** Replaces a follower's log by a snapshot. */
+export interface InstallRequest {
+  readonly term: number
+  readonly leader: string
+  readonly leaderUrl: string
+  readonly snapshot: Snapshot
+}
+
+export interface InstallReply {
+  readonly term: number
+}
+
+/** The messages by name, each with its reply. */
+export interface RaftMessages {
+  vote: { request: VoteRequest; reply: VoteReply }
+  append: { request: AppendRequest; reply: AppendReply }
+  install: { request: InstallRequest; reply: InstallReply }
+}
+
+/** Name of a message. */
+export type RaftMessageName = keyof RaftMessages
+
+/** Carries messages to other members; rejects when there is no answer. */
+export interface RaftTransport {
+  send<Name extends RaftMessageName>(
+    to: string,
+    url: string,
+    name: Name,
+    request: RaftMessages[Name]['request'],
+  ): Promise<RaftMessages[Name]['reply']>
+}
--- /dev/null
+++ b/packages/control/src/raft/replicator.ts
@@ -0,0 +1,159 @@
+/**
+ * Replication by a leader: one task for each other member, which hands over entries, or a
+ * heartbeat when there are none, and follows what the member acknowledges.
+ */
+import { type TimerService, waitFor } from '@spoolgate/core'
+import type { Subscription } from 'rxjs'
+import type { LogStore } from '../log/logStore.js'
+import { findMajorityValue, listOthers } from './group.js'
+import type { MemberInfo, MemberMap, RaftTransport } from './messages.js'
+
+/** Options of {@link createReplicator}. */
+export interface ReplicatorOptions {
+  readonly name: string
+  readonly url: string
+  /** Term of this leadership. */
+  readonly term: number
+  readonly store: LogStore
+  readonly transport: RaftTransport
+  readonly timers: TimerService
+  readonly heartbeatMs: number
+  /** Time without a majority after which leadership is given up, in ms. */
+  readonly lostAfterMs: number
+  readonly listMembers: () => MemberMap
+  readonly commitIndex: () => number
+  readonly onCommit: (index: number) => void
+  readonly onHigherTerm: (term: number) => void
+  /** Called when no majority has answered for a while. */
+  readonly onLost: () => void
+}
+
+/** Replication of one leadership. */
+export interface Replicator {
+  /** Notes that the leader's own disk holds more. */
+  recordOwn(): void
+  /** Sends new entries without waiting for the next heartbeat. */
+  wake(): void
+  /** Latest instant at which a majority was known to follow, in ms of the monotonic clock. */
+  confirmedAt(): number
+  close(): void
+}
+
+/** Entries in one message. */
+const MAX_ENTRIES = 512
+
+interface Peer {
+  nextIndex: number
+  matchIndex: number
+  /** When the last acknowledged message was sent. */
+  confirmedAt: number
+  /** Ends the wait for the next heartbeat. */
+  wake: AbortController
+}
+
+/** Creates the replication of a new leader. */
+export function createReplicator(options: ReplicatorOptions): Replicator {
+  const { name, store, transport, timers, term } = options
+  const peers = new Map<string, Peer>()
+  const startedAt = timers.now()
+  let isClosed = false
+
+  const recordProgress = () => {
+    if (isClosed) return
+    const findMatch = (member: string) =>
+      member === name ? store.durableIndex() : (peers.get(member)?.matchIndex ?? 0)
+    const index = findMajorityValue(options.listMembers(), findMatch)
+    // Only an entry of its own term may be counted (Raft, figure 8).
+    if (index > options.commitIndex() && store.findTerm(index) === term) options.onCommit(index)
+  }
+  const confirmedAt = () =>
+    findMajorityValue(options.listMembers(), (member) =>
+      member === name ? timers.now() : (peers.get(member)?.confirmedAt ?? -Infinity),
+    )
+
+  const sendSnapshot = async (member: string, info: MemberInfo, peer: Peer) => {
+    const snapshot = store.snapshot()
+    if (!snapshot) return
+    const request = { term, leader: name, leaderUrl: options.url, snapshot }
+    const sentAt = timers.now()
+    const reply = await transport.send(member, info.url, 'install', request)
+    if (reply.term > term) return options.onHigherTerm(reply.term)
+    peer.confirmedAt = sentAt
+    peer.matchIndex = Math.max(peer.matchIndex, snapshot.index)
+    peer.nextIndex = peer.matchIndex + 1
+  }
+  const sendEntries = async (member: string, info: MemberInfo, peer: Peer) => {
+    const previousIndex = peer.nextIndex - 1
+    const sentAt = timers.now()
+    const reply = await transport.send(member, info.url, 'append', {
+      term,
+      leader: name,
+      leaderUrl: options.url,
+      previousIndex,
+      previousTerm: store.findTerm(previousIndex) ?? 0,
+      entries: store.list(peer.nextIndex, MAX_ENTRIES),
+      commitIndex: options.commitIndex(),
+    })
+    if (reply.term > term) return options.onHigherTerm(reply.term)
+    peer.confirmedAt = sentAt
+    if (!reply.isAccepted) {
+      peer.nextIndex = Math.max(1, reply.index)
+      return
+    }
+    peer.matchIndex = Math.max(peer.matchIndex, reply.index)
+    peer.nextIndex = peer.matchIndex + 1
+    recordProgress()
+  }
+  const waitForWork = async (peer: Peer) => {
+    if (peer.nextIndex <= store.lastIndex()) return
+    await waitFor(timers, options.heartbeatMs, peer.wake.signal)
+    if (peer.wake.signal.aborted && !isClosed) peer.wake = new AbortController()
+  }
+  const isMember = (member: string) => member in options.listMembers()
+  const runPeer = async (member: string, info: MemberInfo, peer: Peer) => {
+    while (!isClosed && isMember(member)) {
+      try {
+        if (peer.nextIndex <= store.baseIndex()) await sendSnapshot(member, info, peer)
+        else await sendEntries(member, info, peer)
+      } catch {
+        await waitFor(timers, options.heartbeatMs)
+        continue
+      }
+      if (!isClosed) await waitForWork(peer)
+    }
+    peers.delete(member)
+  }
+  const startPeers = () => {
+    for (const [member, info] of listOthers(options.listMembers(), name)) {
+      if (peers.has(member)) continue
+      const peer: Peer = {
+        nextIndex: store.lastIndex() + 1,
+        matchIndex: 0,
+        confirmedAt: -Infinity,
+        wake: new AbortController(),
+      }
+      peers.set(member, peer)
+      void runPeer(member, info, peer)
+    }
+  }
+  const watch: Subscription = timers.every(options.heartbeatMs).subscribe(() => {
+    startPeers()
+    const heard = Math.max(confirmedAt(), startedAt)
+    if (timers.now() - heard > options.lostAfterMs) options.onLost()
+  })
+  startPeers()
+
+  return {
+    recordOwn: recordProgress,
+    wake: () => {
+      startPeers()
+      for (const peer of peers.values()) peer.wake.abort()
+    },
+    confirmedAt,
+    close: () => {
+      isClosed = true
+      watch.unsubscribe()
+      for (const peer of peers.values()) peer.wake.abort()
+    },
+  }
+}
--- /dev/null
+++ b/packages/control/src/server/configRoutes.ts
@@ -0,0 +1,148 @@
+/** Routes of the fleet configuration: submitting, following, history and who runs what. */
+import {
+  formatProblems,
+  parseText,
+  resolveFleetConfig,
+  type FleetConfigInput,
+} from '@spoolgate/config'
+import {
+  INTERNAL_BODY_LIMITS,
+  readJson,
+  sendJson,
+  SpoolgateError,
+  type HttpExchange,
+  type Route,
+  type TimerService,
+} from '@spoolgate/core'
+import { firstValueFrom, race } from 'rxjs'
+import type { RaftMember } from '../raft/member.js'
+import type { SubmitResult } from '../state/configState.js'
+import type { ControlMachine } from '../state/controlMachine.js'
+import { compareFleets, listPatchedNames } from '../state/fleetPatch.js'
+import type { NodeVersions } from './nodeVersions.js'
+
+/** Options of {@link createConfigRoutes}. */
+export interface ConfigRoutesOptions {
+  readonly member: RaftMember
+  readonly machine: ControlMachine
+  readonly nodes: NodeVersions
+  readonly timers: TimerService
+  readonly processKey: string
+  readonly operatorKey: string
+}
+
+/** Body of a submitted configuration. */
+export interface SubmitRequest {
+  readonly changeId: string
+  readonly base: number
+  readonly operator: string
+  /** Configuration as a value, or as a text with comments, whose problems are then placed. */
+  readonly source?: FleetConfigInput
+  readonly text?: string
+  readonly file?: string
+}
+
+/** Longest wait of a long poll, in ms. */
+export const MAX_POLL_MS = 30_000
+
+function parseSource(request: SubmitRequest): FleetConfigInput {
+  if (request.text === undefined) return checkSource(request.source, undefined)
+  const parsed = parseText(request.file ?? 'fleet', request.text)
+  if (parsed.isErr()) throw new SpoolgateError('invalidSettings', formatProblems(parsed.error))
+  return checkSource(parsed.value.value, parsed.value)
+}
+
+function checkSource(
+  source: unknown,
+  place: { place(problem: { path: readonly PropertyKey[]; message: string }): object } | undefined,
+): FleetConfigInput {
+  const resolved = resolveFleetConfig(source, 0)
+  if (resolved.isOk()) return source as FleetConfigInput
+  const problems = place ? resolved.error.map((problem) => place.place(problem)) : resolved.error
+  const text = resolved.error.map((problem) => problem.message).join('; ')
+  throw new SpoolgateError('invalidSettings', text, { details: { problems } })
+}
+
+function checkSubmit(body: unknown): SubmitRequest {
+  const request = body as SubmitRequest
+  const isNamed = typeof request?.changeId === 'string' && typeof request.operator === 'string'
+  if (isNamed && Number.isInteger(request.base)) return request
+  throw new SpoolgateError('invalidRequest', 'send changeId, operator and base, the version seen')
+}
+
+function toConflictError(result: Exclude<SubmitResult, { kind: 'accepted' }>): SpoolgateError {
+  const message =
+    result.kind === 'conflict'
+      ? `version ${result.version} came first; fetch it, repeat the change on it, submit again`
+      : 'this change id stands for other content; choose a new one'
+  return new SpoolgateError('conflict', message, { details: result })
+}
+
+/** Creates the routes. */
+export function createConfigRoutes(options: ConfigRoutesOptions): Route[] {
+  const { member, machine, nodes, timers, processKey, operatorKey } = options
+
+  const submit = async ({ request, response }: HttpExchange) => {
+    const submitted = checkSubmit(await readJson(request, INTERNAL_BODY_LIMITS))
+    const source = parseSource(submitted)
+    const { changeId, base, operator } = submitted
+    const at = timers.wallNow()
+    const command = { kind: 'config.submit', changeId, base, operator, source, at } as const
+    const result = (await member.propose(command)) as SubmitResult
+    if (result.kind !== 'accepted') throw toConflictError(result)
+    sendJson(response, 200, result)
+  }
+
+  const waitForVersion = async (after: number, waitMs: number) => {
+    if (machine.config.version() > after) return
+    await firstValueFrom(race(machine.versions, timers.after(Math.min(waitMs, MAX_POLL_MS))), {
+      defaultValue: undefined,
+    })
+  }
+  const follow = async ({ response, query }: HttpExchange) => {
+    const after = Number(query.get('after') ?? -1)
+    const node = query.get('node')
+    if (node) nodes.record(node, after)
+    await waitForVersion(after, Number(query.get('wait') ?? 0))
+    if (response.destroyed) return
+    const update = machine.config.buildUpdate(after)
+    if (update) sendJson(response, 200, update)
+    else sendJson(response, 200, { kind: 'current', version: machine.config.version() })
+  }
+
+  const showCurrent = ({ response }: HttpExchange) => {
+    member.checkCurrent()
+    const { config } = machine
+    sendJson(response, 200, { version: config.version(), source: config.source() })
+  }
+  const showHistory = ({ response }: HttpExchange) => {
+    member.checkCurrent()
+    sendJson(response, 200, {
+      version: machine.config.version(),
+      changes: machine.config.history(),
+    })
+  }
+  const findKept = (text: string | null) => {
+    const source = machine.config.findSource(Number(text))
+    if (source) return source
+    throw new SpoolgateError('notFound', `version ${text} is not kept; see the history`)
+  }
+  const showVersion = ({ response, params }: HttpExchange) =>
+    sendJson(response, 200, { version: Number(params.version), source: findKept(params.version) })
+  const showDiff = ({ response, query }: HttpExchange) => {
+    const patch = compareFleets(findKept(query.get('from')), findKept(query.get('to')))
+    sendJson(response, 200, { touched: listPatchedNames(patch), patch })
+  }
+  const showStatus = ({ response }: HttpExchange) =>
+    sendJson(response, 200, { version: machine.config.version(), nodes: nodes.list() })
+
+  return [
+    { method: 'POST', path: '/config', key: operatorKey, handler: submit },
+    { method: 'GET', path: '/config', key: processKey, handler: follow },
+    { method: 'GET', path: '/config/current', key: operatorKey, handler: showCurrent },
+    { method: 'GET', path: '/config/history', key: operatorKey, handler: showHistory },
+    { method: 'GET', path: '/config/diff', key: operatorKey, handler: showDiff },
+    { method: 'GET', path: '/config/status', key: operatorKey, handler: showStatus },
+    { method: 'GET', path: '/config/versions/:version', key: operatorKey, handler: showVersion },
+  ]
+}
--- /dev/null
+++ b/packages/control/src/server/controlServer.ts
@@ -0,0 +1,172 @@
+/** A control instance: the replicated log, its machine and the HTTP routes over them. */
+import {
+  createDaemonRoutes,
+  createHttpClient,
+  createHttpServer,
+  createInvariants,
+  createMetrics,
+  createRandomSource,
+  type CloseReport,
+  type Invariants,
+  type Logger,
+  type TimerService,
+  type TlsFiles,
+} from '@spoolgate/core'
+import { openDataFolder, type DataFolder } from '../log/dataFolder.js'
+import { openLogStore } from '../log/logStore.js'
+import { createRaftMember, type RaftMember } from '../raft/member.js'
+import type { MemberMap } from '../raft/messages.js'
+import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
+import { createConfigRoutes } from './configRoutes.js'
+import { createGroupRoutes } from './groupRoutes.js'
+import { createNodeVersions } from './nodeVersions.js'
+import { createHttpTransport } from './raftTransport.js'
+
+/** Options of {@link createControl}. */
+export interface ControlOptions {
+  readonly member: string
+  /** URLs of the founders, by name; undefined for a group of this member alone. */
+  readonly founders?: Readonly<Record<string, string>>
+  /** Whether an empty data folder founds the group. */
+  readonly isFounding: boolean
+  readonly host: string
+  readonly port: number
+  /** Folder on the disk, or a folder that a test made. */
+  readonly dataFolder: string | DataFolder
+  readonly processKey: string
+  readonly operatorKey: string
+  readonly logger: Logger
+  readonly timers: TimerService
+  /** @default undefined, plain HTTP */
+  readonly tls?: TlsFiles
+  /** @default 1000 */
+  readonly electionMs?: number
+  /** @default 150 */
+  readonly heartbeatMs?: number
+  /** @default 1000 */
+  readonly snapshotEvery?: number
+  /**
+   * Milliseconds for which a settled claim, with its answer, is kept.
+   * @default 86400000, a day
+   */
+  readonly claimRetentionMs?: number
+  /**
+   * Whether a violated invariant ends the run.
+   * @default false
+   */
+  readonly isFatal?: boolean
+  /**
+   * Seed of the election timeouts.
+   * @default drawn from the clock
+   */
+  readonly seed?: number
+  /**
+   * Links to members that are cut; for tests and soak runs.
+   * @default none
+   */
+  readonly isCut?: (member: string) => boolean
+  /** Called when the disk failed; the daemon must then end. */
+  readonly onFailure?: (cause: unknown) => void
+}
+
+/** A running control instance. */
+export interface Control {
+  readonly url: string
+  readonly member: RaftMember
+  readonly machine: ControlMachine
+  readonly invariants: Invariants
+  close(drainMs?: number): Promise<CloseReport>
+}
+
+const DEFAULT_ELECTION_MS = 1_000
+const DEFAULT_HEARTBEAT_MS = 150
+const DEFAULT_SNAPSHOT_EVERY = 1_000
+const DEFAULT_CLAIM_RETENTION_MS = 86_400_000
+const CLAIM_EXPIRY_PERIOD_MS = 600_000
+const DEFAULT_DRAIN_MS = 2_000
+
+function createFounderMap(options: ControlOptions, ownUrl: string): MemberMap {
+  const founders = options.founders ?? { [options.member]: ownUrl }
+  return Object.fromEntries(
+    Object.entries(founders).map(([name, url]) => [name, { url, kind: 'voter' }]),
+  )
+}
+
+/** Creates a control instance and waits until it listens. */
+export async function createControl(options: ControlOptions): Promise<Control> {
+  const { logger, timers, processKey, operatorKey } = options
+  const metrics = createMetrics('control')
+  const invariants = createInvariants({ logger, metrics, fatal: options.isFatal })
+  const electionMs = options.electionMs ?? DEFAULT_ELECTION_MS
+  const machine = createControlMachine()
+  const client = createHttpClient({ key: processKey, caFile: options.tls?.caFile })
+  const isCut = options.isCut ?? (() => false)
+  const folder =
+    typeof options.dataFolder === 'string'
+      ? await openDataFolder(options.dataFolder)
+      : options.dataFolder
+  const store = await openLogStore({
+    folder,
+    logger,
+    onFailure: (cause) => {
+      logger.error('disk.failed', { reason: String(cause), remedy: 'replace the disk' })
+      options.onFailure?.(cause)
+    },
+  })
+
+  const server = await createHttpServer({
+    host: options.host,
+    port: options.port,
+    tls: options.tls,
+    logger,
+    timers,
+    routes: [],
+  })
+  const member = createRaftMember({
+    name: options.member,
+    url: server.url,
+    founders: createFounderMap(options, server.url),
+    isFounding: options.isFounding,
+    store,
+    machine,
+    transport: createHttpTransport({ client, timeoutMs: electionMs, isCut }),
+    timers,
+    random: createRandomSource(options.seed ?? Date.now() % 2 ** 31),
+    logger,
+    invariants,
+    electionMs,
+    heartbeatMs: options.heartbeatMs ?? DEFAULT_HEARTBEAT_MS,
+    snapshotEvery: options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY,
+  })
+  const findUnreadyReason = () =>
+    member.status().leader === undefined ? 'no leader is known' : undefined
+  const shared = { member, machine, timers, processKey, operatorKey }
+  server.addRoutes([
+    ...createDaemonRoutes({ metrics, findUnreadyReason }),
+    ...createConfigRoutes({ ...shared, nodes: createNodeVersions(timers) }),
+    ...createGroupRoutes({ ...shared, isCut }),
+  ])
+
+  const retentionMs = options.claimRetentionMs ?? DEFAULT_CLAIM_RETENTION_MS
+  const expiry = timers.every(CLAIM_EXPIRY_PERIOD_MS).subscribe(() => {
+    if (member.status().role !== 'leader') return
+    const at = timers.wallNow()
+    member.propose({ kind: 'claim.expire', before: at - retentionMs, at }).catch(() => {})
+  })
+  logger.info('control.listening', { url: server.url, member: options.member })
+
+  return {
+    url: server.url,
+    member,
+    machine,
+    invariants,
+    close: async (drainMs = DEFAULT_DRAIN_MS) => {
+      expiry.unsubscribe()
+      const report = await server.close(drainMs)
+      await member.close()
+      client.close()
+      await metrics.close()
+      return report
+    },
+  }
+}
--- /dev/null
+++ b/packages/control/src/server/groupRoutes.ts
@@ -0,0 +1,122 @@
+/** Routes between members, for the fleet's processes and for operators of the group. */
+import {
+  INTERNAL_BODY_LIMITS,
+  readJson,
+  sendJson,
+  SpoolgateError,
+  toBackendServerId,
+  type HttpExchange,
+  type Route,
+  type TimerService,
+} from '@spoolgate/core'
+import type { RaftMember } from '../raft/member.js'
+import type {
+  AppendRequest,
+  InstallRequest,
+  MemberKind,
+  MemberMap,
+  VoteRequest,
+} from '../raft/messages.js'
+import type { ControlCommandKind, ControlMachine } from '../state/controlMachine.js'
+import { RAFT_PATH } from './raftTransport.js'
+
+/** Options of {@link createGroupRoutes}. */
+export interface GroupRoutesOptions {
+  readonly member: RaftMember
+  readonly machine: ControlMachine
+  readonly timers: TimerService
+  readonly processKey: string
+  readonly operatorKey: string
+  /** Whether messages from a member are dropped; for tests and soak runs. */
+  readonly isCut: (from: string) => boolean
+}
+
+/** Commands that the fleet's own processes may send. */
+const PROCESS_COMMANDS: ReadonlySet<ControlCommandKind> = new Set([
+  'claim.open',
+  'claim.finish',
+  'claim.release',
+  'claim.lose',
+  'order.finish',
+])
+
+/** A change of the group by one member. */
+export interface MemberChange {
+  readonly name: string
+  readonly url?: string
+  /** Undefined removes the member. */
+  readonly kind?: MemberKind
+}
+
+function applyMemberChange(members: MemberMap, change: MemberChange): MemberMap {
+  const { [change.name]: known, ...others } = members
+  if (change.kind === undefined) return others
+  const url = change.url ?? known?.url
+  if (url === undefined) throw new SpoolgateError('invalidRequest', 'send the "url" of the member')
+  if (change.kind === 'voter' && known?.kind !== 'learner') {
+    throw new SpoolgateError('invalidRequest', 'add the member as a learner first')
+  }
+  return { ...others, [change.name]: { url, kind: change.kind } }
+}
+
+/** Creates the routes. */
+export function createGroupRoutes(options: GroupRoutesOptions): Route[] {
+  const { member, machine, timers, processKey, operatorKey } = options
+  const checkLink = (from: string) => {
+    if (options.isCut(from)) throw new SpoolgateError('controlUnavailable', 'link is cut')
+  }
+  const handlers: Record<string, (message: unknown) => Promise<unknown>> = {
+    vote: (message) => {
+      checkLink((message as VoteRequest).candidate)
+      return member.handleVote(message as VoteRequest)
+    },
+    append: (message) => {
+      checkLink((message as AppendRequest).leader)
+      return member.handleAppend(message as AppendRequest)
+    },
+    install: (message) => {
+      checkLink((message as InstallRequest).leader)
+      return member.handleInstall(message as InstallRequest)
+    },
+  }
+  const serveRaft = async ({ request, response, params }: HttpExchange) => {
+    const handle = handlers[params.name]
+    if (!handle) throw new SpoolgateError('unknownPath', 'unknown message; update this member')
+    sendJson(response, 200, await handle(await readJson(request, INTERNAL_BODY_LIMITS)))
+  }
+  const serveCommand = async ({ request, response }: HttpExchange) => {
+    const command = (await readJson(request, INTERNAL_BODY_LIMITS)) as { kind: ControlCommandKind }
+    if (!PROCESS_COMMANDS.has(command.kind)) {
+      throw new SpoolgateError('invalidRequest', `command "${command.kind}" is not for processes`)
+    }
+    sendJson(response, 200, await member.propose({ ...command, at: timers.wallNow() }))
+  }
+  const serveHighest = ({ response, params }: HttpExchange) => {
+    member.checkCurrent()
+    const highest = machine.orders.findHighest(toBackendServerId(params.server))
+    sendJson(response, 200, { highest })
+  }
+  const serveOrder = async ({ request, response }: HttpExchange) => {
+    const order = (await readJson(request, INTERNAL_BODY_LIMITS)) as object
+    const command = { ...order, kind: 'order.issue', at: timers.wallNow() }
+    sendJson(response, 200, await member.propose(command))
+  }
+  const serveMemberChange = async ({ request, response }: HttpExchange) => {
+    const change = (await readJson(request, INTERNAL_BODY_LIMITS)) as MemberChange
+    await member.changeMembers(applyMemberChange(member.status().members, change))
+    sendJson(response, 200, member.status())
+  }
+  return [
+    { method: 'POST', path: `${RAFT_PATH}/:name`, key: processKey, handler: serveRaft },
+    { method: 'POST', path: '/commands', key: processKey, handler: serveCommand },
+    { method: 'GET', path: '/orders/:server/highest', key: processKey, handler: serveHighest },
+    { method: 'POST', path: '/orders', key: operatorKey, handler: serveOrder },
+    { method: 'POST', path: '/members', key: operatorKey, handler: serveMemberChange },
+    {
+      method: 'GET',
+      path: '/status',
+      key: operatorKey,
+      handler: ({ response }) => sendJson(response, 200, member.status()),
+    },
+  ]
+}
--- /dev/null
+++ b/packages/control/src/state/orderState.ts
@@ -0,0 +1,96 @@
+/**
+ * Orders to backend servers. The log index of an order is its fencing number, so that no two
+ * leaders can ever issue the same or a lower one. Weight loads hold one of a few slots.
+ */
+import type { BackendServerId } from '@spoolgate/core'
+
+/** What a backend server can be told to do. */
+export type OrderAction = 'loadWeights' | 'loadAdapter' | 'changeRole'
+
+/** Issues an order. */
+export interface IssueOrder {
+  readonly kind: 'order.issue'
+  readonly server: BackendServerId
+  readonly action: OrderAction
+  readonly value: string
+  readonly at: number
+}
+
+/** Says how an order ended. */
+export interface FinishOrder {
+  readonly kind: 'order.finish'
+  readonly server: BackendServerId
+  readonly fencing: number
+  readonly outcome: 'done' | 'failed'
+  readonly at: number
+}
+
+/** An order with its fencing number. */
+export interface Order {
+  readonly server: BackendServerId
+  readonly action: OrderAction
+  readonly value: string
+  readonly fencing: number
+  readonly at: number
+}
+
+/** What became of {@link IssueOrder}. */
+export type IssueResult =
+  | { readonly kind: 'issued'; readonly order: Order }
+  | { readonly kind: 'noSlot'; readonly held: readonly BackendServerId[] }
+
+/** State as a snapshot holds it. */
+export interface SavedOrders {
+  readonly open: readonly Order[]
+  readonly highest: readonly (readonly [BackendServerId, number])[]
+}
+
+/** All open orders and the highest fencing number of each backend server. */
+export interface OrderState {
+  issue(command: IssueOrder, index: number): IssueResult
+  finish(command: FinishOrder): { readonly isKnown: boolean }
+  /** Highest fencing number that was ever issued to a backend server. */
+  findHighest(server: BackendServerId): number
+  open(): readonly Order[]
+  save(): SavedOrders
+  load(saved: SavedOrders): void
+}
+
+/** Weight loads at a time: the platform slows down beyond this. */
+export const MAX_LOADS = 2
+
+/** Creates an empty state. */
+export function createOrderState(): OrderState {
+  /** The open order of each backend server; a newer order replaces it. */
+  const open = new Map<BackendServerId, Order>()
+  const highest = new Map<BackendServerId, number>()
+  const listLoading = (except: BackendServerId) =>
+    [...open.values()]
+      .filter((order) => order.action === 'loadWeights' && order.server !== except)
+      .map(({ server }) => server)
+
+  return {
+    issue: ({ server, action, value, at }, index) => {
+      const held = listLoading(server)
+      if (action === 'loadWeights' && held.length >= MAX_LOADS) return { kind: 'noSlot', held }
+      const order: Order = { server, action, value, fencing: index, at }
+      open.set(server, order)
+      highest.set(server, index)
+      return { kind: 'issued', order }
+    },
+    finish: ({ server, fencing }) => {
+      if (open.get(server)?.fencing !== fencing) return { isKnown: false }
+      open.delete(server)
+      return { isKnown: true }
+    },
+    findHighest: (server) => highest.get(server) ?? 0,
+    open: () => [...open.values()],
+    save: () => ({ open: [...open.values()], highest: [...highest] }),
+    load: (saved) => {
+      open.clear()
+      for (const order of saved.open) open.set(order.server, order)
+      highest.clear()
+      for (const [server, fencing] of saved.highest) highest.set(server, fencing)
+    },
+  }
+}
--- /dev/null
+++ b/packages/core/src/daemonRoutes.ts
@@ -0,0 +1,40 @@
+/** Routes that every daemon serves: health, readiness and metrics. */
+import type { Route } from './httpServer.js'
+import { sendJson } from './httpServer.js'
+import type { Metrics } from './metrics.js'
+
+/** Options of {@link createDaemonRoutes}. */
+export interface DaemonRoutesOptions {
+  readonly metrics: Metrics
+  /** Says why the daemon is not ready, or undefined when it is. */
+  readonly findUnreadyReason: () => string | undefined
+}
+
+/** Creates `/healthz`, `/readyz` and `/metrics`. */
+export function createDaemonRoutes(options: DaemonRoutesOptions): Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/healthz',
+      handler: ({ response }) => sendJson(response, 200, { status: 'ok' }),
+    },
+    {
+      method: 'GET',
+      path: '/readyz',
+      handler: ({ response }) => {
+        const reason = options.findUnreadyReason()
+        if (reason === undefined) sendJson(response, 200, { status: 'ready' })
+        else sendJson(response, 503, { status: 'not ready', reason })
+      },
+    },
+    {
+      method: 'GET',
+      path: '/metrics',
+      handler: async ({ response }) => {
+        const text = await options.metrics.render()
+        response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+        response.end(text)
+      },
+    },
+  ]
+}
--- /dev/null
+++ b/packages/core/src/httpClient.ts
@@ -0,0 +1,145 @@
+/** HTTP client on Node's `http` and `https` for the fleet's own processes and backend servers. */
+import { readFileSync } from 'node:fs'
+import { Agent, request as requestPlain, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent as TlsAgent, request as requestTls } from 'node:https'
+import { parseErrorBody, SpoolgateError } from './errors.js'
+import { INTERNAL_BODY_LIMITS, readBody, readJson } from './httpBody.js'
+
+/** Options of {@link createHttpClient}. */
+export interface HttpClientOptions {
+  /**
+   * Key sent to the other side.
+   * @default undefined, none
+   */
+  readonly key?: string
+  /**
+   * Authority that signs the other side's certificate, a PEM file.
+   * @default undefined, the machine's own authorities
+   */
+  readonly caFile?: string
+}
+
+/** One request. */
+export interface HttpRequest {
+  readonly method: string
+  /** Absolute URL. */
+  readonly url: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: Buffer | string
+  readonly signal?: AbortSignal
+  /**
+   * Longest wait for the answer's headers, in milliseconds.
+   * @default none
+   */
+  readonly timeoutMs?: number
+  /**
+   * Whether to use a connection of its own instead of a kept-alive one.
+   * @default false
+   */
+  readonly isFresh?: boolean
+}
+
+/** Why a request got no answer. */
+export class ConnectionError extends Error {
+  constructor(
+    message: string,
+    /** True when no byte can have reached the other side: the connection was never made. */
+    readonly neverSent: boolean,
+    /** True when the wait ended by the request's own time limit. */
+    readonly timedOut: boolean,
+  ) {
+    super(message)
+  }
+}
+
+/** A client with kept-alive connections. */
+export interface HttpClient {
+  /**
+   * Sends a request and waits for the answer's headers.
+   * @throws ConnectionError when there is no answer.
+   */
+  send(request: HttpRequest): Promise<IncomingMessage>
+  /**
+   * Sends JSON and reads JSON.
+   * @throws ConnectionError when there is no answer, SpoolgateError for an error answer.
+   */
+  sendJson<T>(request: Omit<HttpRequest, 'body'> & { readonly json?: unknown }): Promise<T>
+  close(): void
+}
+
+/** Errors of the socket that can only come up before a connection stands. */
+const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
+
+function toConnectionError(cause: NodeJS.ErrnoException, timedOut: boolean): ConnectionError {
+  const neverSent = cause.code !== undefined && CONNECT_ERRORS.has(cause.code)
+  return new ConnectionError(cause.message, neverSent, timedOut)
+}
+
+/** Creates a client. */
+export function createHttpClient(options: HttpClientOptions = {}): HttpClient {
+  const ca = options.caFile === undefined ? undefined : readFileSync(options.caFile)
+  const plainAgent = new Agent({ keepAlive: true, maxSockets: Infinity, scheduling: 'lifo' })
+  const tlsAgent = new TlsAgent({ keepAlive: true, maxSockets: Infinity, ca })
+  const authorization: Record<string, string> = {}
+  if (options.key !== undefined) authorization.authorization = `Bearer ${options.key}`
+
+  const startRequest = (request: HttpRequest): ClientRequest => {
+    const headers: Record<string, string | number> = { ...authorization, ...request.headers }
+    if (request.body !== undefined) headers['content-length'] = Buffer.byteLength(request.body)
+    const common = { method: request.method, headers, signal: request.signal, ca }
+    return request.url.startsWith('https:')
+      ? requestTls(request.url, { ...common, agent: request.isFresh ? false : tlsAgent })
+      : requestPlain(request.url, { ...common, agent: request.isFresh ? false : plainAgent })
+  }
+
+  const sendOnce = (request: HttpRequest): Promise<IncomingMessage> =>
+    new Promise((resolve, reject) => {
+      let timedOut = false
+      const outgoing = startRequest(request)
+      const timeout =
+        request.timeoutMs === undefined
+          ? undefined
+          : setTimeout(() => {
+              timedOut = true
+              outgoing.destroy(new Error(`no answer within ${request.timeoutMs} ms`))
+            }, request.timeoutMs)
+      outgoing.on('response', (message) => {
+        clearTimeout(timeout)
+        resolve(message)
+      })
+      outgoing.on('error', (cause) => {
+        clearTimeout(timeout)
+        reject(toConnectionError(cause, timedOut))
+      })
+      outgoing.end(request.body)
+    })
+
+  return {
+    send: sendOnce,
+    sendJson: async <T>(request: Omit<HttpRequest, 'body'> & { json?: unknown }): Promise<T> => {
+      const { json, ...rest } = request
+      const body = json === undefined ? undefined : JSON.stringify(json)
+      const headers = { 'content-type': 'application/json', ...rest.headers }
+      const message = await sendOnce({ ...rest, headers, body })
+      if ((message.statusCode ?? 500) >= 400) throw await readErrorAnswer(message)
+      return (await readJson(message, INTERNAL_BODY_LIMITS)) as T
+    },
+    close: () => {
+      plainAgent.destroy()
+      tlsAgent.destroy()
+    },
+  }
+}
+
+/** Reads the typed error of an answer with an error status. */
+export async function readErrorAnswer(message: IncomingMessage): Promise<SpoolgateError> {
+  const body = await readBody(message, INTERNAL_BODY_LIMITS)
+  try {
+    return parseErrorBody(JSON.parse(body.toString('utf8')))
+  } catch {
+    return new SpoolgateError(
+      'backendFailed',
+      `status ${message.statusCode} without a readable body`,
+    )
+  }
+}
--- /dev/null
+++ b/packages/core/src/httpServer.ts
@@ -0,0 +1,300 @@
+/**
+ * HTTP server on Node's `http` or `https`: a route table, typed errors, process keys, and a planned
+ * stop that lets exchanges in progress finish.
+ */
+import { readFileSync } from 'node:fs'
+import {
+  createServer as createPlainServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http'
+import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Subscription } from 'rxjs'
+import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
+import { isSameSecret } from './keys.js'
+import type { Logger } from './logger.js'
+import type { TimerService } from './timers.js'
+
+/** One request with its response. */
+export interface HttpExchange {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  /** Path without the query. */
+  readonly path: string
+  readonly query: URLSearchParams
+  /** Values of the `:name` segments of the route. */
+  readonly params: Readonly<Record<string, string>>
+}
+
+/** Serves one exchange; what it throws becomes a typed error answer. */
+export type HttpHandler = (exchange: HttpExchange) => Promise<void> | void
+
+/** One entry of a route table. */
+export interface Route {
+  /** HTTP method, or `*` for any. */
+  readonly method: string
+  /** Path; `:name` matches one segment, and a final `*` matches the rest. */
+  readonly path: string
+  /** Key that the sender must hold; undefined leaves the check to the handler. */
+  readonly key?: string
+  readonly handler: HttpHandler
+}
+
+/** Files of a TLS identity, in PEM. */
+export interface TlsFiles {
+  readonly certFile: string
+  readonly keyFile: string
+  /**
+   * Authority that signs the other processes' certificates.
+   * @default undefined, the machine's own authorities
+   */
+  readonly caFile?: string
+}
+
+/** Options of {@link createHttpServer}. */
+export interface HttpServerOptions {
+  readonly host: string
+  /** Port; 0 lets the machine choose. */
+  readonly port: number
+  readonly routes: readonly Route[]
+  readonly logger: Logger
+  /** Clock and timers; TLS files are checked for changes by it. */
+  readonly timers: TimerService
+  /**
+   * TLS identity.
+   * @default undefined, plain HTTP
+   */
+  readonly tls?: TlsFiles
+  /**
+   * Longest time for a sender to deliver its headers, in milliseconds.
+   * @default 10000
+   */
+  readonly headersTimeoutMs?: number
+  /**
+   * Largest header block in bytes.
+   * @default 16384
+   */
+  readonly maxHeaderBytes?: number
+}
+
+/** What a planned stop left behind. */
+export interface CloseReport {
+  /** Exchanges that were cut because they outlasted the bound. */
+  readonly abandoned: number
+}
+
+/** A listening server. */
+export interface HttpServer {
+  /** Base URL with the port that was bound. */
+  readonly url: string
+  readonly port: number
+  /** Exchanges in progress. */
+  inProgress(): number
+  /** Adds routes that could only be made once the port was known. */
+  addRoutes(routes: readonly Route[]): void
+  /** Stops listening, waits up to `drainMs` for exchanges in progress, then cuts the rest. */
+  close(drainMs: number): Promise<CloseReport>
+}
+
+interface CompiledRoute extends Route {
+  readonly segments: readonly string[]
+}
+
+const DEFAULT_HEADERS_TIMEOUT_MS = 10_000
+const DEFAULT_MAX_HEADER_BYTES = 16_384
+const KEEP_ALIVE_TIMEOUT_MS = 60_000
+const TLS_CHECK_PERIOD_MS = 5_000
+
+/** Sends a JSON answer. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const text = JSON.stringify(body)
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  })
+  response.end(text)
+}
+
+/** Sends a typed error, or cuts the connection when the answer has already begun. */
+export function sendError(response: ServerResponse, cause: unknown): void {
+  const error = toSpoolgateError(cause)
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
+  const headers: Record<string, string> = {}
+  if (error.retryAfterSeconds !== undefined) {
+    headers['retry-after'] = String(Math.ceil(error.retryAfterSeconds))
+  }
+  sendJson(response, error.status, formatErrorBody(error), headers)
+}
+
+/** Reads the key of an `authorization: Bearer` header. */
+export function readBearerKey(request: IncomingMessage): string | undefined {
+  const value = request.headers.authorization
+  return value?.startsWith('Bearer ') ? value.slice('Bearer '.length).trim() : undefined
+}
+
+/**
+ * Checks that the sender holds `key`.
+ * @throws SpoolgateError `missingKey` or `wrongKey`.
+ */
+export function checkBearerKey(request: IncomingMessage, key: string): void {
+  const given = readBearerKey(request)
+  if (given === undefined) {
+    throw new SpoolgateError('missingKey', 'send the key as `authorization: Bearer KEY`')
+  }
+  if (!isSameSecret(given, key)) {
+    throw new SpoolgateError('wrongKey', 'this key is not accepted here; check the key file')
+  }
+}
+
+function compareSegments(
+  route: CompiledRoute,
+  segments: readonly string[],
+): Record<string, string> | undefined {
+  const params: Record<string, string> = {}
+  for (const [index, wanted] of route.segments.entries()) {
+    if (wanted === '*') return params
+    const found = segments[index]
+    if (found === undefined) return undefined
+    if (wanted.startsWith(':')) params[wanted.slice(1)] = decodeURIComponent(found)
+    else if (wanted !== found) return undefined
+  }
+  return segments.length === route.segments.length ? params : undefined
+}
+
+function createDispatcher(compiled: readonly CompiledRoute[]) {
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const [path, queryText] = (request.url ?? '/').split('?', 2)
+    const segments = path.split('/')
+    for (const route of compiled) {
+      if (route.method !== '*' && route.method !== request.method) continue
+      const params = compareSegments(route, segments)
+      if (!params) continue
+      if (route.key !== undefined) checkBearerKey(request, route.key)
+      const query = new URLSearchParams(queryText ?? '')
+      return route.handler({ request, response, path, query, params })
+    }
+    throw new SpoolgateError('unknownPath', `no route for ${request.method} ${path}; see the docs`)
+  }
+}
+
+function readTlsOptions(files: TlsFiles) {
+  return {
+    cert: readFileSync(files.certFile),
+    key: readFileSync(files.keyFile),
+    ca: files.caFile === undefined ? undefined : readFileSync(files.caFile),
+  }
+}
+
+/** Loads changed TLS files into a running server, so that certificates renew without a restart. */
+function watchTlsFiles(server: TlsServer, files: TlsFiles, options: HttpServerOptions) {
+  let current = JSON.stringify(readTlsOptions(files))
+  return options.timers.every(TLS_CHECK_PERIOD_MS).subscribe(() => {
+    try {
+      const tls = readTlsOptions(files)
+      const found = JSON.stringify(tls)
+      if (found === current) return
+      server.setSecureContext(tls)
+      current = found
+      options.logger.info('tls.reloaded', { cert: files.certFile })
+    } catch (cause) {
+      const reason = toSpoolgateError(cause).message
+      options.logger.error('tls.unreadable', { reason, remedy: 'restore the named files' })
+    }
+  })
+}
+
+function createServerFor(options: HttpServerOptions): Server | TlsServer {
+  const settings = {
+    headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
+    maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    requestTimeout: 0,
+    noDelay: true,
+  }
+  if (!options.tls) return createPlainServer(settings)
+  return createTlsServer({ ...settings, ...readTlsOptions(options.tls) })
+}
+
+function waitUntilListening(server: Server | TlsServer, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.removeListener('error', reject)
+      resolve()
+    })
+  })
+}
+
+/** Creates a server and waits until it listens. */
+export async function createHttpServer(options: HttpServerOptions): Promise<HttpServer> {
+  const server = createServerFor(options)
+  const compiled: CompiledRoute[] = []
+  const addRoutes = (routes: readonly Route[]) => {
+    for (const route of routes) compiled.push({ ...route, segments: route.path.split('/') })
+  }
+  addRoutes(options.routes)
+  const dispatch = createDispatcher(compiled)
+  const active = new Set<ServerResponse>()
+  const sockets = new Set<Socket>()
+  let closing = false
+  let notifyIdle: () => void = () => {}
+
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
+  server.on('request', (request, response) => {
+    active.add(response)
+    if (closing) response.setHeader('connection', 'close')
+    response.once('close', () => {
+      active.delete(response)
+      if (active.size === 0) notifyIdle()
+    })
+    dispatch(request, response).catch((cause) => sendError(response, cause))
+  })
+  await waitUntilListening(server, options.host, options.port)
+  const tlsWatch: Subscription | undefined = options.tls
+    ? watchTlsFiles(server as TlsServer, options.tls, options)
+    : undefined
+  const { port } = server.address() as AddressInfo
+  const scheme = options.tls ? 'https' : 'http'
+
+  const waitForIdle = (drainMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      if (active.size === 0) return resolve()
+      const timeout = setTimeout(resolve, drainMs)
+      notifyIdle = () => {
+        clearTimeout(timeout)
+        resolve()
+      }
+    })
+
+  return {
+    url: `${scheme}://${options.host}:${port}`,
+    port,
+    inProgress: () => active.size,
+    addRoutes,
+    close: async (drainMs) => {
+      closing = true
+      tlsWatch?.unsubscribe()
+      const closed = new Promise<void>((resolve) => server.close(() => resolve()))
+      server.closeIdleConnections()
+      await waitForIdle(drainMs)
+      const abandoned = active.size
+      for (const socket of sockets) socket.destroy()
+      await closed
+      return { abandoned }
+    },
+  }
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,72 @@
+export * from './ids.js'
+export {
+  ERROR_KINDS,
+  SpoolgateError,
+  formatErrorBody,
+  parseErrorBody,
+  toSpoolgateError,
+  type ErrorBody,
+  type ErrorKind,
+  type ErrorOptions,
+} from './errors.js'
+export {
+  createManualTimerService,
+  createTimerService,
+  waitFor,
+  type ManualTimerService,
+  type TimerService,
+} from './timers.js'
+export {
+  createLogger,
+  createQuietLogger,
+  formatLogLine,
+  type LogFields,
+  type Logger,
+  type LoggerOptions,
+  type LogLevel,
+} from './logger.js'
+export { createMetrics, type Counter, type Histogram, type Metrics } from './metrics.js'
+export {
+  INVARIANTS,
+  InvariantViolation,
+  createInvariants,
+  type InvariantName,
+  type Invariants,
+} from './invariants.js'
+export {
+  createCallerKeyring,
+  hashCallerKey,
+  isSameSecret,
+  verifyCallerKey,
+  type CallerKeyring,
+  type StoredCallerKey,
+} from './keys.js'
+export {
+  INTERNAL_BODY_LIMITS,
+  parseJsonBody,
+  readBody,
+  readJson,
+  type BodyLimits,
+} from './httpBody.js'
+export {
+  checkBearerKey,
+  createHttpServer,
+  readBearerKey,
+  sendError,
+  sendJson,
+  type CloseReport,
+  type HttpExchange,
+  type HttpHandler,
+  type HttpServer,
+  type Route,
+  type TlsFiles,
+} from './httpServer.js'
+export {
+  ConnectionError,
+  createHttpClient,
+  readErrorAnswer,
+  type HttpClient,
+  type HttpRequest,
+} from './httpClient.js'
+export { createDaemonRoutes } from './daemonRoutes.js'
+export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
--- /dev/null
+++ b/packages/core/src/metrics.ts
@@ -0,0 +1,48 @@
+/**
+ * Metrics by OpenTelemetry, served in the Prometheus text format on `/metrics`. Each daemon owns
+ * one registry, so that several can live in one process.
+ */
+import type { Counter, Histogram, Meter } from '@opentelemetry/api'
+import { PrometheusExporter, PrometheusSerializer } from '@opentelemetry/exporter-prometheus'
+import { MeterProvider } from '@opentelemetry/sdk-metrics'
+
+export type { Counter, Histogram }
+
+/** Metrics of one daemon. */
+export interface Metrics {
+  /** Meter for instruments that this registry exports. */
+  readonly meter: Meter
+  /** Finds or creates a counter. */
+  counter(name: string, description: string): Counter
+  /** Finds or creates a histogram; the unit is in the name, as Prometheus wants it. */
+  histogram(name: string, description: string): Histogram
+  /** Renders every metric in the Prometheus text format. */
+  render(): Promise<string>
+  /** Stops the registry. */
+  close(): Promise<void>
+}
+
+/** Creates the metrics of one daemon. */
+export function createMetrics(daemon: string): Metrics {
+  const exporter = new PrometheusExporter({ preventServerStart: true })
+  const provider = new MeterProvider({ readers: [exporter] })
+  const meter = provider.getMeter(`spoolgate.${daemon}`)
+  const serializer = new PrometheusSerializer('spoolgate')
+  const counters = new Map<string, Counter>()
+  const histograms = new Map<string, Histogram>()
+  return {
+    meter,
+    counter: (name, description) => {
+      const found = counters.get(name) ?? meter.createCounter(name, { description })
+      counters.set(name, found)
+      return found
+    },
+    histogram: (name, description) => {
+      const found = histograms.get(name) ?? meter.createHistogram(name, { description })
+      histograms.set(name, found)
+      return found
+    },
+    render: async () => serializer.serialize((await exporter.collect()).resourceMetrics),
+    close: () => provider.shutdown(),
+  }
+}
--- /dev/null
+++ b/packages/core/src/timers.ts
@@ -0,0 +1,102 @@
+/**
+ * Time as a service that parts subscribe to. Real daemons use the machine's monotonic clock;
+ * tests pass a manual clock and move it by hand, so that no test waits for time to pass.
+ */
+import { Observable } from 'rxjs'
+
+/** Clock and timers. All durations and instants are in milliseconds. */
+export interface TimerService {
+  /** Monotonic time; its zero has no meaning. */
+  now(): number
+  /** Wall-clock time since the Unix epoch, for stamps that people read. */
+  wallNow(): number
+  /** Emits once after `delay`, then completes; unsubscribing cancels. */
+  after(delay: number): Observable<void>
+  /** Emits each `period` until unsubscribed. */
+  every(period: number): Observable<void>
+}
+
+/** A timer service whose time moves only when told. */
+export interface ManualTimerService extends TimerService {
+  /** Moves time forward and runs what falls due, in order of due time. */
+  advance(duration: number): void
+}
+
+/** Creates the timer service of a real daemon. */
+export function createTimerService(): TimerService {
+  return {
+    now: () => performance.now(),
+    wallNow: () => Date.now(),
+    after: (delay) =>
+      new Observable((subscriber) => {
+        const handle = setTimeout(() => {
+          subscriber.next()
+          subscriber.complete()
+        }, delay)
+        return () => clearTimeout(handle)
+      }),
+    every: (period) =>
+      new Observable((subscriber) => {
+        const handle = setInterval(() => subscriber.next(), period)
+        return () => clearInterval(handle)
+      }),
+  }
+}
+
+interface ManualTask {
+  due: number
+  readonly period: number | undefined
+  readonly run: () => void
+}
+
+/** Creates a timer service for tests; time starts at zero. */
+export function createManualTimerService(): ManualTimerService {
+  let now = 0
+  const tasks = new Set<ManualTask>()
+  const addTask = (due: number, period: number | undefined, run: () => void) => {
+    const task: ManualTask = { due, period, run }
+    tasks.add(task)
+    return () => tasks.delete(task)
+  }
+  const findNext = (until: number): ManualTask | undefined => {
+    const due = [...tasks].filter((task) => task.due <= until)
+    return due.sort((a, b) => a.due - b.due)[0]
+  }
+  return {
+    now: () => now,
+    wallNow: () => now,
+    after: (delay) =>
+      new Observable((subscriber) =>
+        addTask(now + delay, undefined, () => {
+          subscriber.next()
+          subscriber.complete()
+        }),
+      ),
+    every: (period) =>
+      new Observable((subscriber) => addTask(now + period, period, () => subscriber.next())),
+    advance: (duration) => {
+      const until = now + duration
+      for (let task = findNext(until); task; task = findNext(until)) {
+        now = task.due
+        if (task.period === undefined) tasks.delete(task)
+        else task.due += task.period
+        task.run()
+      }
+      now = until
+    },
+  }
+}
+
+/** Waits for `delay` milliseconds, or until `signal` aborts. Never rejects. */
+export function waitFor(timers: TimerService, delay: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const subscription = timers.after(delay).subscribe(() => finish())
+    const finish = () => {
+      subscription.unsubscribe()
+      signal?.removeEventListener('abort', finish)
+      resolve()
+    }
+    if (signal?.aborted) finish()
+    else signal?.addEventListener('abort', finish)
+  })
+}
--- /dev/null
+++ b/packages/router/src/decide/decisions.ts
@@ -0,0 +1,193 @@
+/** Decisions of a router: which backend servers to try, in which order, and why. */
+import type { BackendServer, Fleet, PolicyName, TeamParameters } from '@spoolgate/config'
+import {
+  INTERNAL_BODY_LIMITS,
+  readJson,
+  type BackendServerId,
+  type HttpClient,
+  type Logger,
+  type Metrics,
+  type RandomSource,
+  type RequestId,
+  type TeamId,
+  type TimerService,
+  type WeightsVersion,
+} from '@spoolgate/core'
+import {
+  hashText,
+  POLICIES,
+  type Ejection,
+  type PolicyState,
+  type PrefixChain,
+  type RankedCandidate,
+  type ReplyHints,
+} from '@spoolgate/routing'
+import type { DecisionLog } from './decisionLog.js'
+
+/** Options of {@link createDecider}. */
+export interface DeciderOptions {
+  readonly hall: string
+  readonly region: string
+  readonly state: PolicyState
+  readonly ejection: Ejection
+  readonly client: HttpClient
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly decisions: DecisionLog
+  /**
+   * Full knowledge of a backend server, for the oracle of benchmarks.
+   * @default undefined, hints only
+   */
+  readonly findTruth?: (server: BackendServerId, chain: PrefixChain) => ReplyHints | undefined
+}
+
+/** What a decision is about. */
+export interface DecisionRequest {
+  readonly request: RequestId
+  readonly team: TeamId
+  readonly parameters: TeamParameters
+  readonly fleet: Fleet
+  /** Model or group. */
+  readonly target: string
+  readonly chain: PrefixChain
+  /** Weights that may answer; undefined for plain services. */
+  readonly weightsVersion: WeightsVersion | undefined
+  /** Keeps the requests of one session on one policy. */
+  readonly session: string
+  readonly excluded: ReadonlySet<BackendServerId>
+}
+
+/** A choice. */
+export interface Decision {
+  readonly chosen: RankedCandidate
+  readonly policy: PolicyName
+}
+
+/** Makes decisions. */
+export interface Decider {
+  /** Chooses the backend server to try next; undefined when none is left. */
+  choose(request: DecisionRequest): Promise<Decision | undefined>
+  /** Finds the policy arm of a session. */
+  findPolicy(request: Pick<DecisionRequest, 'parameters' | 'session'>): PolicyName
+}
+
+/** One-way distances that the score assumes, in ms. */
+const SAME_HALL_MS = 0.2
+const SAME_REGION_MS = 1.2
+const OTHER_REGION_MS = 25
+const PROBE_TIMEOUT_MS = 500
+/** Candidates that a log line names. */
+const LOGGED_CANDIDATES = 4
+const ARM_RESOLUTION = 10_000
+
+/** Creates a decider. */
+export function createDecider(options: DeciderOptions): Decider {
+  const { state, ejection, timers, random, client } = options
+  const probes = options.metrics.counter('probes', 'Probes sent before a choice')
+
+  const findDistanceMs = (server: BackendServer) => {
+    if (server.hall === options.hall && server.region === options.region) return SAME_HALL_MS
+    return server.region === options.region ? SAME_REGION_MS : OTHER_REGION_MS
+  }
+  const findPolicy: Decider['findPolicy'] = ({ parameters, session }) => {
+    const { arms } = parameters
+    if (arms.length === 1) return arms[0].policy
+    const total = arms.reduce((sum, arm) => sum + arm.share, 0)
+    let point = ((hashText(session) % ARM_RESOLUTION) / ARM_RESOLUTION) * total
+    return (arms.find((arm) => (point -= arm.share) < 0) ?? arms[0]).policy
+  }
+  const createFilter = (request: DecisionRequest, servers: readonly BackendServer[]) => {
+    const { parameters, excluded, weightsVersion } = request
+    const ids = servers.map(({ id }) => id)
+    const ejected = ejection.listEjected(ids, timers.now())
+    const isUsable = (server: BackendServer) => {
+      if (server.leaving || excluded.has(server.id)) return false
+      if (parameters.region !== undefined && server.region !== parameters.region) return false
+      const hints = state.hints.find(server.id)?.hints
+      if (!hints || weightsVersion === undefined) return true
+      return hints.weightsVersion === weightsVersion || hints.weightsVersion === ''
+    }
+    const isAllowed = (server: BackendServer) => isUsable(server) && !ejected.has(server.id)
+    // Rather an ejected backend server than none at all.
+    return servers.some(isAllowed) ? isAllowed : isUsable
+  }
+  const rank = (request: DecisionRequest, policy: PolicyName) => {
+    const servers = request.fleet.backendServersByTarget.get(request.target) ?? []
+    return POLICIES[policy].rank({
+      chain: request.chain,
+      servers,
+      isAllowed: createFilter(request, servers),
+      distanceMs: findDistanceMs,
+      slowStartMs: (server) => ejection.findSlowStartMs(server, timers.now()),
+      parameters: request.parameters,
+      boundedLoadFactor: request.fleet.routing.boundedLoadFactor,
+      state,
+      random,
+      now: timers.now(),
+    })
+  }
+  const recordTruth = (chain: PrefixChain, hints: ReplyHints) => {
+    const now = timers.now()
+    state.hints.record(hints, now)
+    state.hints.recordCached(chain, hints, hints.matchedTokens, now)
+  }
+  const probe = async (candidate: RankedCandidate, chain: PrefixChain) => {
+    const { id, sidecarUrl } = candidate.server
+    probes.add(1)
+    try {
+      const message = await client.send({
+        method: 'POST',
+        url: `${sidecarUrl}/probe`,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(chain),
+        timeoutMs: PROBE_TIMEOUT_MS,
+      })
+      const hints = (await readJson(message, INTERNAL_BODY_LIMITS)) as ReplyHints
+      if (message.statusCode === 200) recordTruth(chain, hints)
+    } catch {
+      ejection.record(id, 'failed', timers.now())
+    }
+  }
+  const chooseProbed = async (request: DecisionRequest, policy: PolicyName, count: number) => {
+    const first = rank(request, policy).slice(0, count)
+    await Promise.all(first.map((candidate) => probe(candidate, request.chain)))
+    const asked = new Set(first.map(({ server }) => server.id))
+    return rank(request, policy).filter(({ server }) => asked.has(server.id))
+  }
+  const rankWithTruth = (request: DecisionRequest, policy: PolicyName) => {
+    const { findTruth } = options
+    for (const server of request.fleet.backendServersByTarget.get(request.target) ?? []) {
+      const hints = findTruth?.(server.id, request.chain)
+      if (hints) recordTruth(request.chain, hints)
+    }
+    return rank(request, policy)
+  }
+
+  return {
+    findPolicy,
+    choose: async (request) => {
+      const policy = findPolicy(request)
+      const count = POLICIES[policy].probes
+      const ranked =
+        count > 0 ? await chooseProbed(request, policy, count) : rankWithTruth(request, policy)
+      const chosen = ranked.at(0)
+      if (!chosen) return undefined
+      options.decisions.recordDecision(request.request, {
+        team: request.team,
+        policy,
+        version: request.fleet.version,
+        target: request.target,
+        promptTokens: request.chain.totalTokens,
+        chosen: chosen.server.id,
+        candidates: ranked.slice(0, LOGGED_CANDIDATES).map(({ server, score, reason }) => ({
+          server: server.id,
+          score,
+          reason,
+        })),
+      })
+      return { chosen, policy }
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,4 @@
+export { createRouter, type Router, type RouterOptions } from './server/routerServer.js'
+export { CALLER_HEADERS } from './server/callerRequest.js'
+export { REQUEST_ID_HEADER } from './server/callerRoutes.js'
+export type { RequestRecord } from './decide/decisionLog.js'
--- /dev/null
+++ b/packages/router/src/relay/attempt.ts
@@ -0,0 +1,178 @@
+/** One attempt: hands a call to a sidecar and reads its answer, over several connections if need be. */
+import type { IncomingMessage } from 'node:http'
+import {
+  ConnectionError,
+  INTERNAL_BODY_LIMITS,
+  readErrorAnswer,
+  readJson,
+  waitFor,
+  type HttpClient,
+  type Invariants,
+  type Logger,
+  type SpoolgateError,
+  type TimerService,
+} from '@spoolgate/core'
+import {
+  CALL_HEADER,
+  HINTS_HEADER,
+  type CallHeader,
+  type Decline,
+  type ReplyHints,
+} from '@spoolgate/routing'
+import { createFrameCursor, readFrames, type AnswerSink, type FrameCursor } from './frameReader.js'
+
+/** Parts that every attempt of a router needs. */
+export interface AttemptParts {
+  readonly client: HttpClient
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly invariants: Invariants
+}
+
+/** One attempt. */
+export interface AttemptRequest {
+  readonly sidecarUrl: string
+  readonly header: CallHeader
+  readonly body: Buffer
+  readonly sink: AnswerSink
+  /** Aborted when the caller left, or when the attempt took too long to begin. */
+  readonly signal: AbortSignal
+  /** Called with the hints of a claim. */
+  readonly onClaim: (hints: ReplyHints) => void
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | { readonly kind: 'finished' }
+  | { readonly kind: 'declined'; readonly decline: Decline; readonly hints: ReplyHints }
+  /** The backend server failed; `notRun` when it never got a byte of the call. */
+  | { readonly kind: 'failed'; readonly reason: string; readonly notRun: boolean }
+  /** The sidecar cannot be reached; `notRun` when it never got a byte of the call. */
+  | { readonly kind: 'lost'; readonly reason: string; readonly notRun: boolean }
+  | { readonly kind: 'cancelled' }
+
+/** Tries to read on after a connection broke. */
+const RESUME_TRIES = 4
+const RESUME_DELAY_MS = 50
+const RESUME_TIMEOUT_MS = 1_000
+const DECLINED_STATUS = 409
+const CANCEL_TIMEOUT_MS = 2_000
+
+function parseHints(message: IncomingMessage): ReplyHints {
+  return JSON.parse(String(message.headers[HINTS_HEADER])) as ReplyHints
+}
+
+function formatCallUrl(sidecarUrl: string, header: CallHeader): string {
+  return `${sidecarUrl}/calls/${header.request}/${header.attempt}`
+}
+
+/** Frees the engine's slot of an attempt that nobody waits for; failures need no answer. */
+export function cancelAttempt(parts: AttemptParts, sidecarUrl: string, header: CallHeader): void {
+  const url = formatCallUrl(sidecarUrl, header)
+  parts.client
+    .sendJson({ method: 'DELETE', url, timeoutMs: CANCEL_TIMEOUT_MS })
+    .catch(() => parts.logger.debug('attempt.cancelUnanswered', { request: header.request }))
+}
+
+function toResult(cursor: FrameCursor): AttemptResult | undefined {
+  const { end } = cursor
+  if (!end) return undefined
+  if (end.outcome === 'finished') return { kind: 'finished' }
+  return { kind: 'failed', reason: end.reason ?? 'unknown', notRun: end.notRun ?? false }
+}
+
+async function resumeOnce(
+  parts: AttemptParts,
+  request: AttemptRequest,
+  cursor: FrameCursor,
+): Promise<SpoolgateError | undefined> {
+  const message = await parts.client.send({
+    method: 'GET',
+    url: formatCallUrl(request.sidecarUrl, request.header),
+    headers: { 'last-event-id': String(cursor.sequence) },
+    signal: request.signal,
+    timeoutMs: RESUME_TIMEOUT_MS,
+  })
+  if ((message.statusCode ?? 0) !== 200) return readErrorAnswer(message)
+  await readFrames(message, cursor, request.sink, parts.invariants)
+  return undefined
+}
+
+/** Reads on after a broken connection until the answer has ended or the sidecar is given up. */
+export async function resumeAttempt(
+  parts: AttemptParts,
+  request: AttemptRequest,
+  cursor: FrameCursor = createFrameCursor(),
+): Promise<AttemptResult> {
+  for (let tries = 0; tries < RESUME_TRIES && !request.signal.aborted; tries += 1) {
+    if (tries > 0) await waitFor(parts.timers, RESUME_DELAY_MS * 2 ** tries, request.signal)
+    const before = cursor.sequence
+    try {
+      const refusal = await resumeOnce(parts, request, cursor)
+      if (refusal) return { kind: 'lost', reason: refusal.message, notRun: false }
+    } catch (cause) {
+      if (!(cause instanceof ConnectionError)) throw cause
+    }
+    const result = toResult(cursor)
+    if (result) return result
+    if (cursor.sequence > before) tries = 0
+  }
+  if (request.signal.aborted) return { kind: 'cancelled' }
+  return { kind: 'lost', reason: 'sidecar does not answer', notRun: false }
+}
+
+async function sendCall(
+  parts: AttemptParts,
+  request: AttemptRequest,
+): Promise<IncomingMessage | AttemptResult> {
+  const { header, body, sidecarUrl, signal } = request
+  try {
+    return await parts.client.send({
+      method: 'POST',
+      url: `${sidecarUrl}/calls`,
+      headers: {
+        [CALL_HEADER]: JSON.stringify(header),
+        'content-type': 'application/octet-stream',
+      },
+      body,
+      signal,
+    })
+  } catch (cause) {
+    if (!(cause instanceof ConnectionError)) throw cause
+    if (signal.aborted) return { kind: 'cancelled' }
+    return { kind: 'lost', reason: cause.message, notRun: cause.neverSent }
+  }
+}
+
+/** Runs one attempt to its end; cancels it at the sidecar when the signal aborts. */
+export async function runAttempt(
+  parts: AttemptParts,
+  request: AttemptRequest,
+): Promise<AttemptResult> {
+  const { header, sidecarUrl, signal } = request
+  const reply = await sendCall(parts, request)
+  if ('kind' in reply) {
+    if (reply.kind === 'cancelled') cancelAttempt(parts, sidecarUrl, header)
+    return reply
+  }
+  if (reply.statusCode === DECLINED_STATUS && HINTS_HEADER in reply.headers) {
+    const decline = (await readJson(reply, INTERNAL_BODY_LIMITS)) as Decline
+    return { kind: 'declined', decline, hints: parseHints(reply) }
+  }
+  if (reply.statusCode !== 200) {
+    const error = await readErrorAnswer(reply)
+    return { kind: 'failed', reason: error.message, notRun: error.notRun }
+  }
+  request.onClaim(parseHints(reply))
+  const cursor = createFrameCursor()
+  await readFrames(reply, cursor, request.sink, parts.invariants)
+  const result = toResult(cursor)
+  if (result) return result
+  if (!signal.aborted) {
+    parts.logger.warn('attempt.connectionBroken', { request: header.request, at: cursor.sequence })
+    const resumed = await resumeAttempt(parts, request, cursor)
+    if (resumed.kind !== 'cancelled') return resumed
+  }
+  cancelAttempt(parts, sidecarUrl, header)
+  return { kind: 'cancelled' }
+}
--- /dev/null
+++ b/packages/router/src/relay/declines.ts
@@ -0,0 +1,71 @@
+/** What a router does when a sidecar declined a call. */
+import type { BackendServer } from '@spoolgate/config'
+import { type BackendServerId, SpoolgateError } from '@spoolgate/core'
+import type { AttemptResult } from './attempt.js'
+import type { CallContext } from './callContext.js'
+import type { RelayParts } from './relayParts.js'
+
+/** Part of a request's state that declines change. */
+export interface DeclineState {
+  readonly excluded: Set<BackendServerId>
+  /** Shortest time after which a backend server that declined may take the request, in ms. */
+  retryAfterMs: number | undefined
+  /** Whether any attempt may have reached a backend server; then no refusal may say not run. */
+  mayHaveRun: boolean
+}
+
+/** Longest wait for a configuration that a sidecar already has, in ms. */
+const CONFIG_WAIT_MS = 2_000
+const MS_PER_SECOND = 1_000
+
+/** Takes in a decline: learns from its hints, and leaves the backend server out or catches up. */
+export async function recordDecline(
+  parts: RelayParts,
+  context: CallContext,
+  state: DeclineState,
+  server: BackendServer,
+  result: Extract<AttemptResult, { kind: 'declined' }>,
+): Promise<void> {
+  const { decline, hints } = result
+  parts.state.hints.record(hints, parts.timers.now())
+  parts.instruments.declines.add(1, { reason: decline.declined })
+  parts.decisions.recordAttempt(context.request, {
+    server: server.id,
+    outcome: 'declined',
+    reason: decline.declined,
+  })
+  if (decline.declined === 'olderConfiguration') {
+    parts.config.noteVersion(hints.configVersion, server.sidecarUrl)
+    const isCaughtUp = await parts.config.waitForVersion(hints.configVersion, CONFIG_WAIT_MS)
+    if (isCaughtUp) return
+  }
+  state.excluded.add(server.id)
+  const { retryAfterMs } = decline
+  if (retryAfterMs === undefined) return
+  state.retryAfterMs = Math.min(state.retryAfterMs ?? Infinity, retryAfterMs)
+}
+
+/** Builds the refusal of a request for which no backend server is left. */
+export function buildRefusal(state: DeclineState): SpoolgateError {
+  const { retryAfterMs, excluded, mayHaveRun } = state
+  if (mayHaveRun) {
+    return new SpoolgateError(
+      'backendFailed',
+      'the backend servers that were tried failed; send the request again',
+      { retryAfterSeconds: 1 },
+    )
+  }
+  if (excluded.size === 0) {
+    return new SpoolgateError(
+      'noBackendServer',
+      'no backend server is in service; try again later',
+      {
+        retryAfterSeconds: 1,
+      },
+    )
+  }
+  const seconds = Math.max(1, Math.ceil((retryAfterMs ?? MS_PER_SECOND) / MS_PER_SECOND))
+  return new SpoolgateError('declined', `all backend servers are busy; try again in ${seconds} s`, {
+    retryAfterSeconds: seconds,
+  })
+}
--- /dev/null
+++ b/packages/router/src/relay/relayParts.ts
@@ -0,0 +1,32 @@
+/** Parts of a router that serving any request needs. */
+import type { ConfigFollower, ControlClient } from '@spoolgate/control'
+import type { Counter, Histogram } from '@spoolgate/core'
+import type { Ejection, PolicyState, RetryBudget } from '@spoolgate/routing'
+import type { Decider } from '../decide/decisions.js'
+import type { DecisionLog } from '../decide/decisionLog.js'
+import type { AttemptParts } from './attempt.js'
+
+/** Instruments of a router. */
+export interface RouterInstruments {
+  readonly requests: Counter
+  readonly declines: Counter
+  readonly retries: Counter
+  readonly claims: Counter
+  readonly promptTokens: Counter
+  readonly cachedTokens: Counter
+  readonly firstTokenMs: Histogram
+}
+
+/** Parts shared by all requests of a router. */
+export interface RelayParts extends AttemptParts {
+  readonly config: ConfigFollower
+  readonly control: ControlClient
+  readonly decider: Decider
+  readonly decisions: DecisionLog
+  readonly state: PolicyState
+  readonly ejection: Ejection
+  readonly budget: RetryBudget
+  readonly instruments: RouterInstruments
+  /** Keeps the router open until work that outlives its caller is done. */
+  readonly background: (work: Promise<unknown>) => void
+}
--- /dev/null
+++ b/packages/router/src/relay/sinks.ts
@@ -0,0 +1,139 @@
+/** Where answers go: on to a caller as they come, or into memory until they are whole. */
+import type { ServerResponse } from 'node:http'
+import { formatErrorBody, type SpoolgateError } from '@spoolgate/core'
+import type { BodyFrame, HeadFrame } from '@spoolgate/routing'
+import type { AnswerSink } from './frameReader.js'
+import { formatContinued, type DeliveredStream } from './continuation.js'
+
+/** An answer held in memory. */
+export interface WholeAnswer {
+  readonly head: HeadFrame
+  readonly body: Buffer
+}
+
+/** Sink that keeps the answer until it is whole. */
+export interface BufferSink extends AnswerSink {
+  /** The whole answer; undefined before a head has arrived. */
+  findAnswer(): WholeAnswer | undefined
+}
+
+const EVENT_STREAM = 'text/event-stream'
+
+function decodeBody(body: BodyFrame): Buffer {
+  return body.base64 === undefined
+    ? Buffer.from(body.text ?? '')
+    : Buffer.from(body.base64, 'base64')
+}
+
+/** Formats an event as callers read it. */
+function formatEvent(data: string): string {
+  return `data: ${data}\n\n`
+}
+
+/** Creates a sink in memory. */
+export function createBufferSink(): BufferSink {
+  const parts: Buffer[] = []
+  let head: HeadFrame | undefined
+  return {
+    onHead: (found) => {
+      head = found
+    },
+    onData: (data) => void parts.push(Buffer.from(formatEvent(data))),
+    onBody: (body) => void parts.push(decodeBody(body)),
+    flush: () => undefined,
+    findAnswer: () => head && { head, body: Buffer.concat(parts) },
+  }
+}
+
+/** Sends a whole answer to a caller. */
+export function sendAnswer(response: ServerResponse, answer: WholeAnswer): void {
+  response.writeHead(answer.head.status, {
+    'content-type': answer.head.contentType,
+    'content-length': answer.body.length,
+  })
+  response.end(answer.body)
+}
+
+/** Sink that relays a stream to a caller. */
+export interface StreamSink extends AnswerSink {
+  /** Payloads that the caller was sent. */
+  readonly delivered: readonly string[]
+  /** True once the caller has seen the head of a stream. */
+  hasBegun(): boolean
+  /** Starts the next attempt; from now on parts repeat the identity of what was delivered. */
+  resumeFrom(delivered: DeliveredStream): void
+  /** Ends the answer after its last part. */
+  finish(): void
+  /** Ends the answer with an explicit error event. */
+  fail(error: SpoolgateError): void
+}
+
+/** Options of {@link createStreamSink}. */
+export interface StreamSinkOptions {
+  readonly response: ServerResponse
+  /** Called when the first part of the answer is passed on. */
+  readonly onFirstToken: () => void
+}
+
+/** Creates a sink that relays to a caller. Answers that are not streams are kept until whole. */
+export function createStreamSink(options: StreamSinkOptions): StreamSink {
+  const { response, onFirstToken } = options
+  const delivered: string[] = []
+  let pending = ''
+  let hasBegun = false
+  let resumed: DeliveredStream | undefined
+  let whole = createBufferSink()
+  let isWhole = false
+
+  const writePending = () => {
+    if (pending === '') return true
+    const text = pending
+    pending = ''
+    return response.write(text)
+  }
+  const waitUntilDrained = () =>
+    new Promise<void>((resolve) => {
+      response.once('drain', resolve)
+      response.once('close', resolve)
+    })
+  return {
+    delivered,
+    hasBegun: () => hasBegun,
+    resumeFrom: (from) => {
+      resumed = from
+      whole = createBufferSink()
+    },
+    onHead: (head) => {
+      isWhole = !head.contentType.startsWith(EVENT_STREAM)
+      if (isWhole) return whole.onHead(head)
+      if (hasBegun) return
+      hasBegun = true
+      response.writeHead(head.status, {
+        'content-type': EVENT_STREAM,
+        'cache-control': 'no-store',
+      })
+    },
+    onData: (data) => {
+      if (delivered.length === 0) onFirstToken()
+      const payload = resumed ? formatContinued(data, resumed) : data
+      delivered.push(payload)
+      pending += formatEvent(payload)
+    },
+    onBody: (body) => {
+      onFirstToken()
+      whole.onBody(body)
+    },
+    flush: () => (writePending() || response.destroyed ? undefined : waitUntilDrained()),
+    finish: () => {
+      const answer = whole.findAnswer()
+      if (isWhole && answer) return sendAnswer(response, answer)
+      writePending()
+      response.end()
+    },
+    fail: (error) => {
+      pending += formatEvent(JSON.stringify(formatErrorBody(error)))
+      writePending()
+      response.end()
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/server/callerRoutes.ts
@@ -0,0 +1,167 @@
+/** The callers' interface: OpenAI-style generation, the list of models, and plain services. */
+import type { Fleet, Team } from '@spoolgate/config'
+import {
+  createCallerKeyring,
+  createUniqueId,
+  readBody,
+  sendJson,
+  SpoolgateError,
+  toRequestId,
+  type BodyLimits,
+  type CallerKeyring,
+  type HttpExchange,
+  type Route,
+  type TeamId,
+} from '@spoolgate/core'
+import { hashText, type PrefixChain } from '@spoolgate/routing'
+import type { CallContext } from '../relay/callContext.js'
+import type { RelayParts } from '../relay/relayParts.js'
+import { relayOnce } from '../relay/relayOnce.js'
+import { relayRepeatable } from '../relay/relayRepeatable.js'
+import {
+  findService,
+  findTeam,
+  GENERATION_PATHS,
+  isUnrepeatable,
+  parseGeneration,
+  readContentType,
+  readDeadline,
+  readIdempotencyKey,
+  readPriority,
+  readSession,
+} from './callerRequest.js'
+
+/** Options of {@link createCallerRoutes}. */
+export interface CallerRoutesOptions {
+  readonly parts: RelayParts
+  readonly limits: BodyLimits
+}
+
+/** Header that names the request, for `spoolgate explain`. */
+export const REQUEST_ID_HEADER = 'x-request-id'
+const EMPTY_CHAIN: PrefixChain = { scope: '', levels: [], totalTokens: 0 }
+
+/** Creates the keyring of a configuration, once for each version. */
+function createKeyringSource() {
+  let fleetSeen: Fleet | undefined
+  let keyring: CallerKeyring<TeamId> = createCallerKeyring([])
+  return (fleet: Fleet) => {
+    if (fleet !== fleetSeen) {
+      keyring = createCallerKeyring(fleet.callerKeys.map((key) => ({ ...key, owner: key.team })))
+      fleetSeen = fleet
+    }
+    return keyring
+  }
+}
+
+/** What is known of a request before its body is understood. */
+interface AcceptedRequest {
+  readonly exchange: HttpExchange
+  readonly fleet: Fleet
+  readonly team: Team
+  readonly startedAt: number
+}
+
+/** Creates the routes. */
+export function createCallerRoutes(options: CallerRoutesOptions): Route[] {
+  const { parts, limits } = options
+  const findKeyring = createKeyringSource()
+
+  const accept = (exchange: HttpExchange): AcceptedRequest => {
+    const startedAt = parts.timers.now()
+    const fleet = parts.config.current()
+    if (!fleet) throw new SpoolgateError('controlUnavailable', 'no configuration yet; try later')
+    const team = findTeam(exchange.request, fleet, findKeyring(fleet))
+    return { exchange, fleet, team, startedAt }
+  }
+  const createContext = (
+    accepted: AcceptedRequest,
+    rest: Pick<
+      CallContext,
+      'body' | 'path' | 'target' | 'chain' | 'weightsVersion' | 'session' | 'isStream'
+    >,
+  ): CallContext => {
+    const { exchange, team, startedAt } = accepted
+    const { request, response } = exchange
+    const caller = new AbortController()
+    response.once('close', () => {
+      if (!response.writableFinished) caller.abort()
+    })
+    const deadlineMs = readDeadline(request)
+    const id = toRequestId(createUniqueId('req'))
+    response.setHeader(REQUEST_ID_HEADER, id)
+    return {
+      ...rest,
+      request: id,
+      team: team.id,
+      parameters: team.parameters,
+      method: request.method ?? 'GET',
+      contentType: readContentType(request),
+      priority: readPriority(request, team),
+      deadline: deadlineMs === undefined ? undefined : startedAt + deadlineMs,
+      startedAt,
+      response,
+      callerSignal: caller.signal,
+    }
+  }
+  const relay = (context: CallContext, exchange: HttpExchange, isOnce: boolean) => {
+    if (!isOnce) return relayRepeatable(parts, context)
+    const given = readIdempotencyKey(exchange.request)
+    const key = { key: given ?? createUniqueId('auto'), isCallers: given !== undefined }
+    return relayOnce(parts, context, key)
+  }
+
+  const serveGeneration = async (exchange: HttpExchange) => {
+    const accepted = accept(exchange)
+    const { fleet, team } = accepted
+    const body = await readBody(exchange.request, limits)
+    const generation = parseGeneration(body, fleet, team)
+    const { model, chain, isStream, user } = generation
+    const context = createContext(accepted, {
+      body,
+      path: exchange.path,
+      target: model.id,
+      chain,
+      weightsVersion: model.weightsVersion,
+      isStream,
+      session: readSession(exchange.request) ?? user ?? chain.levels.at(-2)?.hash ?? '',
+    })
+    await relay(context, exchange, isUnrepeatable(exchange.request, undefined, exchange.path))
+  }
+  const serveModels = (exchange: HttpExchange) => {
+    const { fleet } = accept(exchange)
+    const data = [...fleet.models.values()].map(({ id }) => ({
+      id,
+      object: 'model',
+      created: 0,
+      owned_by: 'spoolgate',
+    }))
+    sendJson(exchange.response, 200, { object: 'list', data })
+  }
+  const serveService = async (exchange: HttpExchange) => {
+    const accepted = accept(exchange)
+    const service = findService(exchange.path, accepted.fleet)
+    if (!service) {
+      throw new SpoolgateError('unknownPath', `nothing answers ${exchange.path}; see the docs`)
+    }
+    const path = exchange.path.slice(service.prefix.replace(/\/$/, '').length) || '/'
+    const query = exchange.query.size > 0 ? `?${exchange.query}` : ''
+    const body = await readBody(exchange.request, limits)
+    const context = createContext(accepted, {
+      body,
+      path: `${path}${query}`,
+      target: service.group,
+      chain: EMPTY_CHAIN,
+      weightsVersion: undefined,
+      isStream: false,
+      session: readSession(exchange.request) ?? String(hashText(accepted.team.id)),
+    })
+    await relay(context, exchange, isUnrepeatable(exchange.request, service, path))
+  }
+
+  return [
+    ...GENERATION_PATHS.map((path) => ({ method: 'POST', path, handler: serveGeneration })),
+    { method: 'GET', path: '/v1/models', handler: serveModels },
+    { method: '*', path: '/*', handler: serveService },
+  ]
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,33 @@
+export { MAX_LEVELS, renderPrompt, type PromptText } from './promptText.js'
+export {
+  buildPrefixChain,
+  countTokens,
+  formatScope,
+  hashPrefixes,
+  hashText,
+  type BlockSizes,
+  type CacheScope,
+  type PrefixChain,
+  type PrefixLevel,
+} from './prefixChain.js'
+export { createHintTable, type HintTable, type ReplyHints, type ServerView } from './hints.js'
+export {
+  CALL_HEADER,
+  FRAME_EVENTS,
+  HINTS_HEADER,
+  formatFrame,
+  type BodyFrame,
+  type CallHeader,
+  type Decline,
+  type DeclineReason,
+  type Dispatch,
+  type DispatchState,
+  type EndFrame,
+  type HeadFrame,
+} from './callHeader.js'
+export { createRendezvous, type Rendezvous } from './rendezvous.js'
+export { createSubsetWidths, type SubsetWidths } from './subsetWidths.js'
+export { createRetryBudget, type RetryBudget } from './retryBudget.js'
+export { createEjection, type Ejection, type TryOutcome } from './ejection.js'
+export { POLICIES } from './policies/index.js'
+export type { Policy, PolicyInput, PolicyState, RankedCandidate } from './policies/policy.js'
--- /dev/null
+++ b/packages/routing/src/policies/baselines.ts
@@ -0,0 +1,49 @@
+/** Policies to compare against: they use less than what is known, on purpose. */
+import type { BackendServer } from '@spoolgate/config'
+import type { Policy, PolicyInput, RankedCandidate } from './policy.js'
+
+function listAllowed(input: PolicyInput): BackendServer[] {
+  return input.servers.filter(input.isAllowed)
+}
+
+/** Goes round the backend servers. */
+export const roundRobin: Policy = {
+  probes: 0,
+  rank: (input) => {
+    const allowed = listAllowed(input)
+    const target = input.servers[0]?.serves ?? ''
+    const turn = input.state.turns.get(target) ?? 0
+    input.state.turns.set(target, turn + 1)
+    return allowed.map((_, offset) => ({
+      server: allowed[(turn + offset) % allowed.length],
+      score: offset,
+      reason: 'turn',
+    }))
+  },
+}
+
+/** Takes the backend server with the fewest calls, as far as hints tell. */
+export const leastLoaded: Policy = {
+  probes: 0,
+  rank: (input) => {
+    const { hints } = input.state
+    const ranked: RankedCandidate[] = listAllowed(input).map((server) => {
+      const reported = hints.find(server.id)?.hints.calls ?? 0
+      const calls = Math.max(reported, hints.countCalls(server.id))
+      return { server, score: calls + input.random.next(), reason: 'calls' }
+    })
+    return ranked.sort((a, b) => a.score - b.score)
+  },
+}
+
+/** Hashes the whole prompt up to its last level but one; ignores load. */
+export const prefixAffinity: Policy = {
+  probes: 0,
+  rank: (input) => {
+    const { levels } = input.chain
+    const level = levels[Math.max(0, levels.length - 2)]
+    const key = level?.hash ?? String(input.random.nextInt(2 ** 31))
+    const ranked = input.state.rendezvous.rank(key, input.servers).filter(input.isAllowed)
+    return ranked.map((server, score) => ({ server, score, reason: 'affinity' }))
+  },
+}
--- /dev/null
+++ b/packages/sidecar/src/calls/admission.ts
@@ -0,0 +1,65 @@
+/** Decides whether a call is claimed or declined. A decline promises that the call is not run. */
+import type { Fleet } from '@spoolgate/config'
+import type { Incarnation, TeamId } from '@spoolgate/core'
+import { formatScope, type CallHeader, type Decline, type DeclineReason } from '@spoolgate/routing'
+import type { BackendState } from '../backend/backendWatcher.js'
+
+/** What the decision rests on, all known to this process at this instant. */
+export interface AdmissionFacts {
+  readonly isLeaving: boolean
+  readonly incarnation: Incarnation
+  readonly fleet: Fleet | undefined
+  readonly backend: BackendState
+  readonly isEngine: boolean
+  /** Model of an engine, or group of a plain service. */
+  readonly serves: string | undefined
+  readonly isBarred: boolean
+  readonly waiting: number
+  readonly queueLimit: number
+  /** Expected time to the first token, in ms. */
+  readonly firstTokenMs: number
+}
+
+type Check = (call: CallHeader, facts: AdmissionFacts) => boolean
+
+function findScope(team: TeamId, facts: AdmissionFacts): string | undefined {
+  const found = facts.fleet?.teams.get(team)
+  if (!found || facts.serves === undefined) return undefined
+  const owner = found.parameters.cacheScope === 'shared' ? 'shared' : team
+  const { weightsVersion } = facts.backend
+  return formatScope({ owner, model: facts.serves, adapter: '', weightsVersion })
+}
+
+/** Checks in the order in which they are made; the first that holds gives the reason. */
+const CHECKS: readonly (readonly [DeclineReason, Check])[] = [
+  ['leaving', (_call, facts) => facts.isLeaving],
+  [
+    'wrongIncarnation',
+    ({ dispatch }, facts) => dispatch !== undefined && dispatch.incarnation !== facts.incarnation,
+  ],
+  ['dispatchBarred', (_call, facts) => facts.isBarred],
+  ['notReady', (_call, facts) => !facts.fleet || !facts.backend.isReady],
+  ['olderConfiguration', (call, facts) => call.configVersion < (facts.fleet?.version ?? 0)],
+  [
+    'wrongWeights',
+    (call, facts) => facts.isEngine && call.weightsVersion !== facts.backend.weightsVersion,
+  ],
+  ['wrongScope', (call, facts) => facts.isEngine && call.scope !== findScope(call.team, facts)],
+  ['queueFull', (_call, facts) => facts.waiting >= facts.queueLimit],
+  [
+    'deadlineUnreachable',
+    (call, facts) => call.deadlineMs !== undefined && facts.firstTokenMs > call.deadlineMs,
+  ],
+]
+
+/** Reasons for which waiting helps. */
+const PASSING_REASONS: ReadonlySet<DeclineReason> = new Set(['queueFull', 'deadlineUnreachable'])
+
+/** Finds out why a call must be declined; undefined when it is claimed. */
+export function findDecline(call: CallHeader, facts: AdmissionFacts): Decline | undefined {
+  const failed = CHECKS.find(([, check]) => check(call, facts))
+  if (!failed) return undefined
+  const [declined] = failed
+  if (!PASSING_REASONS.has(declined)) return { declined }
+  return { declined, retryAfterMs: Math.ceil(facts.firstTokenMs) }
+}
--- /dev/null
+++ b/packages/sidecar/src/calls/dispatches.ts
@@ -0,0 +1,45 @@
+/**
+ * Dispatches of unrepeatable requests at this incarnation. A dispatch that was asked about before
+ * it arrived is barred for good, so that "never seen" stays true.
+ */
+import type { Dispatch, DispatchState } from '@spoolgate/routing'
+import type { Call } from './call.js'
+
+/** The dispatches that one incarnation of a sidecar has seen or barred. */
+export interface DispatchTable {
+  /** Finds the call that runs or ran a dispatch. */
+  find(dispatch: Dispatch): Call | undefined
+  isBarred(dispatch: Dispatch): boolean
+  /** Records the call of a dispatch. */
+  add(dispatch: Dispatch, call: Call): void
+  /** Reports the state of a dispatch; one that was never seen is barred from now on. */
+  bar(dispatch: Dispatch): DispatchState
+}
+
+/** Formats a dispatch as a key. */
+export function formatDispatch(dispatch: Pick<Dispatch, 'claim' | 'number'>): string {
+  return `${dispatch.claim}/${dispatch.number}`
+}
+
+/** Creates an empty table. */
+export function createDispatchTable(): DispatchTable {
+  const calls = new Map<string, Call>()
+  const barred = new Set<string>()
+  return {
+    find: (dispatch) => calls.get(formatDispatch(dispatch)),
+    isBarred: (dispatch) => barred.has(formatDispatch(dispatch)),
+    add: (dispatch, call) => void calls.set(formatDispatch(dispatch), call),
+    bar: (dispatch) => {
+      const key = formatDispatch(dispatch)
+      const call = calls.get(key)
+      if (!call) {
+        barred.add(key)
+        return { state: 'barred' }
+      }
+      const outcome = call.outcome()
+      if (!outcome) return { state: 'running' }
+      if (outcome.outcome === 'finished') return { state: 'finished' }
+      return { state: 'failed', notRun: outcome.notRun ?? false }
+    },
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,2 @@
+export { createSidecar, type Sidecar, type SidecarOptions } from './server/sidecarServer.js'
+export { BACKEND_ADAPTERS, type BackendAdapter } from './backend/adapters.js'
