feat(cli): add the command line, the load tool and tests of the whole path

Cause: the path could only be run from a script, and nothing provoked failures.

Found and mended by them: a router that knew a backend server by its older weights never asked it again, so a finished weight load stayed unseen (503 until restart); and a sidecar restart cost a refusal, because the new incarnation was not tried. Both were hints taken for truth; the sidecar now decides in both cases.

--- a/packages/router/src/decide/decisions.ts
+++ b/packages/router/src/decide/decisions.ts
@@ -104,14 +104,18 @@
     const ejected = ejection.listEjected(ids, timers.now())
     const isUsable = (server: BackendServer) => {
       if (server.leaving || excluded.has(server.id)) return false
-      if (parameters.region !== undefined && server.region !== parameters.region) return false
+      return parameters.region === undefined || server.region === parameters.region
+    }
+    const hasWeights = (server: BackendServer) => {
       const hints = state.hints.find(server.id)?.hints
       if (!hints || weightsVersion === undefined) return true
       return hints.weightsVersion === weightsVersion || hints.weightsVersion === ''
     }
-    const isAllowed = (server: BackendServer) => isUsable(server) && !ejected.has(server.id)
-    // Rather an ejected backend server than none at all.
-    return servers.some(isAllowed) ? isAllowed : isUsable
+    const isPreferred = (server: BackendServer) =>
+      isUsable(server) && !ejected.has(server.id) && hasWeights(server)
+    // What is known of a backend server may be old: rather one that seems unfit than none at all,
+    // for its sidecar decides again.
+    return servers.some(isPreferred) ? isPreferred : isUsable
   }
   const rank = (request: DecisionRequest, policy: PolicyName) => {
     const servers = request.fleet.backendServersByTarget.get(request.target) ?? []
--- a/packages/router/src/relay/declines.ts
+++ b/packages/router/src/relay/declines.ts
@@ -39,6 +39,8 @@
     const isCaughtUp = await parts.config.waitForVersion(hints.configVersion, CONFIG_WAIT_MS)
     if (isCaughtUp) return
   }
+  // The hints just recorded name the incarnation that can be tried next.
+  if (decline.declined === 'wrongIncarnation') return
   state.excluded.add(server.id)
   const { retryAfterMs } = decline
   if (retryAfterMs === undefined) return
--- a/packages/router/src/relay/relayOnce.ts
+++ b/packages/router/src/relay/relayOnce.ts
@@ -49,7 +49,7 @@
   return { status, contentType, body: isBase64 ? answer.body.toString('base64') : text, isBase64 }
 }
 
-function fromKeptAnswer(kept: KeptAnswer): WholeAnswer {
+function parseKeptAnswer(kept: KeptAnswer): WholeAnswer {
   const body = Buffer.from(kept.body, kept.isBase64 ? 'base64' : 'utf8')
   return { head: { status: kept.status, contentType: kept.contentType }, body }
 }
@@ -355,7 +355,7 @@
       return applyOutcome(parts, state, opened.dispatch, outcome)
     }
     case 'finished':
-      if (opened.answer) return fromKeptAnswer(opened.answer)
+      if (opened.answer) return parseKeptAnswer(opened.answer)
       throw new SpoolgateError(
         'conflict',
         'this request has run; its answer was too large to keep, so ask the service for the result',
--- /dev/null
+++ b/packages/spoolgate/src/node/cli/daemonCommands.ts
@@ -0,0 +1,107 @@
+/** Commands that run one daemon until it is told to stop. */
+import { createTimerService } from '@spoolgate/core'
+import { createControl } from '@spoolgate/control'
+import { createRouter } from '@spoolgate/router'
+import { createSidecar } from '@spoolgate/sidecar'
+import { command, flag, positional, string } from 'cmd-ts'
+import { CliError, EXIT_CODES, waitForStop } from './exit.js'
+import { createDaemonLogger, loadRole, readKeyFile } from './settings.js'
+
+const file = positional({ type: string, displayName: 'FILE', description: 'settings file' })
+
+/** What a planned stop reports. */
+interface Stoppable {
+  close(drainMs: number): Promise<{ readonly abandoned: number }>
+}
+
+async function runUntilStopped(daemon: Stoppable, drainMs: number): Promise<void> {
+  await waitForStop()
+  const { abandoned } = await daemon.close(drainMs)
+  if (abandoned > 0) throw new CliError(`gave up on ${abandoned} in progress`, EXIT_CODES.failedRun)
+}
+
+/** `spoolgate router FILE` */
+export const routerCommand = command({
+  name: 'router',
+  description: 'runs a router, which callers talk to; example: spoolgate router router.jsonc',
+  args: { file },
+  handler: async (args) => {
+    const settings = loadRole(args.file, 'router')
+    const router = await createRouter({
+      instance: settings.instance,
+      hall: settings.hall,
+      region: settings.region,
+      ...settings.listen,
+      sources: settings.control,
+      control: settings.control,
+      processKey: readKeyFile(settings.processKeyFile),
+      logger: createDaemonLogger(settings),
+      timers: createTimerService(),
+      tls: settings.tls,
+      bodyLimits: { maxBytes: settings.maxBodyBytes, timeoutMs: settings.bodyTimeoutMs },
+      headersTimeoutMs: settings.headersTimeoutMs,
+      maxHeaderBytes: settings.maxHeaderBytes,
+    })
+    await runUntilStopped(router, settings.drainMs)
+  },
+})
+
+/** `spoolgate sidecar FILE` */
+export const sidecarCommand = command({
+  name: 'sidecar',
+  description: 'runs the process beside a backend server; example: spoolgate sidecar sidecar.jsonc',
+  args: { file },
+  handler: async (args) => {
+    const settings = loadRole(args.file, 'sidecar')
+    const { backendServer } = settings
+    const sidecar = await createSidecar({
+      server: backendServer.id,
+      adapter: backendServer.adapter,
+      backendUrl: backendServer.url.replace(/\/$/, ''),
+      ...settings.listen,
+      sources: settings.control,
+      processKey: readKeyFile(settings.processKeyFile),
+      logger: createDaemonLogger(settings),
+      timers: createTimerService(),
+      tls: settings.tls,
+      slots: backendServer.slots,
+      queueLimit: backendServer.queueLimit,
+      resumeWindowMs: settings.resumeWindowMs,
+    })
+    await runUntilStopped(sidecar, settings.drainMs)
+  },
+})
+
+/** `spoolgate control FILE` */
+export const controlCommand = command({
+  name: 'control',
+  description:
+    'runs a control instance; example: spoolgate control control.jsonc --found (the first time only)',
+  args: {
+    file,
+    isFounding: flag({
+      long: 'found',
+      description: 'found the group with the members of the settings; only with an empty folder',
+    }),
+  },
+  handler: async (args) => {
+    const settings = loadRole(args.file, 'control')
+    const control = await createControl({
+      member: settings.member,
+      founders: settings.members,
+      isFounding: args.isFounding,
+      ...settings.listen,
+      dataFolder: settings.dataFolder,
+      processKey: readKeyFile(settings.processKeyFile),
+      operatorKey: readKeyFile(settings.operatorKeyFile),
+      logger: createDaemonLogger(settings),
+      timers: createTimerService(),
+      tls: settings.tls,
+      electionMs: settings.electionMs,
+      heartbeatMs: settings.heartbeatMs,
+      snapshotEvery: settings.snapshotEvery,
+      onFailure: () => process.exit(EXIT_CODES.failedRun),
+    })
+    await runUntilStopped(control, settings.drainMs)
+  },
+})
--- /dev/null
+++ b/packages/spoolgate/src/node/load/caller.ts
@@ -0,0 +1,139 @@
+/** A caller: sends one request, measures its answer and compares it with what it must be. */
+import {
+  readErrorAnswer,
+  SpoolgateError,
+  type HttpClient,
+  type TimerService,
+} from '@spoolgate/core'
+import { renderPrompt } from '@spoolgate/routing'
+import { hashPromptText, renderAnswer } from '@spoolgate/standins'
+import { createParser } from 'eventsource-parser'
+import type { WorkItem } from './workload.js'
+
+/** What became of one request. */
+export interface CallReport {
+  /** `whole`: exactly the expected text. `wrong`: another text. */
+  readonly kind: 'whole' | 'wrong' | 'refused' | 'failed'
+  /** Time to the first token in ms; undefined when there was none. */
+  readonly firstTokenMs: number | undefined
+  /** Times between tokens in ms. */
+  readonly gapsMs: readonly number[]
+  readonly promptTokens: number
+  readonly cachedTokens: number
+  readonly error?: SpoolgateError
+  /** Request id that the router gave. */
+  readonly request: string | undefined
+  readonly team: string
+}
+
+/** Options of {@link sendWorkItem}. */
+export interface CallerOptions {
+  readonly client: HttpClient
+  readonly timers: TimerService
+  readonly url: string
+  readonly key: string
+  readonly model: string
+}
+
+interface Chunk {
+  readonly choices?: readonly { readonly delta?: { readonly content?: string } }[]
+  readonly usage?: {
+    readonly prompt_tokens: number
+    readonly prompt_tokens_details?: { readonly cached_tokens: number }
+  }
+  readonly error?: unknown
+}
+
+const DONE_MARKER = '[DONE]'
+
+/** The text that the stand-in engines answer to a work item. */
+export function renderExpected(item: WorkItem): string {
+  const prompt = renderPrompt({ messages: item.messages })
+  return renderAnswer(hashPromptText(prompt.bytes), item.answerTokens)
+}
+
+/** Reads a streamed answer. */
+function createAnswerReader(timers: TimerService) {
+  let text = ''
+  let isDone = false
+  let hasError = false
+  let lastAt: number | undefined
+  let firstAt: number | undefined
+  const gapsMs: number[] = []
+  let usage: Chunk['usage']
+  const parser = createParser({
+    onEvent: ({ data }) => {
+      if (data === DONE_MARKER) {
+        isDone = true
+        return
+      }
+      const chunk = JSON.parse(data) as Chunk
+      hasError ||= chunk.error !== undefined
+      usage = chunk.usage ?? usage
+      const content = chunk.choices?.[0]?.delta?.content
+      if (content === undefined) return
+      const now = timers.now()
+      if (lastAt !== undefined) gapsMs.push(now - lastAt)
+      firstAt ??= now
+      lastAt = now
+      text += content
+    },
+  })
+  return {
+    feed: (chunk: string) => parser.feed(chunk),
+    read: () => ({ text, isDone, hasError, firstAt, gapsMs, usage }),
+  }
+}
+
+function toFailure(cause: unknown, team: string, request: string | undefined): CallReport {
+  const error = cause instanceof SpoolgateError ? cause : undefined
+  return {
+    kind: error?.notRun ? 'refused' : 'failed',
+    firstTokenMs: undefined,
+    gapsMs: [],
+    promptTokens: 0,
+    cachedTokens: 0,
+    error,
+    request,
+    team,
+  }
+}
+
+/** Sends one item as a stream and reports; never rejects. */
+export async function sendWorkItem(options: CallerOptions, item: WorkItem): Promise<CallReport> {
+  const { client, timers, url, key, model } = options
+  const startedAt = timers.now()
+  let request: string | undefined
+  try {
+    const message = await client.send({
+      method: 'POST',
+      url: `${url}/v1/chat/completions`,
+      headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+      body: JSON.stringify({
+        model,
+        stream: true,
+        stream_options: { include_usage: true },
+        max_tokens: item.answerTokens,
+        messages: item.messages,
+      }),
+    })
+    request = message.headers['x-request-id'] as string | undefined
+    if (message.statusCode !== 200) throw await readErrorAnswer(message)
+    const reader = createAnswerReader(timers)
+    message.setEncoding('utf8')
+    for await (const chunk of message) reader.feed(chunk as string)
+    const { text, isDone, hasError, firstAt, gapsMs, usage } = reader.read()
+    const isWhole = isDone && text === renderExpected(item)
+    return {
+      kind: isWhole ? 'whole' : hasError || !isDone ? 'failed' : 'wrong',
+      firstTokenMs: firstAt === undefined ? undefined : firstAt - startedAt,
+      gapsMs,
+      promptTokens: usage?.prompt_tokens ?? 0,
+      cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
+      request,
+      team: item.team,
+    }
+  } catch (cause) {
+    return toFailure(cause, item.team, request)
+  }
+}
