--- /dev/null
+++ b/packages/control/src/__tests__/group.ts
@@ -0,0 +1,149 @@
+/** A control group in memory whose links can be cut, for tests of elections and leases. */
+import {
+  ConnectionError,
+  createInvariants,
+  createManualTimerService,
+  createQuietLogger,
+  createRandomSource,
+  type ManualTimerService,
+} from '@spoolgate/core'
+import { openLogStore } from '../log/logStore.js'
+import { createRaftMember, type RaftMember } from '../raft/member.js'
+import type { MemberMap, RaftTransport } from '../raft/messages.js'
+import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
+import { createMemoryFolder, type MemoryFolder } from './memoryFolder.js'
+
+/** One member with its disk. */
+export interface TestMember {
+  readonly name: string
+  member: RaftMember
+  machine: ControlMachine
+  folder: MemoryFolder
+  /** Whether its clock moves; a frozen process neither sends nor answers. */
+  timers: ManualTimerService
+}
+
+/** A group of members. */
+export interface TestGroup {
+  readonly members: Map<string, TestMember>
+  /** Links that are cut, as `from>to`. */
+  readonly cut: Set<string>
+  readonly frozen: Set<string>
+  isolate(name: string): void
+  heal(): void
+  /** Moves time forward until the condition holds. */
+  runUntil(condition: () => boolean, what: string): Promise<void>
+  /** Moves time forward. */
+  run(duration: number): Promise<void>
+  leader(): TestMember | undefined
+  start(
+    name: string,
+    options?: { folder?: MemoryFolder; isFounding?: boolean },
+  ): Promise<TestMember>
+  close(): Promise<void>
+}
+
+export const ELECTION_MS = 100
+const STEP_MS = 5
+const MAX_STEPS = 4_000
+
+const settle = () => new Promise((resolve) => setImmediate(resolve))
+
+/** Creates a group and starts its founders. */
+export async function createTestGroup(
+  names: readonly string[],
+  seed = 1,
+  snapshotEvery = 1_000,
+): Promise<TestGroup> {
+  const members = new Map<string, TestMember>()
+  const cut = new Set<string>()
+  const frozen = new Set<string>()
+  const founders: MemberMap = Object.fromEntries(
+    names.map((name) => [name, { url: name, kind: 'voter' }]),
+  )
+  const logger = createQuietLogger()
+  const isUp = (name: string) => members.has(name) && !frozen.has(name)
+
+  const createTransport = (from: string): RaftTransport => ({
+    send: async (to, _url, name, request) => {
+      const fail = () => new ConnectionError('link is cut', true, false)
+      if (cut.has(`${from}>${to}`) || !isUp(to) || frozen.has(from)) throw fail()
+      const { member } = members.get(to) as TestMember
+      const handlers = {
+        vote: member.handleVote,
+        append: member.handleAppend,
+        install: member.handleInstall,
+      }
+      const handle = handlers[name] as (message: unknown) => Promise<never>
+      // Messages travel as text, so that nobody shares what another still changes.
+      const reply = await handle(JSON.parse(JSON.stringify(request)))
+      if (cut.has(`${to}>${from}`) || frozen.has(from) || !isUp(to)) throw fail()
+      return reply
+    },
+  })
+  const start: TestGroup['start'] = async (name, options = {}) => {
+    const folder = options.folder ?? createMemoryFolder()
+    const timers = createManualTimerService()
+    const store = await openLogStore({ folder, logger, onFailure: () => {} })
+    const machine = createControlMachine()
+    const member = createRaftMember({
+      name,
+      url: name,
+      founders,
+      isFounding: options.isFounding ?? true,
+      store,
+      machine,
+      transport: createTransport(name),
+      timers,
+      random: createRandomSource(seed * 31 + members.size),
+      logger,
+      invariants: createInvariants({ logger, fatal: true }),
+      electionMs: ELECTION_MS,
+      heartbeatMs: ELECTION_MS / 5,
+      snapshotEvery,
+    })
+    const started = { name, member, machine, folder, timers }
+    members.set(name, started)
+    return started
+  }
+  const step = async () => {
+    for (const { name, timers } of members.values()) {
+      if (!frozen.has(name)) timers.advance(STEP_MS)
+    }
+    await settle()
+    await settle()
+  }
+  const group: TestGroup = {
+    members,
+    cut,
+    frozen,
+    start,
+    isolate: (name) => {
+      for (const other of members.keys()) {
+        cut.add(`${name}>${other}`)
+        cut.add(`${other}>${name}`)
+      }
+    },
+    heal: () => cut.clear(),
+    run: async (duration) => {
+      for (let spent = 0; spent < duration; spent += STEP_MS) await step()
+    },
+    runUntil: async (condition, what) => {
+      for (let steps = 0; steps < MAX_STEPS; steps += 1) {
+        if (condition()) return
+        await step()
+      }
+      throw new Error(`never happened: ${what}`)
+    },
+    leader: () =>
+      [...members.values()].find(({ name, member }) => {
+        const { role, hasLease } = member.status()
+        return role === 'leader' && hasLease && !frozen.has(name)
+      }),
+    close: async () => {
+      for (const { member } of members.values()) await member.close()
+    },
+  }
+  for (const name of names) await start(name)
+  return group
+}
--- /dev/null
+++ b/packages/control/src/__tests__/logStore.spec.ts
@@ -0,0 +1,98 @@
+import { createQuietLogger, createRandomSource } from '@spoolgate/core'
+import { expect } from 'chai'
+import { encodeRecord, parseRecords } from '../log/records.js'
+import { openLogStore, type LogStore } from '../log/logStore.js'
+import { createMemoryFolder, type MemoryFolder } from './memoryFolder.js'
+
+const SEEDS = 1_000
+const ENTRIES = 12
+
+describe('records of the log file', () => {
+  const records = [{ a: 1 }, { b: 'two' }, { c: [3] }].map(encodeRecord)
+  const file = Buffer.concat(records)
+
+  it('reads back what was written', () => {
+    const scanned = parseRecords(file, 'log')
+    expect(scanned).to.deep.equal({
+      payloads: [{ a: 1 }, { b: 'two' }, { c: [3] }],
+      length: file.length,
+      tornBytes: 0,
+    })
+  })
+
+  it('cuts a torn tail at every length', () => {
+    const whole = records[0].length + records[1].length
+    for (let length = whole; length < file.length; length += 1) {
+      const scanned = parseRecords(file.subarray(0, length), 'log')
+      expect(scanned.payloads).to.have.length(2)
+      expect(scanned.tornBytes).to.equal(length - whole)
+    }
+  })
+
+  it('refuses a file that is damaged in the middle, and names the remedy', () => {
+    for (let offset = 0; offset < records[0].length; offset += 1) {
+      const damaged = Buffer.from(file)
+      damaged[offset] ^= 0x40
+      expect(() => parseRecords(damaged, 'log')).to.throw(/damaged.*join anew/)
+    }
+  })
+})
+
+describe('the log under crashes', () => {
+  const logger = createQuietLogger()
+  const open = (folder: MemoryFolder) => openLogStore({ folder, logger, onFailure: () => {} })
+
+  /** Writes entries, ballots and snapshots; returns what was acknowledged before the crash. */
+  const writeUntilCrash = async (store: LogStore, from: number) => {
+    const acknowledged = { index: from, term: store.ballot().term }
+    for (let index = from + 1; index <= from + ENTRIES; index += 1) {
+      const written = store.append([{ index, term: 1, command: `entry ${index}` }])
+      void written.then(() => {
+        acknowledged.index = Math.max(acknowledged.index, index)
+      })
+      if (index % 4 === 0) {
+        const term = store.ballot().term + 1
+        const ballot = { term, votedFor: 'a', mayVote: true }
+        void store.saveBallot(ballot).then(() => {
+          acknowledged.term = Math.max(acknowledged.term, term)
+        })
+      }
+      if (index % 5 === 0) {
+        // A waiter of a crashed disk is never answered, so the race ends the wait.
+        const turn = new Promise((resolve) => setImmediate(resolve))
+        await Promise.race([store.compact({ index: index - 2, term: 1, state: index }), turn])
+      }
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    return acknowledged
+  }
+  const checkContent = (store: LogStore, from: number, to: number) => {
+    for (const entry of store.list(from + 1, to - from)) {
+      expect(entry.command).to.equal(`entry ${entry.index}`)
+    }
+  }
+
+  it(`keeps what it acknowledged over ${SEEDS} crashes at seeded operations`, async () => {
+    let crashes = 0
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const random = createRandomSource(seed)
+      const folder = createMemoryFolder()
+      const store = await open(folder)
+      folder.crashAt(folder.operations() + 1 + random.nextInt(60))
+      const acknowledged = await writeUntilCrash(store, 0)
+      folder.crashAt(folder.operations() + 1)
+      await folder.list().catch(() => (crashes += 1))
+      const again = await open(folder.restart(random))
+      expect(again.lastIndex(), `seed ${seed}`).to.be.at.least(acknowledged.index)
+      expect(again.ballot().term, `seed ${seed}`).to.be.at.least(acknowledged.term)
+      expect(again.durableIndex()).to.equal(again.lastIndex())
+      checkContent(again, again.baseIndex(), again.lastIndex())
+      // It must go on working, and survive a second loss right after the repair.
+      await again.append([
+        { index: again.lastIndex() + 1, term: 9, command: `entry ${again.lastIndex() + 1}` },
+      ])
+      await again.close()
+    }
+    expect(crashes).to.equal(SEEDS)
+  })
+})
--- /dev/null
+++ b/packages/control/src/__tests__/raft.spec.ts
@@ -0,0 +1,220 @@
+import {
+  createRandomSource,
+  toBackendServerId,
+  toIncarnation,
+  toRequestId,
+  toTeamId,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import type { OpenResult } from '../state/claimState.js'
+import type { SubmitResult } from '../state/configState.js'
+import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
+
+const NAMES = ['a', 'b', 'c']
+
+function buildClaim(key: string, request: string) {
+  return {
+    kind: 'claim.open',
+    team: toTeamId('t'),
+    key,
+    bodyHash: 'h',
+    request: toRequestId(request),
+    server: toBackendServerId('s'),
+    incarnation: toIncarnation('i'),
+    at: 0,
+  }
+}
+
+describe('the control group', () => {
+  let group: TestGroup
+
+  const findLeader = async (other?: string): Promise<TestMember> => {
+    await group.runUntil(() => {
+      const leader = group.leader()
+      return leader !== undefined && leader.name !== other
+    }, 'a leader')
+    return group.leader() as TestMember
+  }
+  const propose = async (leader: TestMember, command: unknown) => {
+    let result: unknown
+    let error: unknown
+    leader.member.propose(command).then(
+      (value) => (result = value),
+      (cause) => (error = cause),
+    )
+    await group.runUntil(() => result !== undefined || error !== undefined, 'an outcome')
+    if (error) throw error
+    return result
+  }
+
+  afterEach(() => group.close())
+
+  it('elects one leader, and every member applies what it accepts', async () => {
+    group = await createTestGroup(NAMES)
+    const leader = await findLeader()
+    const result = (await propose(leader, buildClaim('k', 'r'))) as OpenResult
+    expect(result.kind).to.equal('granted')
+    await group.runUntil(
+      () => [...group.members.values()].every(({ machine }) => machine.claims.size() === 1),
+      'all have applied it',
+    )
+  })
+
+  it('a leader that is cut off loses its lease before another serves', async () => {
+    group = await createTestGroup(NAMES)
+    const old = await findLeader()
+    group.isolate(old.name)
+    let overlap = 0
+    const countLeases = () => {
+      const held = [...group.members.values()].filter(({ member }) => member.status().hasLease)
+      overlap = Math.max(overlap, held.length)
+      return group.leader() !== undefined && group.leader()?.name !== old.name
+    }
+    await group.runUntil(countLeases, 'another leader')
+    expect(overlap).to.equal(1)
+    expect(() => old.member.checkCurrent()).to.throw()
+    const next = group.leader() as TestMember
+    expect(((await propose(next, buildClaim('k', 'r1'))) as OpenResult).kind).to.equal('granted')
+
+    const lost = old.member.propose(buildClaim('k', 'r2')).then(
+      () => 'granted',
+      () => 'refused',
+    )
+    group.heal()
+    await group.run(ELECTION_MS * 10)
+    expect(await lost).to.equal('refused')
+    const claims = [...group.members.values()].map(({ machine }) => machine.claims.size())
+    expect(claims).to.deep.equal([1, 1, 1])
+  })
+
+  it('a leader that can send but not hear steps down, and another serves', async () => {
+    group = await createTestGroup(NAMES)
+    const old = await findLeader()
+    for (const name of NAMES) if (name !== old.name) group.cut.add(`${name}>${old.name}`)
+    const next = await findLeader(old.name)
+    expect(((await propose(next, buildClaim('k', 'r'))) as OpenResult).kind).to.equal('granted')
+  })
+
+  it('a paused leader finds its lease over when it wakes', async () => {
+    group = await createTestGroup(NAMES)
+    const old = await findLeader()
+    group.frozen.add(old.name)
+    await findLeader(old.name)
+    group.frozen.delete(old.name)
+    // A frozen process sees its monotonic clock jump when it wakes.
+    old.timers.advance(ELECTION_MS * 10)
+    expect(old.member.status().hasLease).to.equal(false)
+    expect(() => old.member.checkCurrent()).to.throw()
+  })
+
+  it('a member that was cut off does not depose the leader when it returns', async () => {
+    group = await createTestGroup(NAMES)
+    const leader = await findLeader()
+    const { term } = leader.member.status()
+    const away = NAMES.find((name) => name !== leader.name) as string
+    group.isolate(away)
+    await group.run(ELECTION_MS * 20)
+    group.heal()
+    await group.run(ELECTION_MS * 10)
+    expect(leader.member.status()).to.include({ role: 'leader', term })
+  })
+
+  it('survives a lost disk: the replacement joins as a learner and does not vote before', async () => {
+    group = await createTestGroup(NAMES)
+    const leader = await findLeader()
+    await propose(leader, buildClaim('k1', 'r1'))
+    const lost = NAMES.find((name) => name !== leader.name) as string
+    await group.members.get(lost)?.member.close()
+    const replaced = await group.start(lost, { isFounding: false })
+    await group.run(ELECTION_MS * 5)
+    const vote = await replaced.member.handleVote({
+      isPreVote: false,
+      term: 99,
+      candidate: 'z',
+      lastIndex: 99,
+      lastTerm: 99,
+    })
+    expect(vote.isGranted).to.equal(false)
+
+    const others = Object.fromEntries(
+      Object.entries(leader.member.status().members).filter(([name]) => name !== lost),
+    )
+    const change = async (members: typeof others) => {
+      let isDone = false
+      void leader.member.changeMembers(members).then(() => (isDone = true))
+      await group.runUntil(() => isDone, 'the change of the group')
+    }
+    await change(others)
+    await change({ ...others, [lost]: { url: lost, kind: 'learner' } })
+    await group.runUntil(() => replaced.machine.claims.size() === 1, 'the learner has caught up')
+    await change({ ...others, [lost]: { url: lost, kind: 'voter' } })
+
+    // A second loss right after the repair.
+    const second = NAMES.find((name) => name !== lost && name !== leader.name) as string
+    group.isolate(second)
+    const result = (await propose(group.leader() ?? leader, buildClaim('k2', 'r2'))) as OpenResult
+    expect(result.kind).to.equal('granted')
+  })
+
+  it('brings a member that lags behind a snapshot up to date', async () => {
+    group = await createTestGroup(NAMES, 3, 20)
+    const leader = await findLeader()
+    const away = NAMES.find((name) => name !== leader.name) as string
+    group.isolate(away)
+    for (let index = 0; index < 50; index += 1) await propose(leader, buildClaim(`k${index}`, 'r'))
+    group.heal()
+    const lagging = group.members.get(away) as TestMember
+    await group.runUntil(() => lagging.machine.claims.size() === 50, 'it has caught up')
+  })
+
+  it('loses and doubles nothing when two operators race with answers lost', async () => {
+    group = await createTestGroup(NAMES, 5)
+    const random = createRandomSource(7)
+    const accepted = new Map<string, number>()
+    for (let round = 0; round < 500; round += 1) {
+      const leader = group.leader() ?? (await findLeader())
+      if (random.next() < 0.02) group.isolate(leader.name)
+      const base = leader.machine.config.version()
+      const sends = ['x', 'y'].map((operator) => ({
+        kind: 'config.submit',
+        changeId: `${operator}-${round}`,
+        base,
+        operator,
+        source: { models: [{ id: `m-${operator}-${round}`, weightsVersion: 'w' }] },
+        at: 0,
+      }))
+      for (const command of sends) {
+        // An answer that is lost is asked for again, of whoever leads then.
+        const resends = random.next() < 0.3 ? 2 : 1
+        for (let send = 0; send < resends; send += 1) {
+          for (;;) {
+            try {
+              const target = group.leader() ?? (await findLeader())
+              const result = (await propose(target, command)) as SubmitResult
+              if (result.kind === 'accepted') {
+                const known = accepted.get(command.changeId)
+                expect(known ?? result.version).to.equal(result.version)
+                accepted.set(command.changeId, result.version)
+              }
+              break
+            } catch {
+              group.heal()
+            }
+          }
+        }
+      }
+    }
+    group.heal()
+    await findLeader()
+    await group.run(ELECTION_MS * 10)
+    const histories = [...group.members.values()].map(({ machine }) => machine.config.history())
+    for (const history of histories) expect(history).to.deep.equal(histories[0])
+    const versions = histories[0].map(({ version }) => version)
+    expect(versions).to.deep.equal([...versions].sort((a, b) => a - b))
+    expect(new Set(histories[0].map(({ changeId }) => changeId)).size).to.equal(versions.length)
+    for (const [changeId, version] of accepted) {
+      expect(histories[0].find((change) => change.changeId === changeId)?.version).to.equal(version)
+    }
+    expect(accepted.size).to.be.at.least(500)
+  })
+})
