test: close gaps that taking out safeguards showed

Cause: eight safeguards were taken out one at a time. Five were noticed at once; the right to vote of a replaced disk, the refusal to depose a live leader, and the incarnation check of a sidecar were not, because the tests reached the same result by another way.

--- a/packages/control/src/__tests__/raft.spec.ts
+++ b/packages/control/src/__tests__/raft.spec.ts
@@ -119,6 +119,19 @@
     expect(leader.member.status()).to.include({ role: 'leader', term })
   })
 
+  it('a follower that hears its leader helps nobody to depose it', async () => {
+    group = await createTestGroup(NAMES)
+    const leader = await findLeader()
+    await group.run(ELECTION_MS)
+    const follower = [...group.members.values()].find(({ name }) => name !== leader.name)
+    const { term, lastIndex } = leader.member.status()
+    const request = { term: term + 5, candidate: 'z', lastIndex: lastIndex + 9, lastTerm: term + 5 }
+    for (const isPreVote of [true, false]) {
+      const vote = await follower?.member.handleVote({ ...request, isPreVote })
+      expect(vote).to.deep.equal({ term, isGranted: false })
+    }
+  })
+
   it('survives a lost disk: the replacement joins as a learner and does not vote before', async () => {
     group = await createTestGroup(NAMES)
     const leader = await findLeader()
@@ -127,6 +140,8 @@
     await group.members.get(lost)?.member.close()
     const replaced = await group.start(lost, { isFounding: false })
     await group.run(ELECTION_MS * 5)
+    group.isolate(lost)
+    await group.run(ELECTION_MS * 5)
     const vote = await replaced.member.handleVote({
       isPreVote: false,
       term: 99,
@@ -135,6 +150,7 @@
       lastTerm: 99,
     })
     expect(vote.isGranted).to.equal(false)
+    group.heal()
 
     const others = Object.fromEntries(
       Object.entries(leader.member.status().members).filter(([name]) => name !== lost),
--- a/packages/spoolgate/src/__tests__/once.spec.ts
+++ b/packages/spoolgate/src/__tests__/once.spec.ts
@@ -1,3 +1,4 @@
+import { INTERNAL_BODY_LIMITS, readBody } from '@spoolgate/core'
 import { expect } from 'chai'
 import type { LocalFleet } from '../index.js'
 import { createCuttableLink, createTestFleet, sendReceipt, type CuttableLink } from './fixtures.js'
@@ -79,46 +80,67 @@
     expect(countRuns('broken')).to.equal(1)
   })
 
+  /** Hands a dispatch to the sidecar of the service, as a router would. */
+  const sendDispatch = async (dispatch: object, body: string) => {
+    const sidecar = fleet.sidecars[2]
+    const header = {
+      request: `req-${body}`,
+      attempt: 1,
+      team: 'team-0',
+      scope: '',
+      configVersion: sidecar?.config.version(),
+      method: 'POST',
+      path: '/receipts',
+      contentType: 'application/json',
+      priority: 5,
+      share: 1,
+      dispatch,
+    }
+    const reply = await fleet.client.send({
+      method: 'POST',
+      url: `${sidecar?.url}/calls`,
+      headers: {
+        authorization: `Bearer ${fleet.processKey}`,
+        'x-spoolgate-call': JSON.stringify(header),
+      },
+      body,
+    })
+    return { status: reply.statusCode, body: await readBody(reply, INTERNAL_BODY_LIMITS) }
+  }
+
   it('bars a dispatch that was asked about before it arrived', async () => {
     fleet = await createTestFleet()
-    const { client, processKey } = fleet
     const sidecar = fleet.sidecars[2]
     const dispatch = { claim: 'team-0/late', number: 1, incarnation: sidecar?.incarnation }
-    const headers = { authorization: `Bearer ${processKey}` }
-    const state = await client.sendJson<{ state: string }>({
+    const state = await fleet.client.sendJson<{ state: string }>({
       method: 'POST',
       url: `${sidecar?.url}/dispatches`,
-      headers,
+      headers: { authorization: `Bearer ${fleet.processKey}` },
       json: dispatch,
     })
     expect(state.state).to.equal('barred')
-    const late = await client.send({
-      method: 'POST',
-      url: `${sidecar?.url}/calls`,
-      headers: {
-        ...headers,
-        'x-spoolgate-call': JSON.stringify({
-          request: 'req-late',
-          attempt: 1,
-          team: 'team-0',
-          scope: '',
-          configVersion: sidecar?.config.version(),
-          method: 'POST',
-          path: '/receipts',
-          contentType: 'application/json',
-          priority: 5,
-          share: 1,
-          dispatch,
-        }),
-      },
-      body: 'late',
-    })
-    expect(late.statusCode).to.equal(409)
-    late.resume()
+    const late = await sendDispatch(dispatch, 'late')
+    expect(late.status).to.equal(409)
+    expect(String(late.body)).to.include('dispatchBarred')
     expect(countRuns('late')).to.equal(0)
   })
 
-  it('never runs a dispatch that names an earlier incarnation', async () => {
+  it('runs a dispatch once though it arrives twice, and never one of another incarnation', async () => {
+    fleet = await createTestFleet()
+    const incarnation = fleet.sidecars[2]?.incarnation
+    const dispatch = { claim: 'team-0/twice', number: 1, incarnation }
+    const replies = await Promise.all([1, 2].map(() => sendDispatch(dispatch, 'twice')))
+    expect(replies.map(({ status }) => status)).to.deep.equal([200, 200])
+    expect(replies[0].body.equals(replies[1].body)).to.equal(true)
+    expect(countRuns('twice')).to.equal(1)
+
+    const old = await sendDispatch({ ...dispatch, number: 2, incarnation: 'earlier' }, 'old')
+    expect(old.status).to.equal(409)
+    expect(String(old.body)).to.include('wrongIncarnation')
+    expect(countRuns('old')).to.equal(0)
+  })
+
+  it('names the next incarnation when a sidecar has restarted', async () => {
     fleet = await createTestFleet()
     await sendReceipt(fleet, 'warm', 'key-5')
     await fleet.sidecars[2]?.close(0)
