--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -41,7 +41,13 @@
     },
   })
   message.setEncoding('utf8')
-  for await (const chunk of message) parser.feed(chunk as string)
+  // Listeners instead of an async iterator: it took a tenth of the time of every token.
+  message.on('data', (chunk: string) => parser.feed(chunk))
+  await new Promise<void>((resolve, reject) => {
+    message.on('end', resolve)
+    message.on('error', reject)
+    message.on('close', resolve)
+  })
   return isDone
 }
 
--- a/packages/spoolgate/src/node/cli/cli.ts
+++ b/packages/spoolgate/src/node/cli/cli.ts
@@ -2,6 +2,7 @@
 import { SpoolgateError } from '@spoolgate/core'
 import { binary, runSafely, subcommands } from 'cmd-ts'
 import { distance } from 'fastest-levenshtein'
+import { benchCommands } from './benchCommands.js'
 import { checkCommand, keyCommand, referenceCommand } from './checkCommands.js'
 import { controlCommand, routerCommand, sidecarCommand } from './daemonCommands.js'
 import { devCommand } from './devCommand.js'
@@ -20,6 +21,7 @@
   members: memberCommands,
   explain: explainCommand,
   load: loadCommand,
+  bench: benchCommands,
   reference: referenceCommand,
 }
 
