feat(soak): run a fleet under seeded faults and judge it from outside

Cause: nothing provoked faults together and twice.

Found by the first runs and mended: a planned stop cut idle connections at once, and with them a request that a caller was just sending; ports in the machine's outgoing range could be taken while a process restarted; and a refusal for want of a backend server said not run although an earlier send of the same idempotency key may have run (only the claim can tell, so it is now presumed until the claim has answered).

--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -11,6 +11,7 @@
   type Logger,
   type TimerService,
   type TlsFiles,
+  type TrafficCount,
 } from '@spoolgate/core'
 import { openDataFolder, type DataFolder } from '../log/dataFolder.js'
 import { openLogStore } from '../log/logStore.js'
@@ -75,6 +76,8 @@
   readonly member: RaftMember
   readonly machine: ControlMachine
   readonly invariants: Invariants
+  /** Bytes over all connections to this instance so far. */
+  traffic(): TrafficCount
   close(drainMs?: number): Promise<CloseReport>
 }
 
@@ -160,6 +163,7 @@
     member,
     machine,
     invariants,
+    traffic: server.traffic,
     close: async (drainMs = DEFAULT_DRAIN_MS) => {
       expiry.unsubscribe()
       const report = await server.close(drainMs)
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -10,12 +10,12 @@
   type ServerResponse,
 } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
-import type { AddressInfo, Socket } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { Subscription } from 'rxjs'
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
 import { isSameSecret } from './keys.js'
 import type { Logger } from './logger.js'
-import type { TimerService } from './timers.js'
+import { waitFor, type TimerService } from './timers.js'
 
 /** One request with its response. */
 export interface HttpExchange {
@@ -79,6 +79,12 @@
   readonly maxHeaderBytes?: number
 }
 
+/** Bytes that crossed a server's connections. */
+export interface TrafficCount {
+  readonly received: number
+  readonly sent: number
+}
+
 /** What a planned stop left behind. */
 export interface CloseReport {
   /** Exchanges that were cut because they outlasted the bound. */
@@ -92,6 +98,8 @@
   readonly port: number
   /** Exchanges in progress. */
   inProgress(): number
+  /** Bytes over all connections so far. */
+  traffic(): TrafficCount
   /** Adds routes that could only be made once the port was known. */
   addRoutes(routes: readonly Route[]): void
   /** Stops listening, waits up to `drainMs` for exchanges in progress, then cuts the rest. */
@@ -106,6 +114,8 @@
 const DEFAULT_MAX_HEADER_BYTES = 16_384
 const KEEP_ALIVE_TIMEOUT_MS = 60_000
 const TLS_CHECK_PERIOD_MS = 5_000
+/** Time for which idle connections are kept in a planned stop, in ms. */
+const IDLE_GRACE_MS = 300
 
 /** Sends a JSON answer. */
 export function sendJson(
@@ -247,12 +257,17 @@
   const dispatch = createDispatcher(compiled)
   const active = new Set<ServerResponse>()
   const sockets = new Set<Socket>()
+  const closedTraffic = { received: 0, sent: 0 }
   let closing = false
   let notifyIdle: () => void = () => {}
 
   server.on('connection', (socket: Socket) => {
     sockets.add(socket)
-    socket.once('close', () => sockets.delete(socket))
+    socket.once('close', () => {
+      sockets.delete(socket)
+      closedTraffic.received += socket.bytesRead
+      closedTraffic.sent += socket.bytesWritten
+    })
   })
   server.on('request', (request, response) => {
     active.add(response)
@@ -284,11 +299,24 @@
     url: `${scheme}://${options.host}:${port}`,
     port,
     inProgress: () => active.size,
+    traffic: () => {
+      const total = { ...closedTraffic }
+      for (const socket of sockets) {
+        total.received += socket.bytesRead
+        total.sent += socket.bytesWritten
+      }
+      return total
+    },
     addRoutes,
     close: async (drainMs) => {
       closing = true
       tlsWatch?.unsubscribe()
-      const closed = new Promise<void>((resolve) => server.close(() => resolve()))
+      // Node's own close also cuts idle connections at once, and with them a request that a caller
+      // is just sending on one. They stay for a moment, and what arrives is still served.
+      const closed = new Promise<void>((resolve) =>
+        NetServer.prototype.close.call(server, () => resolve()),
+      )
+      await waitFor(options.timers, Math.min(drainMs, IDLE_GRACE_MS))
       server.closeIdleConnections()
       await waitForIdle(drainMs)
       const abandoned = active.size
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -60,6 +60,7 @@
   type HttpServer,
   type Route,
   type TlsFiles,
+  type TrafficCount,
 } from './httpServer.js'
 export {
   ConnectionError,
--- a/packages/router/src/decide/decisions.ts
+++ b/packages/router/src/decide/decisions.ts
@@ -14,6 +14,7 @@
   type WeightsVersion,
 } from '@spoolgate/core'
 import {
+  createHintTable,
   hashText,
   POLICIES,
   type Ejection,
@@ -117,7 +118,7 @@
     // for its sidecar decides again.
     return servers.some(isPreferred) ? isPreferred : isUsable
   }
-  const rank = (request: DecisionRequest, policy: PolicyName) => {
+  const rank = (request: DecisionRequest, policy: PolicyName, seen: PolicyState = state) => {
     const servers = request.fleet.backendServersByTarget.get(request.target) ?? []
     return POLICIES[policy].rank({
       chain: request.chain,
@@ -127,7 +128,7 @@
       slowStartMs: (server) => ejection.findSlowStartMs(server, timers.now()),
       parameters: request.parameters,
       boundedLoadFactor: request.fleet.routing.boundedLoadFactor,
-      state,
+      state: seen,
       random,
       now: timers.now(),
     })
@@ -160,12 +161,26 @@
     const asked = new Set(first.map(({ server }) => server.id))
     return rank(request, policy).filter(({ server }) => asked.has(server.id))
   }
-  const rankWithTruth = (request: DecisionRequest, policy: PolicyName) => {
-    const { findTruth } = options
+  /** Ranks with what `findTruth` says in place of remembered hints. */
+  const rankWithTruth = (
+    request: DecisionRequest,
+    policy: PolicyName,
+    findTruth: NonNullable<DeciderOptions['findTruth']>,
+  ) => {
+    const hints = createHintTable()
+    const now = timers.now()
     for (const server of request.fleet.backendServersByTarget.get(request.target) ?? []) {
-      const hints = findTruth?.(server.id, request.chain)
-      if (hints) recordTruth(request.chain, hints)
+      const truth = findTruth(server.id, request.chain)
+      if (!truth) continue
+      hints.record(truth, now)
+      hints.recordCached(request.chain, truth, truth.matchedTokens, now)
     }
+    return rank(request, policy, { ...state, hints })
+  }
+  const rankFor = (request: DecisionRequest, policy: PolicyName) => {
+    const { probes: count } = POLICIES[policy]
+    if (count > 0) return chooseProbed(request, policy, count)
+    if (options.findTruth) return rankWithTruth(request, policy, options.findTruth)
     return rank(request, policy)
   }
 
@@ -173,9 +188,7 @@
     findPolicy,
     choose: async (request) => {
       const policy = findPolicy(request)
-      const count = POLICIES[policy].probes
-      const ranked =
-        count > 0 ? await chooseProbed(request, policy, count) : rankWithTruth(request, policy)
+      const ranked = await rankFor(request, policy)
       const chosen = ranked.at(0)
       if (!chosen) return undefined
       options.decisions.recordDecision(request.request, {
--- a/packages/router/src/relay/declines.ts
+++ b/packages/router/src/relay/declines.ts
@@ -50,24 +50,16 @@
 /** Builds the refusal of a request for which no backend server is left. */
 export function buildRefusal(state: DeclineState): SpoolgateError {
   const { retryAfterMs, excluded, mayHaveRun } = state
-  if (mayHaveRun) {
-    return new SpoolgateError(
-      'backendFailed',
-      'the backend servers that were tried failed; send the request again',
-      { retryAfterSeconds: 1 },
-    )
-  }
+  const seconds = Math.max(1, Math.ceil((retryAfterMs ?? MS_PER_SECOND) / MS_PER_SECOND))
+  const options = { notRun: !mayHaveRun, retryAfterSeconds: seconds }
   if (excluded.size === 0) {
-    return new SpoolgateError(
-      'noBackendServer',
-      'no backend server is in service; try again later',
-      {
-        retryAfterSeconds: 1,
-      },
-    )
+    const message = 'no backend server is in service; try again later'
+    return new SpoolgateError('noBackendServer', message, options)
   }
-  const seconds = Math.max(1, Math.ceil((retryAfterMs ?? MS_PER_SECOND) / MS_PER_SECOND))
-  return new SpoolgateError('declined', `all backend servers are busy; try again in ${seconds} s`, {
-    retryAfterSeconds: seconds,
-  })
+  if (mayHaveRun) {
+    const message = 'the backend servers that were tried failed; send the request again'
+    return new SpoolgateError('backendFailed', message, options)
+  }
+  const message = `all backend servers are busy; try again in ${seconds} s`
+  return new SpoolgateError('declined', message, options)
 }
--- a/packages/router/src/relay/relayOnce.ts
+++ b/packages/router/src/relay/relayOnce.ts
@@ -9,6 +9,7 @@
 import {
   SpoolgateError,
   toAttemptNumber,
+  toSpoolgateError,
   waitFor,
   type BackendServerId,
   type Incarnation,
@@ -230,7 +231,7 @@
     if (!(cause instanceof SpoolgateError) || cause.kind !== 'controlUnavailable') throw cause
     // Without a claim nothing was dispatched; but an earlier send of the caller's key may have run.
     throw new SpoolgateError('controlUnavailable', 'claims cannot be made now; try again later', {
-      notRun: !key.isCallers && !state.mayHaveRun,
+      notRun: !state.mayHaveRun,
       retryAfterSeconds: 2,
     })
   }
@@ -347,6 +348,8 @@
   switch (opened.kind) {
     case 'granted': {
       const { dispatch } = opened
+      // A grant means that every earlier dispatch of this key was barred.
+      state.mayHaveRun = false
       const outcome = await runDispatch(parts, context, state, fleet, server, dispatch)
       return applyOutcome(parts, state, dispatch, outcome)
     }
@@ -382,7 +385,8 @@
     bodyHash: hashBody(context),
     excluded: new Set(),
     retryAfterMs: undefined,
-    mayHaveRun: false,
+    // An earlier send of the caller's key may have run; only the claim can tell.
+    mayHaveRun: key.isCallers,
   }
   const team = context.team
   try {
@@ -394,7 +398,12 @@
     context.response.setHeader('idempotency-key', key.key)
     sendAnswer(context.response, answer)
   } catch (cause) {
-    const outcome = cause instanceof SpoolgateError ? cause.kind : 'internal'
+    const error = toSpoolgateError(cause)
+    const outcome = error.kind
+    parts.invariants.assert(
+      'notRunIsTrue',
+      !error.notRun || !state.mayHaveRun || outcome === 'conflict',
+    )
     parts.instruments.requests.add(1, { team, policy: 'once', outcome })
     parts.decisions.recordOutcome(context.request, outcome, undefined)
     throw cause
--- /dev/null
+++ b/packages/spoolgate/src/node/bench/scaleBench.ts
@@ -0,0 +1,218 @@
+/**
+ * `spoolgate bench scale`: how a router's decision grows with backend servers, teams and the length
+ * of the prompt. The hints are synthetic, the code is the real one.
+ */
+import type { BackendServer, TeamParameters } from '@spoolgate/config'
+import {
+  createRandomSource,
+  toBackendServerId,
+  toConfigVersion,
+  toIncarnation,
+  toWeightsVersion,
+} from '@spoolgate/core'
+import {
+  buildPrefixChain,
+  createHintTable,
+  createRendezvous,
+  createSubsetWidths,
+  POLICIES,
+  renderPrompt,
+  type PolicyInput,
+  type PolicyState,
+  type PrefixChain,
+} from '@spoolgate/routing'
+import { estimateLine, findPercentile, toRounded } from './statistics.js'
+
+/** Options of {@link runScaleBench}. */
+export interface ScaleOptions {
+  /** Decisions measured for each size. */
+  readonly decisions: number
+}
+
+/** Figures of one size. */
+export interface ScalePoint {
+  readonly servers: number
+  readonly teams: number
+  readonly decisionP50Us: number
+  readonly decisionP99Us: number
+  readonly hintHeapMb: number
+}
+
+/** What the benchmark found. */
+export interface ScaleResult {
+  readonly points: readonly ScalePoint[]
+  /** Microseconds that each further backend server adds to a median decision. */
+  readonly decisionUsPerServer: number
+  /** Bytes of heap that each remembered prompt adds. */
+  readonly bytesPerPrompt: number
+  /** Hashing a prompt of 32,000 tokens with four levels, in µs. */
+  readonly hashUs: number
+  /** The library's own pass over the same bytes, in µs. */
+  readonly libraryHashUs: number
+}
+
+const SERVER_COUNTS = [6, 60, 600] as const
+const TEAM_COUNTS = [8, 80, 350] as const
+const PROMPT_TOKENS = 32_000
+const BYTES_PER_TOKEN = 4
+const SIZES = { blockTokens: 16, bytesPerToken: BYTES_PER_TOKEN }
+const WARM_UP = 2_000
+const RECORDS_PER_TEAM = 50
+const HASH_ROUNDS = 400
+const US_PER_MS = 1_000
+const BYTES_PER_MB = 1024 * 1024
+
+const PARAMETERS: TeamParameters = {
+  arms: [{ policy: 'expectedFirstToken', share: 1 }],
+  tailWeight: 0.5,
+  share: 1,
+  priority: 5,
+  concurrentRequests: undefined,
+  requestsPerSecond: undefined,
+  tokensPerSecond: undefined,
+  region: undefined,
+  protectedWindows: [],
+  cacheScope: 'team',
+}
+
+function createServers(count: number): BackendServer[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: toBackendServerId(`engine-${index}`),
+    kind: 'engine',
+    sidecarUrl: 'http://127.0.0.1:1',
+    hall: `hall-${index % 5}`,
+    region: `region-${index % 2}`,
+    serves: 'assistant',
+    leaving: false,
+  }))
+}
+
+function renderLongPrompt(team: number, record: number) {
+  const fill = (name: string, tokens: number) => `${name} `.padEnd(tokens * BYTES_PER_TOKEN, 'x')
+  return renderPrompt({
+    messages: [
+      { role: 'system', content: fill(`instructions ${team}`, PROMPT_TOKENS / 2) },
+      { role: 'system', content: fill(`chart ${team}`, PROMPT_TOKENS / 4) },
+      { role: 'user', content: fill(`record ${team} ${record}`, PROMPT_TOKENS / 8) },
+      { role: 'user', content: fill(`question ${team} ${record}`, PROMPT_TOKENS / 8) },
+    ],
+  })
+}
+
+function createChains(teams: number): PrefixChain[] {
+  return Array.from({ length: teams * RECORDS_PER_TEAM }, (_, index) => {
+    const team = index % teams
+    // The hashes of a level decide, not its length: short texts keep the preparation quick.
+    const prompt = renderPrompt({
+      messages: ['instructions', 'chart', `record ${index}`, `question ${index}`].map((name) => ({
+        role: 'user',
+        content: `${name} ${team} `.padEnd(128, 'x'),
+      })),
+    })
+    const weightsVersion = toWeightsVersion('w')
+    const scope = { owner: `team-${team}`, model: 'assistant', adapter: '', weightsVersion }
+    return buildPrefixChain(scope, prompt, SIZES)
+  })
+}
+
+function createState(): PolicyState {
+  return {
+    hints: createHintTable(),
+    rendezvous: createRendezvous(),
+    widths: createSubsetWidths(),
+    turns: new Map(),
+  }
+}
+
+function recordReply(state: PolicyState, server: BackendServer, chain: PrefixChain, now: number) {
+  const hints = {
+    server: server.id,
+    incarnation: toIncarnation('s'),
+    engineIncarnation: toIncarnation('e'),
+    weightsVersion: toWeightsVersion('w'),
+    configVersion: toConfigVersion(1),
+    calls: now % 7,
+    queueMs: now % 50,
+    prefillTokensPerMs: 12,
+    cacheLifetimeMs: 1e9,
+    matchedTokens: 0,
+    leaving: false,
+  }
+  state.hints.record(hints, now)
+  state.hints.recordCached(chain, hints, Infinity, now)
+}
+
+function measurePoint(serverCount: number, teams: number, decisions: number): ScalePoint {
+  const servers = createServers(serverCount)
+  const chains = createChains(teams)
+  const random = createRandomSource(1)
+  const before = process.memoryUsage().heapUsed
+  const state = createState()
+  const times: number[] = []
+  for (let turn = 0; turn < WARM_UP + decisions; turn += 1) {
+    const chain = random.choose(chains)
+    const input: PolicyInput = {
+      chain,
+      servers,
+      isAllowed: () => true,
+      distanceMs: () => 1,
+      slowStartMs: () => 0,
+      parameters: PARAMETERS,
+      boundedLoadFactor: 1.5,
+      state,
+      random,
+      now: turn,
+    }
+    const startedAt = performance.now()
+    const [chosen] = POLICIES.expectedFirstToken.rank(input)
+    const spent = (performance.now() - startedAt) * US_PER_MS
+    if (turn >= WARM_UP) times.push(spent)
+    recordReply(state, chosen.server, chain, turn)
+  }
+  return {
+    servers: serverCount,
+    teams,
+    decisionP50Us: toRounded(findPercentile(times, 50)),
+    decisionP99Us: toRounded(findPercentile(times, 99)),
+    hintHeapMb: toRounded(Math.max(0, process.memoryUsage().heapUsed - before) / BYTES_PER_MB),
+  }
+}
+
+function measureHintBytes(): number {
+  const chains = createChains(TEAM_COUNTS.at(-1) ?? 1)
+  const [server] = createServers(1)
+  const state = createState()
+  globalThis.gc?.()
+  const before = process.memoryUsage().heapUsed
+  for (const chain of chains) recordReply(state, server, chain, 1)
+  globalThis.gc?.()
+  return (process.memoryUsage().heapUsed - before) / chains.length
+}
+
+function measureUs(run: () => unknown): number {
+  const times = Array.from({ length: HASH_ROUNDS }, () => {
+    const startedAt = performance.now()
+    run()
+    return (performance.now() - startedAt) * US_PER_MS
+  })
+  return toRounded(findPercentile(times, 50))
+}
+
+/** Runs the benchmark. */
+export function runScaleBench(options: ScaleOptions): ScaleResult {
+  const points = SERVER_COUNTS.flatMap((servers) =>
+    TEAM_COUNTS.map((teams) => measurePoint(servers, teams, options.decisions)),
+  )
+  const line = estimateLine(points.map(({ servers, decisionP50Us }) => [servers, decisionP50Us]))
+  const prompt = renderLongPrompt(1, 1)
+  const whole = { ...prompt, levelEnds: [prompt.bytes.length] }
+  const weightsVersion = toWeightsVersion('w')
+  const scope = { owner: 'team', model: 'assistant', adapter: '', weightsVersion }
+  return {
+    points,
+    decisionUsPerServer: toRounded(line.slope),
+    bytesPerPrompt: Math.round(measureHintBytes()),
+    hashUs: measureUs(() => buildPrefixChain(scope, prompt, SIZES)),
+    libraryHashUs: measureUs(() => buildPrefixChain(scope, whole, SIZES)),
+  }
+}
--- a/packages/spoolgate/src/node/cli/benchCommands.ts
+++ b/packages/spoolgate/src/node/cli/benchCommands.ts
@@ -1,7 +1,13 @@
 /** `spoolgate bench …`: measurements, each printed as a table or as JSON. */
-import { command, flag, number, option, subcommands } from 'cmd-ts'
+import { command, flag, number, option, string, subcommands } from 'cmd-ts'
+import { runControlBench } from '../bench/controlBench.js'
 import { runOverheadBench } from '../bench/overheadBench.js'
-import { printLine } from './exit.js'
+import { ROUTING_ARMS, runRoutingBench, type RoutingArm } from '../bench/routingBench.js'
+import { runScaleBench } from '../bench/scaleBench.js'
+import { SCENARIOS, type ScenarioName } from '../bench/scenarios.js'
+import { CliError, EXIT_CODES, printLine } from './exit.js'
+import { readWorkload } from './loadCommand.js'
+import { formatTable } from './table.js'
 
 const json = flag({ long: 'json', description: 'print JSON instead of lines' })
 
@@ -25,9 +31,82 @@
   handler: async (args) => printResult(await runOverheadBench(args), args.json),
 })
 
+const scaleCommand = command({
+  name: 'scale',
+  description: 'how a decision grows with the fleet; example: spoolgate bench scale --json',
+  args: {
+    json,
+    decisions: option({ long: 'decisions', type: number, defaultValue: () => 20_000 }),
+  },
+  handler: (args) => printResult(runScaleBench(args), args.json),
+})
+
+const controlCommand = command({
+  name: 'control',
+  description: 'claims, spread and restart of control; example: spoolgate bench control --json',
+  args: {
+    json,
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 3 }),
+    changes: option({ long: 'changes', type: number, defaultValue: () => 20 }),
+  },
+  handler: async (args) => printResult(await runControlBench(args), args.json),
+})
+
+function readScenario(name: string): ScenarioName {
+  if (name in SCENARIOS) return name as ScenarioName
+  const known = Object.keys(SCENARIOS).join(', ')
+  throw new CliError(`--scenario is one of ${known}`, EXIT_CODES.badUse)
+}
+
+function readArms(text: string): RoutingArm[] {
+  const names = text === 'all' ? ROUTING_ARMS : text.split(',')
+  const unknown = names.find((name) => !ROUTING_ARMS.includes(name as RoutingArm))
+  if (unknown === undefined) return names as RoutingArm[]
+  const known = ROUTING_ARMS.join(', ')
+  throw new CliError(`no policy "${unknown}"; --policies takes ${known}`, EXIT_CODES.badUse)
+}
+
+const routingCommand = command({
+  name: 'routing',
+  description: 'every policy side by side; example: spoolgate bench routing --workload anaca',
+  args: {
+    json,
+    workload: option({ long: 'workload', type: string, defaultValue: () => 'anaca' }),
+    scenario: option({ long: 'scenario', type: string, defaultValue: () => 'steady' }),
+    policies: option({ long: 'policies', type: string, defaultValue: () => 'all' }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 20 }),
+    rate: option({ long: 'rate', type: number, defaultValue: () => 24 }),
+  },
+  handler: async (args) => {
+    const options = {
+      ...args,
+      workload: readWorkload(args.workload),
+      scenario: readScenario(args.scenario),
+      policies: readArms(args.policies),
+    }
+    const figures = await runRoutingBench(options, ({ policy }) =>
+      process.stderr.write(`${policy} done\n`),
+    )
+    if (args.json) return printLine(JSON.stringify(figures))
+    const head = Object.keys(figures[0])
+    printLine(
+      formatTable(
+        head,
+        figures.map((row) => Object.values(row).map(String)),
+      ),
+    )
+  },
+})
+
 /** `spoolgate bench` */
 export const benchCommands = subcommands({
   name: 'bench',
   description: 'measurements on this machine, with the stand-ins',
-  cmds: { overhead: overheadCommand },
+  cmds: {
+    overhead: overheadCommand,
+    routing: routingCommand,
+    scale: scaleCommand,
+    control: controlCommand,
+  },
 })
--- a/packages/spoolgate/src/node/cli/cli.ts
+++ b/packages/spoolgate/src/node/cli/cli.ts
@@ -8,6 +8,7 @@
 import { devCommand } from './devCommand.js'
 import { CliError, EXIT_CODES } from './exit.js'
 import { loadCommand } from './loadCommand.js'
+import { soakCommand } from './soakCommand.js'
 import { configCommands, explainCommand, memberCommands } from './operatorCommands.js'
 
 const COMMANDS = {
@@ -21,6 +22,7 @@
   members: memberCommands,
   explain: explainCommand,
   load: loadCommand,
+  soak: soakCommand,
   bench: benchCommands,
   reference: referenceCommand,
 }
--- a/packages/spoolgate/src/node/load/caller.ts
+++ b/packages/spoolgate/src/node/load/caller.ts
@@ -1,5 +1,6 @@
 /** A caller: sends one request, measures its answer and compares it with what it must be. */
 import {
+  ConnectionError,
   readErrorAnswer,
   SpoolgateError,
   type HttpClient,
@@ -21,6 +22,8 @@
   readonly promptTokens: number
   readonly cachedTokens: number
   readonly error?: SpoolgateError
+  /** Whether a stream ended with an explicit error event. */
+  readonly hasErrorEvent: boolean
   /** Request id that the router gave. */
   readonly request: string | undefined
   readonly team: string
@@ -87,13 +90,16 @@
 
 function toFailure(cause: unknown, team: string, request: string | undefined): CallReport {
   const error = cause instanceof SpoolgateError ? cause : undefined
+  // A connection that was never made is as good as a refusal: nobody got the request.
+  const isUnsent = cause instanceof ConnectionError && cause.neverSent
   return {
-    kind: error?.notRun ? 'refused' : 'failed',
+    kind: error?.notRun || isUnsent ? 'refused' : 'failed',
     firstTokenMs: undefined,
     gapsMs: [],
     promptTokens: 0,
     cachedTokens: 0,
     error,
+    hasErrorEvent: false,
     request,
     team,
   }
@@ -130,6 +136,7 @@
       gapsMs,
       promptTokens: usage?.prompt_tokens ?? 0,
       cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
+      hasErrorEvent: hasError,
       request,
       team: item.team,
     }
--- a/packages/spoolgate/src/node/local/localFleet.ts
+++ b/packages/spoolgate/src/node/local/localFleet.ts
@@ -2,6 +2,8 @@
  * A whole fleet in one process on loopback: control, routers, sidecars and the stand-ins behind
  * them. `spoolgate dev`, the load tool, benchmarks, soak runs and tests are built on it.
  */
+import { randomInt } from 'node:crypto'
+import { createServer } from 'node:net'
 import type { FleetConfigInput } from '@spoolgate/config'
 import { createControl, type Control, type DataFolder } from '@spoolgate/control'
 import {
@@ -99,6 +101,8 @@
 const DEFAULT_HALLS = 4
 const DEFAULT_ELECTION_MS = 300
 const HEARTBEAT_RATIO = 0.2
+const FIRST_PORT = 10_000
+const LAST_PORT = 30_000
 const SUBMIT_TRIES = 100
 const SUBMIT_DELAY_MS = 50
 
@@ -121,20 +125,27 @@
   return `hall-${index % (options.halls ?? DEFAULT_HALLS)}`
 }
 
-/** Finds ports that are free now, so that a process keeps its URL over a restart. */
+/** Whether a port can be listened on now. */
+function isFreePort(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, HOST, () => server.close(() => resolve(true)))
+  })
+}
+
+/**
+ * Finds free ports, so that a process keeps its URL over a restart. They lie below the range from
+ * which the machine gives ports to outgoing connections: one of those had taken the port of a
+ * process that was just restarting.
+ */
 async function findFreePorts(count: number): Promise<number[]> {
-  const { createServer } = await import('node:net')
-  const servers = Array.from({ length: count }, () => createServer())
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, HOST, () => resolve((server.address() as { port: number }).port))
-        }),
-    ),
-  )
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
+  const ports = new Set<number>()
+  while (ports.size < count) {
+    const port = randomInt(FIRST_PORT, LAST_PORT)
+    if (!ports.has(port) && (await isFreePort(port))) ports.add(port)
+  }
+  return [...ports]
 }
 
 function buildConfig(
@@ -181,9 +192,11 @@
   const client = createHttpClient({ key: OPERATOR_KEY })
   const engineCount = options.engines ?? 2
   const serviceCount = options.services ?? 1
+  const backendCount = engineCount + serviceCount
   const free = await findFreePorts(
-    (options.routers ?? 1) + engineCount + serviceCount + (options.controls ?? 1),
+    (options.routers ?? 1) + 2 * backendCount + (options.controls ?? 1),
   )
+  const backendPorts = free.splice(0, backendCount)
   const ports: Ports = {
     routers: free.splice(0, options.routers ?? 1),
     sidecars: free.splice(0, engineCount + serviceCount),
@@ -200,11 +213,18 @@
 
   const engines = await Promise.all(
     Array.from({ length: engineCount }, (_, index) =>
-      createEngine({ model: LOCAL_MODEL, seed: index + 1, ...options.engine }),
+      createEngine({
+        model: LOCAL_MODEL,
+        seed: index + 1,
+        port: backendPorts[index],
+        ...options.engine,
+      }),
     ),
   )
   const services = await Promise.all(
-    Array.from({ length: serviceCount }, () => createPlainService()),
+    Array.from({ length: serviceCount }, (_, index) =>
+      createPlainService({ port: backendPorts[engineCount + index] }),
+    ),
   )
   const fleet: LocalFleet = {
     timers,
--- /dev/null
+++ b/packages/spoolgate/src/node/soak/soak.ts
@@ -0,0 +1,246 @@
+/**
+ * `spoolgate soak`: a whole fleet under seeded faults, judged from outside. Callers compare every
+ * answer with what the engines must generate, services count executions, and every refusal that
+ * says not run is looked up.
+ */
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import {
+  createHttpClient,
+  createRandomSource,
+  waitFor,
+  type Logger,
+  type RandomSource,
+} from '@spoolgate/core'
+import { sendWorkItem, type CallReport } from '../load/caller.js'
+import { createWorkload } from '../load/workload.js'
+import { createLocalFleet, LOCAL_MODEL, type LocalFleet } from '../local/localFleet.js'
+import { FAULTS, type FaultContext } from './faults.js'
+import { createOperators } from './operators.js'
+import { createReceiptCaller, type ReceiptCounts } from './receipts.js'
+
+/** Options of {@link runSoak}. */
+export interface SoakOptions {
+  readonly seed: number
+  /** Requests for generation after which the run ends. */
+  readonly requests: number
+  /** Bound on the run in seconds, whatever was sent; 0 for none. */
+  readonly seconds: number
+  readonly logger: Logger
+  /** Called with a line of progress about once a second. */
+  readonly onProgress: (text: string) => void
+}
+
+/** What a soak run came to. */
+export interface SoakResult {
+  readonly seed: number
+  readonly requests: number
+  readonly whole: number
+  /** Refused as not run; looked up to be true. */
+  readonly refused: number
+  /** Ended with an explicit error. */
+  readonly failed: number
+  /** Cut together with a router that was killed. */
+  readonly cut: number
+  readonly receipts: ReceiptCounts
+  readonly faults: Readonly<Record<string, number>>
+  readonly changesAccepted: number
+  readonly violations: readonly string[]
+}
+
+const ROUTERS = 2
+const ENGINES = 4
+const SERVICES = 2
+const CONTROLS = 3
+const TEAMS = 8
+const CALLERS = 10
+const FAULT_PERIOD_MS = 700
+const DOUBLE_FAULT_SHARE = 0.3
+const RECEIPT_PERIOD_MS = 60
+const CHANGE_PERIOD_MS = 400
+const SETTLE_MS = 20_000
+const MS_PER_SECOND = 1_000
+const MAX_VIOLATIONS = 20
+
+/** A run in progress. */
+interface SoakRun {
+  readonly fleet: LocalFleet
+  readonly random: RandomSource
+  readonly violations: string[]
+  readonly faults: Record<string, number>
+  /** Instants at which routers were killed. */
+  readonly routerKills: number[]
+  isRunning: boolean
+}
+
+function addViolation(run: Pick<SoakRun, 'violations'>, text: string): void {
+  if (run.violations.length < MAX_VIOLATIONS) run.violations.push(text)
+}
+
+async function runFaults(run: SoakRun, context: FaultContext): Promise<void> {
+  const names = Object.keys(FAULTS)
+  const pending = new Set<Promise<void>>()
+  while (run.isRunning) {
+    await waitFor(run.fleet.timers, FAULT_PERIOD_MS)
+    const count = run.random.next() < DOUBLE_FAULT_SHARE ? 2 : 1
+    for (let index = 0; index < count && run.isRunning; index += 1) {
+      const name = run.random.choose(names)
+      run.faults[name] = (run.faults[name] ?? 0) + 1
+      const work = FAULTS[name](context).catch((cause) =>
+        addViolation(run, `fault ${name} could not be undone: ${String(cause)}`),
+      )
+      pending.add(work)
+      void work.finally(() => pending.delete(work))
+    }
+  }
+  await Promise.all(pending)
+}
+
+/** Repeats work at a period, several at once if it takes longer. */
+async function runPeriodically(run: SoakRun, periodMs: number, work: () => Promise<void>) {
+  const pending = new Set<Promise<void>>()
+  while (run.isRunning) {
+    await waitFor(run.fleet.timers, periodMs)
+    const started = work()
+    pending.add(started)
+    void started.finally(() => pending.delete(started))
+  }
+  await Promise.all(pending)
+}
+
+/** Judges one answer; returns how it is counted. */
+function judgeReport(run: SoakRun, report: CallReport, startedAt: number): keyof SoakCounts {
+  const { kind, request } = report
+  if (kind === 'wrong') addViolation(run, `${request}: answer is not the expected one`)
+  if (kind === 'refused' && request !== undefined) {
+    const ran = run.fleet.engines.some((engine) => engine.started.has(request))
+    if (ran) addViolation(run, `${request}: refused as not run, but an engine started it`)
+  }
+  if (kind === 'wrong') return 'failed'
+  const isExplicit = report.error !== undefined || report.hasErrorEvent
+  if (kind !== 'failed' || isExplicit) return kind
+  if (run.routerKills.some((killedAt) => killedAt >= startedAt)) return 'cut'
+  addViolation(run, `${request}: the answer was lost without a word`)
+  return 'failed'
+}
+
+interface SoakCounts {
+  whole: number
+  refused: number
+  failed: number
+  cut: number
+}
+
+function checkVersions(run: SoakRun): void {
+  const { fleet } = run
+  const versions = fleet.controls.map((control) => control?.machine.config.version())
+  const nodes = [...fleet.routers, ...fleet.sidecars].map((node) => node?.config.version())
+  const all = new Set([...versions, ...nodes])
+  if (all.size > 1) addViolation(run, `versions differ at the end: ${[...all].join(', ')}`)
+}
+
+async function waitForOneVersion(run: SoakRun): Promise<void> {
+  const { fleet } = run
+  const endsAt = fleet.timers.now() + SETTLE_MS
+  const findVersions = () =>
+    new Set([
+      ...fleet.controls.map((control) => control?.machine.config.version()),
+      ...[...fleet.routers, ...fleet.sidecars].map((node) => node?.config.version()),
+    ])
+  while (findVersions().size > 1 && fleet.timers.now() < endsAt) await waitFor(fleet.timers, 100)
+}
+
+function countInvariants(fleet: LocalFleet): number {
+  const parts = [...fleet.routers, ...fleet.sidecars, ...fleet.controls]
+  return parts.reduce((sum, part) => sum + (part?.invariants.violations() ?? 0), 0)
+}
+
+/** Runs a soak to its end. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const folder = mkdtempSync(join(tmpdir(), 'spoolgate-soak-'))
+  const cutLinks = new Set<string>()
+  const fleet = await createLocalFleet({
+    logger: options.logger,
+    routers: ROUTERS,
+    engines: ENGINES,
+    services: SERVICES,
+    controls: CONTROLS,
+    teams: TEAMS,
+    isFatal: false,
+    createDataFolder: (index) => join(folder, String(index)),
+    isCut: (from, to) => cutLinks.has(`${from}>${to}`),
+    engine: { costs: { stepBaseMs: 3 }, cacheBlocks: 1_500 },
+  })
+  const run: SoakRun = {
+    fleet,
+    random: createRandomSource(options.seed),
+    violations: [],
+    faults: {},
+    routerKills: [],
+    isRunning: true,
+  }
+  const workload = createWorkload('anaca', Object.keys(fleet.callerKeys), options.seed)
+  const client = createHttpClient()
+  const counts: SoakCounts = { whole: 0, refused: 0, failed: 0, cut: 0 }
+  const countAll = () => counts.whole + counts.refused + counts.failed + counts.cut
+  const receipts = createReceiptCaller(fleet, run.random, (text) => addViolation(run, text))
+  const operators = createOperators(fleet, run.random, (text) => addViolation(run, text))
+  const endsAt =
+    options.seconds === 0 ? Infinity : fleet.timers.now() + options.seconds * MS_PER_SECOND
+
+  const runCaller = async () => {
+    while (run.isRunning) {
+      const item = workload.next()
+      const startedAt = fleet.timers.now()
+      const url = run.random.choose(fleet.routerUrls)
+      const key = fleet.callerKeys[item.team]
+      const caller = { client, timers: fleet.timers, url, key, model: LOCAL_MODEL }
+      const report = await sendWorkItem(caller, item)
+      counts[judgeReport(run, report, startedAt)] += 1
+      if (report.kind !== 'whole') await waitFor(fleet.timers, 50)
+      if (countAll() >= options.requests || fleet.timers.now() >= endsAt) run.isRunning = false
+      if (run.violations.length > 0) run.isRunning = false
+    }
+  }
+  const progress = fleet.timers.every(MS_PER_SECOND).subscribe(() => {
+    const { whole, refused, failed, cut } = counts
+    const faults = Object.values(run.faults).reduce((sum, count) => sum + count, 0)
+    options.onProgress(
+      `whole=${whole} refused=${refused} failed=${failed} cut=${cut} receipts=${receipts.counts.sent} faults=${faults} violations=${run.violations.length}`,
+    )
+  })
+  const context: FaultContext = {
+    fleet,
+    workload,
+    random: run.random,
+    cutLinks,
+    held: new Set(),
+    onRouterKilled: () => void run.routerKills.push(fleet.timers.now()),
+  }
+  await Promise.all([
+    ...Array.from({ length: CALLERS }, runCaller),
+    runFaults(run, context),
+    runPeriodically(run, RECEIPT_PERIOD_MS, receipts.send),
+    runPeriodically(run, CHANGE_PERIOD_MS, operators.race),
+  ])
+  await waitForOneVersion(run)
+  checkVersions(run)
+  receipts.checkAll()
+  operators.checkAll()
+  const broken = countInvariants(fleet)
+  if (broken > 0) addViolation(run, `${broken} invariants were violated; see the log`)
+  progress.unsubscribe()
+  client.close()
+  await fleet.close()
+  rmSync(folder, { recursive: true, force: true })
+  return {
+    seed: options.seed,
+    requests: countAll(),
+    ...counts,
+    receipts: receipts.counts,
+    faults: run.faults,
+    changesAccepted: operators.accepted(),
+    violations: run.violations,
+  }
+}
