--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -8,7 +8,8 @@
   type ManualTimerService,
 } from '@spoolgate/core'
 import { openLogStore } from '../log/logStore.js'
-import { createRaftMember, type RaftMember } from '../raft/member.js'
+import { createRaftMember } from '../raft/member.js'
+import type { RaftMember } from '../raft/types.js'
 import type { MemberMap, RaftTransport } from '../raft/messages.js'
 import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
 import { createMemoryFolder, type MemoryFolder } from './memoryFolder.js'
--- a/packages/control/src/raft/group.ts
+++ b/packages/control/src/raft/group.ts
@@ -28,3 +28,9 @@
   values.sort((a, b) => b - a)
   return values[countMajority(members) - 1] ?? -Infinity
 }
+
+/** Counts the members that two groups do not have in common, in name and kind. */
+export function countDifferences(a: MemberMap, b: MemberMap): number {
+  const names = new Set([...Object.keys(a), ...Object.keys(b)])
+  return [...names].filter((name) => a[name]?.kind !== b[name]?.kind).length
+}
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -3,107 +3,31 @@
  * monotonic clock, snapshots, and changes of membership one member at a time. After Ongaro's
  * dissertation "Consensus: Bridging Theory and Practice" (2014), sections 3, 4, 6 and 9.6.
  */
-import {
-  SpoolgateError,
-  type Invariants,
-  type Logger,
-  type RandomSource,
-  type TimerService,
-} from '@spoolgate/core'
+import { SpoolgateError } from '@spoolgate/core'
 import type { Subscription } from 'rxjs'
-import type { LogEntry, LogStore } from '../log/logStore.js'
-import { countMajority, isMajority, listOthers } from './group.js'
+import type { LogEntry } from '../log/logStore.js'
+import { countDifferences, countMajority } from './group.js'
 import type {
   AppendReply,
   AppendRequest,
   InstallReply,
   InstallRequest,
   MemberMap,
-  RaftTransport,
   VoteReply,
   VoteRequest,
 } from './messages.js'
+import { createProposals } from './proposals.js'
 import { createReplicator, type Replicator } from './replicator.js'
-
-/** The machine that the log drives. */
-export interface ReplicatedMachine {
-  /** Applies a committed command and returns its result; must depend on nothing else. */
-  apply(command: unknown, index: number): unknown
-  save(): unknown
-  load(state: unknown): void
-}
+import type { RaftMember, RaftMemberOptions, RaftRole } from './types.js'
+import { askMembersForVotes } from './votes.js'
 
 /** Entries that the group itself appends. */
 type GroupCommand =
   { readonly group: 'noop' } | { readonly group: 'members'; readonly members: MemberMap }
 
-/** Options of {@link createRaftMember}. */
-export interface RaftMemberOptions {
-  readonly name: string
-  readonly url: string
-  /** Group as it was founded. */
-  readonly founders: MemberMap
-  /** Whether an empty data folder founds the group, instead of waiting to be taken in. */
-  readonly isFounding: boolean
-  readonly store: LogStore
-  readonly machine: ReplicatedMachine
-  readonly transport: RaftTransport
-  readonly timers: TimerService
-  readonly random: RandomSource
-  readonly logger: Logger
-  readonly invariants: Invariants
-  /** Shortest election timeout, in ms; the longest is twice that. */
-  readonly electionMs: number
-  /** Period of heartbeats, in ms. */
-  readonly heartbeatMs: number
-  /** Entries between snapshots. */
-  readonly snapshotEvery: number
-}
-
-/** Role of a member. */
-export type RaftRole = 'follower' | 'candidate' | 'leader'
-
-/** What a member shows of itself. */
-export interface RaftStatus {
-  readonly name: string
-  readonly role: RaftRole
-  readonly term: number
-  readonly leader: string | undefined
-  readonly leaderUrl: string | undefined
-  readonly commitIndex: number
-  readonly lastIndex: number
-  readonly hasLease: boolean
-  readonly members: MemberMap
-}
-
-/** A running member. */
-export interface RaftMember {
-  status(): RaftStatus
-  /**
-   * Appends a command and waits until it is applied.
-   * @throws SpoolgateError `notLeader`, or `controlUnavailable` when it is not known whether the
-   * command will be applied.
-   */
-  propose(command: unknown): Promise<unknown>
-  /** Throws unless this member leads, holds its lease and has applied all that was committed. */
-  checkCurrent(): void
-  /** Changes the group by one member; resolves when the change is committed. */
-  changeMembers(next: MemberMap): Promise<void>
-  handleVote(request: VoteRequest): Promise<VoteReply>
-  handleAppend(request: AppendRequest): Promise<AppendReply>
-  handleInstall(request: InstallRequest): Promise<InstallReply>
-  close(): Promise<void>
-}
-
 /** Part of the election timeout for which an acknowledged heartbeat gives a lease. */
 const LEASE_RATIO = 0.9
 
-interface Proposal {
-  readonly term: number
-  resolve(result: unknown): void
-  reject(error: SpoolgateError): void
-}
-
 function isGroupCommand(command: unknown): command is GroupCommand {
   return typeof command === 'object' && command !== null && 'group' in command
 }
@@ -111,7 +35,7 @@
 /** Creates a member and starts its election timer. */
 export function createRaftMember(options: RaftMemberOptions): RaftMember {
   const { name, store, machine, transport, timers, random, logger, invariants } = options
-  const proposals = new Map<number, Proposal>()
+  const proposals = createProposals()
   let role: RaftRole = 'follower'
   let leader: string | undefined
   let leaderUrl: string | undefined
@@ -156,14 +80,6 @@
     for (const entry of store.list(store.baseIndex() + 1, Infinity)) observeMembers(entry)
   }
 
-  const failProposals = () => {
-    const message = 'leadership changed before the outcome was known; send the same change again'
-    for (const proposal of proposals.values()) {
-      proposal.reject(new SpoolgateError('controlUnavailable', message, { notRun: false }))
-    }
-    proposals.clear()
-  }
-
   const startElectionTimer = () => {
     electionTimer?.unsubscribe()
     if (isClosed) return
@@ -178,7 +94,7 @@
       logger.warn('raft.steppedDown', { term: term(), leader: found })
       replicator?.close()
       replicator = undefined
-      failProposals()
+      proposals.failAll()
     }
     role = 'follower'
     leader = found
@@ -199,9 +115,7 @@
       const result = isGroupCommand(entry.command)
         ? undefined
         : machine.apply(entry.command, entry.index)
-      const proposal = proposals.get(entry.index)
-      proposals.delete(entry.index)
-      if (proposal?.term === entry.term) proposal.resolve(result)
+      proposals.finish(entry, result)
     }
     void compactWhenLarge()
   }
@@ -253,26 +167,23 @@
     appendOwn(first)
   }
 
-  const askForVotes = async (isPreVote: boolean, voteTerm: number): Promise<boolean> => {
-    const request: VoteRequest = {
-      isPreVote,
-      term: voteTerm,
-      candidate: name,
-      lastIndex: store.lastIndex(),
-      lastTerm: store.lastTerm(),
-    }
-    const granted = new Set([name])
-    return new Promise((resolve) => {
-      if (isMajority(members, granted)) return resolve(true)
-      const asked = listOthers(members, name).map(async ([other, info]) => {
-        const reply = await transport.send(other, info.url, 'vote', request)
-        if (reply.term > term()) await adoptTerm(reply.term)
-        if (reply.isGranted && info.kind === 'voter') granted.add(other)
-        if (isMajority(members, granted)) resolve(true)
-      })
-      void Promise.allSettled(asked).then(() => resolve(false))
+  const askForVotes = (isPreVote: boolean, voteTerm: number) =>
+    askMembersForVotes({
+      members,
+      transport,
+      onHigherTerm: async (found) => {
+        if (found > term()) await adoptTerm(found)
+      },
+      request: {
+        isPreVote,
+        term: voteTerm,
+        candidate: name,
+        lastIndex: store.lastIndex(),
+        lastTerm: store.lastTerm(),
+      },
     })
-  }
+  const isCandidateOf = (electionTerm: number) =>
+    !isClosed && role === 'candidate' && term() === electionTerm
   const runElection = async () => {
     const isVoter = members[name]?.kind === 'voter' && store.ballot().mayVote
     if (isClosed || role === 'leader' || !isVoter) return
@@ -280,11 +191,10 @@
     role = 'candidate'
     leader = undefined
     leaderUrl = undefined
-    if (!(await askForVotes(true, started + 1))) return
-    if (isClosed || term() !== started || role !== 'candidate') return
+    if (!(await askForVotes(true, started + 1)) || !isCandidateOf(started)) return
     await store.saveBallot({ ...store.ballot(), term: started + 1, votedFor: name })
     const isElected = await askForVotes(false, started + 1)
-    if (isElected && !isClosed && term() === started + 1 && role === 'candidate') becomeLeader()
+    if (isElected && isCandidateOf(started + 1)) becomeLeader()
   }
 
   const isUpToDate = (request: VoteRequest) =>
@@ -377,10 +287,7 @@
   }
   const propose = (command: unknown): Promise<unknown> => {
     checkLeader()
-    return new Promise((resolve, reject) => {
-      const entry = appendOwn(command)
-      proposals.set(entry.index, { term: entry.term, resolve, reject })
-    })
+    return proposals.add(appendOwn(command))
   }
 
   if (options.isFounding && store.lastIndex() === 0 && term() === 0) {
@@ -417,9 +324,7 @@
       if (membersIndex > commitIndex || store.findTerm(appliedIndex) !== term()) {
         throw new SpoolgateError('conflict', 'a change of the group is under way; try again')
       }
-      const changed = new Set([...Object.keys(members), ...Object.keys(next)])
-      const differing = [...changed].filter((id) => members[id]?.kind !== next[id]?.kind)
-      if (differing.length > 1) {
+      if (countDifferences(members, next) > 1) {
         throw new SpoolgateError('invalidRequest', 'change the group by one member at a time')
       }
       await propose({ group: 'members', members: next } satisfies GroupCommand)
@@ -431,7 +336,7 @@
       isClosed = true
       electionTimer?.unsubscribe()
       replicator?.close()
-      failProposals()
+      proposals.failAll()
       await inbox
       await store.close()
     },
--- /dev/null
+++ b/packages/control/src/raft/types.ts
@@ -0,0 +1,79 @@
+/** Types of a member of the control group, for those who create one and those who use it. */
+import type { Invariants, Logger, RandomSource, TimerService } from '@spoolgate/core'
+import type { LogStore } from '../log/logStore.js'
+import type {
+  AppendReply,
+  AppendRequest,
+  InstallReply,
+  InstallRequest,
+  MemberMap,
+  RaftTransport,
+  VoteReply,
+  VoteRequest,
+} from './messages.js'
+
+/** The machine that the log drives. */
+export interface ReplicatedMachine {
+  /** Applies a committed command and returns its result; must depend on nothing else. */
+  apply(command: unknown, index: number): unknown
+  save(): unknown
+  load(state: unknown): void
+}
+
+/** Options of {@link createRaftMember}. */
+export interface RaftMemberOptions {
+  readonly name: string
+  readonly url: string
+  /** Group as it was founded. */
+  readonly founders: MemberMap
+  /** Whether an empty data folder founds the group, instead of waiting to be taken in. */
+  readonly isFounding: boolean
+  readonly store: LogStore
+  readonly machine: ReplicatedMachine
+  readonly transport: RaftTransport
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly logger: Logger
+  readonly invariants: Invariants
+  /** Shortest election timeout, in ms; the longest is twice that. */
+  readonly electionMs: number
+  /** Period of heartbeats, in ms. */
+  readonly heartbeatMs: number
+  /** Entries between snapshots. */
+  readonly snapshotEvery: number
+}
+
+/** Role of a member. */
+export type RaftRole = 'follower' | 'candidate' | 'leader'
+
+/** What a member shows of itself. */
+export interface RaftStatus {
+  readonly name: string
+  readonly role: RaftRole
+  readonly term: number
+  readonly leader: string | undefined
+  readonly leaderUrl: string | undefined
+  readonly commitIndex: number
+  readonly lastIndex: number
+  readonly hasLease: boolean
+  readonly members: MemberMap
+}
+
+/** A running member. */
+export interface RaftMember {
+  status(): RaftStatus
+  /**
+   * Appends a command and waits until it is applied.
+   * @throws SpoolgateError `notLeader`, or `controlUnavailable` when it is not known whether the
+   * command will be applied.
+   */
+  propose(command: unknown): Promise<unknown>
+  /** Throws unless this member leads, holds its lease and has applied all that was committed. */
+  checkCurrent(): void
+  /** Changes the group by one member; resolves when the change is committed. */
+  changeMembers(next: MemberMap): Promise<void>
+  handleVote(request: VoteRequest): Promise<VoteReply>
+  handleAppend(request: AppendRequest): Promise<AppendReply>
+  handleInstall(request: InstallRequest): Promise<InstallReply>
+  close(): Promise<void>
+}
--- a/packages/control/src/server/configRoutes.ts
+++ b/packages/control/src/server/configRoutes.ts
@@ -15,7 +15,7 @@
   type TimerService,
 } from '@spoolgate/core'
 import { firstValueFrom, race } from 'rxjs'
-import type { RaftMember } from '../raft/member.js'
+import type { RaftMember } from '../raft/types.js'
 import type { SubmitResult } from '../state/configState.js'
 import type { ControlMachine } from '../state/controlMachine.js'
 import { compareFleets, listPatchedNames } from '../state/fleetPatch.js'
--- a/packages/control/src/server/groupRoutes.ts
+++ b/packages/control/src/server/groupRoutes.ts
@@ -9,7 +9,7 @@
   type Route,
   type TimerService,
 } from '@spoolgate/core'
-import type { RaftMember } from '../raft/member.js'
+import type { RaftMember } from '../raft/types.js'
 import type {
   AppendRequest,
   InstallRequest,
--- a/packages/control/src/state/controlMachine.ts
+++ b/packages/control/src/state/controlMachine.ts
@@ -1,6 +1,6 @@
 /** The replicated machine: configuration, claims and orders, driven by typed commands. */
 import { Subject, type Observable } from 'rxjs'
-import type { ReplicatedMachine } from '../raft/member.js'
+import type { ReplicatedMachine } from '../raft/types.js'
 import {
   createClaimState,
   type ClaimState,
--- a/packages/router/src/relay/continuation.ts
+++ b/packages/router/src/relay/continuation.ts
@@ -35,26 +35,28 @@
   return typeof text === 'string' ? text : undefined
 }
 
+function parseChunk(payload: string): StreamChunk | undefined {
+  try {
+    return JSON.parse(payload) as StreamChunk
+  } catch {
+    return undefined
+  }
+}
+
 /** Parses what was delivered; undefined when it cannot be continued, as with tool calls. */
 export function parseDelivered(payloads: readonly string[]): DeliveredStream | undefined {
-  let text = ''
-  let first: StreamChunk | undefined
-  let isFinished = false
-  for (const payload of payloads) {
-    if (payload === DONE_MARKER) continue
-    let chunk: StreamChunk
-    try {
-      chunk = JSON.parse(payload) as StreamChunk
-    } catch {
-      return undefined
-    }
-    const added = readText(chunk)
-    if (added === undefined || (chunk.choices?.length ?? 0) > 1) return undefined
-    text += added
-    first ??= chunk
-    isFinished ||= typeof chunk.choices?.[0]?.finish_reason === 'string'
+  const chunks = payloads.filter((payload) => payload !== DONE_MARKER).map(parseChunk)
+  const texts = chunks.map((chunk) => chunk && readText(chunk))
+  const hasSeveral = chunks.some((chunk) => (chunk?.choices?.length ?? 0) > 1)
+  if (hasSeveral || texts.includes(undefined)) return undefined
+  const isFinal = (chunk: StreamChunk | undefined) =>
+    typeof chunk?.choices?.[0]?.finish_reason === 'string'
+  return {
+    text: texts.join(''),
+    id: chunks[0]?.id,
+    created: chunks[0]?.created,
+    isFinished: chunks.some(isFinal),
   }
-  return { text, id: first?.id, created: first?.created, isFinished }
 }
 
 /** Gives a part of a continued stream the identity of the first part. */
--- a/packages/router/src/relay/relayOnce.ts
+++ b/packages/router/src/relay/relayOnce.ts
@@ -5,21 +5,25 @@
  */
 import { createHash } from 'node:crypto'
 import type { BackendServer, Fleet } from '@spoolgate/config'
-import type { ClaimedDispatch, KeptAnswer, OpenResult } from '@spoolgate/control'
+import type { ClaimedDispatch, OpenResult } from '@spoolgate/control'
 import {
   SpoolgateError,
-  toAttemptNumber,
   toSpoolgateError,
-  waitFor,
   type BackendServerId,
   type Incarnation,
 } from '@spoolgate/core'
-import type { CallHeader, DispatchState } from '@spoolgate/routing'
-import { resumeAttempt, runAttempt, type AttemptRequest, type AttemptResult } from './attempt.js'
+import { runAttempt } from './attempt.js'
 import { buildCallHeader, type CallContext } from './callContext.js'
 import { buildRefusal, recordDecline, type DeclineState } from './declines.js'
 import type { RelayParts } from './relayParts.js'
-import { createBufferSink, sendAnswer, type WholeAnswer } from './sinks.js'
+import { sendAnswer, type WholeAnswer } from './sinks.js'
+import {
+  followDispatch,
+  resolveLost,
+  resolveResult,
+  type DispatchOutcome,
+} from './followDispatch.js'
+import { parseKeptAnswer, toKeptAnswer } from './keptAnswer.js'
 
 /** Idempotency key of a request. */
 export interface IdempotencyKey {
@@ -28,11 +32,6 @@
   readonly isCallers: boolean
 }
 
-/** Largest answer that the claim keeps for resends, in bytes. */
-const MAX_KEPT_BYTES = 256 * 1024
-const ASK_TIMEOUT_MS = 1_000
-const ASK_TRIES = 5
-const ASK_DELAY_MS = 100
 const STATUS_TIMEOUT_MS = 1_000
 const MAX_DISPATCHES = 8
 
@@ -42,19 +41,6 @@
   return hash.update(context.body).digest('base64url')
 }
 
-function toKeptAnswer(answer: WholeAnswer): KeptAnswer | undefined {
-  if (answer.body.length > MAX_KEPT_BYTES) return undefined
-  const text = answer.body.toString('utf8')
-  const isBase64 = !Buffer.from(text, 'utf8').equals(answer.body)
-  const { status, contentType } = answer.head
-  return { status, contentType, body: isBase64 ? answer.body.toString('base64') : text, isBase64 }
-}
-
-function parseKeptAnswer(kept: KeptAnswer): WholeAnswer {
-  const body = Buffer.from(kept.body, kept.isBase64 ? 'base64' : 'utf8')
-  return { head: { status: kept.status, contentType: kept.contentType }, body }
-}
-
 function buildUnknownError(): SpoolgateError {
   return new SpoolgateError(
     'outcomeUnknown',
@@ -78,116 +64,6 @@
   }
 }
 
-/** Asks a sidecar what became of a dispatch; undefined when it does not answer. */
-async function askAboutDispatch(
-  parts: RelayParts,
-  server: BackendServer,
-  dispatch: ClaimedDispatch,
-): Promise<DispatchState | undefined> {
-  for (let tries = 0; tries < ASK_TRIES; tries += 1) {
-    if (tries > 0) await waitFor(parts.timers, ASK_DELAY_MS * 2 ** tries)
-    try {
-      return await parts.client.sendJson<DispatchState>({
-        method: 'POST',
-        url: `${server.sidecarUrl}/dispatches`,
-        json: dispatch,
-        timeoutMs: ASK_TIMEOUT_MS,
-      })
-    } catch {
-      parts.logger.debug('dispatch.unanswered', { claim: dispatch.claim, server: server.id })
-    }
-  }
-  return undefined
-}
-
-/** What is known once a dispatch has been followed to its end. */
-type DispatchOutcome =
-  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
-  /** It did not run and never will; another dispatch may be given. */
-  | { readonly kind: 'barred' }
-  /** Nobody can tell whether it ran. */
-  | { readonly kind: 'unknown' }
-  /** The sidecar cannot be asked now; the claim stays as it is. */
-  | { readonly kind: 'unreachable' }
-
-/** One dispatch that is being followed. */
-interface FollowedDispatch {
-  readonly server: BackendServer
-  readonly dispatch: ClaimedDispatch
-  readonly sink: ReturnType<typeof createBufferSink>
-  readonly request: AttemptRequest
-}
-
-function followDispatch(
-  context: CallContext,
-  server: BackendServer,
-  dispatch: ClaimedDispatch,
-  shared: Omit<CallHeader, 'attempt'>,
-  parts: RelayParts,
-): FollowedDispatch {
-  const sink = createBufferSink()
-  const { claim, number, incarnation } = dispatch
-  const header: CallHeader = {
-    ...shared,
-    request: dispatch.request,
-    attempt: toAttemptNumber(number),
-    dispatch: { claim, number, incarnation },
-  }
-  const request: AttemptRequest = {
-    sidecarUrl: server.sidecarUrl,
-    header,
-    body: context.body,
-    sink,
-    // A caller that leaves does not stop what must not be repeated.
-    signal: new AbortController().signal,
-    onClaim: (hints) => parts.state.hints.record(hints, parts.timers.now()),
-  }
-  return { server, dispatch, sink, request }
-}
-
-/** Settles a dispatch whose connection broke, by asking the sidecar. */
-async function resolveLost(
-  parts: RelayParts,
-  followed: FollowedDispatch,
-): Promise<DispatchOutcome> {
-  const state = await askAboutDispatch(parts, followed.server, followed.dispatch)
-  switch (state?.state) {
-    case undefined:
-      return { kind: 'unreachable' }
-    case 'barred':
-      return { kind: 'barred' }
-    case 'otherIncarnation':
-      return { kind: 'unknown' }
-    case 'failed':
-      return state.notRun ? { kind: 'barred' } : { kind: 'unknown' }
-    default: {
-      const sink = createBufferSink()
-      const request = { ...followed.request, sink }
-      const result = await resumeAttempt(parts, request)
-      return resolveResult(parts, { ...followed, sink, request }, result)
-    }
-  }
-}
-
-async function resolveResult(
-  parts: RelayParts,
-  followed: FollowedDispatch,
-  result: AttemptResult,
-): Promise<DispatchOutcome> {
-  switch (result.kind) {
-    case 'finished': {
-      const answer = followed.sink.findAnswer()
-      return answer ? { kind: 'answered', answer } : { kind: 'unknown' }
-    }
-    case 'declined':
-      return { kind: 'barred' }
-    case 'failed':
-      return result.notRun ? { kind: 'barred' } : { kind: 'unknown' }
-    default:
-      return resolveLost(parts, followed)
-  }
-}
-
 interface OnceState extends DeclineState {
   readonly key: IdempotencyKey
   readonly bodyHash: string
--- a/packages/spoolgate/src/node/load/caller.ts
+++ b/packages/spoolgate/src/node/load/caller.ts
@@ -88,6 +88,29 @@
   }
 }
 
+type ReadAnswer = ReturnType<ReturnType<typeof createAnswerReader>['read']>
+
+function buildReport(
+  item: WorkItem,
+  answer: ReadAnswer,
+  startedAt: number,
+  request: string | undefined,
+): CallReport {
+  const { text, isDone, hasError, firstAt, gapsMs, usage } = answer
+  const isWhole = isDone && text === renderExpected(item)
+  const isCutShort = hasError || !isDone
+  return {
+    kind: isWhole ? 'whole' : isCutShort ? 'failed' : 'wrong',
+    firstTokenMs: firstAt === undefined ? undefined : firstAt - startedAt,
+    gapsMs,
+    promptTokens: usage?.prompt_tokens ?? 0,
+    cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
+    hasErrorEvent: hasError,
+    request,
+    team: item.team,
+  }
+}
+
 function toFailure(cause: unknown, team: string, request: string | undefined): CallReport {
   const error = cause instanceof SpoolgateError ? cause : undefined
   // A connection that was never made is as good as a refusal: nobody got the request.
@@ -128,18 +151,7 @@
     const reader = createAnswerReader(timers)
     message.setEncoding('utf8')
     for await (const chunk of message) reader.feed(chunk as string)
-    const { text, isDone, hasError, firstAt, gapsMs, usage } = reader.read()
-    const isWhole = isDone && text === renderExpected(item)
-    return {
-      kind: isWhole ? 'whole' : hasError || !isDone ? 'failed' : 'wrong',
-      firstTokenMs: firstAt === undefined ? undefined : firstAt - startedAt,
-      gapsMs,
-      promptTokens: usage?.prompt_tokens ?? 0,
-      cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
-      hasErrorEvent: hasError,
-      request,
-      team: item.team,
-    }
+    return buildReport(item, reader.read(), startedAt, request)
   } catch (cause) {
     return toFailure(cause, item.team, request)
   }
--- a/packages/standins/src/engine/batch.ts
+++ b/packages/standins/src/engine/batch.ts
@@ -69,6 +69,8 @@
   cancel(request: string): void
   /** Tokens of the prompt that were cached when the request was admitted. */
   findCachedTokens(request: string): number
+  /** Whether a block belongs to a prompt that is running or waiting. */
+  hasPending(hash: PrefixHash): boolean
   load(): EngineLoad
   totals(): EngineTotals
   /** Multiplies every step's time, to make a slow engine; Infinity hangs it. */
@@ -168,6 +170,9 @@
       if (place !== -1) waiting.splice(place, 1)
     },
     findCachedTokens: (request) => running.get(request)?.cachedTokens ?? 0,
+    hasPending: (hash) =>
+      waiting.some(({ blocks }) => blocks.includes(hash)) ||
+      [...running.values()].some(({ sequence }) => sequence.blocks.includes(hash)),
     load: () => {
       const missing = [...running.values()].reduce((sum, entry) => sum + entry.missing, 0)
       const queued = waiting.reduce((sum, sequence) => sum + sequence.promptTokens, 0)
