feat(limits): hold team limits over all routers with short-lived shares

Cause: limits per team were settings without effect.

Change: the leader hands each router a share for 5 s that follows its demand; unexpired shares never add up to more than the limit, a new leader hands out nothing until earlier ones have expired, and a router stops at the expiry counted from when it asked. Weighed against shares kept in the log (a write for each move of demand) and a fixed split (unused as soon as demand is uneven).

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -11,3 +11,11 @@
 export type { ClaimedDispatch, KeptAnswer, OpenResult } from './state/claimState.js'
 export type { Order, OrderAction } from './state/orderState.js'
 export { createClaimState, type ClaimState } from './state/claimState.js'
+export {
+  createShareLedger,
+  LIMIT_KINDS,
+  type LimitAmounts,
+  type LimitKind,
+  type ShareReply,
+  type ShareRequest,
+} from './server/shareLedger.js'
--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -1,4 +1,5 @@
 /** A control instance: the replicated log, its machine and the HTTP routes over them. */
+import { resolveFleetConfig, type Fleet } from '@spoolgate/config'
 import {
   createDaemonRoutes,
   createHttpClient,
@@ -23,6 +24,7 @@
 import { createGroupRoutes } from './groupRoutes.js'
 import { createNodeVersions } from './nodeVersions.js'
 import { createHttpTransport } from './raftTransport.js'
+import { createShareLedger } from './shareLedger.js'
 
 /** Options of {@link createControl}. */
 export interface ControlOptions {
@@ -96,6 +98,18 @@
   )
 }
 
+/** Resolves the configuration in force, once for each version. */
+function createFleetReader(machine: ControlMachine): () => Fleet | undefined {
+  let known: Fleet | undefined
+  return () => {
+    const version = machine.config.version()
+    if (known?.version !== version) {
+      known = resolveFleetConfig(machine.config.source(), version).unwrapOr(undefined)
+    }
+    return known
+  }
+}
+
 /** Creates a control instance and waits until it listens. */
 export async function createControl(options: ControlOptions): Promise<Control> {
   const { logger, timers, processKey, operatorKey } = options
@@ -144,11 +158,17 @@
   })
   const findUnreadyReason = () =>
     member.status().leader === undefined ? 'no leader is known' : undefined
+  const findFleet = createFleetReader(machine)
+  const ledger = createShareLedger({
+    timers,
+    invariants,
+    findParameters: (team) => findFleet()?.teams.get(team)?.parameters,
+  })
   const shared = { member, machine, timers, processKey, operatorKey }
   server.addRoutes([
     ...createDaemonRoutes({ metrics, findUnreadyReason }),
     ...createConfigRoutes({ ...shared, nodes: createNodeVersions(timers) }),
-    ...createGroupRoutes({ ...shared, isCut }),
+    ...createGroupRoutes({ ...shared, isCut, ledger }),
   ])
 
   const retentionMs = options.claimRetentionMs ?? DEFAULT_CLAIM_RETENTION_MS
--- a/packages/control/src/server/groupRoutes.ts
+++ b/packages/control/src/server/groupRoutes.ts
@@ -19,6 +19,9 @@
 } from '../raft/messages.js'
 import type { ControlCommandKind, ControlMachine } from '../state/controlMachine.js'
 import { RAFT_PATH } from './raftTransport.js'
+import type { ShareLedger, ShareRequest } from './shareLedger.js'
+
+const NO_TERM = -1
 
 /** Options of {@link createGroupRoutes}. */
 export interface GroupRoutesOptions {
@@ -27,6 +30,7 @@
   readonly timers: TimerService
   readonly processKey: string
   readonly operatorKey: string
+  readonly ledger: ShareLedger
   /** Whether messages from a member are dropped; for tests and soak runs. */
   readonly isCut: (from: string) => boolean
 }
@@ -101,6 +105,16 @@
     const command = { ...order, kind: 'order.issue', at: timers.wallNow() }
     sendJson(response, 200, await member.propose(command))
   }
+  let ledgerTerm = NO_TERM
+  const serveShares = async ({ request, response }: HttpExchange) => {
+    const asked = (await readJson(request, INTERNAL_BODY_LIMITS)) as ShareRequest
+    member.checkCurrent()
+    const { term } = member.status()
+    // In a new term another leader may have handed out shares that still run.
+    if (ledgerTerm !== term) options.ledger.reset()
+    ledgerTerm = term
+    sendJson(response, 200, options.ledger.grant(asked))
+  }
   const serveMemberChange = async ({ request, response }: HttpExchange) => {
     const change = (await readJson(request, INTERNAL_BODY_LIMITS)) as MemberChange
     await member.changeMembers(applyMemberChange(member.status().members, change))
@@ -110,6 +124,7 @@
     { method: 'POST', path: `${RAFT_PATH}/:name`, key: processKey, handler: serveRaft },
     { method: 'POST', path: '/commands', key: processKey, handler: serveCommand },
     { method: 'GET', path: '/orders/:server/highest', key: processKey, handler: serveHighest },
+    { method: 'POST', path: '/shares', key: processKey, handler: serveShares },
     { method: 'POST', path: '/orders', key: operatorKey, handler: serveOrder },
     { method: 'POST', path: '/members', key: operatorKey, handler: serveMemberChange },
     {
--- /dev/null
+++ b/packages/control/src/server/shareLedger.ts
@@ -0,0 +1,113 @@
+/**
+ * Shares of the teams' limits. A limit holds over all routers: each holds a share for a short time,
+ * and the shares that have not expired never add up to more than the limit. The ledger is soft
+ * state of the leader; a new leader hands out nothing until every earlier share has expired.
+ */
+import type { TeamParameters } from '@spoolgate/config'
+import type { Invariants, TeamId, TimerService } from '@spoolgate/core'
+
+/** What a limit counts. */
+export const LIMIT_KINDS = ['concurrentRequests', 'requestsPerSecond', 'tokensPerSecond'] as const
+
+/** Kind of a limit. */
+export type LimitKind = (typeof LIMIT_KINDS)[number]
+
+/** Amounts by kind of limit; a kind without a limit is left out. */
+export type LimitAmounts = { readonly [Kind in LimitKind]?: number }
+
+/** What a router asks for. */
+export interface ShareRequest {
+  readonly router: string
+  /** Amounts in demand by team, in the unit of each limit. */
+  readonly demands: Readonly<Record<string, LimitAmounts>>
+}
+
+/** What a router may use until the shares expire. */
+export interface ShareReply {
+  readonly shares: Readonly<Record<string, LimitAmounts>>
+  readonly expiresInMs: number
+}
+
+/** Options of {@link createShareLedger}. */
+export interface ShareLedgerOptions {
+  readonly timers: TimerService
+  readonly invariants: Invariants
+  /** Finds the parameters of a team in the configuration in force. */
+  readonly findParameters: (team: TeamId) => TeamParameters | undefined
+}
+
+/** The shares that a leader has handed out. */
+export interface ShareLedger {
+  grant(request: ShareRequest): ShareReply
+  /** Forgets everything and waits until earlier shares have expired, as a new leader must. */
+  reset(): void
+}
+
+/** Life of a share, in ms: long enough for an election, short enough to follow demand. */
+export const SHARE_LIFE_MS = 5_000
+/** Demand that a router without any is presumed to have, so that its first request finds a share. */
+const MIN_DEMAND = 1
+
+interface Grant {
+  readonly amount: number
+  readonly demand: number
+  readonly expiresAt: number
+}
+
+/** Grants of one limit by router. */
+type Holders = Map<string, Grant>
+
+function addUp(holders: Holders, pick: (grant: Grant) => number): number {
+  return [...holders.values()].reduce((sum, grant) => sum + pick(grant), 0)
+}
+
+/** Creates an empty ledger that hands out nothing until earlier shares have expired. */
+export function createShareLedger(options: ShareLedgerOptions): ShareLedger {
+  const { timers, invariants } = options
+  const limits = new Map<string, Holders>()
+  let startsAt = timers.now() + SHARE_LIFE_MS
+
+  const findHolders = (name: string, now: number): Holders => {
+    const holders: Holders = limits.get(name) ?? new Map()
+    limits.set(name, holders)
+    for (const [router, grant] of holders) if (grant.expiresAt <= now) holders.delete(router)
+    return holders
+  }
+  const grantOne = (name: string, router: string, limit: number, asked: number): number => {
+    const now = timers.now()
+    const holders = findHolders(name, now)
+    holders.delete(router)
+    const demand = Math.max(asked, MIN_DEMAND)
+    const totalDemand = demand + addUp(holders, (grant) => grant.demand)
+    const free = Math.max(0, limit - addUp(holders, (grant) => grant.amount))
+    // A router gets its part by demand, and while nobody else asks for more, what is free.
+    const fair = limit * (demand / totalDemand)
+    const amount = now < startsAt ? 0 : Math.min(free, Math.max(fair, Math.min(demand, free)))
+    const expiresAt = now + SHARE_LIFE_MS
+    holders.set(router, { amount, demand, expiresAt })
+    const total = addUp(holders, (grant) => grant.amount)
+    invariants.assert('limitSumKept', total <= limit + Number.EPSILON * limit * 8, () => ({
+      limit: name,
+      total,
+    }))
+    return amount
+  }
+  return {
+    grant: ({ router, demands }) => {
+      const shares = Object.entries(demands).map(([team, asked]) => {
+        const parameters = options.findParameters(team as TeamId)
+        const amounts = LIMIT_KINDS.flatMap((kind) => {
+          const limit = parameters?.[kind]
+          if (limit === undefined) return []
+          return [[kind, grantOne(`${team}/${kind}`, router, limit, asked[kind] ?? 0)]]
+        })
+        return [team, Object.fromEntries(amounts)]
+      })
+      return { shares: Object.fromEntries(shares), expiresInMs: SHARE_LIFE_MS }
+    },
+    reset: () => {
+      limits.clear()
+      startsAt = timers.now() + SHARE_LIFE_MS
+    },
+  }
+}
--- /dev/null
+++ b/packages/core/src/__tests__/core.spec.ts
@@ -0,0 +1,131 @@
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import {
+  createCallerKeyring,
+  createHttpClient,
+  createHttpServer,
+  createInvariants,
+  createManualTimerService,
+  createQuietLogger,
+  createTimerService,
+  formatLogLine,
+  hashCallerKey,
+  readBody,
+  sendJson,
+  toBackendServerId,
+  type HttpServer,
+} from '../index.js'
+
+describe('caller keys', () => {
+  it('name their owner, and nobody else', () => {
+    const keyring = createCallerKeyring([
+      { id: 'k1', hash: hashCallerKey('sg-k1-s'), owner: 'team' },
+    ])
+    expect(keyring.find('sg-k1-s')).to.equal('team')
+    expect(keyring.find('sg-k1-s')).to.equal('team')
+    for (const key of ['sg-k1-x', 'sg-k2-s', 's', '']) expect(keyring.find(key)).to.equal(undefined)
+  })
+})
+
+describe('log lines', () => {
+  it('are key=value pairs on one line, whatever the values hold', () => {
+    const line = formatLogLine('info', 'e', {
+      a: 'two words',
+      b: 'x\ny',
+      c: 1.5,
+      d: toBackendServerId('s'),
+    })
+    expect(line).to.match(/^time=\S+ level=info event=e a="two words" b="x\\ny" c=1.500 d=s$/)
+  })
+})
+
+describe('invariants', () => {
+  it('count, and throw where they are fatal', () => {
+    const logger = createQuietLogger()
+    const counting = createInvariants({ logger })
+    counting.assert('scopeMatches', true)
+    counting.assert('scopeMatches', false)
+    expect(counting.violations()).to.equal(1)
+    const fatal = createInvariants({ logger, fatal: true })
+    expect(() => fatal.assert('finalMarkerLast', false)).to.throw(/finalMarkerLast/)
+  })
+})
+
+describe('manual timers', () => {
+  it('run what falls due in order, and stop with the subscription', () => {
+    const timers = createManualTimerService()
+    const events: string[] = []
+    timers.after(30).subscribe(() => events.push('after'))
+    const every = timers.every(20).subscribe(() => events.push(`every ${timers.now()}`))
+    timers.advance(40)
+    every.unsubscribe()
+    timers.advance(100)
+    expect(events).to.deep.equal(['every 20', 'after', 'every 40'])
+  })
+})
+
+describe('the HTTP server', () => {
+  let server: HttpServer
+  const client = createHttpClient({ key: 'right' })
+  const limits = { maxBytes: 1_000, timeoutMs: 100 }
+
+  before(async () => {
+    server = await createHttpServer({
+      host: '127.0.0.1',
+      port: 0,
+      logger: createQuietLogger(),
+      timers: createTimerService(),
+      routes: [
+        {
+          method: 'GET',
+          path: '/keyed/:name',
+          key: 'right',
+          handler: ({ response, params }) => sendJson(response, 200, params),
+        },
+        {
+          method: 'POST',
+          path: '/body',
+          handler: async ({ request, response }) => {
+            sendJson(response, 200, { bytes: (await readBody(request, limits)).length })
+          },
+        },
+      ],
+    })
+  })
+  after(async () => {
+    client.close()
+    await server.close(0)
+  })
+
+  it('gives nothing to a process without the key', async () => {
+    const get = (key?: string) =>
+      createHttpClient({ key }).send({ method: 'GET', url: `${server.url}/keyed/a` })
+    for (const [key, status] of [
+      ['right', 200],
+      ['wrong', 401],
+      [undefined, 401],
+    ] as const) {
+      const message = await get(key)
+      message.resume()
+      expect(message.statusCode).to.equal(status)
+    }
+  })
+
+  it('refuses bodies that are too large or too slow, with typed errors', async () => {
+    const large = client.sendJson({
+      method: 'POST',
+      url: `${server.url}/body`,
+      json: 'x'.repeat(2_000),
+    })
+    expect(await large.catch((error) => error.kind)).to.equal('oversizeBody')
+    const slow = await new Promise<string>((resolve) => {
+      const socket = connect(server.port, '127.0.0.1')
+      socket.write('POST /body HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc')
+      socket.on('data', (data) => {
+        resolve(data.toString())
+        socket.destroy()
+      })
+    })
+    expect(slow).to.match(/408.*bodyTimeout/s)
+  })
+})
--- a/packages/router/src/relay/callContext.ts
+++ b/packages/router/src/relay/callContext.ts
@@ -17,6 +17,8 @@
   /** Model or group. */
   readonly target: string
   readonly chain: PrefixChain
+  /** Prompt tokens and the most that may be generated, as limits count them. */
+  readonly tokens: number
   readonly weightsVersion: WeightsVersion | undefined
   /** Whether the caller asked for a stream. */
   readonly isStream: boolean
--- a/packages/router/src/relay/relayParts.ts
+++ b/packages/router/src/relay/relayParts.ts
@@ -4,6 +4,7 @@
 import type { Ejection, PolicyState, RetryBudget } from '@spoolgate/routing'
 import type { Decider } from '../decide/decisions.js'
 import type { DecisionLog } from '../decide/decisionLog.js'
+import type { TeamLimits } from '../limits/teamLimits.js'
 import type { AttemptParts } from './attempt.js'
 
 /** Instruments of a router. */
@@ -26,6 +27,7 @@
   readonly state: PolicyState
   readonly ejection: Ejection
   readonly budget: RetryBudget
+  readonly limits: TeamLimits
   readonly instruments: RouterInstruments
   /** Keeps the router open until work that outlives its caller is done. */
   readonly background: (work: Promise<unknown>) => void
--- a/packages/router/src/server/callerRequest.ts
+++ b/packages/router/src/server/callerRequest.ts
@@ -22,6 +22,8 @@
   session: 'x-spoolgate-session',
 } as const
 
+/** Tokens that an answer without a bound is counted as. */
+const DEFAULT_MAX_TOKENS = 256
 const MAX_PRIORITY = 9
 const MAX_KEY_LENGTH = 256
 const DEFAULT_CONTENT_TYPE = 'application/json'
@@ -34,6 +36,8 @@
   readonly model: Model
   readonly chain: PrefixChain
   readonly isStream: boolean
+  /** Most tokens that may be generated, as the caller set it or by default. */
+  readonly maxTokens: number
   /** Session that the caller named in the body. */
   readonly user: string | undefined
 }
@@ -88,6 +92,7 @@
     model,
     chain: buildPrefixChain(scope, renderPrompt(request), model),
     isStream: request.stream === true,
+    maxTokens: Number(request.max_completion_tokens ?? request.max_tokens ?? DEFAULT_MAX_TOKENS),
     user: typeof request.user === 'string' ? request.user : undefined,
   }
 }
--- a/packages/router/src/server/callerRoutes.ts
+++ b/packages/router/src/server/callerRoutes.ts
@@ -78,7 +78,7 @@
     accepted: AcceptedRequest,
     rest: Pick<
       CallContext,
-      'body' | 'path' | 'target' | 'chain' | 'weightsVersion' | 'session' | 'isStream'
+      'body' | 'path' | 'target' | 'chain' | 'weightsVersion' | 'session' | 'isStream' | 'tokens'
     >,
   ): CallContext => {
     const { exchange, team, startedAt } = accepted
@@ -104,11 +104,16 @@
       callerSignal: caller.signal,
     }
   }
-  const relay = (context: CallContext, exchange: HttpExchange, isOnce: boolean) => {
-    if (!isOnce) return relayRepeatable(parts, context)
-    const given = readIdempotencyKey(exchange.request)
-    const key = { key: given ?? createUniqueId('auto'), isCallers: given !== undefined }
-    return relayOnce(parts, context, key)
+  const relay = async (context: CallContext, exchange: HttpExchange, isOnce: boolean) => {
+    const release = await parts.limits.admit(context.team, context.parameters, context.tokens)
+    try {
+      if (!isOnce) return await relayRepeatable(parts, context)
+      const given = readIdempotencyKey(exchange.request)
+      const key = { key: given ?? createUniqueId('auto'), isCallers: given !== undefined }
+      return await relayOnce(parts, context, key)
+    } finally {
+      release()
+    }
   }
 
   const serveGeneration = async (exchange: HttpExchange) => {
@@ -116,12 +121,13 @@
     const { fleet, team } = accepted
     const body = await readBody(exchange.request, limits)
     const generation = parseGeneration(body, fleet, team)
-    const { model, chain, isStream, user } = generation
+    const { model, chain, isStream, user, maxTokens } = generation
     const context = createContext(accepted, {
       body,
       path: exchange.path,
       target: model.id,
       chain,
+      tokens: chain.totalTokens + maxTokens,
       weightsVersion: model.weightsVersion,
       isStream,
       session: readSession(exchange.request) ?? user ?? chain.levels.at(-2)?.hash ?? '',
@@ -152,6 +158,7 @@
       path: `${path}${query}`,
       target: service.group,
       chain: EMPTY_CHAIN,
+      tokens: 0,
       weightsVersion: undefined,
       isStream: false,
       session: readSession(exchange.request) ?? String(hashText(accepted.team.id)),
--- a/packages/router/src/server/routerServer.ts
+++ b/packages/router/src/server/routerServer.ts
@@ -29,6 +29,7 @@
 } from '@spoolgate/routing'
 import { createDecider, type DeciderOptions } from '../decide/decisions.js'
 import { createDecisionLog } from '../decide/decisionLog.js'
+import { createTeamLimits } from '../limits/teamLimits.js'
 import type { RelayParts, RouterInstruments } from '../relay/relayParts.js'
 import { createCallerRoutes } from './callerRoutes.js'
 
@@ -139,13 +140,16 @@
   })
   const decisions = createDecisionLog(logger)
   const background = createBackground()
+  const control = createControlClient({ urls: options.control, client, timers })
+  const limits = createTeamLimits({ router: instance, control, timers, logger })
   const parts: RelayParts = {
+    limits,
     client,
     timers,
     logger,
     invariants,
     config,
-    control: createControlClient({ urls: options.control, client, timers }),
+    control,
     decider: createDecider({
       hall: options.hall,
       region: options.region,
@@ -204,6 +208,7 @@
       const report = await server.close(drainMs)
       if (drainMs > 0) await background.waitUntilIdle()
       if (report.abandoned > 0) logger.error('router.abandoned', { requests: report.abandoned })
+      limits.close()
       await config.close()
       client.close()
       await metrics.close()
