feat(control): carry out orders and repair engines with other weights

Cause: orders had fencing numbers and a gate, but nobody issued them.

A soak run counted a reset connection that a stopping router had never accepted as a lost answer; callers now open a connection for each request and such resets are counted apart.

--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -23,6 +23,7 @@
 import { createConfigRoutes } from './configRoutes.js'
 import { createGroupRoutes } from './groupRoutes.js'
 import { createNodeVersions } from './nodeVersions.js'
+import { createOrderRunner } from './orderRunner.js'
 import { createHttpTransport } from './raftTransport.js'
 import { createShareLedger } from './shareLedger.js'
 
@@ -54,6 +55,11 @@
    * @default 86400000, a day
    */
   readonly claimRetentionMs?: number
+  /**
+   * Time between two looks of repair at the fleet, in ms.
+   * @default 1000
+   */
+  readonly repairPeriodMs?: number
   /**
    * Whether a violated invariant ends the run.
    * @default false
@@ -171,6 +177,15 @@
     ...createGroupRoutes({ ...shared, isCut, ledger }),
   ])
 
+  const repair = createOrderRunner({
+    member,
+    machine,
+    client,
+    timers,
+    logger,
+    findFleet,
+    periodMs: options.repairPeriodMs,
+  })
   const retentionMs = options.claimRetentionMs ?? DEFAULT_CLAIM_RETENTION_MS
   const expiry = timers.every(CLAIM_EXPIRY_PERIOD_MS).subscribe(() => {
     if (member.status().role !== 'leader') return
@@ -187,6 +202,7 @@
     traffic: server.traffic,
     close: async (drainMs = DEFAULT_DRAIN_MS) => {
       expiry.unsubscribe()
+      await repair.close()
       const report = await server.close(drainMs)
       await member.close()
       client.close()
--- a/packages/spoolgate/src/node/cli/soakCommand.ts
+++ b/packages/spoolgate/src/node/cli/soakCommand.ts
@@ -12,7 +12,7 @@
     ['whole', String(whole)],
     ['refused, truly not run', String(refused)],
     ['ended with an explicit error', String(failed)],
-    ['cut with a killed router', String(cut)],
+    ['cut with a router', String(cut)],
     ...Object.entries(receipts).map(([name, count]) => [`receipts ${name}`, String(count)]),
     ['changes accepted', String(changesAccepted)],
     ...Object.entries(result.faults).map(([name, count]) => [`fault ${name}`, String(count)]),
--- a/packages/spoolgate/src/node/load/caller.ts
+++ b/packages/spoolgate/src/node/load/caller.ts
@@ -36,6 +36,12 @@
   readonly url: string
   readonly key: string
   readonly model: string
+  /**
+   * Whether each request gets a connection of its own, so that none is sent on one that the other
+   * side is just closing.
+   * @default false
+   */
+  readonly isFresh?: boolean
 }
 
 interface Chunk {
@@ -136,6 +142,7 @@
   try {
     const message = await client.send({
       method: 'POST',
+      isFresh: options.isFresh,
       url: `${url}/v1/chat/completions`,
       headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
       body: JSON.stringify({
--- a/packages/spoolgate/src/node/local/localFleet.ts
+++ b/packages/spoolgate/src/node/local/localFleet.ts
@@ -54,6 +54,8 @@
   readonly slots?: number
   /** Shortest election timeout of control, in ms. @default 300 */
   readonly electionMs?: number
+  /** Time between two looks of repair at the fleet, in ms. @default 1000 */
+  readonly repairPeriodMs?: number
   /** Whether a violated invariant ends the run. @default true */
   readonly isFatal?: boolean
   /** Full knowledge for the oracle of benchmarks. @default undefined */
@@ -304,6 +306,7 @@
         timers,
         electionMs,
         heartbeatMs: electionMs * HEARTBEAT_RATIO,
+        repairPeriodMs: options.repairPeriodMs,
         isFatal,
         seed: index + 1,
         isCut: options.isCut && ((to) => options.isCut?.(index, to) ?? false),
--- a/packages/spoolgate/src/node/soak/faults.ts
+++ b/packages/spoolgate/src/node/soak/faults.ts
@@ -14,6 +14,8 @@
   readonly held: Set<string>
   /** Called before the connections of callers are cut on purpose. */
   readonly onRouterKilled: () => void
+  /** Called when a router begins a planned stop. */
+  readonly onRouterStopped: () => void
 }
 
 type Fault = (context: FaultContext) => Promise<void>
@@ -65,6 +67,7 @@
     runHeld(context, 'router', context.fleet.routers.length, async (index) => {
       const { fleet } = context
       if (drainMs === 0) context.onRouterKilled()
+      else context.onRouterStopped()
       await fleet.routers[index]?.close(drainMs)
       await fleet.startRouter(index)
     })
--- a/packages/spoolgate/src/node/soak/soak.ts
+++ b/packages/spoolgate/src/node/soak/soak.ts
@@ -41,7 +41,7 @@
   readonly refused: number
   /** Ended with an explicit error. */
   readonly failed: number
-  /** Cut together with a router that was killed. */
+  /** Cut with a router that was killed, or reset before a stopping one had accepted them. */
   readonly cut: number
   readonly receipts: ReceiptCounts
   readonly faults: Readonly<Record<string, number>>
@@ -62,6 +62,8 @@
 const SETTLE_MS = 20_000
 const MS_PER_SECOND = 1_000
 const MAX_VIOLATIONS = 20
+/** Time for which a connection may wait to be accepted, in ms. */
+const REFUSED_CONNECTION_MS = 500
 
 /** A run in progress. */
 interface SoakRun {
@@ -71,6 +73,8 @@
   readonly faults: Record<string, number>
   /** Instants at which routers were killed. */
   readonly routerKills: number[]
+  /** Instants at which routers were stopped as planned. */
+  readonly routerStops: number[]
   isRunning: boolean
 }
 
@@ -120,7 +124,10 @@
   if (kind === 'wrong') return 'failed'
   const isExplicit = report.error !== undefined || report.hasErrorEvent
   if (kind !== 'failed' || isExplicit) return kind
-  if (run.routerKills.some((killedAt) => killedAt >= startedAt)) return 'cut'
+  const wasCut = (endedAt: number) => endedAt >= startedAt - REFUSED_CONNECTION_MS
+  if (run.routerKills.some(wasCut)) return 'cut'
+  // A connection that a stopping router had not yet accepted is reset before anyone has read of it.
+  if (request === undefined && run.routerStops.some(wasCut)) return 'cut'
   addViolation(run, `${request}: the answer was lost without a word`)
   return 'failed'
 }
@@ -178,6 +185,7 @@
     violations: [],
     faults: {},
     routerKills: [],
+    routerStops: [],
     isRunning: true,
   }
   const workload = createWorkload('anaca', Object.keys(fleet.callerKeys), options.seed)
@@ -195,7 +203,7 @@
       const startedAt = fleet.timers.now()
       const url = run.random.choose(fleet.routerUrls)
       const key = fleet.callerKeys[item.team]
-      const caller = { client, timers: fleet.timers, url, key, model: LOCAL_MODEL }
+      const caller = { client, timers: fleet.timers, url, key, model: LOCAL_MODEL, isFresh: true }
       const report = await sendWorkItem(caller, item)
       counts[judgeReport(run, report, startedAt)] += 1
       if (report.kind !== 'whole') await waitFor(fleet.timers, 50)
@@ -217,6 +225,7 @@
     cutLinks,
     held: new Set(),
     onRouterKilled: () => void run.routerKills.push(fleet.timers.now()),
+    onRouterStopped: () => void run.routerStops.push(fleet.timers.now()),
   }
   await Promise.all([
     ...Array.from({ length: CALLERS }, runCaller),
