fix(control): end long polls at a planned stop, and with the node that sent them

Cause: a control instance took up to 25 s to end after SIGTERM. Ruled out: open connections, the repair task, the log. Found: the wait of each long poll went on after its node had gone, and after the instance had begun to stop.

--- a/packages/control/src/server/configRoutes.ts
+++ b/packages/control/src/server/configRoutes.ts
@@ -1,4 +1,5 @@
 /** Routes of the fleet configuration: submitting, following, history and who runs what. */
+import type { ServerResponse } from 'node:http'
 import {
   formatProblems,
   parseText,
@@ -14,7 +15,7 @@
   type Route,
   type TimerService,
 } from '@spoolgate/core'
-import { firstValueFrom, race } from 'rxjs'
+import { firstValueFrom, fromEvent, race, type Observable } from 'rxjs'
 import type { RaftMember } from '../raft/types.js'
 import type { SubmitResult } from '../state/configState.js'
 import type { ControlMachine } from '../state/controlMachine.js'
@@ -29,6 +30,8 @@
   readonly timers: TimerService
   readonly processKey: string
   readonly operatorKey: string
+  /** Emits when the instance stops: polls are then answered at once. */
+  readonly stopping: Observable<unknown>
 }
 
 /** Body of a submitted configuration. */
@@ -93,17 +96,18 @@
     sendJson(response, 200, result)
   }
 
-  const waitForVersion = async (after: number, waitMs: number) => {
+  const waitForVersion = async (after: number, waitMs: number, response: ServerResponse) => {
     if (machine.config.version() > after) return
-    await firstValueFrom(race(machine.versions, timers.after(Math.min(waitMs, MAX_POLL_MS))), {
-      defaultValue: undefined,
-    })
+    const late = timers.after(Math.min(waitMs, MAX_POLL_MS))
+    // Without the last two a poll outlived its node, and kept a stopping instance for its whole wait.
+    const isOver = race(machine.versions, late, fromEvent(response, 'close'), options.stopping)
+    await firstValueFrom(isOver, { defaultValue: undefined })
   }
   const follow = async ({ response, query }: HttpExchange) => {
     const after = Number(query.get('after') ?? -1)
     const node = query.get('node')
     if (node) nodes.record(node, after)
-    await waitForVersion(after, Number(query.get('wait') ?? 0))
+    await waitForVersion(after, Number(query.get('wait') ?? 0), response)
     if (response.destroyed) return
     const update = machine.config.buildUpdate(after)
     if (update) sendJson(response, 200, update)
--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -14,6 +14,7 @@
   type TlsFiles,
   type TrafficCount,
 } from '@spoolgate/core'
+import { Subject } from 'rxjs'
 import { openDataFolder, type DataFolder } from '../log/dataFolder.js'
 import { openLogStore } from '../log/logStore.js'
 import { createRaftMember } from '../raft/member.js'
@@ -164,6 +165,7 @@
   })
   const findUnreadyReason = () =>
     member.status().leader === undefined ? 'no leader is known' : undefined
+  const stopping = new Subject<void>()
   const findFleet = createFleetReader(machine)
   const ledger = createShareLedger({
     timers,
@@ -173,7 +175,7 @@
   const shared = { member, machine, timers, processKey, operatorKey }
   server.addRoutes([
     ...createDaemonRoutes({ metrics, findUnreadyReason }),
-    ...createConfigRoutes({ ...shared, nodes: createNodeVersions(timers) }),
+    ...createConfigRoutes({ ...shared, nodes: createNodeVersions(timers), stopping }),
     ...createGroupRoutes({ ...shared, isCut, ledger }),
   ])
 
@@ -201,6 +203,7 @@
     invariants,
     traffic: server.traffic,
     close: async (drainMs = DEFAULT_DRAIN_MS) => {
+      stopping.next()
       expiry.unsubscribe()
       await repair.close()
       const report = await server.close(drainMs)
--- a/packages/control/src/server/orderRunner.ts
+++ b/packages/control/src/server/orderRunner.ts
@@ -52,7 +52,7 @@
 const FIRST_BACKOFF_MS = 2_000
 const MAX_BACKOFF_MS = 120_000
 /** Sidecars that are asked in one period. */
-const ASKED_AT_ONCE = 16
+const ASKED_AT_ONCE = 4
 /** Most engines of one model that repair may take out of service at once, as a share of them. */
 const MAX_OUT_RATIO = 0.34
 
@@ -124,7 +124,7 @@
   }
   /**
    * Asks the next few sidecars in turn, so that a look at a large fleet costs no more than one at a
-   * small fleet; a fleet of 600 is seen whole every 38 periods.
+   * small fleet; a fleet of 600 is seen whole every 150 periods.
    */
   const askNext = async (servers: readonly BackendServer[]) => {
     const count = Math.min(ASKED_AT_ONCE, servers.length)
--- a/packages/sidecar/src/backend/backendWatcher.ts
+++ b/packages/sidecar/src/backend/backendWatcher.ts
@@ -50,6 +50,7 @@
 const IDENTITY_PERIOD_MS = 500
 const IDENTITY_TIMEOUT_MS = 2_000
 const EVENTS_TIMEOUT_MS = 15_000
+const EVENTS_PAUSE_MS = 50
 const RETRY_DELAY_MS = 100
 const UNKNOWN_STATE: BackendState = {
   isReady: false,
@@ -102,6 +103,8 @@
     })
     if (reply.incarnation !== index.incarnation()) return refresh()
     if (index.apply(reply.events, timers.now()) === 'gap') await loadSnapshot()
+    // A busy engine always has a next event ready; without a pause each would cost a request.
+    await waitFor(timers, EVENTS_PAUSE_MS, stopping.signal)
   }
   const watchEvents = async () => {
     while (!stopping.signal.aborted) {
--- a/packages/spoolgate/src/node/bench/scaleBench.ts
+++ b/packages/spoolgate/src/node/bench/scaleBench.ts
@@ -8,6 +8,8 @@
 import { createClaimState } from '@spoolgate/control'
 import {
   createRandomSource,
+  createUniqueId,
+  toAttemptNumber,
   toBackendServerId,
   toConfigVersion,
   toIncarnation,
@@ -19,11 +21,16 @@
 } from '@spoolgate/core'
 import {
   buildPrefixChain,
+  CALL_HEADER,
   createHintTable,
   createRendezvous,
   createSubsetWidths,
+  formatScope,
+  HINTS_HEADER,
   POLICIES,
   renderPrompt,
+  type CacheScope,
+  type CallHeader,
   type PolicyInput,
   type PolicyState,
   type PrefixChain,
@@ -57,6 +64,9 @@
   readonly bytesPerBlock: number
   /** Microseconds that one cache event takes a sidecar, parsing included. */
   readonly usPerCacheEvent: number
+  /** Bytes of the headers that a router adds to a call, and a sidecar to its reply. */
+  readonly callHeaderBytes: number
+  readonly hintsHeaderBytes: number
   /** Bytes of heap of one settled claim with a kept answer of 200 bytes. */
   readonly bytesPerClaim: number
   /** Hashing a prompt of 32,000 tokens with four levels, in µs. */
@@ -282,6 +292,32 @@
   return toRounded(findPercentile(times, 50))
 }
 
+function countCallHeaderBytes(scope: CacheScope): number {
+  const header: CallHeader = {
+    request: toRequestId(createUniqueId('req')),
+    attempt: toAttemptNumber(1),
+    team: toTeamId('team-123'),
+    scope: formatScope(scope),
+    weightsVersion: scope.weightsVersion,
+    configVersion: toConfigVersion(123_456),
+    method: 'POST',
+    path: '/v1/chat/completions',
+    contentType: 'application/json',
+    priority: 5,
+    share: 1,
+    deadlineMs: 10_000,
+    acceptMs: 123.456,
+  }
+  return CALL_HEADER.length + JSON.stringify(header).length
+}
+
+function countHintsBytes(): number {
+  const state = createState()
+  const [server] = createServers(1)
+  recordReply(state, server, createChains(1)[0], 1)
+  return HINTS_HEADER.length + JSON.stringify(state.hints.find(server.id)?.hints).length
+}
+
 /** Runs the benchmark. */
 export function runScaleBench(options: ScaleOptions): ScaleResult {
   const points = SERVER_COUNTS.flatMap((servers) =>
@@ -299,6 +335,8 @@
     bytesPerBlock: measureIndexBytes(),
     usPerCacheEvent: measureEventUs(),
     bytesPerClaim: measureClaimBytes(),
+    callHeaderBytes: countCallHeaderBytes(scope),
+    hintsHeaderBytes: countHintsBytes(),
     hashUs: measureUs(() => buildPrefixChain(scope, prompt, SIZES)),
     libraryHashUs: measureUs(() => buildPrefixChain(scope, whole, SIZES)),
   }
--- a/packages/spoolgate/src/node/cli/soakCommand.ts
+++ b/packages/spoolgate/src/node/cli/soakCommand.ts
@@ -11,6 +11,7 @@
     ['requests', String(requests)],
     ['whole', String(whole)],
     ['refused, truly not run', String(refused)],
+    ...Object.entries(result.refusals).map(([code, count]) => [`refused: ${code}`, String(count)]),
     ['ended with an explicit error', String(failed)],
     ['cut with a router', String(cut)],
     ...Object.entries(receipts).map(([name, count]) => [`receipts ${name}`, String(count)]),
--- a/packages/spoolgate/src/node/soak/soak.ts
+++ b/packages/spoolgate/src/node/soak/soak.ts
@@ -39,6 +39,8 @@
   readonly whole: number
   /** Refused as not run; looked up to be true. */
   readonly refused: number
+  /** Refusals by error code; `unsent` where no connection was made. */
+  readonly refusals: Readonly<Record<string, number>>
   /** Ended with an explicit error. */
   readonly failed: number
   /** Cut with a router that was killed, or reset before a stopping one had accepted them. */
@@ -71,6 +73,7 @@
   readonly random: RandomSource
   readonly violations: string[]
   readonly faults: Record<string, number>
+  readonly refusals: Record<string, number>
   /** Instants at which routers were killed. */
   readonly routerKills: number[]
   /** Instants at which routers were stopped as planned. */
@@ -113,14 +116,20 @@
   await Promise.all(pending)
 }
 
+/** Counts a refusal and looks up whether it is true that nothing ran. */
+function checkRefusal(run: SoakRun, { request, error }: CallReport): void {
+  const code = error?.kind ?? 'unsent'
+  run.refusals[code] = (run.refusals[code] ?? 0) + 1
+  if (request === undefined) return
+  const ran = run.fleet.engines.some((engine) => engine.started.has(request))
+  if (ran) addViolation(run, `${request}: refused as not run, but an engine started it`)
+}
+
 /** Judges one answer; returns how it is counted. */
 function judgeReport(run: SoakRun, report: CallReport, startedAt: number): keyof SoakCounts {
   const { kind, request } = report
   if (kind === 'wrong') addViolation(run, `${request}: answer is not the expected one`)
-  if (kind === 'refused' && request !== undefined) {
-    const ran = run.fleet.engines.some((engine) => engine.started.has(request))
-    if (ran) addViolation(run, `${request}: refused as not run, but an engine started it`)
-  }
+  if (kind === 'refused') checkRefusal(run, report)
   if (kind === 'wrong') return 'failed'
   const isExplicit = report.error !== undefined || report.hasErrorEvent
   if (kind !== 'failed' || isExplicit) return kind
@@ -184,6 +193,7 @@
     random: createRandomSource(options.seed),
     violations: [],
     faults: {},
+    refusals: {},
     routerKills: [],
     routerStops: [],
     isRunning: true,
@@ -249,6 +259,7 @@
     ...counts,
     receipts: receipts.counts,
     faults: run.faults,
+    refusals: run.refusals,
     changesAccepted: operators.accepted(),
     violations: run.violations,
   }
