test(soak): judge not run by the sends of a round together

In each, two sends of one key went out at the same time; one was refused after its dispatch had been barred, and the other was then given the next dispatch and ran. The refusal was true of its own send and of all earlier ones.

--- a/packages/spoolgate/src/node/soak/receipts.ts
+++ b/packages/spoolgate/src/node/soak/receipts.ts
@@ -68,13 +68,18 @@
       if (answer.received !== body) onViolation(`${body}: got the answer of ${answer.received}`)
       return 'answered'
     }
-    // Another send of the same key may be on its way, so only the first runs can be told here.
-    if (answer.error?.not_run && countRuns(body) > 0) {
-      onViolation(`${body}: refused as not run, but it ran (${answer.error.code})`)
-    }
     if (answer.error?.code === 'outcomeUnknown') return 'unknown'
     return undefined
   }
+  /**
+   * Checks refusals that say not run. Of two sends at the same time one may be refused truly while
+   * the other goes on and runs, so the word is only held against the sends of a round together.
+   */
+  const checkRefusals = (body: string, replies: readonly (Reply | undefined)[]) => {
+    const isRefusedByAll = replies.every((reply) => reply?.body.error?.not_run)
+    if (!isRefusedByAll || countRuns(body) === 0) return
+    onViolation(`${body}: refused as not run, but it ran (${replies[0]?.body.error?.code})`)
+  }
   return {
     counts,
     send: async () => {
@@ -84,6 +89,7 @@
       for (let sends = 0; sends < MAX_SENDS; sends += 1) {
         const copies = random.next() < DOUBLE_SEND_SHARE ? 2 : 1
         const replies = await Promise.all(Array.from({ length: copies }, () => sendOnce(body)))
+        checkRefusals(body, replies)
         const found = replies.map((reply) => judge(body, reply)).find(Boolean)
         last = replies[0]
         if (found) {
