feat(routing): ask the best three when the choice rests on a guess

Change: in fleets of 24 engines a model or fewer, the best three are asked when the best one's cache is only presumed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,6 +43,7 @@
   'observe',
   'open',
   'parse',
+  'presume',
   'print',
   'rank',
   'read',
--- a/packages/router/src/decide/decisions.ts
+++ b/packages/router/src/decide/decisions.ts
@@ -81,6 +81,8 @@
 const SAME_REGION_MS = 1.2
 const OTHER_REGION_MS = 25
 const PROBE_TIMEOUT_MS = 500
+/** Largest fleet of one model in which doubt is settled by probes; the bytes forbid it above. */
+const MAX_PROBED_FLEET = 24
 /** Candidates that a log line names. */
 const LOGGED_CANDIDATES = 4
 /** Levels that a table made for one decision holds; the usual size takes 20 ms to set up. */
@@ -195,10 +197,14 @@
     return rank(request, policy, { ...state, hints })
   }
   const rankFor = (request: DecisionRequest, policy: PolicyName) => {
-    const { probes: count } = POLICIES[policy]
-    if (count > 0) return chooseProbed(request, policy, count)
+    const { probes, probesInDoubt = 0 } = POLICIES[policy]
+    if (probes > 0) return chooseProbed(request, policy, probes)
     if (options.findTruth) return rankWithTruth(request, policy, options.findTruth)
-    return rank(request, policy)
+    const ranked = rank(request, policy)
+    const fleetSize = request.fleet.backendServersByTarget.get(request.target)?.length ?? 0
+    const isDoubtful = ranked[0]?.isGuess === true && request.chain.levels.length > 0
+    if (!isDoubtful || probesInDoubt === 0 || fleetSize > MAX_PROBED_FLEET) return ranked
+    return chooseProbed(request, policy, probesInDoubt)
   }
 
   return {
--- a/packages/routing/src/policies/expectedFirstToken.ts
+++ b/packages/routing/src/policies/expectedFirstToken.ts
@@ -88,9 +88,8 @@
   return Math.max(0, view.hints.queueMs - elapsed) + view.sentTokens / rate
 }
 
-function estimateMatched(input: PolicyInput, server: BackendServer, place: Placement): number {
-  const known = input.state.hints.estimateMatched(input.chain, server.id, input.now)
-  if (known !== undefined) return known
+/** Tokens that a server is presumed to hold of a prompt that this router has not seen there. */
+function presumeMatched(server: BackendServer, place: Placement): number {
   if (!place.subset.has(server)) return 0
   const outerTokens = (place.outer?.tokens ?? 0) * OUTER_PRIOR
   if (server !== place.home) return outerTokens
@@ -111,7 +110,8 @@
 ): RankedCandidate {
   const hints = input.state.hints.find(server.id)?.hints
   const rate = hints?.prefillTokensPerMs ?? DEFAULT_RATE
-  const matched = estimateMatched(input, server, place)
+  const known = input.state.hints.estimateMatched(input.chain, server.id, input.now)
+  const matched = known ?? presumeMatched(server, place)
   const recomputeMs = (input.chain.totalTokens - matched) / rate
   const queueMs = estimateQueueMs(input, server, rate)
   const waitMs = queueMs + input.distanceMs(server) + input.slowStartMs(server.id)
@@ -124,7 +124,7 @@
   const overload = Math.max(0, calls - bound) * OVERLOAD_PENALTY_MS
   const score = tailWeight * firstTokenMs + (1 - tailWeight) * (recomputeMs + spreadMs) + overload
   const reason = `queue=${queueMs.toFixed(0)}ms,matched=${Math.round(matched)},calls=${calls}`
-  return { server, score, reason, firstTokenMs }
+  return { server, score, reason, firstTokenMs, isGuess: known === undefined }
 }
 
 function recordDemand(input: PolicyInput, place: Placement): void {
@@ -138,9 +138,13 @@
   input.state.widths.record(place.outer.hash, shortest.queueMs, spreadMs, input.now)
 }
 
+/** Candidates that are asked before a choice, or when it would rest on a guess. */
+const PROBES = 3
+
 /** Estimates the first token everywhere and takes the cheapest. */
 export const expectedFirstToken: Policy = {
   probes: 0,
+  probesInDoubt: PROBES,
   rank: (input) => {
     const place = findPlacement(input)
     recordDemand(input, place)
@@ -151,9 +155,6 @@
   },
 }
 
-/** Candidates that are asked by {@link probeFirst}. */
-const PROBES = 3
-
 /** Asks the likeliest few for their queue and matched prefix before it chooses among them. */
 export const probeFirst: Policy = {
   probes: PROBES,
--- a/packages/routing/src/policies/policy.ts
+++ b/packages/routing/src/policies/policy.ts
@@ -44,12 +44,16 @@
   readonly reason: string
   /** Estimated time to the first token, in ms; undefined where the policy makes none. */
   readonly firstTokenMs?: number
+  /** Whether what is cached there is only presumed. @default false */
+  readonly isGuess?: boolean
 }
 
 /** A routing policy. */
 export interface Policy {
   /** Candidates that are asked before the choice; 0 sends the request at once. */
   readonly probes: number
+  /** Candidates that are asked when the best one rests on a guess, in a small fleet. @default 0 */
+  readonly probesInDoubt?: number
   /** Ranks the allowed servers, best first. */
   rank(input: PolicyInput): RankedCandidate[]
 }
