--- a/packages/config/src/fleetConfig.ts
+++ b/packages/config/src/fleetConfig.ts
@@ -95,7 +95,8 @@
   readonly source: FleetConfigInput
 }
 
-const DEFAULT_PARAMETERS: TeamParameters = {
+/** Parameters of a team that sets none. */
+export const DEFAULT_TEAM_PARAMETERS: TeamParameters = {
   arms: [{ policy: 'expectedFirstToken', share: 1 }],
   tailWeight: 0.5,
   share: 1,
@@ -180,7 +181,7 @@
     until: Date.parse(window.until),
     shareFactor: window.shareFactor,
   }))
-  return { ...DEFAULT_PARAMETERS, ...rest, protectedWindows: windows ?? [] }
+  return { ...DEFAULT_TEAM_PARAMETERS, ...rest, protectedWindows: windows ?? [] }
 }
 
 function resolveTeam(config: FleetConfig, team: FleetConfig['teams'][number]): Team {
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -18,6 +18,7 @@
 } from './instanceSettings.js'
 export { POLICY_NAMES, type FleetConfigInput, type PolicyName } from './fleetSchema.js'
 export {
+  DEFAULT_TEAM_PARAMETERS,
   defineFleetConfig,
   resolveFleetConfig,
   type BackendServer,
--- a/packages/router/src/relay/declines.ts
+++ b/packages/router/src/relay/declines.ts
@@ -1,6 +1,7 @@
-/** What a router does when a sidecar declined a call. */
-import type { BackendServer } from '@spoolgate/config'
+/** The choice of a backend server, and what a router does when its sidecar declined the call. */
+import type { BackendServer, Fleet } from '@spoolgate/config'
 import { type BackendServerId, SpoolgateError } from '@spoolgate/core'
+import type { Decision } from '../decide/decisions.js'
 import type { AttemptResult } from './attempt.js'
 import type { CallContext } from './callContext.js'
 import type { RelayParts } from './relayParts.js'
@@ -55,6 +56,24 @@
   state.retryAfterMs = Math.min(state.retryAfterMs ?? Infinity, retryAfterMs)
 }
 
+/**
+ * Chooses the backend server to try next.
+ * @throws SpoolgateError when none is left, with whether the request may have run.
+ */
+export async function chooseNext(
+  parts: RelayParts,
+  context: CallContext,
+  state: DeclineState,
+  fleet: Fleet,
+): Promise<Decision> {
+  const { request, team, parameters, target, chain, weightsVersion, session } = context
+  const { excluded } = state
+  const wanted = { request, team, parameters, target, chain, weightsVersion, session }
+  const decision = await parts.decider.choose({ ...wanted, fleet, excluded })
+  if (decision) return decision
+  throw buildRefusal(state)
+}
+
 /** Builds the refusal of a request for which no backend server is left. */
 export function buildRefusal(state: DeclineState): SpoolgateError {
   const { retryAfterMs, excluded, mayHaveRun } = state
--- a/packages/router/src/relay/relayOnce.ts
+++ b/packages/router/src/relay/relayOnce.ts
@@ -14,7 +14,7 @@
 } from '@spoolgate/core'
 import { runAttempt } from './attempt.js'
 import { buildCallHeader, type CallContext } from './callContext.js'
-import { buildRefusal, recordDecline, type DeclineState } from './declines.js'
+import { buildRefusal, chooseNext, recordDecline, type DeclineState } from './declines.js'
 import type { RelayParts } from './relayParts.js'
 import { sendAnswer, type WholeAnswer } from './sinks.js'
 import {
@@ -69,28 +69,6 @@
   readonly bodyHash: string
 }
 
-async function chooseServer(
-  parts: RelayParts,
-  context: CallContext,
-  state: OnceState,
-  fleet: Fleet,
-) {
-  const { request, team, parameters, target, chain, weightsVersion, session } = context
-  const decision = await parts.decider.choose({
-    request,
-    team,
-    parameters,
-    fleet,
-    target,
-    chain,
-    weightsVersion,
-    session,
-    excluded: state.excluded,
-  })
-  if (!decision) throw buildRefusal(state)
-  return decision.chosen.server
-}
-
 async function openClaim(
   parts: RelayParts,
   context: CallContext,
@@ -200,7 +178,7 @@
   for (let dispatches = 0; dispatches < MAX_DISPATCHES; dispatches += 1) {
     const fleet = parts.config.current()
     if (!fleet) throw new SpoolgateError('controlUnavailable', 'no configuration yet; try later')
-    const server = await chooseServer(parts, context, state, fleet)
+    const { server } = (await chooseNext(parts, context, state, fleet)).chosen
     const incarnation = await findIncarnation(parts, server)
     if (!incarnation) {
       state.excluded.add(server.id)
--- a/packages/router/src/relay/relayRepeatable.ts
+++ b/packages/router/src/relay/relayRepeatable.ts
@@ -8,7 +8,7 @@
 import { runAttempt, type AttemptResult } from './attempt.js'
 import { buildCallHeader, type CallContext } from './callContext.js'
 import { DONE_MARKER, parseDelivered } from './continuation.js'
-import { buildRefusal, recordDecline, type DeclineState } from './declines.js'
+import { buildRefusal, chooseNext, recordDecline, type DeclineState } from './declines.js'
 import type { RelayParts } from './relayParts.js'
 import { createStreamSink, type StreamSink } from './sinks.js'
 
@@ -179,19 +179,7 @@
   for (;;) {
     const fleet = parts.config.current()
     if (!fleet) throw new SpoolgateError('controlUnavailable', 'no configuration yet; try later')
-    const { request, team, parameters, target, chain, weightsVersion, session } = context
-    const decision = await parts.decider.choose({
-      request,
-      team,
-      parameters,
-      fleet,
-      target,
-      chain,
-      weightsVersion,
-      session,
-      excluded: state.excluded,
-    })
-    if (!decision) throw buildRefusal(state)
+    const decision = await chooseNext(parts, context, state, fleet)
     checkRetry(parts, context, state)
     state.attempts += 1
     const result = await runOnce(parts, context, state, decision)
--- a/packages/spoolgate/src/node/bench/scaleBench.ts
+++ b/packages/spoolgate/src/node/bench/scaleBench.ts
@@ -4,7 +4,7 @@
  */
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import type { BackendServer, TeamParameters } from '@spoolgate/config'
+import { DEFAULT_TEAM_PARAMETERS, type BackendServer } from '@spoolgate/config'
 import { createClaimState } from '@spoolgate/control'
 import {
   createRandomSource,
@@ -92,19 +92,6 @@
 /** Spreads consecutive numbers over 64 bits. */
 const HASH_STEP = 0x1fffffffffffffn
 
-const PARAMETERS: TeamParameters = {
-  arms: [{ policy: 'expectedFirstToken', share: 1 }],
-  tailWeight: 0.5,
-  share: 1,
-  priority: 5,
-  concurrentRequests: undefined,
-  requestsPerSecond: undefined,
-  tokensPerSecond: undefined,
-  region: undefined,
-  protectedWindows: [],
-  cacheScope: 'team',
-}
-
 function createServers(count: number): BackendServer[] {
   return Array.from({ length: count }, (_, index) => ({
     id: toBackendServerId(`engine-${index}`),
@@ -187,7 +174,7 @@
       isAllowed: () => true,
       distanceMs: () => 1,
       slowStartMs: () => 0,
-      parameters: PARAMETERS,
+      parameters: DEFAULT_TEAM_PARAMETERS,
       boundedLoadFactor: 1.5,
       state,
       random,
