docs(playground): settings of a fleet in separate processes, checked by a test

Cause: a newcomer had no settings file to start from.

After: four files, each resolved without a problem by a test, so that they cannot fall behind the schema.

--- a/packages/config/src/__tests__/config.spec.ts
+++ b/packages/config/src/__tests__/config.spec.ts
@@ -1,5 +1,13 @@
+import { readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
 import { expect } from 'chai'
-import { formatProblems, parseText, resolveFleetConfig, resolveSettings } from '../index.js'
+import {
+  formatProblems,
+  loadSettings,
+  parseText,
+  resolveFleetConfig,
+  resolveSettings,
+} from '../index.js'
 import { toTeamId } from '@spoolgate/core'
 
 describe('settings', () => {
@@ -79,3 +87,20 @@
     }
   })
 })
+
+describe('the examples in playground', () => {
+  const folder = new URL('../../../../playground/separateProcesses/', import.meta.url)
+  const findPath = (name: string) => fileURLToPath(new URL(name, folder))
+
+  it('are settings and a configuration without problems', () => {
+    for (const role of ['control', 'sidecar', 'router']) {
+      const settings = loadSettings(findPath(`${role}.jsonc`))
+      expect(settings.isOk(), role).to.equal(true)
+    }
+    const text = readFileSync(findPath('fleet.jsonc'), 'utf8')
+    const fleet = parseText('fleet.jsonc', text).andThen(({ value }) =>
+      resolveFleetConfig(value, 1),
+    )
+    expect(fleet._unsafeUnwrap().teams.size).to.equal(1)
+  })
+})
