fix(sidecar): remember the outcome of a dispatch after its answer is gone

Cause: found by reading. A router that found the answer gone would have asked without end.

After: the answer goes, the outcome stays; a question says that it ran, and the router asks three times at most. A test with a moved clock shows it. The test of a sidecar that dies in mid-call no longer depends on which comes first: the service now takes longer than the sidecar takes to die.

--- a/packages/router/src/relay/followDispatch.ts
+++ b/packages/router/src/relay/followDispatch.ts
@@ -11,6 +11,8 @@
 const ASK_TIMEOUT_MS = 1_000
 const ASK_TRIES = 5
 const ASK_DELAY_MS = 100
+/** Times that an answer is read on before the caller is told to ask again. */
+const RESOLVE_TRIES = 3
 
 /** Asks a sidecar what became of a dispatch; undefined when it does not answer. */
 async function askAboutDispatch(
@@ -84,7 +86,9 @@
 export async function resolveLost(
   parts: RelayParts,
   followed: FollowedDispatch,
+  tries = RESOLVE_TRIES,
 ): Promise<DispatchOutcome> {
+  if (tries === 0) return { kind: 'unreachable' }
   const state = await askAboutDispatch(parts, followed.server, followed.dispatch)
   switch (state?.state) {
     case undefined:
@@ -99,7 +103,7 @@
       const sink = createBufferSink()
       const request = { ...followed.request, sink }
       const result = await resumeAttempt(parts, request)
-      return resolveResult(parts, { ...followed, sink, request }, result)
+      return resolveResult(parts, { ...followed, sink, request }, result, tries - 1)
     }
   }
 }
@@ -109,6 +113,7 @@
   parts: RelayParts,
   followed: FollowedDispatch,
   result: AttemptResult,
+  tries = RESOLVE_TRIES,
 ): Promise<DispatchOutcome> {
   switch (result.kind) {
     case 'finished': {
@@ -120,6 +125,6 @@
     case 'failed':
       return result.notRun ? { kind: 'barred' } : { kind: 'unknown' }
     default:
-      return resolveLost(parts, followed)
+      return resolveLost(parts, followed, tries)
   }
 }
--- a/packages/sidecar/src/__tests__/sidecar.spec.ts
+++ b/packages/sidecar/src/__tests__/sidecar.spec.ts
@@ -1,6 +1,19 @@
-import { createManualTimerService, toIncarnation, toPrefixHash, toTeamId } from '@spoolgate/core'
+import {
+  createInvariants,
+  createManualTimerService,
+  createQuietLogger,
+  toAttemptNumber,
+  toIncarnation,
+  toPrefixHash,
+  toRequestId,
+  toTeamId,
+} from '@spoolgate/core'
+import type { CallHeader } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { createCacheIndex } from '../backend/cacheIndex.js'
+import { createCall, type Call } from '../calls/call.js'
+import { createCallTable } from '../calls/callTable.js'
+import { createDispatchTable } from '../calls/dispatches.js'
 import { createFairQueue } from '../calls/fairQueue.js'
 import { createLoadEstimate } from '../calls/loadEstimate.js'
 
@@ -100,3 +113,33 @@
     expect(estimate.queueMs(0, 8)).to.be.closeTo(100, 10)
   })
 })
+
+describe('dispatches', () => {
+  it('are never barred once they have run, though their answers are gone', () => {
+    const timers = createManualTimerService()
+    const invariants = createInvariants({ logger: createQuietLogger(), fatal: true })
+    const dispatches = createDispatchTable()
+    const dispatch = { claim: 'team/key', number: 1, incarnation: toIncarnation('one') }
+    const calls = createCallTable({
+      timers,
+      resumeWindowMs: 10,
+      dispatchWindowMs: 1_000,
+      onForget: (call) => dispatches.forget(dispatch, call.outcome() ?? { outcome: 'failed' }),
+    })
+    const header = {
+      request: toRequestId('r'),
+      attempt: toAttemptNumber(1),
+      dispatch,
+    } as CallHeader
+    const call: Call = createCall({ header, invariants, onIdle: () => calls.watchIdle(call) })
+    calls.add(call)
+    dispatches.add(dispatch, call)
+    expect(dispatches.bar(dispatch)).to.deep.equal({ state: 'running' })
+    call.finish({ outcome: 'finished' })
+    expect(dispatches.bar(dispatch)).to.deep.equal({ state: 'finished' })
+    timers.advance(2_000)
+    expect(calls.find(header.request, header.attempt)).to.equal(undefined)
+    expect(dispatches.bar(dispatch)).to.deep.equal({ state: 'failed', notRun: false })
+    expect(dispatches.isBarred(dispatch)).to.equal(true)
+  })
+})
--- a/packages/sidecar/src/calls/callTable.ts
+++ b/packages/sidecar/src/calls/callTable.ts
@@ -24,6 +24,8 @@
   readonly resumeWindowMs: number
   /** How long an unrepeatable call is kept after its end, in ms. */
   readonly dispatchWindowMs: number
+  /** Called when a call that has ended is let go. */
+  readonly onForget: (call: Call) => void
 }
 
 function formatKey(request: RequestId, attempt: AttemptNumber): string {
@@ -41,7 +43,8 @@
     if (call.readers() > 0) return
     // Nobody may cancel what cannot be repeated: it runs to its end, with or without a reader.
     if (!call.outcome() && !call.header.dispatch) call.cancel()
-    if (call.outcome()) calls.delete(formatKey(call.header.request, call.header.attempt))
+    if (!call.outcome()) return
+    if (calls.delete(formatKey(call.header.request, call.header.attempt))) options.onForget(call)
   }
   return {
     find: (request, attempt) => calls.get(formatKey(request, attempt)),
--- a/packages/sidecar/src/calls/dispatches.ts
+++ b/packages/sidecar/src/calls/dispatches.ts
@@ -2,7 +2,7 @@
  * Dispatches of unrepeatable requests at this incarnation. A dispatch that was asked about before
  * it arrived is barred for good, so that "never seen" stays true.
  */
-import type { Dispatch, DispatchState } from '@spoolgate/routing'
+import type { Dispatch, DispatchState, EndFrame } from '@spoolgate/routing'
 import type { Call } from './call.js'
 
 /** The dispatches that one incarnation of a sidecar has seen or barred. */
@@ -12,6 +12,11 @@
   isBarred(dispatch: Dispatch): boolean
   /** Records the call of a dispatch. */
   add(dispatch: Dispatch, call: Call): void
+  /**
+   * Lets go of the answer of a dispatch that has ended, and keeps its outcome: were that gone too,
+   * a later question would bar what has run, and let it run again.
+   */
+  forget(dispatch: Dispatch, outcome: EndFrame): void
   /** Reports the state of a dispatch; one that was never seen is barred from now on. */
   bar(dispatch: Dispatch): DispatchState
 }
@@ -25,12 +30,29 @@
 export function createDispatchTable(): DispatchTable {
   const calls = new Map<string, Call>()
   const barred = new Set<string>()
+  /** Outcomes of dispatches whose answers are gone. */
+  const forgotten = new Map<string, EndFrame>()
+
+  const describeForgotten = (outcome: EndFrame): DispatchState => ({
+    state: 'failed',
+    notRun: outcome.notRun ?? false,
+  })
   return {
     find: (dispatch) => calls.get(formatDispatch(dispatch)),
-    isBarred: (dispatch) => barred.has(formatDispatch(dispatch)),
+    isBarred: (dispatch) => {
+      const key = formatDispatch(dispatch)
+      return barred.has(key) || forgotten.has(key)
+    },
     add: (dispatch, call) => void calls.set(formatDispatch(dispatch), call),
+    forget: (dispatch, outcome) => {
+      const key = formatDispatch(dispatch)
+      calls.delete(key)
+      forgotten.set(key, outcome)
+    },
     bar: (dispatch) => {
       const key = formatDispatch(dispatch)
+      const known = forgotten.get(key)
+      if (known) return describeForgotten(known)
       const call = calls.get(key)
       if (!call) {
         barred.add(key)
--- a/packages/sidecar/src/server/sidecarServer.ts
+++ b/packages/sidecar/src/server/sidecarServer.ts
@@ -121,10 +121,15 @@
     timers,
     logger,
   })
+  const dispatches = createDispatchTable()
   const calls = createCallTable({
     timers,
     resumeWindowMs: options.resumeWindowMs ?? DEFAULT_RESUME_WINDOW_MS,
     dispatchWindowMs: DISPATCH_WINDOW_MS,
+    onForget: (call) => {
+      const outcome = call.outcome()
+      if (call.header.dispatch && outcome) dispatches.forget(call.header.dispatch, outcome)
+    },
   })
   const gate = createOrderGate({
     server,
@@ -155,7 +160,7 @@
     watcher,
     index,
     calls,
-    dispatches: createDispatchTable(),
+    dispatches,
     queue: createFairQueue(slots),
     estimate: createLoadEstimate(timers),
     timers,
--- a/packages/spoolgate/src/__tests__/once.spec.ts
+++ b/packages/spoolgate/src/__tests__/once.spec.ts
@@ -164,7 +164,8 @@
   })
 
   it('says unknown, and stays with it, when the sidecar died while the call ran', async () => {
-    fleet = await createTestFleet({ services: 1 })
+    // The service takes longer than the sidecar takes to die, so that no answer can come first.
+    fleet = await createTestFleet({ services: 1, serviceDelayMs: 5_000 })
     const sent = sendReceipt(fleet, 'lost', 'key-7')
     while (countRuns('lost') === 0) await new Promise((resolve) => setImmediate(resolve))
     await fleet.sidecars[2]?.close(0)
--- a/packages/spoolgate/src/node/local/localFleet.ts
+++ b/packages/spoolgate/src/node/local/localFleet.ts
@@ -42,6 +42,8 @@
   readonly createDataFolder: (index: number) => string | DataFolder
   /** Settings of every engine. @default {} */
   readonly engine?: Partial<EngineOptions>
+  /** Time that a call to a plain service takes, in ms. @default 5 */
+  readonly serviceDelayMs?: number
   /** Data halls over which instances are spread. @default 4 */
   readonly halls?: number
   /** Policy of every team. @default 'expectedFirstToken' */
@@ -225,7 +227,10 @@
   )
   const services = await Promise.all(
     Array.from({ length: serviceCount }, (_, index) =>
-      createPlainService({ port: backendPorts[engineCount + index] }),
+      createPlainService({
+        port: backendPorts[engineCount + index],
+        delayMs: options.serviceDelayMs,
+      }),
     ),
   )
   const fleet: LocalFleet = {
