fix(sidecar): assert scope, incarnation and single dispatch at the claim

Cause: three of the eleven invariants were named and never asserted, so no soak run could have found them broken.

--- a/packages/sidecar/src/calls/callHandler.ts
+++ b/packages/sidecar/src/calls/callHandler.ts
@@ -143,6 +143,18 @@
     })
   }
 
+  /** What must hold at the instant of a claim, whatever the checks before it were. */
+  const assertClaimable = (header: CallHeader, chain: PrefixChain) => {
+    const { dispatch, request } = header
+    const facts = () => ({ request })
+    invariants.assert('leavingTakesNothing', !options.isLeaving(), facts)
+    invariants.assert('scopeMatches', chain.scope === '' || chain.scope === header.scope, facts)
+    if (!dispatch) return
+    const isOwn = dispatch.incarnation === options.incarnation
+    invariants.assert('incarnationMatches', isOwn, facts)
+    invariants.assert('claimDispatchedOnce', !dispatches.find(dispatch), facts)
+  }
+
   const startCall = (
     header: CallHeader,
     prepared: PreparedCall,
@@ -210,7 +222,7 @@
       logger.info('call.declined', { request: header.request, reason: decline.declined })
       return sendDecline(exchange, decline, buildHints(matched))
     }
-    invariants.assert('leavingTakesNothing', !options.isLeaving())
+    assertClaimable(header, chain)
     const call = startCall(header, prepared, chain, missing)
     claim(exchange, call, matched, 0)
   }
