fix(config): remove settings that did nothing

Cause: found by reading the reference: hedgeAfterFactor, platformUrl and the fencing of a backend server were accepted and had no effect. A sidecar gates orders whether its engine checks numbers or not.

After: they are refused as unknown until there is something behind them.

--- a/packages/config/src/fleetSchema.ts
+++ b/packages/config/src/fleetSchema.ts
@@ -101,12 +101,7 @@
       .number()
       .min(0)
       .default(0.1)
-      .describe('Retries and hedges as a fraction of first tries.'),
-    hedgeAfterFactor: z
-      .number()
-      .min(0)
-      .default(0)
-      .describe('Hedges a repeatable request after this multiple of its estimate; 0 never.'),
+      .describe('Retries as a fraction of first tries.'),
     firstTokenTimeoutMs: z
       .int()
       .positive()
--- a/packages/config/src/instanceSchema.ts
+++ b/packages/config/src/instanceSchema.ts
@@ -69,10 +69,6 @@
     .default(32)
     .describe('Calls that run in the backend server at once; the rest waits in the fair queue.'),
   queueLimit: z.int().nonnegative().default(64).describe('Calls that may wait before declines.'),
-  fencing: z
-    .boolean()
-    .default(false)
-    .describe('Whether the backend server itself refuses orders with an old fencing number.'),
 })
 
 const sidecarSchema = z.strictObject({
@@ -99,10 +95,6 @@
   electionMs: z.int().positive().default(1_000).describe('Shortest election timeout, in ms.'),
   heartbeatMs: z.int().positive().default(150).describe('Period of heartbeats, in ms.'),
   snapshotEvery: z.int().positive().default(1_000).describe('Entries between snapshots.'),
-  platformUrl: z
-    .url()
-    .optional()
-    .describe('Where the platform lists live and leaving instances; none turns that source off.'),
 })
 
 /** Settings of one instance, by role. */
