docs(capacity): measure the bytes of heartbeats and claims

Cause: on reading the page again, the bytes of a heartbeat (2.3 KB) had been taken from an idle rate that held a change as well, and the bytes of a claim from a guess.

--- a/packages/spoolgate/src/node/bench/controlBench.ts
+++ b/packages/spoolgate/src/node/bench/controlBench.ts
@@ -22,6 +22,7 @@
   toIncarnation,
   toRequestId,
   toTeamId,
+  waitFor,
 } from '@spoolgate/core'
 import { findPercentile, toRounded } from './statistics.js'
 
@@ -38,6 +39,8 @@
   readonly claimsPerSecond: number
   readonly p50Ms: number
   readonly p99Ms: number
+  /** Bytes that one follower exchanges with the leader for a claim. */
+  readonly bytesPerClaimAndFollower: number
 }
 
 interface SpreadFigures {
@@ -60,6 +63,8 @@
   readonly claims: readonly ClaimFigures[]
   readonly spread: readonly SpreadFigures[]
   readonly restart: readonly RestartFigures[]
+  /** Bytes of one heartbeat and its answer. */
+  readonly heartbeatBytes: number
   /** CPU time of the whole group for one claim, in µs. */
   readonly cpuUsPerClaim: number
 }
@@ -70,6 +75,7 @@
 const IN_FLIGHT = [1, 16, 256] as const
 const NODE_COUNTS = [10, 100, 300] as const
 const CHANGE_COUNTS = [100, 1_000, 10_000] as const
+const HEARTBEAT_MS = 100
 const IDLE_SECONDS = 3
 const MS_PER_SECOND = 1_000
 const SPREAD_TIMEOUT_MS = 30_000
@@ -104,7 +110,7 @@
         logger,
         timers,
         electionMs: 500,
-        heartbeatMs: 100,
+        heartbeatMs: HEARTBEAT_MS,
         seed: index + 1,
       }),
     ),
@@ -140,20 +146,41 @@
     }
   }
   const cpu = process.cpuUsage()
+  const bytesBefore = countFollowerBytes(group)
   await Promise.all(Array.from({ length: inFlight }, runCaller))
   const { user, system } = process.cpuUsage(cpu)
+  const bytes = countFollowerBytes(group) - bytesBefore
   client.close()
   const figures: ClaimFigures = {
     inFlight,
     claimsPerSecond: Math.round(times.length / seconds),
     p50Ms: toRounded(findPercentile(times, 50)),
     p99Ms: toRounded(findPercentile(times, 99)),
+    bytesPerClaimAndFollower: Math.round(bytes / times.length / (MEMBERS - 1)),
   }
   return { figures, cpuUs: (user + system) / times.length }
 }
 
 function countBytes(group: Group): number {
-  return group.controls.reduce((sum, control) => {
+  return countTraffic(group.controls)
+}
+
+function countFollowerBytes(group: Group): number {
+  return countTraffic(group.controls.filter(({ member }) => member.status().role !== 'leader'))
+}
+
+async function measureHeartbeatBytes(group: Group): Promise<number> {
+  while (!group.controls.some(({ member }) => member.status().hasLease)) {
+    await waitFor(timers, HEARTBEAT_MS)
+  }
+  const before = countFollowerBytes(group)
+  await waitFor(timers, IDLE_SECONDS * MS_PER_SECOND)
+  const beats = ((IDLE_SECONDS * MS_PER_SECOND) / HEARTBEAT_MS) * (MEMBERS - 1)
+  return Math.round((countFollowerBytes(group) - before) / beats)
+}
+
+function countTraffic(controls: readonly Control[]): number {
+  return controls.reduce((sum, control) => {
     const { received, sent } = control.traffic()
     return sum + received + sent
   }, 0)
@@ -276,6 +303,7 @@
 /** Runs the benchmark. */
 export async function runControlBench(options: ControlBenchOptions): Promise<ControlBenchResult> {
   const group = await startGroup()
+  const heartbeatBytes = await measureHeartbeatBytes(group)
   const claims: ClaimFigures[] = []
   let cpuUsPerClaim = 0
   for (const inFlight of IN_FLIGHT) {
@@ -288,5 +316,5 @@
   await group.close()
   const restart: RestartFigures[] = []
   for (const changes of CHANGE_COUNTS) restart.push(await measureRestart(changes))
-  return { claims, spread, restart, cpuUsPerClaim }
+  return { heartbeatBytes, claims, spread, restart, cpuUsPerClaim }
 }
