--- a/packages/control/src/registry/engineOrders.ts
+++ b/packages/control/src/registry/engineOrders.ts
@@ -7,6 +7,8 @@
   readonly version: number | undefined
   /** Whether an order is under way. */
   readonly isBusy: boolean
+  /** Requests that have not begun; an order would refuse them. */
+  readonly waiting: number
   /** Orders that this incarnation has taken; an order can be tied to this number. */
   readonly ordersTaken: number
 }
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -21,6 +21,25 @@
 /** Loads by backend server. */
 export type ServerLoads = Readonly<Record<string, ServerLoad>>
 
+/**
+ * A prompt that a router sent to an engine: engine, weights version, then hash and tokens of each
+ * prefix in turn. A flat list, since many of them travel.
+ */
+export type Placement = readonly [server: string, version: number, ...hashesAndTokens: number[]]
+
+/** Placements in one reply; at 60 bytes each they stay under 15 KB a second. */
+export const MAX_PLACEMENTS_PER_REPLY = 100
+
+/** What only the leader knows of servers now; none of it survives it. */
+export interface ServerConditions {
+  /** Servers that are loading weights, or about to. */
+  readonly loading: readonly BackendServerId[]
+  /** Servers whose weights are so old that nothing may begin on them any more. */
+  readonly expired: readonly BackendServerId[]
+  /** Servers that missed their last heartbeats. */
+  readonly silent: readonly BackendServerId[]
+}
+
 /** What a router asks. */
 export interface FeedRequest {
   readonly router: string
@@ -30,6 +49,10 @@
   readonly term: number
   readonly revision: number
   readonly loads: ServerLoads
+  /** Prompts that this router sent to engines since it last asked. */
+  readonly placements: readonly Placement[]
+  /** Number of the last placement that this router was told of, as this term counts them. */
+  readonly placementsSeen: number
   /** Longest wait for something new, in ms. */
   readonly waitMs: number
 }
@@ -43,12 +66,15 @@
   /** The rest is present when the router holds another revision. */
   readonly weights?: Readonly<Record<string, number>>
   readonly servers?: readonly RegisteredServer[]
-  /** Servers that are loading weights, or about to. */
-  readonly loading?: readonly BackendServerId[]
+  readonly conditions?: ServerConditions
   /** URLs of the control instances. */
   readonly control?: readonly string[]
   /** Routers that were heard of lately. */
   readonly routers: number
   /** What all other routers have in progress. */
   readonly loads: ServerLoads
+  /** Prompts that other routers sent to engines since the last reply; the newest of too many. */
+  readonly placements: readonly Placement[]
+  /** Number of the last placement so far. */
+  readonly placementsSeen: number
 }
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -15,7 +15,14 @@
 import { Subject, type Observable } from 'rxjs'
 import { findLeaderUrl } from '../group/groupKeeper.js'
 import type { RegisteredServer } from '../state/serverState.js'
-import { FEED_PATH, type FeedReply, type FeedRequest, type ServerLoads } from './feed.js'
+import {
+  FEED_PATH,
+  type FeedReply,
+  type FeedRequest,
+  type Placement,
+  type ServerConditions,
+  type ServerLoads,
+} from './feed.js'
 
 /** Options of {@link createFeedFollower}. */
 export interface FeedFollowerOptions {
@@ -30,6 +37,10 @@
   readonly decodeTable: (document: string) => RoutingTable
   /** What this router has in progress. */
   readonly listLoads: () => ServerLoads
+  /** Takes what this router placed since it was last asked. */
+  readonly takePlacements: () => Placement[]
+  /** Called with what other routers placed. */
+  readonly onPlacements: (placements: readonly Placement[]) => void
 }
 
 /** What a router knows of the fleet. */
@@ -37,7 +48,12 @@
   readonly index: TableIndex
   readonly weights: Readonly<Record<string, number>>
   readonly servers: ReadonlyMap<BackendServerId, RegisteredServer>
+  /** Servers that are loading weights, or about to. */
   readonly loading: ReadonlySet<BackendServerId>
+  /** Servers whose weights are so old that nothing may begin on them any more. */
+  readonly expired: ReadonlySet<BackendServerId>
+  /** Servers that missed their last heartbeats. */
+  readonly silent: ReadonlySet<BackendServerId>
   /** Routers that control heard of lately, this one included. */
   readonly routers: number
   /** What the other routers have in progress, as of the last poll. */
@@ -66,6 +82,18 @@
 
 const NO_VERSION = -1
 
+type ConditionSets = Pick<FleetView, 'loading' | 'expired' | 'silent'>
+
+const NO_CONDITIONS: ConditionSets = { loading: new Set(), expired: new Set(), silent: new Set() }
+
+function toSets(conditions: ServerConditions): ConditionSets {
+  return {
+    loading: new Set(conditions.loading),
+    expired: new Set(conditions.expired),
+    silent: new Set(conditions.silent),
+  }
+}
+
 /** Creates a follower and starts its task. */
 export function createFeedFollower(options: FeedFollowerOptions): FeedFollower {
   const { client, timers, logger } = options
@@ -74,12 +102,13 @@
   let index: TableIndex | undefined
   let weights: Readonly<Record<string, number>> = {}
   let servers: ReadonlyMap<BackendServerId, RegisteredServer> = new Map()
-  let loading: ReadonlySet<BackendServerId> = new Set()
+  let conditions = NO_CONDITIONS
   let control: readonly string[] = []
   let routers = 1
   let loads: ServerLoads = {}
   let term = NO_VERSION
   let revision = NO_VERSION
+  let placementsSeen = 0
   let provenAt = -Infinity
   let view: FleetView | undefined
   /** Instance that answered last. */
@@ -87,7 +116,7 @@
 
   const rebuildView = () => {
     if (!index) return
-    view = { index, weights, servers, loading, routers, loads }
+    view = { index, weights, servers, ...conditions, routers, loads }
   }
   const applyTable = (table: NonNullable<FeedReply['table']>) => {
     if (index && table.version <= index.table.version) return
@@ -98,14 +127,16 @@
     const isChanged = reply.table !== undefined || reply.servers !== undefined
     if (reply.table) applyTable(reply.table)
     if (reply.servers) servers = new Map(reply.servers.map((server) => [server.id, server]))
-    if (reply.loading) loading = new Set(reply.loading)
+    if (reply.conditions) conditions = toSets(reply.conditions)
     weights = reply.weights ?? weights
     control = reply.control ?? control
     routers = Math.max(1, reply.routers)
     loads = reply.loads
     term = reply.term
     revision = reply.revision
+    placementsSeen = reply.placementsSeen
     rebuildView()
+    options.onPlacements(reply.placements)
     if (isChanged && view) changes.next(view)
   }
   const askInstance = async (url: string, waitMs: number, answerMs: number) => {
@@ -116,6 +147,8 @@
       term,
       revision,
       loads: options.listLoads(),
+      placements: options.takePlacements(),
+      placementsSeen,
       waitMs,
     }
     const timeout = AbortSignal.timeout(waitMs + answerMs)
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -1,19 +1,21 @@
 /** The leader's side of the feed to routers. */
-import { SpoolgateError, type BackendServerId, type TimerService } from '@spoolgate/core'
+import { SpoolgateError, type TimerService } from '@spoolgate/core'
 import { firstValueFrom, fromEvent, merge, race, type Observable } from 'rxjs'
 import type { ServerResponse } from 'node:http'
 import type { RaftMember } from '../raft/types.js'
 import type { ControlMachine } from '../state/controlMachine.js'
-import type { FeedReply, FeedRequest, ServerLoad, ServerLoads } from './feed.js'
+import type { FeedReply, FeedRequest, ServerConditions, ServerLoad, ServerLoads } from './feed.js'
+
+import { createPlacementLog } from './placementLog.js'
 
 /** Options of {@link createFeedSource}. */
 export interface FeedSourceOptions {
   readonly member: RaftMember
   readonly machine: ControlMachine
   readonly timers: TimerService
-  readonly listLoading: () => readonly BackendServerId[]
-  /** Emits when the list of loading servers changed. */
-  readonly loadingChanges: Observable<void>
+  readonly findConditions: () => ServerConditions
+  /** Emits when the conditions changed. */
+  readonly conditionChanges: Observable<void>
   /** Emits when the instance stops: waiting polls are answered at once. */
   readonly stopping: Observable<unknown>
 }
@@ -51,10 +53,12 @@
 
 /** Creates the source. */
 export function createFeedSource(options: FeedSourceOptions): FeedSource {
-  const { member, machine, timers, listLoading } = options
+  const { member, machine, timers } = options
   const routers = new Map<string, RouterView>()
+  const placements = createPlacementLog()
+  let placementsTerm: number | undefined
   let revision = 0
-  const changes = merge(machine.fleetChanges, options.loadingChanges)
+  const changes = merge(machine.fleetChanges, options.conditionChanges)
   changes.subscribe(() => {
     revision += 1
   })
@@ -69,6 +73,15 @@
     for (const [name, { loads }] of listRouters()) if (name !== router) addLoads(total, loads)
     return Object.fromEntries(total)
   }
+  /** A router that heard another leader last has heard nothing of this one's numbers. */
+  const findSeen = ({ term, placementsSeen }: FeedRequest) =>
+    term === member.status().term ? placementsSeen : 0
+  const addPlacements = (request: FeedRequest) => {
+    const { term } = member.status()
+    if (term !== placementsTerm) placements.reset()
+    placementsTerm = term
+    placements.add(request.router, request.placements)
+  }
   const isNews = (request: FeedRequest) => {
     const isOtherTable = (machine.table.current()?.version ?? -1) !== request.tableVersion
     return isOtherTable || request.term !== member.status().term || request.revision !== revision
@@ -88,18 +101,21 @@
       ...(isOtherTable ? { table } : {}),
       routers: listRouters().length,
       loads: sumOthers(request.router),
+      placements: placements.listSince(request.router, findSeen(request)),
+      placementsSeen: placements.last(),
     }
     if (request.term === term && request.revision === revision) return common
     return {
       ...common,
       weights: machine.weights.list(),
       servers: machine.servers.list(),
-      loading: listLoading(),
+      conditions: options.findConditions(),
       control: Object.values(members).map(({ url }) => url),
     }
   }
   return {
     answer: async (request, response) => {
+      addPlacements(request)
       routers.set(request.router, { loads: request.loads, at: timers.now() })
       if (member.status().role === 'leader' && !isNews(request)) {
         await waitForNews(request.waitMs, response)
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -57,7 +57,7 @@
   ): Promise<FleetOperations[Name]['output']>
   /** Runs an operation here; for the leader only. */
   runHere(name: string, input: unknown): Promise<unknown>
-  /** Ms since a server was last heard by this instance. */
+  /** Ms since a server was last heard by this leader, or since it leads. */
   findSilenceMs(id: BackendServerId): number
 }
 
@@ -78,7 +78,16 @@
 export function createFleetOperator(options: FleetOperatorOptions): FleetOperator {
   const { member, machine, client, timers, logger } = options
   const heardAt = new Map<BackendServerId, number>()
-  const startedAt = timers.now()
+  let leadingTerm: number | undefined
+  let leadingSince = timers.now()
+  /** Heartbeats went to the leader before, so silence counts from the start of this leadership. */
+  const findLeadingSince = () => {
+    const { role, term } = member.status()
+    const current = role === 'leader' ? term : undefined
+    if (current !== leadingTerm) leadingSince = timers.now()
+    leadingTerm = current
+    return leadingSince
+  }
 
   const observe: Handlers['observeServer'] = async ({ server }) => {
     heardAt.set(server.id, timers.now())
@@ -145,6 +154,7 @@
   return {
     run: (name, input) => runAtLeader(name, input) as Promise<never>,
     runHere,
-    findSilenceMs: (id) => timers.now() - (heardAt.get(id) ?? startedAt),
+    findSilenceMs: (id) =>
+      timers.now() - Math.max(heardAt.get(id) ?? -Infinity, findLeadingSince()),
   }
 }
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -18,7 +18,7 @@
   type Route,
   type TimerService,
 } from '@spoolgate/core'
-import { Subject } from 'rxjs'
+import { merge, Subject } from 'rxjs'
 import { createGroupKeeper, JOIN_PATH } from '../group/groupKeeper.js'
 import type { Joiner } from '../group/groupPlan.js'
 import { openIdentity } from '../group/identity.js'
@@ -33,6 +33,7 @@
 import { FEED_PATH, type FeedRequest } from './feed.js'
 import { createFeedSource } from './feedSource.js'
 import { createFleetOperator, OPERATION_PATH, type FleetOperator } from './fleetOperations.js'
+import { createServerWatch } from './serverWatch.js'
 import { createWeightsRollout } from './weightsRollout.js'
 
 /** Options of {@link createRegistryControl}. */
@@ -52,6 +53,10 @@
   readonly orders: EngineOrders
   /** Time for which orders of an earlier leader may still count, in ms. */
   readonly orderLeaseMs: number
+  /** Silence after which a backend server counts as silent, in ms. */
+  readonly silentAfterMs: number
+  /** Age of a newer version after which nothing may begin on older weights, in ms. */
+  readonly weightsExpireMs: number
   readonly logger: Logger
   readonly timers: TimerService
   /** @default 800, well above a pause of the processor and below the bound on changes */
@@ -153,12 +158,23 @@
     sumLoads: () => feed.sumLoads(),
     findSilenceMs: operator.findSilenceMs,
   })
+  const watch = createServerWatch({
+    machine,
+    timers,
+    findSilenceMs: operator.findSilenceMs,
+    silentAfterMs: options.silentAfterMs,
+    weightsExpireMs: options.weightsExpireMs,
+  })
   const feed = createFeedSource({
     member,
     machine,
     timers,
-    listLoading: rollout.listLoading,
-    loadingChanges: rollout.loadingChanges,
+    findConditions: () => ({
+      loading: rollout.listLoading(),
+      expired: watch.listExpired(),
+      silent: watch.listSilent(),
+    }),
+    conditionChanges: merge(rollout.loadingChanges, watch.changes),
     stopping,
   })
   const findUnreadyReason = () =>
@@ -207,6 +223,7 @@
     renderMetrics: metrics.render,
     close: async (drainMs) => {
       stopping.next()
+      watch.close()
       await keeper.close()
       await rollout.close()
       const report = await server.close(drainMs)
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -36,6 +36,7 @@
 export interface WeightsRollout {
   /** Servers that load weights now, or are about to. */
   listLoading(): readonly BackendServerId[]
+  /** Emits when a load begins or ends. */
   readonly loadingChanges: Observable<void>
   close(): Promise<void>
 }
@@ -43,9 +44,11 @@
 /** Time between two looks at what is to be loaded, in ms; small against a load of 0.8 s. */
 const LOOK_PERIOD_MS = 50
 /** Time between announcing a load and ordering it, in ms: routers get the news by a waiting poll. */
-const ANNOUNCE_MS = 30
+const ANNOUNCE_MS = 120
+/** Longest wait for requests that wait at the engine, which an order would refuse, in ms. */
+const WAITING_MS = 700
 /** Time between two looks at an engine that loads, in ms; each look costs it a request. */
-const REPORT_PERIOD_MS = 250
+const REPORT_PERIOD_MS = 80
 /** Longest time for one load with all its tries, in ms; an order may be carried out 12 s late. */
 const LOAD_TIMEOUT_MS = 15_000
 /** Added to the lease of an earlier leader, for orders that were still on their way, in ms. */
@@ -71,6 +74,8 @@
 interface LoadTask {
   readonly server: RegisteredServer
   readonly model: string
+  /** Version that the server held when the task was made. */
+  readonly held: number
 }
 
 /** Creates the rollout and starts its task. */
@@ -113,10 +118,12 @@
       const held = isOutdated(server)
       const isFree = !loading.has(server.id) && (pausedUntil.get(server.id) ?? 0) <= now
       const isThere = server.phase === 'ready' && options.findSilenceMs(server.id) < SILENT_MS
-      return held && isFree && isThere ? [{ server, model: held.model }] : []
+      if (!held || !isFree || !isThere) return []
+      return [{ server, model: held.model, held: held.version }]
     })
     const findCalls = ({ server }: LoadTask) => loads[server.id]?.calls ?? 0
-    return tasks.sort((a, b) => findCalls(a) - findCalls(b))
+    // The oldest weights first: versions that follow each other closely would starve the rest.
+    return tasks.sort((a, b) => a.held - b.held || findCalls(a) - findCalls(b))
   }
 
   const recordVersion = async ({ server, model }: LoadTask, version: number) => {
@@ -140,16 +147,18 @@
   const bringUp = async (task: LoadTask, term: number): Promise<boolean> => {
     const deadline = timers.now() + LOAD_TIMEOUT_MS
     let orderedAt = -Infinity
+    const orderBy = timers.now() + WAITING_MS
     const mayGoOn = () => timers.now() < deadline && isLeading(term) && !stopping.signal.aborted
     while (mayGoOn()) {
       const wanted = machine.weights.find(task.model) ?? 0
       const report = await orders.fetchReport(task.server, task.model)
-      const { version = 0, isBusy, ordersTaken } = report
+      const { version = 0, isBusy, ordersTaken, waiting } = report
       if (version >= wanted) {
         await recordVersion(task, version)
         return true
       }
-      const mayOrder = !isBusy && timers.now() - orderedAt > REPEAT_ORDER_MS
+      const isDrained = waiting === 0 || timers.now() > orderBy
+      const mayOrder = !isBusy && isDrained && timers.now() - orderedAt > REPEAT_ORDER_MS
       if (mayOrder && mayGoOn()) {
         orderedAt = timers.now()
         const outcome = await sendLoad(task, wanted, term, ordersTaken)
--- a/packages/router/src/direct/answerRelay.ts
+++ b/packages/router/src/direct/answerRelay.ts
@@ -9,12 +9,22 @@
 /** How reading an answer's body ended. */
 export type BodyEnd = 'whole' | 'broken'
 
+/**
+ * Whether an answer that ended is whole. Node takes a reset for the end of an answer that has neither
+ * a length nor chunks, since such an answer ends with its connection.
+ */
+function isWholeAnswer(message: IncomingMessage): boolean {
+  const { 'content-length': length, 'transfer-encoding': coding } = message.headers
+  const isFramed = length !== undefined || coding !== undefined
+  return message.complete && (isFramed || message.socket.errored === null)
+}
+
 /** Collects a body whole; undefined when it broke off. */
 export function readAnswerBody(message: IncomingMessage): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     message.on('data', (chunk: Buffer) => chunks.push(chunk))
-    message.on('end', () => resolve(message.complete ? Buffer.concat(chunks) : undefined))
+    message.on('end', () => resolve(isWholeAnswer(message) ? Buffer.concat(chunks) : undefined))
     message.on('error', () => resolve(undefined))
     message.on('close', () => resolve(undefined))
   })
@@ -92,11 +102,12 @@
         const cutter = createEventCutter()
         message.on('data', (chunk: Buffer) => pass(message, headers, cut(cutter, chunk)))
         message.on('end', () => {
-          if (message.complete && !hasBegun) {
+          const isWhole = isWholeAnswer(message) && !cutter.hasPart()
+          if (isWhole && !hasBegun) {
             hasBegun = true
             writeHead(response, message.statusCode ?? 200, headers)
           }
-          resolve(message.complete && !cutter.hasPart() ? 'whole' : 'broken')
+          resolve(isWhole ? 'whole' : 'broken')
         })
         message.on('error', () => resolve('broken'))
         message.on('close', () => resolve('broken'))
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -1,21 +1,23 @@
 /**
- * Choosing a backend server for the direct path: the one with the least expected time to the first
- * part of the answer, as far as this router can tell.
+ * Choosing a backend server for the direct path: of a few drawn at random and the ones that are
+ * presumed to hold the prompt, the one with the least expected time. Routers see each other's calls
+ * late; drawing keeps them from all choosing the same server at once.
  */
 import type { FleetView, RegisteredServer, ServerLoad } from '@spoolgate/control'
-import type { BackendServerId } from '@spoolgate/core'
-import { hashText, type ServerGroup } from '@spoolgate/routing'
+import type { BackendServerId, RandomSource } from '@spoolgate/core'
+import type { ServerGroup } from '@spoolgate/routing'
 import type { PromptFacts } from './dialects.js'
 import type { PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
+import { countSharedTokens, findPlaces, findVersion, type PromptPlaces } from './sources.js'
 
 /** What a choice is made for. */
 export interface ChoiceInput {
   readonly view: FleetView
   readonly group: ServerGroup
   readonly prompt: PromptFacts | undefined
-  /** What cached parts must share, for a weights version; undefined for plain services. */
-  readonly formatScope: ((version: number) => string) | undefined
+  /** Formats what cached parts must share, for a weights version. */
+  readonly formatScope: (version: number) => string
   /** Servers that this request must not be sent to again. */
   readonly excluded: ReadonlySet<BackendServerId>
   readonly hall: string
@@ -27,20 +29,30 @@
   /** Expected time to the first part, with penalties, in ms. */
   readonly cost: number
   readonly matchedTokens: number
+  /** Address of another server to fetch shared parts of the prompt from. */
+  readonly fetchFrom: string | undefined
   /** Version of the weights that it holds; undefined for plain services. */
   readonly version: number | undefined
+  /** Whether all routers prefer it for what nobody is known to hold. */
+  readonly isHome: boolean
 }
 
 /** Parts that a choice reads. */
 export interface ChoiceParts {
   readonly board: ServerBoard
   readonly memory: PartMemory
+  readonly random: RandomSource
 }
 
 /** Prompt tokens that an engine reads in a ms; 57 on the deployments known. */
 const PREFILL_TOKENS_PER_MS = 55
 /** Time that each running request adds to the first token of another, in ms. */
 const RUNNING_MS = 0.4
+/**
+ * What reading a prompt costs the requests that run beside it, as a part of the reading time for
+ * each: long prompts then gather where few answers are being generated.
+ */
+const DISTURBANCE_RATIO = 0.1
 /** Expected time of one request to a plain service, in ms; 21 to 86 on the deployments known. */
 const PLAIN_WORK_MS = 60
 /** Way to another data hall and back, and the price of the bytes, in ms. */
@@ -51,71 +63,106 @@
 const LOADING_MS = 5_000
 /** Cost of a server that failed lately: it is used when there is no other. */
 const EJECTED_MS = 10_000
-/** Most that a preferred place may cost, in ms, before the request goes elsewhere. */
-const HOME_BONUS_MS = 40
+/** Cost of a server that missed heartbeats; it may be cut off from control only. */
+const SILENT_MS = 400
+/** Fetching shared parts from another server instead of reading them, in ms. */
+const FETCH_MS = 6
+/**
+ * Advantage of the server that all routers prefer for parts that nobody is known to hold, in ms,
+ * beside the time to read them: read elsewhere, they would be read again by the next router.
+ */
+const HOME_BONUS_MS = 15
+/** Part of the servers that is drawn for one request, and the least number. */
+const DRAWN_RATIO = 0.34
+const MIN_DRAWN = 2
 
-function findHeldVersion(server: RegisteredServer, model: string): number | undefined {
-  return server.weights.find((held) => held.model === model)?.version
-}
+/** Candidate fields of a plain service. */
+const PLAIN_FACTS = {
+  matchedTokens: 0,
+  version: undefined,
+  fetchFrom: undefined,
+  isHome: false,
+} as const
 
 function addUpLoad(a: ServerLoad, b: ServerLoad | undefined): ServerLoad {
   return b ? { calls: a.calls + b.calls, promptTokens: a.promptTokens + b.promptTokens } : a
 }
 
-/** Finds the server that all routers prefer for a session, without a word between them. */
-function findHome(prompt: PromptFacts, servers: readonly RegisteredServer[]) {
-  const shared = prompt.parts.slice(0, -1)
-  if (shared.length === 0) return undefined
-  const key = hashText(shared.map(({ id }) => id).join('/'))
-  let best: RegisteredServer | undefined
-  let bestScore = -1
-  for (const server of servers) {
-    const score = hashText(server.id, key)
-    if (score > bestScore) [best, bestScore] = [server, score]
-  }
-  return best?.id
-}
-
 function estimateEngineCost(
+  parts: ChoiceParts,
   input: ChoiceInput,
   prompt: PromptFacts,
+  places: PromptPlaces,
   server: RegisteredServer,
   load: ServerLoad,
-  { board, memory }: ChoiceParts,
-): { cost: number; matchedTokens: number; version: number | undefined } {
-  const registered = findHeldVersion(server, prompt.model)
-  const version =
-    registered === undefined ? undefined : Math.max(registered, board.findVersion(server.id))
-  const scope = version === undefined ? undefined : input.formatScope?.(version)
-  const matchedTokens =
-    scope === undefined ? 0 : memory.countMatched(server.id, scope, prompt.parts)
-  const wanted = input.view.weights[prompt.model] ?? 0
+): Omit<Candidate, 'server'> {
+  const version = findVersion(server, prompt.model, parts.board)
+  if (version === undefined) return { ...PLAIN_FACTS, cost: EJECTED_MS }
+  const scope = input.formatScope(version)
+  const matchedTokens = parts.memory.countMatched(server.id, version, scope, prompt.parts)
+  const source = places.findSource(version, server.id, matchedTokens)
+  const foundTokens = Math.max(matchedTokens, source?.matchedTokens ?? 0)
+  const readMs = (prompt.promptTokens - foundTokens) / PREFILL_TOKENS_PER_MS
   const queueMs = load.promptTokens / PREFILL_TOKENS_PER_MS + load.calls * RUNNING_MS
-  const readMs = (prompt.promptTokens - matchedTokens) / PREFILL_TOKENS_PER_MS
-  const oldMs = version !== undefined && version < wanted ? OLD_WEIGHTS_MS : 0
-  return { cost: queueMs + readMs + oldMs, matchedTokens, version }
+  let cost = queueMs + readMs * (1 + load.calls * DISTURBANCE_RATIO)
+  if (foundTokens > matchedTokens) cost += FETCH_MS
+  if (version < (input.view.weights[prompt.model] ?? 0)) cost += OLD_WEIGHTS_MS
+  const isHome = server.id === places.findHome(version)
+  if (isHome) {
+    const unknownTokens = Math.max(0, countSharedTokens(prompt) - foundTokens)
+    cost -= HOME_BONUS_MS + unknownTokens / PREFILL_TOKENS_PER_MS
+  }
+  return { cost, matchedTokens, version, fetchFrom: source?.address, isHome }
+}
+
+/** What a server costs whatever the request. */
+function countPenalty(parts: ChoiceParts, input: ChoiceInput, server: RegisteredServer): number {
+  const { view, hall } = input
+  let cost = 0
+  if (server.hall !== hall) cost += OTHER_HALL_MS
+  if (view.silent.has(server.id)) cost += SILENT_MS
+  if (view.loading.has(server.id)) cost += LOADING_MS
+  if (parts.board.isSuspect(server.id)) cost += EJECTED_MS
+  return cost
+}
+
+/** Moves the candidates that were drawn for this request, or hold its prompt, before the others. */
+function drawCandidates(ranked: readonly Candidate[], random: RandomSource): Candidate[] {
+  const drawn = Math.max(MIN_DRAWN, Math.ceil(ranked.length * DRAWN_RATIO))
+  const isTaken = (candidate: Candidate, left: number, index: number) =>
+    candidate.isHome ||
+    candidate.matchedTokens > 0 ||
+    random.next() < left / (ranked.length - index)
+  const taken: Candidate[] = []
+  const rest: Candidate[] = []
+  for (const [index, candidate] of ranked.entries()) {
+    const isDrawn = isTaken(candidate, Math.max(0, drawn - taken.length), index)
+    if (isDrawn && candidate.cost < LOADING_MS) taken.push(candidate)
+    else rest.push(candidate)
+  }
+  return [...taken, ...rest]
 }
 
 /** Ranks the servers of a group that may take the request, the best first. */
 export function rankServers(parts: ChoiceParts, input: ChoiceInput): Candidate[] {
-  const { view, group, prompt, excluded } = input
+  const { view, group, prompt, excluded, formatScope } = input
+  const { board, memory } = parts
   const inGroup = [...view.servers.values()].filter(
     (server) => server.group === group.name && server.phase === 'ready',
   )
-  const usable = inGroup.filter(({ id }) => !excluded.has(id))
-  const ejected = parts.board.listEjected(inGroup)
-  const home = prompt && findHome(prompt, inGroup)
+  const usable = inGroup.filter(({ id }) => !excluded.has(id) && !view.expired.has(id))
+  const ejected = board.listEjected(inGroup)
+  const places =
+    prompt && findPlaces({ view, prompt, servers: inGroup, formatScope, board, memory })
   const ranked = usable.map((server): Candidate => {
-    const load = addUpLoad(parts.board.findLoad(server.id), view.loads[server.id])
-    const found = prompt
-      ? estimateEngineCost(input, prompt, server, load, parts)
-      : { cost: load.calls * PLAIN_WORK_MS, matchedTokens: 0, version: undefined }
-    let { cost } = found
-    if (server.hall !== input.hall) cost += OTHER_HALL_MS
-    if (server.id === home) cost -= HOME_BONUS_MS
-    if (view.loading.has(server.id)) cost += LOADING_MS
-    if (ejected.has(server.id)) cost += EJECTED_MS
-    return { server, ...found, cost }
+    const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
+    const found =
+      prompt && places
+        ? estimateEngineCost(parts, input, prompt, places, server, load)
+        : { ...PLAIN_FACTS, cost: load.calls * PLAIN_WORK_MS }
+    const ejectedMs = ejected.has(server.id) ? EJECTED_MS : 0
+    return { server, ...found, cost: found.cost + countPenalty(parts, input, server) + ejectedMs }
   })
-  return ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
+  ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
+  return prompt ? drawCandidates(ranked, parts.random) : ranked
 }
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -68,6 +68,8 @@
   readonly cacheScope: string | undefined
   /** Weights version that must serve the request; undefined for plain services. */
   readonly weightsVersion: number | undefined
+  /** Address of another server that may hold cached parts of the prompt; undefined for none. */
+  readonly fetchFrom: string | undefined
   /** Event after which a broken stream goes on. */
   readonly lastEventId: string | undefined
 }
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -11,6 +11,7 @@
   createMetrics,
   createRandomSource,
   readBody,
+  toBackendServerId,
   toSpoolgateError,
   waitFor,
   type CloseReport,
@@ -109,6 +110,12 @@
   const client = createHttpClient()
   const board = createServerBoard(timers)
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
+  const memory = createPartMemory()
+  const findCacheTokens = (server: string): number => {
+    const view = feed.current()
+    const group = view?.servers.get(toBackendServerId(server))?.group
+    return (group && view?.index.findGroup(group)?.engine?.cacheTokens) || 0
+  }
   const feed = createFeedFollower({
     router: options.instance,
     seeds: options.seeds,
@@ -117,6 +124,10 @@
     logger,
     decodeTable: options.decodeTable,
     listLoads: board.listLoads,
+    takePlacements: memory.takePlacements,
+    onPlacements: (placements) => {
+      for (const placement of placements) memory.record(placement, findCacheTokens(placement[0]))
+    },
   })
   const parts: DirectParts = {
     instance: options.instance,
@@ -126,7 +137,7 @@
     backend: options.backend,
     agent,
     board,
-    memory: createPartMemory(),
+    memory,
     retries: createRetryShare({
       timers,
       bounds: options.retryBounds,
@@ -185,6 +196,8 @@
     if (isClosing) response.setHeader('connection', 'close')
     response.once('close', () => {
       inProgress -= 1
+      // The head of an answer that began before the stop could not say that the connection ends.
+      if (isClosing) request.socket.end()
     })
     void serve(request, response)
   })
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -5,34 +5,23 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { SpoolgateError, type BackendServerId } from '@spoolgate/core'
-import type { Subscription } from 'rxjs'
-import {
-  createStreamRelay,
-  readAnswerBody,
-  sendWholeAnswer,
-  type StreamRelay,
-} from './answerRelay.js'
+import { firstValueFrom, Subject, type Subscription } from 'rxjs'
+import { createStreamRelay, type StreamRelay } from './answerRelay.js'
 import { formatCacheScope, isProofFresh, type CallPlan } from './callPlan.js'
 import { rankServers, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
-import { startSend, type Send } from './sendOnce.js'
-import type { CallTicket } from './serverBoard.js'
-
-/** How one send ended. */
-type SendEnd =
-  /** The whole answer was passed on. */
-  | { readonly kind: 'answered'; readonly status: number }
-  /** The server does not know of the request: no connection came up. */
-  | { readonly kind: 'notSent'; readonly reason: string }
-  /** The time is over, or this router may no longer trust what it holds; no byte was sent. */
-  | { readonly kind: 'forbidden'; readonly reason: string }
-  /** The server promises that it did not run the request. */
-  | { readonly kind: 'notRun'; readonly reason: string; readonly version: number | undefined }
-  /** The server ran the request and failed; its own answer may be passed on. */
-  | { readonly kind: 'failed'; readonly status: number; readonly pass: () => void }
-  /** Nobody knows whether the request ran, or its stream broke off. */
-  | { readonly kind: 'lost'; readonly reason: string }
+import { buildPlacement } from './partMemory.js'
+import {
+  PROMISING_STATUSES,
+  relayAnswer,
+  type Abandoned,
+  type Failed,
+  type NotRun,
+  type SendEnd,
+} from './sendEnd.js'
+import { startSend, type Send, type SendResult } from './sendOnce.js'
+import { SUSPECT_AFTER_MS, type CallTicket } from './serverBoard.js'
 
 /** Longest wait for a connection, in ms: a hundred times the way between data halls. */
 const CONNECT_MS = 300
@@ -40,11 +29,6 @@
 const MAX_SENDS = 4
 /** Seconds after which a caller may try again when every server refused. */
 const RETRY_AFTER_REFUSALS_S = 0.15
-const CLIENT_ERRORS_FROM = 400
-const SERVER_ERRORS_FROM = 500
-const EVENT_STREAM = 'text/event-stream'
-/** Statuses that promise callers that nothing ran; only a server's own promise may use them. */
-const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 /** Serves one planned request; resolves once its final answer was given. */
 export async function serveCall(
@@ -106,7 +90,8 @@
 
   private recordPart(): void {
     const { parts, plan } = this
-    if (this.ticket) this.ticket.recordFirstPart()
+    this.ticket?.recordFirstPart()
+    this.ticket?.recordSign()
     if (this.relay.lastId() !== undefined) return
     parts.instruments.firstPartMs.record(parts.timers.now() - plan.arrivedAt)
   }
@@ -201,6 +186,9 @@
       matchedTokens: best.matchedTokens,
       promptTokens: plan.call.prompt?.promptTokens,
       version: best.version,
+      team: plan.team?.id,
+      shared: plan.call.prompt?.parts.slice(0, -1).map(({ id, tokens }) => `${id}:${tokens}`),
+      fetchFrom: best.fetchFrom,
       next: allowed[1] && `${allowed[1].server.id}:${Math.round(allowed[1].cost)}`,
     })
     return best
@@ -223,6 +211,7 @@
       priority: plan.priority,
       cacheScope: version === undefined ? undefined : formatCacheScope(plan.team, version),
       weightsVersion: version,
+      fetchFrom: candidate.fetchFrom,
       lastEventId: this.relay.lastId() ?? plan.call.lastEventId,
     })
   }
@@ -240,7 +229,8 @@
     parts.instruments.matchedTokens.add(candidate.matchedTokens)
     const scope = formatCacheScope(plan.team, candidate.version)
     const cacheTokens = plan.group.engine?.cacheTokens ?? 0
-    parts.memory.record(candidate.server.id, scope, prompt.parts, cacheTokens)
+    const placement = buildPlacement(candidate.server.id, candidate.version, scope, prompt.parts)
+    parts.memory.recordOwn(placement, cacheTokens)
   }
 
   private async sendTo(candidate: Candidate): Promise<SendEnd> {
@@ -258,10 +248,11 @@
       connectMs: CONNECT_MS,
     })
     this.current = send
-    const result = await send.result
+    const result = await this.waitForHead(send)
     if (result.kind === 'notSent' || result.kind === 'forbidden') this.mayHaveRun = couldHaveRun
     if (result.kind !== 'head') return result
     const { message } = result
+    this.ticket?.recordSign()
     const head = parts.backend.decodeHead(message, plan.call)
     if (head.weightsVersion !== undefined) {
       parts.board.recordVersion(candidate.server.id, head.weightsVersion)
@@ -273,36 +264,39 @@
       return { kind: 'notRun', reason, version: head.weightsVersion }
     }
     return head.isGenuine
-      ? this.takeAnswer(message)
+      ? this.relayAnswer(message)
       : this.dropAnswer(message, `status ${message.statusCode} that is not its own answer`)
   }
 
+  /**
+   * Waits for the head of an answer. A server that gives no sign of life is given up on where the
+   * request may go to another.
+   */
+  private async waitForHead(send: Send): Promise<SendResult | Abandoned> {
+    const isOnce = this.plan.route.repeatability === 'once'
+    if (isOnce || this.relay.hasBegun()) return send.result
+    const giveUp = new Subject<Abandoned>()
+    const watch = this.parts.timers.after(SUSPECT_AFTER_MS).subscribe(() => {
+      if (!this.ticket?.isUnanswered() || !this.mayRepeat()) return
+      giveUp.next({ kind: 'abandoned', reason: `no sign of life for ${SUSPECT_AFTER_MS} ms` })
+      send.cancel()
+    })
+    const result = await Promise.race([send.result, firstValueFrom(giveUp)])
+    watch.unsubscribe()
+    return result
+  }
+
+  private relayAnswer(message: IncomingMessage): Promise<SendEnd> {
+    const { response, relay } = this
+    const headers = this.parts.backend.listAnswerHeaders(message)
+    return relayAnswer({ message, headers, response, relay, isOver: () => this.isOver })
+  }
+
   private dropAnswer(message: IncomingMessage, reason: string): SendEnd {
     message.destroy()
     return { kind: 'lost', reason }
   }
 
-  private async takeAnswer(message: IncomingMessage): Promise<SendEnd> {
-    const { parts, response } = this
-    const status = message.statusCode ?? 0
-    const headers = parts.backend.listAnswerHeaders(message)
-    const isStream = (message.headers['content-type'] ?? '').startsWith(EVENT_STREAM)
-    if (isStream && status < CLIENT_ERRORS_FROM) {
-      const end = await this.relay.relay(message, headers)
-      if (end === 'broken') return { kind: 'lost', reason: 'the stream broke off' }
-      if (!this.isOver) this.relay.finish()
-      return { kind: 'answered', status }
-    }
-    const body = await readAnswerBody(message)
-    if (!body) return { kind: 'lost', reason: 'the answer broke off' }
-    const pass = () => sendWholeAnswer(response, status, headers, body)
-    if (status >= SERVER_ERRORS_FROM || PROMISING_STATUSES.has(status)) {
-      return { kind: 'failed', status, pass }
-    }
-    if (!this.isOver) pass()
-    return { kind: 'answered', status }
-  }
-
   /** Draws the consequence of one send; true once the request has its final answer. */
   private async settle(candidate: Candidate, end: SendEnd): Promise<boolean> {
     const outcomes = {
@@ -312,16 +306,18 @@
       notRun: 'none',
       failed: 'failed',
       lost: 'failed',
+      abandoned: 'failed',
     } as const
     this.ticket?.finish(outcomes[end.kind])
     if (end.kind !== 'answered') {
-      const reason = end.kind === 'failed' ? `status ${end.status}` : end.reason
-      this.log('call.sendEnded', { server: candidate.server.id, end: end.kind, reason })
+      const { kind, reason } = end
+      this.log('call.sendEnded', { server: candidate.server.id, end: kind, reason })
     }
     switch (end.kind) {
       case 'answered':
         this.stop('answered')
         return true
+      case 'abandoned':
       case 'notSent':
         this.excluded.add(candidate.server.id)
         return false
@@ -337,7 +333,7 @@
     }
   }
 
-  private settleNotRun(candidate: Candidate, end: Extract<SendEnd, { kind: 'notRun' }>): boolean {
+  private settleNotRun(candidate: Candidate, end: NotRun): boolean {
     const { server, version } = candidate
     // A server that only has newer weights than presumed takes the request under their version.
     const isCorrected = (end.version ?? 0) > (version ?? Infinity)
@@ -347,7 +343,7 @@
     return true
   }
 
-  private settleFailed(candidate: Candidate, end: Extract<SendEnd, { kind: 'failed' }>): boolean {
+  private settleFailed(candidate: Candidate, end: Failed): boolean {
     this.excluded.add(candidate.server.id)
     if (this.mayRepeat()) return false
     // A status that promises "not run" would be false for a request that ran.
--- /dev/null
+++ b/packages/router/src/direct/sources.ts
@@ -0,0 +1,121 @@
+/**
+ * Where the shared parts of a prompt are: at engines that this router sent them to, or else at the
+ * engine where every router sends them first, which all work out alike without a word between them.
+ */
+import type { FleetView, RegisteredServer } from '@spoolgate/control'
+import type { BackendServerId } from '@spoolgate/core'
+import { hashText } from '@spoolgate/routing'
+import type { PromptFacts, PromptPart } from './dialects.js'
+import type { PartMemory } from './partMemory.js'
+import type { ServerBoard } from './serverBoard.js'
+
+/** An engine that may hold shared parts of a prompt. */
+export interface Source {
+  readonly id: BackendServerId
+  readonly address: string
+  readonly version: number
+  /** Leading tokens that it is presumed to hold. */
+  readonly matchedTokens: number
+}
+
+/** What is known of the whereabouts of a prompt's shared parts. */
+export interface PromptPlaces {
+  /** Engines that this router knows to hold some, the most first. */
+  readonly known: readonly Source[]
+  /** Engine that should read what nobody is known to hold, by weights version. */
+  findHome(version: number): BackendServerId | undefined
+  /** Where to fetch from for an engine of a version; undefined where there is nothing to gain. */
+  findSource(version: number, reader: BackendServerId, matchedTokens: number): Source | undefined
+}
+
+/** Input of {@link findPlaces}. */
+export interface PlacesInput {
+  readonly view: FleetView
+  readonly prompt: PromptFacts
+  /** Engines of the group. */
+  readonly servers: readonly RegisteredServer[]
+  readonly formatScope: (version: number) => string
+  readonly board: ServerBoard
+  readonly memory: PartMemory
+}
+
+/** Counts the tokens of all parts but the last, which belongs to the request alone. */
+export function countSharedTokens(prompt: PromptFacts): number {
+  return prompt.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0)
+}
+
+interface Engine {
+  readonly server: RegisteredServer
+  readonly version: number
+}
+
+/** Finds the weights version that a server has for a model, as its registration or answers say. */
+export function findVersion(
+  server: RegisteredServer,
+  model: string,
+  board: ServerBoard,
+): number | undefined {
+  const registered = server.weights.find((held) => held.model === model)?.version
+  return registered === undefined ? undefined : Math.max(registered, board.findVersion(server.id))
+}
+
+/** Finds the engine that comes first for a key; the loss of one moves only its own keys. */
+function findFirst(key: string, engines: readonly Engine[]): Engine | undefined {
+  const seed = hashText(key)
+  let best: Engine | undefined
+  let bestScore = -1
+  for (const engine of engines) {
+    const score = hashText(engine.server.id, seed)
+    if (score > bestScore) [best, bestScore] = [engine, score]
+  }
+  return best
+}
+
+function formatKey(parts: readonly PromptPart[]): string {
+  return parts.map(({ id }) => id).join('/')
+}
+
+/** Finds where the shared parts of a prompt are. */
+export function findPlaces(input: PlacesInput): PromptPlaces {
+  const { view, prompt, board, memory, formatScope } = input
+  const shared = prompt.parts.slice(0, -1)
+  const engines = input.servers
+    .filter(({ id }) => !view.loading.has(id) && !view.silent.has(id) && !board.isSuspect(id))
+    .flatMap((server): Engine[] => {
+      const version = findVersion(server, prompt.model, board)
+      return version === undefined ? [] : [{ server, version }]
+    })
+  const known = engines
+    .map(({ server, version }): Source => {
+      const matchedTokens = memory.countMatched(server.id, version, formatScope(version), shared)
+      return { id: server.id, address: server.address, version, matchedTokens }
+    })
+    .filter(({ matchedTokens }) => matchedTokens > 0)
+    .sort((a, b) => b.matchedTokens - a.matchedTokens)
+
+  /** Home of the first level that nobody of a version is known to hold. */
+  const findHomeEngine = (version: number) => {
+    const best = known.find((source) => source.version === version)?.matchedTokens ?? 0
+    let tokens = 0
+    const levels = shared.findIndex((part) => (tokens += part.tokens) > best)
+    const depth = levels === -1 ? shared.length : levels + 1
+    return findFirst(
+      formatKey(shared.slice(0, depth)),
+      engines.filter((engine) => engine.version === version),
+    )
+  }
+  return {
+    known,
+    findHome: (version) => (shared.length === 0 ? undefined : findHomeEngine(version)?.server.id),
+    findSource: (version, reader, matchedTokens) => {
+      if (shared.length === 0) return undefined
+      const holder = known.find((source) => source.version === version && source.id !== reader)
+      if (holder && holder.matchedTokens > matchedTokens) return holder
+      if (holder || matchedTokens > 0) return undefined
+      const home = findHomeEngine(version)
+      if (!home || home.server.id === reader) return undefined
+      const { id, address } = home.server
+      return { id, address, version, matchedTokens: 0 }
+    },
+  }
+}
