--- /dev/null
+++ b/packages/control/src/__tests__/groupPlan.spec.ts
@@ -0,0 +1,80 @@
+import { expect } from 'chai'
+import {
+  findGroupStep,
+  FORGET_AFTER_MS,
+  REPLACE_AFTER_MS,
+  type GroupPlanInput,
+  type MemberView,
+} from '../group/groupPlan.js'
+import type { MemberMap } from '../raft/messages.js'
+
+const WELL: MemberView = { silentMs: 0, isCaughtUp: true }
+const SILENT: MemberView = { silentMs: REPLACE_AFTER_MS + 1, isCaughtUp: true }
+
+function buildMembers(kinds: Record<string, 'voter' | 'learner'>): MemberMap {
+  return Object.fromEntries(
+    Object.entries(kinds).map(([name, kind]) => [name, { url: `http://${name}`, kind }]),
+  )
+}
+
+function buildInput(
+  kinds: Record<string, 'voter' | 'learner'>,
+  views: Record<string, MemberView> = {},
+  change: Partial<GroupPlanInput> = {},
+): GroupPlanInput {
+  return {
+    leader: 'a',
+    members: buildMembers(kinds),
+    joiners: [],
+    wantedVoters: 3,
+    findView: (name) => views[name] ?? WELL,
+    ...change,
+  }
+}
+
+describe('the plan of the control group', () => {
+  const whole = { a: 'voter', b: 'voter', c: 'voter' } as const
+
+  it('leaves a whole group alone, with a learner to spare', () => {
+    expect(findGroupStep(buildInput({ ...whole, d: 'learner' }))).to.equal(undefined)
+  })
+
+  it('takes in whoever asks, as a learner', () => {
+    const step = findGroupStep(buildInput(whole, {}, { joiners: [{ name: 'd', url: 'http://d' }] }))
+    expect(step?.members.d).to.deep.equal({ url: 'http://d', kind: 'learner' })
+  })
+
+  it('makes a learner a voter only once it has caught up', () => {
+    const kinds = { a: 'voter', b: 'voter', d: 'learner' } as const
+    const behind = { d: { silentMs: 0, isCaughtUp: false } }
+    expect(findGroupStep(buildInput(kinds, behind))).to.equal(undefined)
+    expect(findGroupStep(buildInput(kinds))?.members.d.kind).to.equal('voter')
+  })
+
+  it('replaces a silent voter by a learner, one step at a time', () => {
+    const views = { c: SILENT }
+    const first = findGroupStep(buildInput({ ...whole, d: 'learner' }, views))
+    expect(first?.members.d.kind).to.equal('voter')
+    expect(first?.members.c.kind).to.equal('voter')
+    const second = findGroupStep(buildInput({ ...whole, d: 'voter' }, views))
+    expect(second?.members.c.kind).to.equal('learner')
+  })
+
+  it('keeps a silent voter when there is nobody to take its place', () => {
+    expect(findGroupStep(buildInput(whole, { c: SILENT }))).to.equal(undefined)
+  })
+
+  it('removes a voter whose address came back with an empty disk', () => {
+    const joiners = [{ name: 'c#new', url: 'http://c' }]
+    const first = findGroupStep(buildInput(whole, {}, { joiners }))
+    expect(first?.members).to.not.have.property('c')
+    const second = findGroupStep(buildInput({ a: 'voter', b: 'voter' }, {}, { joiners }))
+    expect(second?.members['c#new'].kind).to.equal('learner')
+  })
+
+  it('forgets a learner that is gone, and never its own leader', () => {
+    const gone = { silentMs: FORGET_AFTER_MS + 1, isCaughtUp: false }
+    const step = findGroupStep(buildInput({ ...whole, d: 'learner' }, { d: gone, a: gone }))
+    expect(step?.members).to.have.all.keys('a', 'b', 'c')
+  })
+})
--- /dev/null
+++ b/packages/control/src/__tests__/registryState.spec.ts
@@ -0,0 +1,100 @@
+import { toBackendServerId } from '@spoolgate/core'
+import { expect } from 'chai'
+import { createPlacementLog } from '../registry/placementLog.js'
+import { createServerState, type RegisteredServer } from '../state/serverState.js'
+import { createTableState } from '../state/tableState.js'
+import { createWeightsState } from '../state/weightsState.js'
+
+const ID = toBackendServerId('i-1')
+
+function buildServer(change: Partial<RegisteredServer> = {}): RegisteredServer {
+  return {
+    id: ID,
+    group: 'g',
+    address: '127.0.0.1:1',
+    hall: 'h',
+    phase: 'ready',
+    slots: 4,
+    weights: [{ model: 'm', version: 1 }],
+    ...change,
+  }
+}
+
+describe('registered servers', () => {
+  it('never go back from draining, nor to older weights, by a heartbeat that comes late', () => {
+    const servers = createServerState()
+    servers.observe({ kind: 'server.observe', server: buildServer() })
+    const newer = buildServer({ phase: 'draining', weights: [{ model: 'm', version: 3 }] })
+    servers.observe({ kind: 'server.observe', server: newer })
+    servers.observe({ kind: 'server.observe', server: buildServer() })
+    expect(servers.find(ID)).to.deep.equal(newer)
+  })
+
+  it('stay gone once they left, also after a snapshot', () => {
+    const servers = createServerState()
+    servers.observe({ kind: 'server.observe', server: buildServer() })
+    servers.retire({ kind: 'server.retire', id: ID, phase: 'gone' })
+    const restored = createServerState()
+    restored.load(servers.save())
+    const result = restored.observe({ kind: 'server.observe', server: buildServer() })
+    expect(result.phase).to.equal('gone')
+    expect(restored.list()).to.deep.equal([])
+  })
+
+  it('may leave before they were ever seen', () => {
+    const servers = createServerState()
+    servers.retire({ kind: 'server.retire', id: ID, phase: 'gone' })
+    servers.observe({ kind: 'server.observe', server: buildServer() })
+    expect(servers.list()).to.deep.equal([])
+  })
+})
+
+describe('the routing table held', () => {
+  const put = (version: number, document: string) =>
+    ({ kind: 'table.put', version, document }) as const
+
+  it('is the highest version, and the same version with other content changes nothing', () => {
+    const table = createTableState()
+    expect(table.put(put(4, 'four')).isNewer).to.equal(true)
+    expect(table.put(put(3, 'three'))).to.deep.equal({ isNewer: false, version: 4 })
+    expect(table.put(put(4, 'forged'))).to.deep.equal({ isNewer: false, version: 4 })
+    expect(table.current()).to.deep.equal({ version: 4, document: 'four' })
+  })
+
+  it('survives a snapshot unchanged', () => {
+    const table = createTableState()
+    table.put(put(9, '{"a": 1 }'))
+    const restored = createTableState()
+    restored.load(JSON.parse(JSON.stringify(table.save())))
+    expect(restored.current()).to.deep.equal({ version: 9, document: '{"a": 1 }' })
+  })
+})
+
+describe('wanted weights', () => {
+  it('only rise', () => {
+    const weights = createWeightsState()
+    weights.name({ kind: 'weights.name', model: 'm', version: 5 })
+    const result = weights.name({ kind: 'weights.name', model: 'm', version: 2 })
+    expect(result.version).to.equal(5)
+    expect(weights.list()).to.deep.equal({ m: 5 })
+  })
+})
+
+describe('the log of placements', () => {
+  it('tells a router what others placed, once, and not its own', () => {
+    const log = createPlacementLog()
+    log.add('a', [['s', 1, 11, 100]])
+    log.add('b', [['s', 1, 22, 200]])
+    expect(log.listSince('a', 0)).to.deep.equal([['s', 1, 22, 200]])
+    expect(log.listSince('a', log.last())).to.deep.equal([])
+  })
+
+  it('keeps the newest when there are too many', () => {
+    const log = createPlacementLog()
+    for (let turn = 0; turn < 1_500; turn += 1) log.add('a', [['s', 1, turn, 1]])
+    const listed = log.listSince('b', 0)
+    expect(listed).to.have.length(100)
+    expect(listed.at(-1)).to.deep.equal(['s', 1, 1_499, 1])
+    expect(log.last()).to.equal(1_500)
+  })
+})
--- /dev/null
+++ b/packages/router/src/__tests__/directParts.spec.ts
@@ -0,0 +1,136 @@
+import { createManualTimerService, toBackendServerId } from '@spoolgate/core'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createEventCutter } from '../direct/eventCutter.js'
+import { buildPlacement, createPartMemory } from '../direct/partMemory.js'
+import { createRetryShare } from '../direct/retryShare.js'
+import { createServerBoard, SUSPECT_AFTER_MS } from '../direct/serverBoard.js'
+
+const S1 = toBackendServerId('s1')
+const PARTS = [
+  { id: 'outer', tokens: 100 },
+  { id: 'inner', tokens: 50 },
+  { id: 'own', tokens: 20 },
+]
+
+describe('cutting a stream into events', () => {
+  it('hands out whole events only, however the bytes arrive', () => {
+    const event = fc
+      .tuple(fc.nat(), fc.stringMatching(/^[a-z ]{0,12}$/))
+      .map(([id, text]) => `id: ${id}\ndata: ${text}\n\n`)
+    fc.assert(
+      fc.property(fc.array(event), fc.array(fc.nat({ max: 30 })), (events, sizes) => {
+        const text = events.join('')
+        const cutter = createEventCutter()
+        let passed = ''
+        let at = 0
+        for (const size of [...sizes, text.length]) {
+          passed += cutter.add(Buffer.from(text.slice(at, at + size))).toString()
+          at += size
+          expect(passed === '' || passed.endsWith('\n\n')).to.equal(true)
+        }
+        expect(passed).to.equal(text)
+        expect(cutter.hasPart()).to.equal(false)
+      }),
+      { seed: 11 },
+    )
+  })
+
+  it('keeps back a part of an event and knows the last whole one', () => {
+    const cutter = createEventCutter()
+    const whole = cutter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b'))
+    expect(whole.toString()).to.equal('id: 1\ndata: a\n\n')
+    expect(cutter.lastId()).to.equal('1')
+    expect(cutter.hasPart()).to.equal(true)
+  })
+})
+
+describe('the share of repeated sends', () => {
+  const bounds = { ratio: 0.2, slack: 40, windowMs: 10_000 }
+
+  it('keeps the sum of all routers under the budget, whatever each is asked', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat({ max: 200 }), { minLength: 1, maxLength: 12 }), (firsts) => {
+        const timers = createManualTimerService()
+        const countRouters = () => firsts.length
+        let repeats = 0
+        for (const count of firsts) {
+          const share = createRetryShare({ timers, bounds, countRouters })
+          for (let turn = 0; turn < count; turn += 1) share.recordFirst('g')
+          while (share.take('g')) repeats += 1
+        }
+        const requests = firsts.reduce((sum, count) => sum + count, 0)
+        expect(repeats).to.be.at.most(bounds.ratio * requests + bounds.slack)
+      }),
+      { seed: 5 },
+    )
+  })
+
+  it('is given back once the window has passed', () => {
+    const timers = createManualTimerService()
+    const share = createRetryShare({ timers, bounds, countRouters: () => 40 })
+    for (let turn = 0; turn < 10; turn += 1) share.recordFirst('g')
+    while (share.take('g'));
+    timers.advance(bounds.windowMs + 1)
+    for (let turn = 0; turn < 10; turn += 1) share.recordFirst('g')
+    expect(share.take('g')).to.equal(true)
+  })
+})
+
+describe('the memory of cached parts', () => {
+  it('counts the leading parts that an engine was sent, under one version and scope only', () => {
+    const memory = createPartMemory()
+    memory.record(buildPlacement(S1, 2, 'shared', PARTS), 10_000)
+    const others = [...PARTS.slice(0, 2), { id: 'another', tokens: 9 }]
+    expect(memory.countMatched(S1, 2, 'shared', others)).to.equal(150)
+    expect(memory.countMatched(S1, 3, 'shared', others)).to.equal(0)
+    expect(memory.countMatched(S1, 2, 'team', others)).to.equal(0)
+  })
+
+  it('forgets what new weights dropped, and does not let late news bring it back', () => {
+    const memory = createPartMemory()
+    memory.record(buildPlacement(S1, 2, 'shared', PARTS), 10_000)
+    memory.record(buildPlacement(S1, 3, 'shared', PARTS.slice(0, 1)), 10_000)
+    memory.record(buildPlacement(S1, 2, 'shared', PARTS), 10_000)
+    expect(memory.countMatched(S1, 2, 'shared', PARTS)).to.equal(0)
+    expect(memory.countMatched(S1, 3, 'shared', PARTS)).to.equal(100)
+  })
+
+  it('gives up the parts unused longest when an engine is full', () => {
+    const memory = createPartMemory()
+    memory.record(buildPlacement(S1, 1, 'shared', [{ id: 'old', tokens: 60 }]), 100)
+    memory.record(buildPlacement(S1, 1, 'shared', [{ id: 'new', tokens: 60 }]), 100)
+    expect(memory.countMatched(S1, 1, 'shared', [{ id: 'old', tokens: 60 }])).to.equal(0)
+    expect(memory.countMatched(S1, 1, 'shared', [{ id: 'new', tokens: 60 }])).to.equal(60)
+  })
+
+  it('hands its own placements to the other routers once', () => {
+    const memory = createPartMemory()
+    memory.recordOwn(buildPlacement(S1, 1, 'shared', PARTS), 10_000)
+    expect(memory.takePlacements()).to.have.length(1)
+    expect(memory.takePlacements()).to.have.length(0)
+  })
+})
+
+describe('the board of servers', () => {
+  it('suspects a server whose oldest call saw no sign of life, until there is one', () => {
+    const timers = createManualTimerService()
+    const board = createServerBoard(timers)
+    const call = board.open(S1, 10)
+    timers.advance(SUSPECT_AFTER_MS + 1)
+    expect(board.isSuspect(S1)).to.equal(true)
+    call.recordSign()
+    expect(board.isSuspect(S1)).to.equal(false)
+  })
+
+  it('counts calls and the prompt tokens that were not read yet', () => {
+    const board = createServerBoard(createManualTimerService())
+    const call = board.open(S1, 10)
+    board.open(S1, 5)
+    expect(board.findLoad(S1)).to.deep.equal({ calls: 2, promptTokens: 15 })
+    call.recordFirstPart()
+    call.finish('ok')
+    call.finish('ok')
+    expect(board.findLoad(S1)).to.deep.equal({ calls: 1, promptTokens: 5 })
+  })
+})
