feat: keep shared parts in the store, and let routers hear of each other sooner

What: shared parts of 1,000 tokens or more are saved once for each weights version and fetched from the store where no engine is known to hold them; the leader watches each store's life by one waiting call; polls wait 100 ms, and longer with more routers; weights count as old 1.3 s after newer ones are named.

--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -30,6 +30,13 @@
 /** Placements in one reply; at 60 bytes each they stay under 15 KB a second. */
 export const MAX_PLACEMENTS_PER_REPLY = 100
 
+/** A store of KV cache that answers. */
+export interface StoreLife {
+  readonly address: string
+  /** Changes with each restart, after which the store is empty. */
+  readonly epoch: number
+}
+
 /** What only the leader knows of servers now; none of it survives it. */
 export interface ServerConditions {
   /** Servers that are loading weights, or about to. */
@@ -38,6 +45,8 @@
   readonly expired: readonly BackendServerId[]
   /** Servers that missed their last heartbeats. */
   readonly silent: readonly BackendServerId[]
+  /** Stores of KV cache that answer. */
+  readonly stores: readonly StoreLife[]
 }
 
 /** What a router asks. */
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -22,6 +22,7 @@
   type Placement,
   type ServerConditions,
   type ServerLoads,
+  type StoreLife,
 } from './feed.js'
 
 /** Options of {@link createFeedFollower}. */
@@ -47,6 +48,8 @@
 export interface FleetView {
   readonly index: TableIndex
   readonly weights: Readonly<Record<string, number>>
+  /** When this router learned of each model's wanted weights, in ms of its monotonic clock. */
+  readonly weightsSince: Readonly<Record<string, number>>
   readonly servers: ReadonlyMap<BackendServerId, RegisteredServer>
   /** Servers that are loading weights, or about to. */
   readonly loading: ReadonlySet<BackendServerId>
@@ -54,6 +57,8 @@
   readonly expired: ReadonlySet<BackendServerId>
   /** Servers that missed their last heartbeats. */
   readonly silent: ReadonlySet<BackendServerId>
+  /** Stores of KV cache that answer. */
+  readonly stores: readonly StoreLife[]
   /** Routers that control heard of lately, this one included. */
   readonly routers: number
   /** What the other routers have in progress, as of the last poll. */
@@ -71,8 +76,13 @@
   close(): Promise<void>
 }
 
-/** Wait that a poll asks for, in ms: loads are then at most this old, and polls stay few. */
-const WAIT_MS = 400
+/**
+ * Wait that a poll asks for, in ms: what routers know of each other's calls is about this old. With
+ * 400 ms they sent ten requests at once to the engine that looked free (quiet day at Samhjálp).
+ */
+const WAIT_MS = 100
+/** Added for each router, in ms, so that the leader answers 80 polls a second at most. */
+const WAIT_PER_ROUTER_MS = 12
 /** Time beyond the wait after which an instance counts as not answering, in ms. */
 const ANSWER_MS = 500
 /** Longest wait for an answer while the leader is searched, in ms. */
@@ -82,15 +92,21 @@
 
 const NO_VERSION = -1
 
-type ConditionSets = Pick<FleetView, 'loading' | 'expired' | 'silent'>
+type ConditionSets = Pick<FleetView, 'loading' | 'expired' | 'silent' | 'stores'>
 
-const NO_CONDITIONS: ConditionSets = { loading: new Set(), expired: new Set(), silent: new Set() }
+const NO_CONDITIONS: ConditionSets = {
+  loading: new Set(),
+  expired: new Set(),
+  silent: new Set(),
+  stores: [],
+}
 
 function toSets(conditions: ServerConditions): ConditionSets {
   return {
     loading: new Set(conditions.loading),
     expired: new Set(conditions.expired),
     silent: new Set(conditions.silent),
+    stores: conditions.stores,
   }
 }
 
@@ -101,6 +117,7 @@
   const changes = new Subject<FleetView>()
   let index: TableIndex | undefined
   let weights: Readonly<Record<string, number>> = {}
+  let weightsSince: Readonly<Record<string, number>> = {}
   let servers: ReadonlyMap<BackendServerId, RegisteredServer> = new Map()
   let conditions = NO_CONDITIONS
   let control: readonly string[] = []
@@ -116,19 +133,27 @@
 
   const rebuildView = () => {
     if (!index) return
-    view = { index, weights, servers, ...conditions, routers, loads }
+    view = { index, weights, weightsSince, servers, ...conditions, routers, loads }
   }
   const applyTable = (table: NonNullable<FeedReply['table']>) => {
     if (index && table.version <= index.table.version) return
     index = buildTableIndex(options.decodeTable(table.document))
     logger.info('table.inForce', { version: table.version, routes: index.table.routes.length })
   }
+  const applyWeights = (next: Readonly<Record<string, number>>) => {
+    const changed = Object.keys(next).filter((model) => next[model] !== weights[model])
+    // Nobody knows for how long the first ones that a router hears of have been wanted.
+    const isFirst = Object.keys(weights).length === 0
+    const at = isFirst ? -Infinity : timers.now()
+    weightsSince = { ...weightsSince, ...Object.fromEntries(changed.map((model) => [model, at])) }
+    weights = next
+  }
   const applyReply = (reply: FeedReply) => {
     const isChanged = reply.table !== undefined || reply.servers !== undefined
     if (reply.table) applyTable(reply.table)
     if (reply.servers) servers = new Map(reply.servers.map((server) => [server.id, server]))
     if (reply.conditions) conditions = toSets(reply.conditions)
-    weights = reply.weights ?? weights
+    applyWeights(reply.weights ?? weights)
     control = reply.control ?? control
     routers = Math.max(1, reply.routers)
     loads = reply.loads
@@ -186,7 +211,7 @@
         continue
       }
       try {
-        await askInstance(leader, WAIT_MS, ANSWER_MS)
+        await askInstance(leader, Math.max(WAIT_MS, routers * WAIT_PER_ROUTER_MS), ANSWER_MS)
       } catch (cause) {
         if (stopping.signal.aborted) break
         const reason = toSpoolgateError(cause).message
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -18,6 +18,7 @@
   type Route,
   type TimerService,
 } from '@spoolgate/core'
+import type { RoutingTable } from '@spoolgate/routing'
 import { merge, Subject } from 'rxjs'
 import { createGroupKeeper, JOIN_PATH } from '../group/groupKeeper.js'
 import type { Joiner } from '../group/groupPlan.js'
@@ -34,6 +35,7 @@
 import { createFeedSource } from './feedSource.js'
 import { createFleetOperator, OPERATION_PATH, type FleetOperator } from './fleetOperations.js'
 import { createServerWatch } from './serverWatch.js'
+import { createStoreWatch, type StoreCalls } from './storeWatch.js'
 import { createWeightsRollout } from './weightsRollout.js'
 
 /** Options of {@link createRegistryControl}. */
@@ -51,6 +53,9 @@
   /** Voters that the group should have. */
   readonly wantedVoters: number
   readonly orders: EngineOrders
+  readonly stores: StoreCalls
+  /** Decodes the operators' document. */
+  readonly decodeTable: (document: string) => RoutingTable
   /** Time for which orders of an earlier leader may still count, in ms. */
   readonly orderLeaseMs: number
   /** Silence after which a backend server counts as silent, in ms. */
@@ -165,6 +170,14 @@
     silentAfterMs: options.silentAfterMs,
     weightsExpireMs: options.weightsExpireMs,
   })
+  const stores = createStoreWatch({
+    member,
+    machine,
+    calls: options.stores,
+    decodeTable: options.decodeTable,
+    timers,
+    logger,
+  })
   const feed = createFeedSource({
     member,
     machine,
@@ -173,8 +186,9 @@
       loading: rollout.listLoading(),
       expired: watch.listExpired(),
       silent: watch.listSilent(),
+      stores: stores.listLives(),
     }),
-    conditionChanges: merge(rollout.loadingChanges, watch.changes),
+    conditionChanges: merge(rollout.loadingChanges, watch.changes, stores.changes),
     stopping,
   })
   const findUnreadyReason = () =>
@@ -224,6 +238,7 @@
     close: async (drainMs) => {
       stopping.next()
       watch.close()
+      await stores.close()
       await keeper.close()
       await rollout.close()
       const report = await server.close(drainMs)
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -9,7 +9,13 @@
 import type { PromptFacts } from './dialects.js'
 import type { PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
-import { countSharedTokens, findPlaces, findVersion, type PromptPlaces } from './sources.js'
+import {
+  countSharedTokens,
+  findPlaces,
+  findVersion,
+  type PromptPlaces,
+  type StorePlace,
+} from './sources.js'
 
 /** What a choice is made for. */
 export interface ChoiceInput {
@@ -21,6 +27,8 @@
   /** Servers that this request must not be sent to again. */
   readonly excluded: ReadonlySet<BackendServerId>
   readonly hall: string
+  /** Now, on the monotonic clock that dates what the view holds, in ms. */
+  readonly now: number
 }
 
 /** A server with the reasons for its rank. */
@@ -31,6 +39,8 @@
   readonly matchedTokens: number
   /** Address of another server to fetch shared parts of the prompt from. */
   readonly fetchFrom: string | undefined
+  /** Store that should get the shared parts of the prompt. */
+  readonly saveTo: StorePlace | undefined
   /** Version of the weights that it holds; undefined for plain services. */
   readonly version: number | undefined
   /** Whether all routers prefer it for what nobody is known to hold. */
@@ -58,7 +68,9 @@
 /** Way to another data hall and back, and the price of the bytes, in ms. */
 const OTHER_HALL_MS = 6
 /** Cost of weights that are older than the wanted ones: a fifth of what the answer is worth. */
-const OLD_WEIGHTS_MS = 150
+const OLD_WEIGHTS_MS = 100
+/** Time after which weights count as old once newer ones are wanted, in ms; they do from 1.5 s on. */
+const OLD_AFTER_MS = 1_300
 /** Cost of a server that loads weights: it refuses until it is done, after 1 s or so. */
 const LOADING_MS = 5_000
 /** Cost of a server that failed lately: it is used when there is no other. */
@@ -76,11 +88,15 @@
 const DRAWN_RATIO = 0.34
 const MIN_DRAWN = 2
 
+/** Part of the shared prompt that makes a server worth considering beside those drawn. */
+const HOLDER_RATIO = 0.6
+
 /** Candidate fields of a plain service. */
 const PLAIN_FACTS = {
   matchedTokens: 0,
   version: undefined,
   fetchFrom: undefined,
+  saveTo: undefined,
   isHome: false,
 } as const
 
@@ -88,6 +104,11 @@
   return b ? { calls: a.calls + b.calls, promptTokens: a.promptTokens + b.promptTokens } : a
 }
 
+function isOld({ view, now }: ChoiceInput, model: string, version: number): boolean {
+  const isOlder = version < (view.weights[model] ?? 0)
+  return isOlder && now - (view.weightsSince[model] ?? -Infinity) > OLD_AFTER_MS
+}
+
 function estimateEngineCost(
   parts: ChoiceParts,
   input: ChoiceInput,
@@ -106,13 +127,14 @@
   const queueMs = load.promptTokens / PREFILL_TOKENS_PER_MS + load.calls * RUNNING_MS
   let cost = queueMs + readMs * (1 + load.calls * DISTURBANCE_RATIO)
   if (foundTokens > matchedTokens) cost += FETCH_MS
-  if (version < (input.view.weights[prompt.model] ?? 0)) cost += OLD_WEIGHTS_MS
+  if (isOld(input, prompt.model, version)) cost += OLD_WEIGHTS_MS
   const isHome = server.id === places.findHome(version)
   if (isHome) {
     const unknownTokens = Math.max(0, countSharedTokens(prompt) - foundTokens)
     cost -= HOME_BONUS_MS + unknownTokens / PREFILL_TOKENS_PER_MS
   }
-  return { cost, matchedTokens, version, fetchFrom: source?.address, isHome }
+  const saveTo = places.findStore(version)
+  return { cost, matchedTokens, version, fetchFrom: source?.address, saveTo, isHome }
 }
 
 /** What a server costs whatever the request. */
@@ -127,12 +149,16 @@
 }
 
 /** Moves the candidates that were drawn for this request, or hold its prompt, before the others. */
-function drawCandidates(ranked: readonly Candidate[], random: RandomSource): Candidate[] {
+function drawCandidates(
+  ranked: readonly Candidate[],
+  sharedTokens: number,
+  random: RandomSource,
+): Candidate[] {
   const drawn = Math.max(MIN_DRAWN, Math.ceil(ranked.length * DRAWN_RATIO))
+  const isHolder = ({ matchedTokens }: Candidate) =>
+    matchedTokens > 0 && matchedTokens >= sharedTokens * HOLDER_RATIO
   const isTaken = (candidate: Candidate, left: number, index: number) =>
-    candidate.isHome ||
-    candidate.matchedTokens > 0 ||
-    random.next() < left / (ranked.length - index)
+    candidate.isHome || isHolder(candidate) || random.next() < left / (ranked.length - index)
   const taken: Candidate[] = []
   const rest: Candidate[] = []
   for (const [index, candidate] of ranked.entries()) {
@@ -164,5 +190,5 @@
     return { server, ...found, cost: found.cost + countPenalty(parts, input, server) + ejectedMs }
   })
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
-  return prompt ? drawCandidates(ranked, parts.random) : ranked
+  return prompt ? drawCandidates(ranked, countSharedTokens(prompt), parts.random) : ranked
 }
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -70,6 +70,8 @@
   readonly weightsVersion: number | undefined
   /** Address of another server that may hold cached parts of the prompt; undefined for none. */
   readonly fetchFrom: string | undefined
+  /** Address of a store that should get the parts once they are read; undefined for none. */
+  readonly saveTo: string | undefined
   /** Event after which a broken stream goes on. */
   readonly lastEventId: string | undefined
 }
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -22,7 +22,7 @@
 import { resolveCall } from './callPlan.js'
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
 import type { DirectInstruments, DirectParts } from './directParts.js'
-import { createPartMemory } from './partMemory.js'
+import { createPartMemory, STORE_TOKENS } from './partMemory.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
@@ -114,7 +114,9 @@
   const findCacheTokens = (server: string): number => {
     const view = feed.current()
     const group = view?.servers.get(toBackendServerId(server))?.group
-    return (group && view?.index.findGroup(group)?.engine?.cacheTokens) || 0
+    const engine = group === undefined ? undefined : view?.index.findGroup(group)?.engine
+    // A place that is no server is a store.
+    return engine?.cacheTokens ?? STORE_TOKENS
   }
   const feed = createFeedFollower({
     router: options.instance,
--- a/packages/router/src/direct/partMemory.ts
+++ b/packages/router/src/direct/partMemory.ts
@@ -27,6 +27,8 @@
 
 /** Part of an engine's memory that is presumed to be left for cached parts beside running requests. */
 const CACHED_SHARE = 0.85
+/** Tokens that a store is presumed to keep of one weights version: those known hold 635,000. */
+export const STORE_TOKENS = 400_000
 /** Engines whose caches are remembered: several times those of a large fleet. */
 const MAX_ENGINES = 2_000
 /** Placements that are kept for the other routers; more than one poll brings. */
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -11,7 +11,7 @@
 import { rankServers, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
-import { buildPlacement } from './partMemory.js'
+import { buildPlacement, STORE_TOKENS } from './partMemory.js'
 import {
   PROMISING_STATUSES,
   relayAnswer,
@@ -53,6 +53,8 @@
   private current: Send | undefined
   private timeout: Subscription | undefined
   private sends = 0
+  /** Time from arrival to the first part of the answer, in ms. */
+  private firstPartMs: number | undefined
   private ticket: CallTicket | undefined
   private stopWaiting: () => void = () => {}
 
@@ -92,8 +94,9 @@
     const { parts, plan } = this
     this.ticket?.recordFirstPart()
     this.ticket?.recordSign()
-    if (this.relay.lastId() !== undefined) return
-    parts.instruments.firstPartMs.record(parts.timers.now() - plan.arrivedAt)
+    if (this.firstPartMs !== undefined) return
+    this.firstPartMs = parts.timers.now() - plan.arrivedAt
+    parts.instruments.firstPartMs.record(this.firstPartMs)
   }
 
   /** Ends all work for a request whose caller is gone or was answered. */
@@ -102,7 +105,8 @@
     this.isOver = true
     this.current?.cancel()
     this.ticket?.finish('none')
-    this.log('call.end', { outcome: reason })
+    const { firstPartMs } = this
+    this.log('call.end', { outcome: reason, firstPartMs })
     this.stopWaiting()
   }
 
@@ -176,6 +180,7 @@
       formatScope: (version) => formatCacheScope(plan.team, version),
       excluded: this.excluded,
       hall: parts.hall,
+      now: parts.timers.now(),
     })
     const allowed = isUsedUp ? ranked.filter(({ server }) => this.sentTo.has(server.id)) : ranked
     const [best] = allowed
@@ -189,6 +194,7 @@
       team: plan.team?.id,
       shared: plan.call.prompt?.parts.slice(0, -1).map(({ id, tokens }) => `${id}:${tokens}`),
       fetchFrom: best.fetchFrom,
+      saveTo: best.saveTo?.address,
       next: allowed[1] && `${allowed[1].server.id}:${Math.round(allowed[1].cost)}`,
     })
     return best
@@ -212,6 +218,7 @@
       cacheScope: version === undefined ? undefined : formatCacheScope(plan.team, version),
       weightsVersion: version,
       fetchFrom: candidate.fetchFrom,
+      saveTo: candidate.saveTo?.address,
       lastEventId: this.relay.lastId() ?? plan.call.lastEventId,
     })
   }
@@ -229,8 +236,11 @@
     parts.instruments.matchedTokens.add(candidate.matchedTokens)
     const scope = formatCacheScope(plan.team, candidate.version)
     const cacheTokens = plan.group.engine?.cacheTokens ?? 0
-    const placement = buildPlacement(candidate.server.id, candidate.version, scope, prompt.parts)
-    parts.memory.recordOwn(placement, cacheTokens)
+    const { server, version, saveTo } = candidate
+    parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts), cacheTokens)
+    if (!saveTo) return
+    const stored = buildPlacement(saveTo.id, version, scope, prompt.parts.slice(0, -1))
+    parts.memory.recordOwn(stored, STORE_TOKENS)
   }
 
   private async sendTo(candidate: Candidate): Promise<SendEnd> {
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -3,7 +3,7 @@
  * engine where every router sends them first, which all work out alike without a word between them.
  */
 import type { FleetView, RegisteredServer } from '@spoolgate/control'
-import type { BackendServerId } from '@spoolgate/core'
+import { toBackendServerId, type BackendServerId } from '@spoolgate/core'
 import { hashText } from '@spoolgate/routing'
 import type { PromptFacts, PromptPart } from './dialects.js'
 import type { PartMemory } from './partMemory.js'
@@ -24,6 +24,8 @@
   readonly known: readonly Source[]
   /** Engine that should read what nobody is known to hold, by weights version. */
   findHome(version: number): BackendServerId | undefined
+  /** Store that should get the shared parts for a version; undefined where it has them, or is down. */
+  findStore(version: number): StorePlace | undefined
   /** Where to fetch from for an engine of a version; undefined where there is nothing to gain. */
   findSource(version: number, reader: BackendServerId, matchedTokens: number): Source | undefined
 }
@@ -44,6 +46,15 @@
   return prompt.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0)
 }
 
+/** A store as the memory of parts knows it: one life, one weights version. */
+export interface StorePlace {
+  readonly id: BackendServerId
+  readonly address: string
+}
+
+/** Shared parts of fewer tokens are read again sooner than a store is asked. */
+const MIN_STORED_TOKENS = 1_000
+
 interface Engine {
   readonly server: RegisteredServer
   readonly version: number
@@ -104,13 +115,27 @@
       engines.filter((engine) => engine.version === version),
     )
   }
+  const sharedTokens = countSharedTokens(prompt)
+  const [life] = sharedTokens < MIN_STORED_TOKENS ? [] : view.stores
+  const findStoreSource = (version: number): Source | undefined => {
+    if (!life) return undefined
+    const id = toBackendServerId(`store/${life.address}/${life.epoch}/${version}`)
+    const matchedTokens = memory.countMatched(id, version, formatScope(version), shared)
+    return { id, address: life.address, version, matchedTokens }
+  }
   return {
     known,
+    findStore: (version) => {
+      const store = findStoreSource(version)
+      return store && store.matchedTokens < sharedTokens ? store : undefined
+    },
     findHome: (version) => (shared.length === 0 ? undefined : findHomeEngine(version)?.server.id),
     findSource: (version, reader, matchedTokens) => {
       if (shared.length === 0) return undefined
       const holder = known.find((source) => source.version === version && source.id !== reader)
-      if (holder && holder.matchedTokens > matchedTokens) return holder
+      const store = findStoreSource(version)
+      const best = holder && holder.matchedTokens >= (store?.matchedTokens ?? 0) ? holder : store
+      if (best && best.matchedTokens > matchedTokens) return best
       if (holder || matchedTokens > 0) return undefined
       const home = findHomeEngine(version)
       if (!home || home.server.id === reader) return undefined
