feat(router): tell dead servers from slow ones by a connection

What: a silent server is looked at by a connection and is dead only while it accepts none; failures raise a server's cost in proportion instead of ejecting it; long and short prompts prefer engines of their own.

--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -7,8 +7,10 @@
 import type { BackendServerId, RandomSource } from '@spoolgate/core'
 import type { ServerGroup } from '@spoolgate/routing'
 import type { PromptFacts } from './dialects.js'
+import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
+import { LONG_PROMPT_TOKENS, type PromptKind, type WorkSplit } from './workSplit.js'
 import {
   countSharedTokens,
   findPlaces,
@@ -51,7 +53,9 @@
 export interface ChoiceParts {
   readonly board: ServerBoard
   readonly memory: PartMemory
+  readonly liveness: Liveness
   readonly random: RandomSource
+  readonly split: WorkSplit
 }
 
 /** Prompt tokens that an engine reads in a ms; 57 on the deployments known. */
@@ -73,8 +77,16 @@
 const OLD_AFTER_MS = 1_300
 /** Cost of a server that loads weights: it refuses until it is done, after 1 s or so. */
 const LOADING_MS = 5_000
-/** Cost of a server that failed lately: it is used when there is no other. */
-const EJECTED_MS = 10_000
+/** Cost of a server that accepts no connections: it is used when there is no other. */
+const DEAD_MS = 10_000
+/** Cost of a server that fails every request, in ms; in proportion for one that fails some. */
+const FAILING_MS = 400
+/** Cost of a long prompt among short ones: it holds up the answers that are being generated. */
+const LONG_AMONG_SHORT_MS = 300
+/** Cost of a short prompt among long ones: each of its tokens waits for pieces of prompts. */
+const SHORT_AMONG_LONG_MS = 120
+/** Time of an engine for each token of an answer, among others, in ms. */
+const TOKEN_MS = 0.3
 /** Cost of a server that missed heartbeats; it may be cut off from control only. */
 const SILENT_MS = 400
 /** Fetching shared parts from another server instead of reading them, in ms. */
@@ -104,6 +116,34 @@
   return b ? { calls: a.calls + b.calls, promptTokens: a.promptTokens + b.promptTokens } : a
 }
 
+/** Says what kind of work a prompt is. */
+function findKind(prompt: PromptFacts): PromptKind {
+  return prompt.promptTokens >= LONG_PROMPT_TOKENS ? 'long' : 'short'
+}
+
+/** Notes the work of a request that is sent to a candidate. */
+export function recordWork(
+  split: WorkSplit,
+  group: string,
+  prompt: PromptFacts,
+  matchedTokens: number,
+): void {
+  const readMs = (prompt.promptTokens - matchedTokens) / PREFILL_TOKENS_PER_MS
+  split.record(group, findKind(prompt), readMs + prompt.maxTokens * TOKEN_MS)
+}
+
+/** What it costs that a server is meant for prompts of the other kind. */
+function countSidePenalty(
+  { forLong }: PromptPlaces,
+  prompt: PromptFacts,
+  server: RegisteredServer,
+): number {
+  if (!forLong) return 0
+  const isForLong = forLong.has(server.id)
+  if (findKind(prompt) === 'long') return isForLong ? 0 : LONG_AMONG_SHORT_MS
+  return isForLong ? SHORT_AMONG_LONG_MS : 0
+}
+
 function isOld({ view, now }: ChoiceInput, model: string, version: number): boolean {
   const isOlder = version < (view.weights[model] ?? 0)
   return isOlder && now - (view.weightsSince[model] ?? -Infinity) > OLD_AFTER_MS
@@ -118,7 +158,7 @@
   load: ServerLoad,
 ): Omit<Candidate, 'server'> {
   const version = findVersion(server, prompt.model, parts.board)
-  if (version === undefined) return { ...PLAIN_FACTS, cost: EJECTED_MS }
+  if (version === undefined) return { ...PLAIN_FACTS, cost: DEAD_MS }
   const scope = input.formatScope(version)
   const matchedTokens = parts.memory.countMatched(server.id, version, scope, prompt.parts)
   const source = places.findSource(version, server.id, matchedTokens)
@@ -133,6 +173,7 @@
     const unknownTokens = Math.max(0, countSharedTokens(prompt) - foundTokens)
     cost -= HOME_BONUS_MS + unknownTokens / PREFILL_TOKENS_PER_MS
   }
+  cost += countSidePenalty(places, prompt, server)
   const saveTo = places.findStore(version)
   return { cost, matchedTokens, version, fetchFrom: source?.address, saveTo, isHome }
 }
@@ -144,7 +185,8 @@
   if (server.hall !== hall) cost += OTHER_HALL_MS
   if (view.silent.has(server.id)) cost += SILENT_MS
   if (view.loading.has(server.id)) cost += LOADING_MS
-  if (parts.board.isSuspect(server.id)) cost += EJECTED_MS
+  if (parts.liveness.isDead(server.id)) cost += DEAD_MS
+  cost += parts.board.findFailureRate(server.id) * FAILING_MS
   return cost
 }
 
@@ -172,22 +214,27 @@
 /** Ranks the servers of a group that may take the request, the best first. */
 export function rankServers(parts: ChoiceParts, input: ChoiceInput): Candidate[] {
   const { view, group, prompt, excluded, formatScope } = input
-  const { board, memory } = parts
+  const { board, memory, liveness } = parts
   const inGroup = [...view.servers.values()].filter(
     (server) => server.group === group.name && server.phase === 'ready',
   )
   const usable = inGroup.filter(({ id }) => !excluded.has(id) && !view.expired.has(id))
-  const ejected = board.listEjected(inGroup)
+  const alive = inGroup.filter(({ id }) => !liveness.isDead(id) && !view.silent.has(id))
+  const forLong =
+    prompt &&
+    parts.split.listForLong(
+      group.name,
+      alive.map(({ id }) => id),
+    )
   const places =
-    prompt && findPlaces({ view, prompt, servers: inGroup, formatScope, board, memory })
+    prompt && findPlaces({ view, prompt, servers: alive, formatScope, board, memory, forLong })
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
     const found =
       prompt && places
         ? estimateEngineCost(parts, input, prompt, places, server, load)
         : { ...PLAIN_FACTS, cost: load.calls * PLAIN_WORK_MS }
-    const ejectedMs = ejected.has(server.id) ? EJECTED_MS : 0
-    return { server, ...found, cost: found.cost + countPenalty(parts, input, server) + ejectedMs }
+    return { server, ...found, cost: found.cost + countPenalty(parts, input, server) }
   })
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
   return prompt ? drawCandidates(ranked, countSharedTokens(prompt), parts.random) : ranked
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -3,9 +3,11 @@
 import type { FeedFollower } from '@spoolgate/control'
 import type { Counter, Histogram, Logger, RandomSource, TimerService } from '@spoolgate/core'
 import type { BackendDialect, CallerDialect } from './dialects.js'
+import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
 import type { RetryShare } from './retryShare.js'
 import type { ServerBoard } from './serverBoard.js'
+import type { WorkSplit } from './workSplit.js'
 
 /** Instruments of a direct router. */
 export interface DirectInstruments {
@@ -26,7 +28,9 @@
   readonly backend: BackendDialect
   readonly agent: Agent
   readonly board: ServerBoard
+  readonly liveness: Liveness
   readonly memory: PartMemory
+  readonly split: WorkSplit
   readonly retries: RetryShare
   readonly timers: TimerService
   readonly random: RandomSource
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -22,10 +22,12 @@
 import { resolveCall } from './callPlan.js'
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
 import type { DirectInstruments, DirectParts } from './directParts.js'
+import { createLiveness, openProbe } from './liveness.js'
 import { createPartMemory, STORE_TOKENS } from './partMemory.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
+import { createWorkSplit } from './workSplit.js'
 
 /** Options of {@link createDirectRouter}. */
 export interface DirectRouterOptions {
@@ -111,6 +113,11 @@
   const board = createServerBoard(timers)
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const memory = createPartMemory()
+  const liveness = createLiveness({
+    timers,
+    probe: openProbe,
+    isRegistered: (id) => feed.current()?.servers.has(id) ?? false,
+  })
   const findCacheTokens = (server: string): number => {
     const view = feed.current()
     const group = view?.servers.get(toBackendServerId(server))?.group
@@ -139,7 +146,9 @@
     backend: options.backend,
     agent,
     board,
+    liveness,
     memory,
+    split: createWorkSplit(timers),
     retries: createRetryShare({
       timers,
       bounds: options.retryBounds,
@@ -233,6 +242,7 @@
       const abandoned = inProgress
       for (const socket of sockets) socket.destroy()
       boundsWatch.unsubscribe()
+      liveness.close()
       await feed.close()
       agent.destroy()
       client.close()
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -5,12 +5,13 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { SpoolgateError, type BackendServerId } from '@spoolgate/core'
-import { firstValueFrom, Subject, type Subscription } from 'rxjs'
+import { firstValueFrom, type Subscription } from 'rxjs'
 import { createStreamRelay, type StreamRelay } from './answerRelay.js'
 import { formatCacheScope, isProofFresh, type CallPlan } from './callPlan.js'
-import { rankServers, type Candidate } from './choice.js'
+import { rankServers, recordWork, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
+import { CONNECT_MS } from './liveness.js'
 import { buildPlacement, STORE_TOKENS } from './partMemory.js'
 import {
   PROMISING_STATUSES,
@@ -21,10 +22,13 @@
   type SendEnd,
 } from './sendEnd.js'
 import { startSend, type Send, type SendResult } from './sendOnce.js'
-import { SUSPECT_AFTER_MS, type CallTicket } from './serverBoard.js'
+import type { CallTicket } from './serverBoard.js'
 
-/** Longest wait for a connection, in ms: a hundred times the way between data halls. */
-const CONNECT_MS = 300
+/**
+ * Time without any sign of life after which a server is looked at, in ms: above the longest work of
+ * a plain service (450 ms) and the reading of most prompts, below the callers' patience.
+ */
+const SUSPECT_AFTER_MS = 700
 /** Sends of one request, whatever became of them; bounds the work of a request nobody takes. */
 const MAX_SENDS = 4
 /** Seconds after which a caller may try again when every server refused. */
@@ -236,6 +240,7 @@
     parts.instruments.matchedTokens.add(candidate.matchedTokens)
     const scope = formatCacheScope(plan.team, candidate.version)
     const cacheTokens = plan.group.engine?.cacheTokens ?? 0
+    recordWork(parts.split, plan.group.name, prompt, candidate.matchedTokens)
     const { server, version, saveTo } = candidate
     parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts), cacheTokens)
     if (!saveTo) return
@@ -258,7 +263,7 @@
       connectMs: CONNECT_MS,
     })
     this.current = send
-    const result = await this.waitForHead(send)
+    const result = await this.waitForHead(send, candidate)
     if (result.kind === 'notSent' || result.kind === 'forbidden') this.mayHaveRun = couldHaveRun
     if (result.kind !== 'head') return result
     const { message } = result
@@ -279,20 +284,23 @@
   }
 
   /**
-   * Waits for the head of an answer. A server that gives no sign of life is given up on where the
-   * request may go to another.
+   * Waits for the head of an answer. A server without any sign of life is looked at; where it is
+   * dead, the request goes to another if it may.
    */
-  private async waitForHead(send: Send): Promise<SendResult | Abandoned> {
-    const isOnce = this.plan.route.repeatability === 'once'
-    if (isOnce || this.relay.hasBegun()) return send.result
-    const giveUp = new Subject<Abandoned>()
-    const watch = this.parts.timers.after(SUSPECT_AFTER_MS).subscribe(() => {
-      if (!this.ticket?.isUnanswered() || !this.mayRepeat()) return
-      giveUp.next({ kind: 'abandoned', reason: `no sign of life for ${SUSPECT_AFTER_MS} ms` })
-      send.cancel()
+  private async waitForHead(send: Send, candidate: Candidate): Promise<SendResult | Abandoned> {
+    let result: SendResult | undefined
+    const isAnswered = send.result.then((found) => {
+      result = found
     })
-    const result = await Promise.race([send.result, firstValueFrom(giveUp)])
-    watch.unsubscribe()
+    while (!result) {
+      const late = firstValueFrom(this.parts.timers.after(SUSPECT_AFTER_MS))
+      await Promise.race([isAnswered, late])
+      if (result || this.isOver || !this.ticket?.isUnanswered()) continue
+      const isAlive = await this.parts.liveness.checkAlive(candidate.server)
+      if (result || isAlive || this.isOver || !this.mayRepeat()) continue
+      send.cancel()
+      return { kind: 'abandoned', reason: 'the backend server accepts no connections' }
+    }
     return result
   }
 
@@ -311,12 +319,12 @@
   private async settle(candidate: Candidate, end: SendEnd): Promise<boolean> {
     const outcomes = {
       answered: 'ok',
-      notSent: 'unreachable',
+      notSent: 'none',
       forbidden: 'none',
       notRun: 'none',
       failed: 'failed',
       lost: 'failed',
-      abandoned: 'failed',
+      abandoned: 'none',
     } as const
     this.ticket?.finish(outcomes[end.kind])
     if (end.kind !== 'answered') {
@@ -327,8 +335,11 @@
       case 'answered':
         this.stop('answered')
         return true
-      case 'abandoned':
       case 'notSent':
+        this.parts.liveness.recordDead(candidate.server)
+        this.excluded.add(candidate.server.id)
+        return false
+      case 'abandoned':
         this.excluded.add(candidate.server.id)
         return false
       case 'forbidden':
--- a/packages/router/src/direct/serverBoard.ts
+++ b/packages/router/src/direct/serverBoard.ts
@@ -2,7 +2,9 @@
 import type { BackendServerId, TimerService } from '@spoolgate/core'
 import type { ServerLoad, ServerLoads } from '@spoolgate/control'
 import { LRUCache } from 'lru-cache'
-import { createEjection, type EjectableServer } from '@spoolgate/routing'
+
+/** How a call ended, as far as it says something of the server. */
+export type CallOutcome = 'ok' | 'failed' | 'none'
 
 /** A call in progress at a backend server. */
 export interface CallTicket {
@@ -13,7 +15,7 @@
   /** Whether the server has given no sign of life since the call was sent. */
   isUnanswered(): boolean
   /** Notes the end of the call. */
-  finish(outcome: 'ok' | 'failed' | 'unreachable' | 'none'): void
+  finish(outcome: CallOutcome): void
 }
 
 /** First-hand knowledge; see {@link createServerBoard}. */
@@ -21,88 +23,68 @@
   /** Notes that a call is sent. */
   open(server: BackendServerId, promptTokens: number): CallTicket
   findLoad(server: BackendServerId): ServerLoad
+  listLoads(): ServerLoads
   /** Notes the weights version that a server named in an answer. */
   recordVersion(server: BackendServerId, version: number): void
   /** Finds the highest weights version that a server was seen with; 0 for none. */
   findVersion(server: BackendServerId): number
-  listLoads(): ServerLoads
-  /** Whether a call waits for long at a server that gave no sign of life since. */
-  isSuspect(server: BackendServerId): boolean
-  /** Lists those of `servers` that failed lately and should rest. */
-  listEjected(servers: readonly EjectableServer[]): ReadonlySet<BackendServerId>
+  /** Part of the last calls that a server failed, from 0 to 1. */
+  findFailureRate(server: BackendServerId): number
 }
 
-/** Most backend servers of a group that may be ejected at once, as a share of them. */
-const MAX_EJECTED_RATIO = 0.5
-/** Incarnations of servers whose version is remembered: several times those of a large fleet. */
-const MAX_VERSIONS = 5_000
-/**
- * Time without any sign of life after which a server is suspected, in ms: above the longest work of
- * a plain service (450 ms) and the reading of most prompts, below the callers' patience.
- */
-export const SUSPECT_AFTER_MS = 700
-const TINY_MS = 1e-3
+/** Incarnations of servers that are remembered: several times those of a large fleet. */
+const MAX_SERVERS = 5_000
+/** Weight of the last call in the failure rate: about ten calls count. */
+const FAILURE_WEIGHT = 0.1
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
 /** Creates a board without calls. */
 export function createServerBoard(timers: TimerService): ServerBoard {
   const loads = new Map<BackendServerId, ServerLoad>()
-  /** Start of each call in progress by server, oldest first. */
-  const openedAt = new Map<BackendServerId, Set<number>>()
-  const signAt = new Map<BackendServerId, number>()
-  const versions = new LRUCache<BackendServerId, number>({ max: MAX_VERSIONS })
-  const ejection = createEjection({ findMaxRatio: () => MAX_EJECTED_RATIO })
+  const signAt = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
+  const versions = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
+  const failureRates = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
+
   const addLoad = (server: BackendServerId, calls: number, promptTokens: number) => {
     const load = loads.get(server) ?? NO_LOAD
     const next = { calls: load.calls + calls, promptTokens: load.promptTokens + promptTokens }
     if (next.calls <= 0) loads.delete(server)
     else loads.set(server, next)
   }
-  const recordOutcome = (server: BackendServerId, outcome: 'ok' | 'failed' | 'unreachable') => {
-    const now = timers.now()
-    ejection.record(server, outcome === 'ok' ? 'ok' : 'failed', now)
-    // Nobody listens there: a second proof is not needed.
-    if (outcome === 'unreachable') ejection.record(server, 'failed', now)
+  const recordOutcome = (server: BackendServerId, outcome: CallOutcome) => {
+    if (outcome === 'none') return
+    const rate = failureRates.get(server) ?? 0
+    const last = outcome === 'failed' ? 1 : 0
+    failureRates.set(server, rate + FAILURE_WEIGHT * (last - rate))
   }
   return {
     open: (server, promptTokens) => {
+      const openedAt = timers.now()
       let pendingTokens = promptTokens
       let isOpen = true
-      // Calls of one instant are told apart by a fraction that no clock shows.
-      const at = timers.now() + Math.random() * TINY_MS
-      const opened = openedAt.get(server) ?? new Set()
-      openedAt.set(server, opened.add(at))
       addLoad(server, 1, promptTokens)
-      const recordFirstPart = () => {
-        if (pendingTokens === 0) return
-        addLoad(server, 0, -pendingTokens)
-        pendingTokens = 0
-      }
       return {
-        recordFirstPart,
+        recordFirstPart: () => {
+          if (pendingTokens === 0 || !isOpen) return
+          addLoad(server, 0, -pendingTokens)
+          pendingTokens = 0
+        },
         recordSign: () => void signAt.set(server, timers.now()),
-        isUnanswered: () => (signAt.get(server) ?? -Infinity) < at,
+        isUnanswered: () => (signAt.get(server) ?? -Infinity) < openedAt,
         finish: (outcome) => {
           if (!isOpen) return
           isOpen = false
-          opened.delete(at)
-          if (opened.size === 0) openedAt.delete(server)
           addLoad(server, -1, -pendingTokens)
-          if (outcome !== 'none') recordOutcome(server, outcome)
+          recordOutcome(server, outcome)
         },
       }
     },
+    findLoad: (server) => loads.get(server) ?? NO_LOAD,
+    listLoads: () => Object.fromEntries(loads),
     recordVersion: (server, version) => {
       if (version > (versions.get(server) ?? 0)) versions.set(server, version)
     },
     findVersion: (server) => versions.get(server) ?? 0,
-    findLoad: (server) => loads.get(server) ?? NO_LOAD,
-    isSuspect: (server) => {
-      const [oldest] = openedAt.get(server) ?? []
-      if (oldest === undefined || timers.now() - oldest < SUSPECT_AFTER_MS) return false
-      return (signAt.get(server) ?? -Infinity) < oldest
-    },
-    listLoads: () => Object.fromEntries(loads),
-    listEjected: (servers) => ejection.listEjected(servers, timers.now()),
+    findFailureRate: (server) => failureRates.get(server) ?? 0,
   }
 }
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -8,6 +8,7 @@
 import type { PromptFacts, PromptPart } from './dialects.js'
 import type { PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
+import { LONG_PROMPT_TOKENS } from './workSplit.js'
 
 /** An engine that may hold shared parts of a prompt. */
 export interface Source {
@@ -20,6 +21,8 @@
 
 /** What is known of the whereabouts of a prompt's shared parts. */
 export interface PromptPlaces {
+  /** Engines that should take long prompts; undefined where the group is not divided. */
+  readonly forLong: ReadonlySet<BackendServerId> | undefined
   /** Engines that this router knows to hold some, the most first. */
   readonly known: readonly Source[]
   /** Engine that should read what nobody is known to hold, by weights version. */
@@ -34,11 +37,13 @@
 export interface PlacesInput {
   readonly view: FleetView
   readonly prompt: PromptFacts
-  /** Engines of the group. */
+  /** Engines of the group that answer. */
   readonly servers: readonly RegisteredServer[]
   readonly formatScope: (version: number) => string
   readonly board: ServerBoard
   readonly memory: PartMemory
+  /** Engines that should take long prompts; undefined where the group is not divided. */
+  readonly forLong: ReadonlySet<BackendServerId> | undefined
 }
 
 /** Counts the tokens of all parts but the last, which belongs to the request alone. */
@@ -88,10 +93,10 @@
 
 /** Finds where the shared parts of a prompt are. */
 export function findPlaces(input: PlacesInput): PromptPlaces {
-  const { view, prompt, board, memory, formatScope } = input
+  const { view, prompt, board, memory, formatScope, forLong } = input
   const shared = prompt.parts.slice(0, -1)
   const engines = input.servers
-    .filter(({ id }) => !view.loading.has(id) && !view.silent.has(id) && !board.isSuspect(id))
+    .filter(({ id }) => !view.loading.has(id))
     .flatMap((server): Engine[] => {
       const version = findVersion(server, prompt.model, board)
       return version === undefined ? [] : [{ server, version }]
@@ -104,6 +109,8 @@
     .filter(({ matchedTokens }) => matchedTokens > 0)
     .sort((a, b) => b.matchedTokens - a.matchedTokens)
 
+  const isLong = prompt.promptTokens >= LONG_PROMPT_TOKENS
+  const isOnSide = ({ server }: Engine) => !forLong || forLong.has(server.id) === isLong
   /** Home of the first level that nobody of a version is known to hold. */
   const findHomeEngine = (version: number) => {
     const best = known.find((source) => source.version === version)?.matchedTokens ?? 0
@@ -112,7 +119,7 @@
     const depth = levels === -1 ? shared.length : levels + 1
     return findFirst(
       formatKey(shared.slice(0, depth)),
-      engines.filter((engine) => engine.version === version),
+      engines.filter((engine) => engine.version === version && isOnSide(engine)),
     )
   }
   const sharedTokens = countSharedTokens(prompt)
@@ -125,6 +132,7 @@
   }
   return {
     known,
+    forLong,
     findStore: (version) => {
       const store = findStoreSource(version)
       return store && store.matchedTokens < sharedTokens ? store : undefined
