feat(control): load weights into idle engines, and into a part of the live ones

What: the leader first lets an engine become idle, 1.5 s long, or 3 s at most; what still runs then goes on under the new weights. At most 0.3 of the live engines of a group load at once.

--- a/packages/control/src/registry/engineOrders.ts
+++ b/packages/control/src/registry/engineOrders.ts
@@ -9,6 +9,8 @@
   readonly isBusy: boolean
   /** Requests that have not begun; an order would refuse them. */
   readonly waiting: number
+  /** Requests that are being worked on. */
+  readonly running: number
   /** Orders that this incarnation has taken; an order can be tied to this number. */
   readonly ordersTaken: number
 }
@@ -21,6 +23,8 @@
   readonly holder: string
   /** Rises with each order, over all leaders. */
   readonly fencing: number
+  /** Whether requests that run go on under the new weights; otherwise the load waits for them. */
+  readonly isKeepingRuns: boolean
   /** Orders that the engine must have taken before; otherwise it refuses. */
   readonly expectedOrders: number
 }
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -14,7 +14,7 @@
 import type { RaftMember } from '../raft/types.js'
 import type { ControlMachine } from '../state/controlMachine.js'
 import type { RegisteredServer } from '../state/serverState.js'
-import type { EngineOrders, OrderOutcome } from './engineOrders.js'
+import type { EngineOrders, EngineReport, OrderOutcome } from './engineOrders.js'
 import type { ServerLoads } from './feed.js'
 
 /** Options of {@link createWeightsRollout}. */
@@ -45,8 +45,15 @@
 const LOOK_PERIOD_MS = 50
 /** Time between announcing a load and ordering it, in ms: routers get the news by a waiting poll. */
 const ANNOUNCE_MS = 120
-/** Longest wait for requests that wait at the engine, which an order would refuse, in ms. */
-const WAITING_MS = 700
+/**
+ * Longest wait for an engine to become idle before it is ordered to load, in ms. One long answer
+ * kept an engine from all others for 6 s (scale-1 at Samhjalp); the last ones then go on under the
+ * new weights, which costs what they make from there on.
+ */
+const IDLE_WAIT_MS = 1_500
+const LONGEST_IDLE_WAIT_MS = 3_000
+/** Requests that may go on under the new weights after the first of these waits. */
+const MAX_KEPT_RUNS = 1
 /** Time between two looks at an engine that loads, in ms; each look costs it a request. */
 const REPORT_PERIOD_MS = 80
 /** Longest time for one load with all its tries, in ms; an order may be carried out 12 s late. */
@@ -55,16 +62,15 @@
 const LEASE_MARGIN_MS = 500
 /** Time after which an order without effect is repeated, in ms. */
 const REPEAT_ORDER_MS = 1_000
-/** Silence after which a server gets no orders, in ms: three heartbeats of 1.2 s. */
-const SILENT_MS = 3_600
+/** Silence after which a server gets no orders, in ms: two heartbeats of 1.2 s. */
+const SILENT_MS = 2_400
 /** Pause before a server whose load failed is tried again, in ms. */
 const FAILED_PAUSE_MS = 1_000
 /**
- * Part of the engines of a group that load at once, and the least: loads slow each other down
- * beyond 2 of 6, 8 of 31 and 10 of 35 on the deployments known.
+ * Part of the live engines of a group that load at once: loads slow each other down beyond 2 of 6,
+ * 8 of 31 and 10 of 35 on the deployments known, and the others carry the traffic meanwhile.
  */
-const LOADING_RATIO = 0.26
-const MIN_LOADING = 2
+const LOADING_RATIO = 0.3
 /** Orders that one leadership can number before it reaches the numbers of the next. */
 const ORDERS_PER_TERM = 1_000_000
 
@@ -78,6 +84,13 @@
   readonly held: number
 }
 
+/** Whether an engine may be ordered to load after a wait. */
+function isIdleEnough({ waiting, running }: EngineReport, waitedMs: number): boolean {
+  if (waiting === 0 && running === 0) return true
+  if (waitedMs > LONGEST_IDLE_WAIT_MS) return true
+  return waitedMs > IDLE_WAIT_MS && waiting === 0 && running <= MAX_KEPT_RUNS
+}
+
 /** Creates the rollout and starts its task. */
 export function createWeightsRollout(options: WeightsRolloutOptions): WeightsRollout {
   const { member, machine, orders, timers, logger } = options
@@ -106,9 +119,11 @@
     return term * ORDERS_PER_TERM + ordersGiven
   }
   const countLimit = (group: string) => {
-    const size = machine.servers.list().filter((server) => server.group === group).length
-    return Math.max(MIN_LOADING, Math.round(size * LOADING_RATIO))
+    const live = machine.servers.list().filter((server) => server.group === group && isLive(server))
+    return Math.max(1, Math.round(live.length * LOADING_RATIO))
   }
+  const isLive = ({ id, phase }: RegisteredServer) =>
+    phase === 'ready' && options.findSilenceMs(id) < SILENT_MS
   const isOutdated = (server: RegisteredServer) =>
     server.weights.find(({ model, version }) => version < (machine.weights.find(model) ?? 0))
   const listTasks = (): LoadTask[] => {
@@ -117,8 +132,7 @@
     const tasks = machine.servers.list().flatMap((server) => {
       const held = isOutdated(server)
       const isFree = !loading.has(server.id) && (pausedUntil.get(server.id) ?? 0) <= now
-      const isThere = server.phase === 'ready' && options.findSilenceMs(server.id) < SILENT_MS
-      if (!held || !isFree || !isThere) return []
+      if (!held || !isFree || !isLive(server)) return []
       return [{ server, model: held.model, held: held.version }]
     })
     const findCalls = ({ server }: LoadTask) => loads[server.id]?.calls ?? 0
@@ -130,38 +144,41 @@
     const weights = server.weights.map((held) => (held.model === model ? { model, version } : held))
     await member.propose({ kind: 'server.observe', server: { ...server, weights } })
   }
-  const sendLoad = async (task: LoadTask, version: number, term: number, ordersTaken: number) => {
+  const sendLoad = async (task: LoadTask, version: number, term: number, report: EngineReport) => {
     const order = {
       model: task.model,
       version,
       holder: options.instance,
       fencing: createFencing(term),
-      expectedOrders: ordersTaken,
+      isKeepingRuns: report.running > 0,
+      expectedOrders: report.ordersTaken,
     }
     const outcome = await orders.sendLoad(task.server, order)
     const { model, fencing } = order
-    logger.info('weights.order', { server: task.server.id, model, version, fencing, outcome })
+    const { waiting, running } = report
+    const server = task.server.id
+    logger.info('weights.order', { server, model, version, fencing, waiting, running, outcome })
     return outcome
   }
   /** Works until the engine holds the wanted version; false when it cannot be brought there. */
   const bringUp = async (task: LoadTask, term: number): Promise<boolean> => {
     const deadline = timers.now() + LOAD_TIMEOUT_MS
     let orderedAt = -Infinity
-    const orderBy = timers.now() + WAITING_MS
+    const startedAt = timers.now()
     const mayGoOn = () => timers.now() < deadline && isLeading(term) && !stopping.signal.aborted
     while (mayGoOn()) {
       const wanted = machine.weights.find(task.model) ?? 0
       const report = await orders.fetchReport(task.server, task.model)
-      const { version = 0, isBusy, ordersTaken, waiting } = report
+      const { version = 0, isBusy } = report
       if (version >= wanted) {
         await recordVersion(task, version)
         return true
       }
-      const isDrained = waiting === 0 || timers.now() > orderBy
-      const mayOrder = !isBusy && isDrained && timers.now() - orderedAt > REPEAT_ORDER_MS
+      const isIdle = isIdleEnough(report, timers.now() - startedAt)
+      const mayOrder = !isBusy && isIdle && timers.now() - orderedAt > REPEAT_ORDER_MS
       if (mayOrder && mayGoOn()) {
         orderedAt = timers.now()
-        const outcome = await sendLoad(task, wanted, term, ordersTaken)
+        const outcome = await sendLoad(task, wanted, term, report)
         if (HOPELESS.has(outcome)) return false
         if (outcome === 'conflict') orderedAt = -Infinity
       }
