--- a/packages/control/src/__tests__/registryState.spec.ts
+++ b/packages/control/src/__tests__/registryState.spec.ts
@@ -41,6 +41,16 @@
     expect(restored.list()).to.deep.equal([])
   })
 
+  it('give way to another one at their address, and take it back by a later heartbeat', () => {
+    const servers = createServerState()
+    servers.observe({ kind: 'server.observe', server: buildServer() })
+    const next = buildServer({ id: toBackendServerId('i-2') })
+    servers.observe({ kind: 'server.observe', server: next })
+    expect(servers.list()).to.deep.equal([next])
+    servers.observe({ kind: 'server.observe', server: buildServer() })
+    expect(servers.list()).to.deep.equal([buildServer()])
+  })
+
   it('may leave before they were ever seen', () => {
     const servers = createServerState()
     servers.retire({ kind: 'server.retire', id: ID, phase: 'gone' })
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -110,6 +110,11 @@
     observe: ({ server }) => {
       if (retired.has(server.id)) return { phase: 'gone' }
       revision += 1
+      // One address belongs to one server. The other is not gone for good: this may be a late word
+      // of the one that had the address before, and the next heartbeat then puts it right.
+      for (const other of servers.values()) {
+        if (other.address === server.address && other.id !== server.id) servers.delete(other.id)
+      }
       const merged = mergeServer(servers.get(server.id), server)
       servers.set(server.id, merged)
       return { phase: merged.phase }
--- a/packages/core/src/__tests__/core.spec.ts
+++ b/packages/core/src/__tests__/core.spec.ts
@@ -5,6 +5,7 @@
   createHttpClient,
   createHttpServer,
   createInvariants,
+  createLineBudget,
   createManualTimerService,
   createQuietLogger,
   createTimerService,
@@ -16,6 +17,24 @@
   type HttpServer,
 } from '../index.js'
 
+describe('the budget of log lines', () => {
+  it('drops what goes over it and says how many, once there is room', () => {
+    const timers = createManualTimerService()
+    const lines: string[] = []
+    const write = createLineBudget({
+      timers,
+      linesPerSecond: 2,
+      write: (line) => lines.push(line),
+      formatDropped: (count) => `dropped ${count}`,
+    })
+    for (const line of ['a', 'b', 'c', 'd']) write(line)
+    expect(lines).to.deep.equal(['a', 'b'])
+    timers.advance(1_000)
+    write('e')
+    expect(lines).to.deep.equal(['a', 'b', 'dropped 2', 'e'])
+  })
+})
+
 describe('caller keys', () => {
   it('name their owner, and nobody else', () => {
     const keyring = createCallerKeyring([
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,7 @@
   type LoggerOptions,
   type LogLevel,
 } from './logger.js'
+export { createLineBudget, type LineBudgetOptions } from './lineBudget.js'
 export { createMetrics, type Counter, type Histogram, type Metrics } from './metrics.js'
 export {
   INVARIANTS,
