--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -66,7 +66,7 @@
   readonly timers: TimerService
   /** @default 800, well above a pause of the processor and below the bound on changes */
   readonly electionMs?: number
-  /** @default 120 */
+  /** @default 100 */
   readonly heartbeatMs?: number
   /** Called when the disk failed; the daemon must then end. */
   readonly onFailure?: (cause: unknown) => void
@@ -84,8 +84,8 @@
   close(drainMs: number): Promise<CloseReport>
 }
 
-const DEFAULT_ELECTION_MS = 800
-const DEFAULT_HEARTBEAT_MS = 120
+const DEFAULT_ELECTION_MS = 500
+const DEFAULT_HEARTBEAT_MS = 100
 /** Entries between snapshots: tables of 100 KB then stay under 7 MB on a disk of 64 MB. */
 const SNAPSHOT_EVERY = 64
 
