fix(router): an unframed answer that is reset with its last bytes is broken

Where the reset arrives in the same turn as the last bytes, Node reports an end without any error.

What: at the end of such an answer the socket is asked for the address of its other side, which a reset connection no longer has. The test failed first.

--- a/packages/router/src/__tests__/answerRelay.spec.ts
+++ b/packages/router/src/__tests__/answerRelay.spec.ts
@@ -55,6 +55,15 @@
     expect(await readAnswerBody(message)).to.equal(undefined)
   })
 
+  it('takes it as broken also when the reset comes together with the last bytes', async () => {
+    server = await startScripted((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf', () =>
+        setImmediate(() => socket.resetAndDestroy()),
+      )
+    })
+    expect(await readAnswerBody(await ask(server, agent))).to.equal(undefined)
+  })
+
   it('takes an answer as broken when bytes are missing', async () => {
     server = await startScripted((socket) => {
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf')
--- a/packages/router/src/direct/answerRelay.ts
+++ b/packages/router/src/direct/answerRelay.ts
@@ -9,22 +9,39 @@
 /** How reading an answer's body ended. */
 export type BodyEnd = 'whole' | 'broken'
 
+/** Watches whether an answer that ends with its connection ends in order. */
+interface EndWatch {
+  isWhole(): boolean
+}
+
 /**
- * Whether an answer that ended is whole. Node takes a reset for the end of an answer that has neither
- * a length nor chunks, since such an answer ends with its connection.
+ * Watches the end of an answer. One that has neither a length nor chunks ends with its connection,
+ * and Node takes a reset for such an end: by an error that it swallows, or, where the reset comes
+ * together with the last bytes, as an end without any error. Only a socket that was reset has lost
+ * the address of its other side by then.
  */
-function isWholeAnswer(message: IncomingMessage): boolean {
+function watchEnd(message: IncomingMessage): EndWatch {
   const { 'content-length': length, 'transfer-encoding': coding } = message.headers
   const isFramed = length !== undefined || coding !== undefined
-  return message.complete && (isFramed || message.socket.errored === null)
+  const { socket } = message
+  let isReset = false
+  if (!isFramed) {
+    socket.prependOnceListener('end', () => {
+      isReset = socket.remoteAddress === undefined
+    })
+  }
+  return {
+    isWhole: () => message.complete && (isFramed || (!isReset && socket.errored === null)),
+  }
 }
 
 /** Collects a body whole; undefined when it broke off. */
 export function readAnswerBody(message: IncomingMessage): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
+    const watch = watchEnd(message)
     message.on('data', (chunk: Buffer) => chunks.push(chunk))
-    message.on('end', () => resolve(isWholeAnswer(message) ? Buffer.concat(chunks) : undefined))
+    message.on('end', () => resolve(watch.isWhole() ? Buffer.concat(chunks) : undefined))
     message.on('error', () => resolve(undefined))
     message.on('close', () => resolve(undefined))
   })
@@ -100,9 +117,10 @@
     relay: (message, headers) =>
       new Promise((resolve) => {
         const cutter = createEventCutter()
+        const watch = watchEnd(message)
         message.on('data', (chunk: Buffer) => pass(message, headers, cut(cutter, chunk)))
         message.on('end', () => {
-          const isWhole = isWholeAnswer(message) && !cutter.hasPart()
+          const isWhole = watch.isWhole() && !cutter.hasPart()
           if (isWhole && !hasBegun) {
             hasBegun = true
             writeHead(response, message.statusCode ?? 200, headers)
