--- /dev/null
+++ b/packages/control/src/__tests__/weightsRollout.spec.ts
@@ -0,0 +1,194 @@
+import {
+  createManualTimerService,
+  createQuietLogger,
+  toBackendServerId,
+  type BackendServerId,
+  type ManualTimerService,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import type { EngineReport, LoadOrder } from '../registry/engineOrders.js'
+import { createServerWatch } from '../registry/serverWatch.js'
+import { createWeightsRollout, type WeightsRollout } from '../registry/weightsRollout.js'
+import type { RaftMember, RaftStatus } from '../raft/types.js'
+import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
+
+const STEP_MS = 10
+const ORDER_LEASE_MS = 3_000
+
+/** One engine as the rollout sees it. */
+interface TestEngine extends EngineReport {
+  version: number
+  running: number
+}
+
+/** A leader whose engines are objects and whose time moves by hand. */
+class TestLeader {
+  readonly timers: ManualTimerService = createManualTimerService()
+  readonly machine: ControlMachine = createControlMachine()
+  readonly engines = new Map<BackendServerId, TestEngine>()
+  readonly orders: (LoadOrder & { server: BackendServerId; at: number })[] = []
+  status = { role: 'leader', term: 1, hasLease: true } as RaftStatus
+  loadedAtOnce = 0
+  readonly rollout: WeightsRollout
+
+  constructor() {
+    const member = {
+      status: () => this.status,
+      propose: async (command: unknown) => this.machine.apply(command, 1),
+    } as unknown as RaftMember
+    this.rollout = createWeightsRollout({
+      member,
+      machine: this.machine,
+      orders: {
+        fetchReport: async ({ id }) => ({ ...(this.engines.get(id) as TestEngine) }),
+        sendLoad: async ({ id }, order) => {
+          this.orders.push({ ...order, server: id, at: this.timers.now() })
+          ;(this.engines.get(id) as TestEngine).version = order.version
+          return 'taken'
+        },
+      },
+      instance: 'control-1',
+      timers: this.timers,
+      logger: createQuietLogger(),
+      orderLeaseMs: ORDER_LEASE_MS,
+      sumLoads: () => ({}),
+      findSilenceMs: () => 0,
+    })
+  }
+
+  addEngine(name: string, version = 1, running = 0): TestEngine {
+    const id = toBackendServerId(name)
+    const engine = { version, isBusy: false, waiting: 0, running, ordersTaken: 7 }
+    this.engines.set(id, engine)
+    const server = {
+      id,
+      group: 'g',
+      address: name,
+      hall: 'h',
+      phase: 'ready' as const,
+      slots: 4,
+      weights: [{ model: 'm', version }],
+    }
+    this.machine.servers.observe({ kind: 'server.observe', server })
+    return engine
+  }
+
+  nameWeights(version: number): void {
+    this.machine.weights.name({ kind: 'weights.name', model: 'm', version })
+  }
+
+  async run(duration: number): Promise<void> {
+    for (let spent = 0; spent < duration; spent += STEP_MS) {
+      this.timers.advance(STEP_MS)
+      await new Promise((resolve) => setImmediate(resolve))
+      this.loadedAtOnce = Math.max(this.loadedAtOnce, this.rollout.listLoading().length)
+    }
+  }
+}
+
+describe('the rollout of weights', () => {
+  let leader: TestLeader
+
+  beforeEach(() => {
+    leader = new TestLeader()
+  })
+  afterEach(async () => {
+    const closing = leader.rollout.close()
+    await leader.run(100)
+    await closing
+  })
+
+  it('brings the oldest weights up first, a part of the engines at a time, by rising numbers', async () => {
+    for (const [index, name] of ['a', 'b', 'c', 'd', 'e', 'f', 'g'].entries()) {
+      leader.addEngine(name, index === 4 ? 1 : 2)
+    }
+    leader.nameWeights(3)
+    await leader.run(5_000)
+    expect(leader.orders[0].server).to.equal('e')
+    expect(leader.orders).to.have.length(7)
+    expect(leader.loadedAtOnce).to.equal(2)
+    const numbers = leader.orders.map(({ fencing }) => fencing)
+    expect(numbers).to.deep.equal([...numbers].sort((a, b) => a - b))
+    expect(new Set(numbers).size).to.equal(7)
+    expect(leader.orders.every(({ expectedOrders }) => expectedOrders === 7)).to.equal(true)
+  })
+
+  it('skips a version that was overtaken', async () => {
+    leader.addEngine('a')
+    leader.nameWeights(2)
+    leader.nameWeights(5)
+    await leader.run(1_000)
+    expect(leader.orders.map(({ version }) => version)).to.deep.equal([5])
+  })
+
+  it('lets an engine become idle, and lets a last long answer go on', async () => {
+    const engine = leader.addEngine('a', 1, 3)
+    leader.nameWeights(2)
+    await leader.run(1_000)
+    expect(leader.orders).to.have.length(0)
+    engine.running = 1
+    await leader.run(1_000)
+    expect(leader.orders).to.have.length(1)
+    expect(leader.orders[0].isKeepingRuns).to.equal(true)
+  })
+
+  it('waits out the orders of an earlier leader', async () => {
+    await leader.run(100)
+    leader.status = { ...leader.status, term: 2 }
+    leader.addEngine('a')
+    leader.nameWeights(2)
+    await leader.run(ORDER_LEASE_MS)
+    expect(leader.orders).to.have.length(0)
+    await leader.run(1_000)
+    expect(leader.orders).to.have.length(1)
+    expect(leader.orders[0].at).to.be.above(ORDER_LEASE_MS + 100)
+  })
+
+  it('orders nothing without the lease', async () => {
+    leader.status = { ...leader.status, hasLease: false }
+    leader.addEngine('a')
+    leader.nameWeights(2)
+    await leader.run(2_000)
+    expect(leader.orders).to.have.length(0)
+  })
+})
+
+describe('the watch over servers', () => {
+  it('names servers whose weights are too old, one that comes late included', () => {
+    const timers = createManualTimerService()
+    const machine = createControlMachine()
+    const watch = createServerWatch({
+      machine,
+      timers,
+      findSilenceMs: () => 0,
+      silentAfterMs: 1_000,
+      weightsExpireMs: 7_000,
+    })
+    const observe = (name: string, version: number) =>
+      machine.apply(
+        {
+          kind: 'server.observe',
+          server: {
+            id: toBackendServerId(name),
+            group: 'g',
+            address: name,
+            hall: 'h',
+            phase: 'ready',
+            slots: 1,
+            weights: [{ model: 'm', version }],
+          },
+        },
+        1,
+      )
+    observe('old', 1)
+    observe('new', 2)
+    machine.apply({ kind: 'weights.name', model: 'm', version: 2 }, 2)
+    timers.advance(6_900)
+    expect(watch.listExpired()).to.deep.equal([])
+    timers.advance(200)
+    expect(watch.listExpired()).to.deep.equal(['old'])
+    observe('late', 1)
+    expect(watch.listExpired()).to.deep.equal(['old', 'late'])
+    watch.close()
+  })
+})
--- /dev/null
+++ b/packages/router/src/__tests__/refusals.spec.ts
@@ -0,0 +1,28 @@
+import { expect } from 'chai'
+import { rankPriority } from '../direct/callPlan.js'
+import { createRefusal, createTimeoutError, findComeBackSeconds } from '../direct/refusals.js'
+
+describe('refusals', () => {
+  it('promise that nothing ran only where nothing can have run', () => {
+    expect(createRefusal(false, 0.2)).to.include({ status: 503, notRun: true })
+    expect(createRefusal(false, 0.2).retryAfterSeconds).to.equal(0.2)
+    expect(createRefusal(true, 0.2)).to.include({ status: 502, notRun: false })
+    expect(createTimeoutError(false)).to.include({ status: 503, notRun: true })
+    expect(createTimeoutError(true)).to.include({ status: 504, notRun: false })
+  })
+
+  it('come at once for a request that would wait too long, and say when to come back', () => {
+    expect(findComeBackSeconds(500)).to.equal(undefined)
+    expect(findComeBackSeconds(1_500)).to.be.within(0.15, 0.25)
+    expect(findComeBackSeconds(60_000)).to.equal(1)
+  })
+})
+
+describe('the rank of a request', () => {
+  it('is decided by the team, then by the route, and never leaves the scale', () => {
+    expect(rankPriority(undefined, 2)).to.equal(2)
+    expect(rankPriority(0, 2)).to.be.below(rankPriority(1, 0))
+    expect(rankPriority(1, 0)).to.be.below(rankPriority(1, 1))
+    expect(rankPriority(99, 99)).to.equal(9)
+  })
+})
