feat: know from the engines' own events what they keep, and fetch from where it is soonest

Routers presumed caches from what was sent and evicted by a model of their own.

Change: the leader keeps one waiting call open to each engine and store and tells routers through the feed; parts that are only presumed can be fetched once they must have been read; a fetch is named for an engine that seems to have everything too, in case it lost some; sources are compared by the time of the move over their links and halls; a token that is kept elsewhere and read again costs 0.03 ms more.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -32,7 +32,14 @@
   OrderOutcome,
 } from './registry/engineOrders.js'
 export { createFeedFollower, type FeedFollower, type FleetView } from './registry/feedFollower.js'
-export type { StoreCalls } from './registry/storeWatch.js'
-export type { Placement, ServerLoad, ServerLoads, StoreLife } from './registry/feed.js'
+export type { CacheCalls, CacheNews } from './registry/cacheWatch.js'
+export type { KeptPart } from './registry/keptParts.js'
+export type {
+  KeptPlacement,
+  Placement,
+  ServerLoad,
+  ServerLoads,
+  StoreLife,
+} from './registry/feed.js'
 export type { HeldWeights, RegisteredServer, ServerPhase } from './state/serverState.js'
 export type { HeldTable } from './state/tableState.js'
--- /dev/null
+++ b/packages/control/src/registry/cacheWatch.ts
@@ -0,0 +1,184 @@
+/**
+ * What engines and stores of KV cache keep, and which stores answer in which life. The leader keeps
+ * one waiting call open to each; routers are told through the feed.
+ */
+import { toSpoolgateError, waitFor, type Logger, type TimerService } from '@spoolgate/core'
+import type { RoutingTable } from '@spoolgate/routing'
+import { Subject, type Observable } from 'rxjs'
+import type { RaftMember } from '../raft/types.js'
+import type { ControlMachine } from '../state/controlMachine.js'
+import type { Placement, StoreLife } from './feed.js'
+import { createKeptParts, type CachePlace, type KeptPart } from './keptParts.js'
+
+/** Speaks to what keeps KV cache; deployments bring their own way. */
+export interface CacheCalls {
+  /**
+   * Waits at an engine or store until something changed there after `after`, or for a while.
+   * @throws ConnectionError or SpoolgateError when there is no readable answer.
+   */
+  waitForChanges(address: string, after: number, signal: AbortSignal): Promise<CacheNews>
+  /**
+   * Fetches the whole list; it holds up the work there.
+   * @throws ConnectionError or SpoolgateError when there is no readable answer.
+   */
+  listParts(address: string, signal: AbortSignal): Promise<readonly KeptPart[]>
+}
+
+/** What an engine or store says of its changes. */
+export interface CacheNews {
+  /** Changes with each restart. */
+  readonly epoch: number
+  /** Number after which the next call waits for changes. */
+  readonly next: number
+  /** Whether changes before these are missing. */
+  readonly hasGap: boolean
+  readonly changes: readonly KeptPart[]
+}
+
+/** Options of {@link createCacheWatch}. */
+export interface CacheWatchOptions {
+  readonly member: RaftMember
+  readonly machine: ControlMachine
+  readonly calls: CacheCalls
+  readonly decodeTable: (document: string) => RoutingTable
+  readonly timers: TimerService
+  readonly logger: Logger
+  /** Called with what routers are to be told. */
+  readonly onKept: (placements: readonly Placement[]) => void
+}
+
+/** The watch; see {@link createCacheWatch}. */
+export interface CacheWatch {
+  /** Stores that answered last time. */
+  listLives(): readonly StoreLife[]
+  /** Lists all that is known to be kept. */
+  listKept(): Placement[]
+  /** Emits when the lives of stores changed. */
+  readonly changes: Observable<void>
+  close(): Promise<void>
+}
+
+/** Time between two looks at what there is to watch, in ms. */
+const LOOK_PERIOD_MS = 300
+/** Pause between two calls to one place, in ms: what routers know is about this old. */
+const PAUSE_MS = 100
+/** Added to the pause for each place, in ms, so that the leader makes 60 calls a second at most. */
+const PAUSE_PER_PLACE_MS = 16
+/** Pause after a place did not answer, in ms. */
+const FAILED_PAUSE_MS = 300
+/** Engines up to which the leader watches them; beyond, their events would outgrow its part. */
+const MAX_ENGINES = 48
+
+/** Identity under which a place is watched: a store whatever its life, an engine's incarnation. */
+interface WatchedPlace {
+  readonly key: string
+  readonly address: string
+  /** Incarnation of an engine; undefined for a store. */
+  readonly engine: string | undefined
+}
+
+/** Creates the watch and starts its task. */
+export function createCacheWatch(options: CacheWatchOptions): CacheWatch {
+  const { member, machine, calls, timers, logger } = options
+  const stopping = new AbortController()
+  const changes = new Subject<void>()
+  const lives = new Map<string, number>()
+  const watched = new Map<string, WatchedPlace>()
+  const kept = createKeptParts()
+  let tableVersion: number | undefined
+  let stores: readonly WatchedPlace[] = []
+
+  const readStores = () => {
+    const held = machine.table.current()
+    if (!held || held.version === tableVersion) return stores
+    tableVersion = held.version
+    stores = options
+      .decodeTable(held.document)
+      .stores.map(({ address }) => ({ key: address, address, engine: undefined }))
+    return stores
+  }
+  const listEngines = (): WatchedPlace[] => {
+    const engines = machine.servers.list().filter(({ weights }) => weights.length > 0)
+    if (engines.length > MAX_ENGINES) return []
+    return engines.map(({ id, address }) => ({ key: id, address, engine: id }))
+  }
+  const listPlaces = () =>
+    member.status().role === 'leader' ? [...readStores(), ...listEngines()] : []
+
+  const recordLife = (address: string, epoch: number | undefined) => {
+    const before = lives.get(address)
+    if (before === epoch) return
+    if (before !== undefined) kept.forget({ kind: 'store', address, epoch: before })
+    if (epoch === undefined) lives.delete(address)
+    else lives.set(address, epoch)
+    logger.info('store.life', { address, epoch, before })
+    changes.next()
+  }
+  const toCachePlace = ({ address, engine }: WatchedPlace, epoch: number): CachePlace =>
+    engine === undefined
+      ? { kind: 'store', address, epoch }
+      : { kind: 'engine', id: engine, address }
+  const applyNews = async (place: WatchedPlace, news: CacheNews) => {
+    if (place.engine === undefined) recordLife(place.address, news.epoch)
+    const at = toCachePlace(place, news.epoch)
+    if (!news.hasGap) return options.onKept(kept.apply(at, news.changes))
+    const parts = await calls.listParts(place.address, stopping.signal)
+    logger.info('cache.listed', { place: place.key, parts: parts.length, reason: 'events lost' })
+    options.onKept(kept.replace(at, parts))
+  }
+  const recordLost = (place: WatchedPlace, cause: unknown) => {
+    const { key, address, engine } = place
+    const isKnown = engine === undefined ? lives.has(address) : true
+    const reason = toSpoolgateError(cause).message
+    if (isKnown) logger.warn('cache.lost', { place: key, reason })
+    if (engine === undefined) recordLife(address, undefined)
+  }
+  const isWatching = ({ key }: WatchedPlace) => !stopping.signal.aborted && watched.has(key)
+  const watchPlace = async (place: WatchedPlace) => {
+    let after = 0
+    let epoch: number | undefined
+    while (isWatching(place)) {
+      try {
+        const news = await calls.waitForChanges(place.address, after, stopping.signal)
+        if (!isWatching(place)) break
+        // Numbers start anew with each life.
+        const isOtherLife = epoch !== undefined && news.epoch !== epoch
+        epoch = news.epoch
+        after = isOtherLife ? 0 : news.next
+        if (!isOtherLife) await applyNews(place, news)
+        await waitFor(timers, PAUSE_MS + watched.size * PAUSE_PER_PLACE_MS, stopping.signal)
+      } catch (cause) {
+        if (!isWatching(place)) break
+        recordLost(place, cause)
+        await waitFor(timers, FAILED_PAUSE_MS, stopping.signal)
+      }
+    }
+    if (place.engine === undefined) recordLife(place.address, undefined)
+    else kept.forget({ kind: 'engine', id: place.engine, address: place.address })
+  }
+  const look = () => {
+    const places = new Map(listPlaces().map((place) => [place.key, place]))
+    for (const key of watched.keys()) if (!places.has(key)) watched.delete(key)
+    for (const [key, place] of places) {
+      if (watched.has(key)) continue
+      watched.set(key, place)
+      void watchPlace(place)
+    }
+  }
+  const run = async () => {
+    while (!stopping.signal.aborted) {
+      look()
+      await waitFor(timers, LOOK_PERIOD_MS, stopping.signal)
+    }
+  }
+  const running = run()
+  return {
+    listLives: () => [...lives].map(([address, epoch]) => ({ address, epoch })),
+    listKept: kept.list,
+    changes,
+    close: async () => {
+      stopping.abort()
+      await running
+    },
+  }
+}
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -27,6 +27,12 @@
  */
 export type Placement = readonly [server: string, version: number, ...hashesAndTokens: number[]]
 
+/**
+ * What an engine or store keeps, in the same form: parts with 0 tokens are gone. It comes from their
+ * own cache events, while a {@link Placement} of a router says what will be read there.
+ */
+export type KeptPlacement = Placement
+
 /** Placements in one reply; at 60 bytes each they stay under 15 KB a second. */
 export const MAX_PLACEMENTS_PER_REPLY = 100
 
@@ -62,6 +68,8 @@
   readonly placements: readonly Placement[]
   /** Number of the last placement that this router was told of, as this term counts them. */
   readonly placementsSeen: number
+  /** Number of the last change of what is kept that this router was told of, in the same way. */
+  readonly keptSeen: number
   /** Longest wait for something new, in ms. */
   readonly waitMs: number
 }
@@ -86,4 +94,7 @@
   readonly placements: readonly Placement[]
   /** Number of the last placement so far. */
   readonly placementsSeen: number
+  /** Changes of what is kept since the last reply, or all that is kept. */
+  readonly kept: readonly KeptPlacement[]
+  readonly keptSeen: number
 }
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -19,6 +19,7 @@
   FEED_PATH,
   type FeedReply,
   type FeedRequest,
+  type KeptPlacement,
   type Placement,
   type ServerConditions,
   type ServerLoads,
@@ -42,6 +43,8 @@
   readonly takePlacements: () => Placement[]
   /** Called with what other routers placed. */
   readonly onPlacements: (placements: readonly Placement[]) => void
+  /** Called with what engines and stores say that they keep. */
+  readonly onKept: (placements: readonly KeptPlacement[]) => void
 }
 
 /** What a router knows of the fleet. */
@@ -126,6 +129,7 @@
   let term = NO_VERSION
   let revision = NO_VERSION
   let placementsSeen = 0
+  let keptSeen = 0
   let provenAt = -Infinity
   let view: FleetView | undefined
   /** Instance that answered last. */
@@ -160,8 +164,10 @@
     term = reply.term
     revision = reply.revision
     placementsSeen = reply.placementsSeen
+    keptSeen = reply.keptSeen
     rebuildView()
     options.onPlacements(reply.placements)
+    options.onKept(reply.kept)
     if (isChanged && view) changes.next(view)
   }
   const askInstance = async (url: string, waitMs: number, answerMs: number) => {
@@ -174,6 +180,7 @@
       loads: options.listLoads(),
       placements: options.takePlacements(),
       placementsSeen,
+      keptSeen,
       waitMs,
     }
     const timeout = AbortSignal.timeout(waitMs + answerMs)
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -4,8 +4,15 @@
 import type { ServerResponse } from 'node:http'
 import type { RaftMember } from '../raft/types.js'
 import type { ControlMachine } from '../state/controlMachine.js'
-import type { FeedReply, FeedRequest, ServerConditions, ServerLoad, ServerLoads } from './feed.js'
-
+import {
+  MAX_PLACEMENTS_PER_REPLY,
+  type FeedReply,
+  type FeedRequest,
+  type KeptPlacement,
+  type ServerConditions,
+  type ServerLoad,
+  type ServerLoads,
+} from './feed.js'
 import { createPlacementLog } from './placementLog.js'
 
 /** Options of {@link createFeedSource}. */
@@ -16,6 +23,8 @@
   readonly findConditions: () => ServerConditions
   /** Emits when the conditions changed. */
   readonly conditionChanges: Observable<void>
+  /** Lists all that engines and stores keep, for a router that knows nothing. */
+  readonly listKept: () => KeptPlacement[]
   /** Emits when the instance stops: waiting polls are answered at once. */
   readonly stopping: Observable<unknown>
 }
@@ -27,6 +36,8 @@
    * @throws SpoolgateError unless this instance leads and holds its lease.
    */
   answer(request: FeedRequest, response: ServerResponse): Promise<FeedReply>
+  /** Notes what engines and stores keep now, for all routers. */
+  addKept(placements: readonly KeptPlacement[]): void
   /** Sums up what all routers have in progress. */
   sumLoads(): ServerLoads
 }
@@ -35,6 +46,8 @@
 const ROUTER_LIFE_MS = 3_000
 /** Longest wait that a router may ask for, in ms. */
 const MAX_WAIT_MS = 1_000
+/** Sender of what comes from no router. */
+const NOBODY = 'nobody'
 
 interface RouterView {
   readonly loads: ServerLoads
@@ -56,6 +69,7 @@
   const { member, machine, timers } = options
   const routers = new Map<string, RouterView>()
   const placements = createPlacementLog()
+  const kept = createPlacementLog()
   let placementsTerm: number | undefined
   let revision = 0
   const changes = merge(machine.fleetChanges, options.conditionChanges)
@@ -74,8 +88,13 @@
     return Object.fromEntries(total)
   }
   /** A router that heard another leader last has heard nothing of this one's numbers. */
-  const findSeen = ({ term, placementsSeen }: FeedRequest) =>
-    term === member.status().term ? placementsSeen : 0
+  const findSeen = (request: FeedRequest, field: 'placementsSeen' | 'keptSeen') =>
+    request.term === member.status().term ? request[field] : 0
+  const listKeptSince = (request: FeedRequest): KeptPlacement[] => {
+    const seen = findSeen(request, 'keptSeen')
+    const isTooMuch = seen === 0 || kept.last() - seen > MAX_PLACEMENTS_PER_REPLY
+    return isTooMuch ? options.listKept() : kept.listSince(NOBODY, seen)
+  }
   const addPlacements = (request: FeedRequest) => {
     const { term } = member.status()
     if (term !== placementsTerm) placements.reset()
@@ -101,8 +120,10 @@
       ...(isOtherTable ? { table } : {}),
       routers: listRouters().length,
       loads: sumOthers(request.router),
-      placements: placements.listSince(request.router, findSeen(request)),
+      placements: placements.listSince(request.router, findSeen(request, 'placementsSeen')),
       placementsSeen: placements.last(),
+      kept: listKeptSince(request),
+      keptSeen: kept.last(),
     }
     if (request.term === term && request.revision === revision) return common
     return {
@@ -127,6 +148,7 @@
       member.checkCurrent()
       return buildReply(request)
     },
+    addKept: (changes) => kept.add(NOBODY, changes),
     sumLoads: () => sumOthers(undefined),
   }
 }
--- /dev/null
+++ b/packages/control/src/registry/keptParts.ts
@@ -0,0 +1,110 @@
+/**
+ * Which prompt parts each engine and store keeps, as the leader learns it from their cache events,
+ * in the form in which routers are told: placements whose parts have 0 tokens are gone.
+ */
+import { formatStoreId, hashPart, parseScopeVersion } from '@spoolgate/routing'
+import type { Placement } from './feed.js'
+
+/** A part of a prompt as an engine or store keeps it. */
+export interface KeptPart {
+  /** What the part was read under. */
+  readonly scope: string
+  readonly id: string
+  /** Tokens of it that are kept now; 0 once it is gone. */
+  readonly tokens: number
+}
+
+/** Where parts are kept. */
+export type CachePlace =
+  | { readonly kind: 'engine'; readonly id: string; readonly address: string }
+  | { readonly kind: 'store'; readonly address: string; readonly epoch: number }
+
+/** The index; see {@link createKeptParts}. */
+export interface KeptParts {
+  /** Applies changes at a place, in order; returns what routers are to be told. */
+  apply(place: CachePlace, changes: readonly KeptPart[]): Placement[]
+  /** Replaces all that is known of a place by a full list; returns the differences. */
+  replace(place: CachePlace, parts: readonly KeptPart[]): Placement[]
+  /** Forgets a place that is gone. */
+  forget(place: CachePlace): void
+  /** Lists all that is kept, for a router that knows nothing. */
+  list(): Placement[]
+}
+
+interface VersionParts {
+  readonly place: string
+  readonly version: number
+  /** Tokens by the hash of the part. */
+  readonly tokens: Map<number, number>
+}
+
+/** Name of a place for one weights version, as routers know it. */
+function formatPlaceId(place: CachePlace, version: number): string {
+  if (place.kind === 'engine') return place.id
+  return formatStoreId(place.address, place.epoch, version)
+}
+
+function formatPlaceKey(place: CachePlace): string {
+  return place.kind === 'engine' ? place.id : `${place.address}/${place.epoch}`
+}
+
+/** Creates an index that knows of nothing. */
+export function createKeptParts(): KeptParts {
+  const places = new Map<string, Map<number, VersionParts>>()
+
+  const openVersions = (place: CachePlace) => {
+    const key = formatPlaceKey(place)
+    const versions = places.get(key) ?? new Map<number, VersionParts>()
+    places.set(key, versions)
+    return versions
+  }
+  const openParts = (place: CachePlace, version: number) => {
+    const versions = openVersions(place)
+    const known = versions.get(version)
+    if (known) return known
+    // An engine drops what it read under earlier weights; a store keeps it.
+    if (place.kind === 'engine') versions.clear()
+    const created = { place: formatPlaceId(place, version), version, tokens: new Map() }
+    versions.set(version, created)
+    return created
+  }
+  const isOutdated = (place: CachePlace, version: number) => {
+    if (place.kind === 'store') return false
+    return Math.max(...openVersions(place).keys(), 0) > version
+  }
+  const apply: KeptParts['apply'] = (place, changes) => {
+    const told = new Map<number, number[]>()
+    for (const { scope, id, tokens } of changes) {
+      const version = parseScopeVersion(scope)
+      if (version === undefined || isOutdated(place, version)) continue
+      const hash = hashPart(scope, id)
+      const parts = openParts(place, version).tokens
+      if (tokens > 0) parts.set(hash, tokens)
+      else parts.delete(hash)
+      const pairs = told.get(version) ?? []
+      pairs.push(hash, tokens)
+      told.set(version, pairs)
+    }
+    return [...told].map(([version, pairs]) => [formatPlaceId(place, version), version, ...pairs])
+  }
+  return {
+    apply,
+    replace: (place, parts) => {
+      const listed = new Set(parts.map(({ scope, id }) => hashPart(scope, id)))
+      const gone: Placement[] = []
+      for (const { place: name, version, tokens } of openVersions(place).values()) {
+        const missing = [...tokens.keys()].filter((hash) => !listed.has(hash))
+        for (const hash of missing) tokens.delete(hash)
+        if (missing.length > 0) gone.push([name, version, ...missing.flatMap((hash) => [hash, 0])])
+      }
+      return [...gone, ...apply(place, parts)]
+    },
+    forget: (place) => void places.delete(formatPlaceKey(place)),
+    list: () =>
+      [...places.values()].flatMap((versions) =>
+        [...versions.values()]
+          .filter(({ tokens }) => tokens.size > 0)
+          .map(({ place, version, tokens }): Placement => [place, version, ...[...tokens].flat()]),
+      ),
+  }
+}
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -30,12 +30,12 @@
 import { createRaftRoute } from '../server/groupRoutes.js'
 import { createHttpTransport } from '../server/raftTransport.js'
 import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
+import { createCacheWatch, type CacheCalls } from './cacheWatch.js'
 import type { EngineOrders } from './engineOrders.js'
 import { FEED_PATH, type FeedRequest } from './feed.js'
 import { createFeedSource } from './feedSource.js'
 import { createFleetOperator, OPERATION_PATH, type FleetOperator } from './fleetOperations.js'
 import { createServerWatch } from './serverWatch.js'
-import { createStoreWatch, type StoreCalls } from './storeWatch.js'
 import { createWeightsRollout } from './weightsRollout.js'
 
 /** Options of {@link createRegistryControl}. */
@@ -53,7 +53,7 @@
   /** Voters that the group should have. */
   readonly wantedVoters: number
   readonly orders: EngineOrders
-  readonly stores: StoreCalls
+  readonly cacheCalls: CacheCalls
   /** Decodes the operators' document. */
   readonly decodeTable: (document: string) => RoutingTable
   /** Time for which orders of an earlier leader may still count, in ms. */
@@ -170,13 +170,14 @@
     silentAfterMs: options.silentAfterMs,
     weightsExpireMs: options.weightsExpireMs,
   })
-  const stores = createStoreWatch({
+  const caches = createCacheWatch({
     member,
     machine,
-    calls: options.stores,
+    calls: options.cacheCalls,
     decodeTable: options.decodeTable,
     timers,
     logger,
+    onKept: (placements) => feed.addKept(placements),
   })
   const feed = createFeedSource({
     member,
@@ -186,9 +187,10 @@
       loading: rollout.listLoading(),
       expired: watch.listExpired(),
       silent: watch.listSilent(),
-      stores: stores.listLives(),
+      stores: caches.listLives(),
     }),
-    conditionChanges: merge(rollout.loadingChanges, watch.changes, stores.changes),
+    conditionChanges: merge(rollout.loadingChanges, watch.changes, caches.changes),
+    listKept: caches.listKept,
     stopping,
   })
   const findUnreadyReason = () =>
@@ -238,7 +240,7 @@
     close: async (drainMs) => {
       stopping.next()
       watch.close()
-      await stores.close()
+      await caches.close()
       await keeper.close()
       await rollout.close()
       const report = await server.close(drainMs)
--- a/packages/router/src/__tests__/directParts.spec.ts
+++ b/packages/router/src/__tests__/directParts.spec.ts
@@ -78,10 +78,15 @@
   })
 })
 
+function createMemory(cacheTokens = 10_000) {
+  const timers = createManualTimerService()
+  return createPartMemory({ timers, findCacheTokens: () => cacheTokens })
+}
+
 describe('the memory of cached parts', () => {
   it('counts the leading parts that an engine was sent, under one version and scope only', () => {
-    const memory = createPartMemory()
-    memory.record(buildPlacement(S1, 2, 'shared', PARTS), 10_000)
+    const memory = createMemory()
+    memory.record(buildPlacement(S1, 2, 'shared', PARTS))
     const others = [...PARTS.slice(0, 2), { id: 'another', tokens: 9 }]
     expect(memory.countMatched(S1, 2, 'shared', others)).to.equal(150)
     expect(memory.countMatched(S1, 3, 'shared', others)).to.equal(0)
@@ -89,25 +94,51 @@
   })
 
   it('forgets what new weights dropped, and does not let late news bring it back', () => {
-    const memory = createPartMemory()
-    memory.record(buildPlacement(S1, 2, 'shared', PARTS), 10_000)
-    memory.record(buildPlacement(S1, 3, 'shared', PARTS.slice(0, 1)), 10_000)
-    memory.record(buildPlacement(S1, 2, 'shared', PARTS), 10_000)
+    const memory = createMemory()
+    memory.record(buildPlacement(S1, 2, 'shared', PARTS))
+    memory.record(buildPlacement(S1, 3, 'shared', PARTS.slice(0, 1)))
+    memory.record(buildPlacement(S1, 2, 'shared', PARTS))
     expect(memory.countMatched(S1, 2, 'shared', PARTS)).to.equal(0)
     expect(memory.countMatched(S1, 3, 'shared', PARTS)).to.equal(100)
   })
 
   it('gives up the parts unused longest when an engine is full', () => {
-    const memory = createPartMemory()
-    memory.record(buildPlacement(S1, 1, 'shared', [{ id: 'old', tokens: 60 }]), 100)
-    memory.record(buildPlacement(S1, 1, 'shared', [{ id: 'new', tokens: 60 }]), 100)
+    const memory = createMemory(100)
+    memory.record(buildPlacement(S1, 1, 'shared', [{ id: 'old', tokens: 60 }]))
+    memory.record(buildPlacement(S1, 1, 'shared', [{ id: 'new', tokens: 60 }]))
     expect(memory.countMatched(S1, 1, 'shared', [{ id: 'old', tokens: 60 }])).to.equal(0)
     expect(memory.countMatched(S1, 1, 'shared', [{ id: 'new', tokens: 60 }])).to.equal(60)
   })
 
+  it('lets others fetch what an engine says that it keeps, and what it must have read by now', () => {
+    const timers = createManualTimerService()
+    const memory = createPartMemory({ timers, findCacheTokens: () => 10_000 })
+    memory.record(buildPlacement(S1, 1, 'shared', PARTS))
+    expect(memory.countMatched(S1, 1, 'shared', PARTS)).to.equal(170)
+    expect(memory.countReady(S1, 1, 'shared', PARTS)).to.equal(0)
+    memory.confirm(buildPlacement(S1, 1, 'shared', PARTS.slice(0, 2)))
+    expect(memory.countReady(S1, 1, 'shared', PARTS)).to.equal(150)
+    timers.advance(1_000)
+    expect(memory.countReady(S1, 1, 'shared', PARTS)).to.equal(170)
+  })
+
+  it('counts a part that is kept in part, and nothing behind it or behind one that is gone', () => {
+    const memory = createMemory()
+    memory.confirm(buildPlacement(S1, 1, 'shared', PARTS))
+    const keep = (id: string, tokens: number) =>
+      memory.confirm(buildPlacement(S1, 1, 'shared', [{ id, tokens }]))
+    keep('inner', 32)
+    expect(memory.countMatched(S1, 1, 'shared', PARTS)).to.equal(132)
+    // Engines keep whole blocks: what is missing here is less than one.
+    keep('inner', 48)
+    expect(memory.countMatched(S1, 1, 'shared', PARTS)).to.equal(168)
+    keep('outer', 0)
+    expect(memory.countMatched(S1, 1, 'shared', PARTS)).to.equal(0)
+  })
+
   it('hands its own placements to the other routers once', () => {
-    const memory = createPartMemory()
-    memory.recordOwn(buildPlacement(S1, 1, 'shared', PARTS), 10_000)
+    const memory = createMemory()
+    memory.recordOwn(buildPlacement(S1, 1, 'shared', PARTS))
     expect(memory.takePlacements()).to.have.length(1)
     expect(memory.takePlacements()).to.have.length(0)
   })
--- a/packages/router/src/direct/callPlan.ts
+++ b/packages/router/src/direct/callPlan.ts
@@ -1,7 +1,13 @@
 /** Deciding what a request is: its route, its team and until when it may be worked on. */
 import type { FleetView } from '@spoolgate/control'
-import { SpoolgateError, type TeamId } from '@spoolgate/core'
-import { chooseTarget, type RouteRule, type ServerGroup, type TeamEntry } from '@spoolgate/routing'
+import { SpoolgateError } from '@spoolgate/core'
+import {
+  chooseTarget,
+  formatCacheScope,
+  type RouteRule,
+  type ServerGroup,
+  type TeamEntry,
+} from '@spoolgate/routing'
 import type { DirectCall } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 
@@ -86,7 +92,6 @@
 }
 
 /** Formats what cached prompt parts must share: weights version, and team where it is isolated. */
-export function formatCacheScope(team: TeamEntry | undefined, version: number): string {
-  const owner: TeamId | 'shared' = team?.isIsolated ? team.id : 'shared'
-  return `${owner}.v${version}`
+export function formatCallScope(team: TeamEntry | undefined, version: number): string {
+  return formatCacheScope(team?.isIsolated ? team.id : undefined, version)
 }
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -39,6 +39,8 @@
   /** Expected time to the first part, with penalties, in ms. */
   readonly cost: number
   readonly matchedTokens: number
+  /** Prompt tokens that it has to read itself: neither cached there nor fetched from elsewhere. */
+  readonly unreadTokens: number
   /** Address of another server to fetch shared parts of the prompt from. */
   readonly fetchFrom: string | undefined
   /** Store that should get the shared parts of the prompt. */
@@ -89,8 +91,11 @@
 const TOKEN_MS = 0.3
 /** Cost of a server that missed heartbeats; it may be cut off from control only. */
 const SILENT_MS = 400
-/** Fetching shared parts from another server instead of reading them, in ms. */
-const FETCH_MS = 6
+/**
+ * Cost of each shared token that is read again though it is kept elsewhere, beside the time it takes,
+ * in ms: reading 6,000 again is worth as much as an answer that comes too late.
+ */
+const REREAD_MS_PER_TOKEN = 0.03
 /**
  * Advantage of the server that all routers prefer for parts that nobody is known to hold, in ms,
  * beside the time to read them: read elsewhere, they would be read again by the next router.
@@ -106,6 +111,7 @@
 /** Candidate fields of a plain service. */
 const PLAIN_FACTS = {
   matchedTokens: 0,
+  unreadTokens: 0,
   version: undefined,
   fetchFrom: undefined,
   saveTo: undefined,
@@ -126,9 +132,9 @@
   split: WorkSplit,
   group: string,
   prompt: PromptFacts,
-  matchedTokens: number,
+  unreadTokens: number,
 ): void {
-  const readMs = (prompt.promptTokens - matchedTokens) / PREFILL_TOKENS_PER_MS
+  const readMs = unreadTokens / PREFILL_TOKENS_PER_MS
   split.record(group, findKind(prompt), readMs + prompt.maxTokens * TOKEN_MS)
 }
 
@@ -161,12 +167,15 @@
   if (version === undefined) return { ...PLAIN_FACTS, cost: DEAD_MS }
   const scope = input.formatScope(version)
   const matchedTokens = parts.memory.countMatched(server.id, version, scope, prompt.parts)
-  const source = places.findSource(version, server.id, matchedTokens)
-  const foundTokens = Math.max(matchedTokens, source?.matchedTokens ?? 0)
-  const readMs = (prompt.promptTokens - foundTokens) / PREFILL_TOKENS_PER_MS
+  const fetch = places.findFetch(version, server, matchedTokens)
+  const foundTokens = Math.max(matchedTokens, fetch?.foundTokens ?? 0)
+  const unreadTokens = prompt.promptTokens - foundTokens
+  const readMs = unreadTokens / PREFILL_TOKENS_PER_MS
   const queueMs = load.promptTokens / PREFILL_TOKENS_PER_MS + load.calls * RUNNING_MS
   let cost = queueMs + readMs * (1 + load.calls * DISTURBANCE_RATIO)
-  if (foundTokens > matchedTokens) cost += FETCH_MS
+  cost += fetch?.fetchMs ?? 0
+  const rereadTokens = Math.max(0, places.countAnywhere(version) - foundTokens)
+  cost += rereadTokens * REREAD_MS_PER_TOKEN
   if (isOld(input, prompt.model, version)) cost += OLD_WEIGHTS_MS
   const isHome = server.id === places.findHome(version)
   if (isHome) {
@@ -175,7 +184,7 @@
   }
   cost += countSidePenalty(places, prompt, server)
   const saveTo = places.findStore(version)
-  return { cost, matchedTokens, version, fetchFrom: source?.address, saveTo, isHome }
+  return { cost, matchedTokens, unreadTokens, version, fetchFrom: fetch?.address, saveTo, isHome }
 }
 
 /** What a server costs whatever the request. */
@@ -227,7 +236,17 @@
       alive.map(({ id }) => id),
     )
   const places =
-    prompt && findPlaces({ view, prompt, servers: alive, formatScope, board, memory, forLong })
+    prompt &&
+    findPlaces({
+      view,
+      prompt,
+      engine: group.engine,
+      servers: alive,
+      formatScope,
+      board,
+      memory,
+      forLong,
+    })
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
     const found =
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -11,9 +11,9 @@
   createMetrics,
   createRandomSource,
   readBody,
-  toBackendServerId,
   toSpoolgateError,
   waitFor,
+  type BackendServerId,
   type CloseReport,
   type Logger,
   type TimerService,
@@ -23,7 +23,7 @@
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
 import type { DirectInstruments, DirectParts } from './directParts.js'
 import { createLiveness, openProbe } from './liveness.js'
-import { createPartMemory, STORE_TOKENS } from './partMemory.js'
+import { createPartMemory } from './partMemory.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
@@ -67,6 +67,8 @@
   close(drainMs: number): Promise<CloseReport>
 }
 
+/** Part of an engine's memory that is presumed to be left for cached parts beside running requests. */
+const ENGINE_CACHED_RATIO = 0.85
 /** Largest header block that is read, in bytes: twice what tables allow, which is checked later. */
 const MAX_HEADER_BYTES = 32_768
 /** Time between two looks at what is in progress during a planned stop, in ms. */
@@ -112,18 +114,19 @@
   const client = createHttpClient()
   const board = createServerBoard(timers)
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
-  const memory = createPartMemory()
   const liveness = createLiveness({
     timers,
     probe: openProbe,
     isRegistered: (id) => feed.current()?.servers.has(id) ?? false,
   })
-  const findCacheTokens = (server: string): number => {
+  const memory = createPartMemory({ timers, findCacheTokens: (place) => findCacheTokens(place) })
+  const findCacheTokens = (place: BackendServerId): number => {
     const view = feed.current()
-    const group = view?.servers.get(toBackendServerId(server))?.group
+    const group = view?.servers.get(place)?.group
     const engine = group === undefined ? undefined : view?.index.findGroup(group)?.engine
+    if (engine) return engine.cacheTokens * ENGINE_CACHED_RATIO
     // A place that is no server is a store.
-    return engine?.cacheTokens ?? STORE_TOKENS
+    return Math.max(0, ...(view?.index.table.stores.map(({ cacheTokens }) => cacheTokens) ?? []))
   }
   const feed = createFeedFollower({
     router: options.instance,
@@ -135,7 +138,10 @@
     listLoads: board.listLoads,
     takePlacements: memory.takePlacements,
     onPlacements: (placements) => {
-      for (const placement of placements) memory.record(placement, findCacheTokens(placement[0]))
+      for (const placement of placements) memory.record(placement)
+    },
+    onKept: (placements) => {
+      for (const placement of placements) memory.confirm(placement)
     },
   })
   const parts: DirectParts = {
--- a/packages/router/src/direct/partMemory.ts
+++ b/packages/router/src/direct/partMemory.ts
@@ -1,51 +1,61 @@
 /**
- * What a router presumes to be cached at each model engine: the prompt parts that were sent there,
- * by itself or by other routers, up to the engine's memory, the least recently used given up first.
+ * What a router knows to be cached at each model engine and store: what they say themselves, and,
+ * until that is here, the prompt parts that were sent there by this router or by others.
  */
-import type { Placement } from '@spoolgate/control'
-import { toBackendServerId, type BackendServerId } from '@spoolgate/core'
-import { hashText } from '@spoolgate/routing'
+import type { KeptPlacement, Placement } from '@spoolgate/control'
+import { toBackendServerId, type BackendServerId, type TimerService } from '@spoolgate/core'
+import { hashPart } from '@spoolgate/routing'
 import { LRUCache } from 'lru-cache'
 import type { PromptPart } from './dialects.js'
 
-/** Presumed caches of all engines. */
+/** Caches of all engines and stores. */
 export interface PartMemory {
-  /** Counts the leading prompt tokens that are presumed to be cached. */
+  /** Counts the leading prompt tokens that are cached at an engine, or will be once it gets there. */
   countMatched(
     server: BackendServerId,
     version: number,
     scope: string,
     parts: readonly PromptPart[],
   ): number
+  /** Counts the leading prompt tokens that others can fetch from there now. */
+  countReady(
+    server: BackendServerId,
+    version: number,
+    scope: string,
+    parts: readonly PromptPart[],
+  ): number
   /** Records that an engine reads a prompt that another router sent. */
-  record(placement: Placement, cacheTokens: number): void
+  record(placement: Placement): void
   /** Records that an engine reads a prompt that this router sent. */
-  recordOwn(placement: Placement, cacheTokens: number): void
+  recordOwn(placement: Placement): void
+  /** Records what an engine or store says that it keeps, or no longer keeps. */
+  confirm(placement: KeptPlacement): void
   /** Takes the placements that were made here since the last call, for the other routers. */
   takePlacements(): Placement[]
 }
 
-/** Part of an engine's memory that is presumed to be left for cached parts beside running requests. */
-const CACHED_SHARE = 0.85
-/** Tokens that a store is presumed to keep of one weights version: those known hold 635,000. */
-export const STORE_TOKENS = 400_000
 /** Engines whose caches are remembered: several times those of a large fleet. */
 const MAX_ENGINES = 2_000
 /** Placements that are kept for the other routers; more than one poll brings. */
 const MAX_PLACEMENTS = 200
+/**
+ * Time after which a part that was sent to an engine counts as read though the engine has not said
+ * so, in ms: above the time to the first part of most answers.
+ */
+const READ_AFTER_MS = 700
+/** Tokens of a part that may be missing: engines keep whole blocks, of 16 on those known. */
+export const BLOCK_TOKENS = 16
 
-interface EngineCache {
-  readonly version: number
-  readonly tokens: LRUCache<number, number>
+interface CachedPart {
+  readonly tokens: number
+  /** Whether the engine or store itself said that it keeps the part. */
+  readonly isConfirmed: boolean
+  readonly recordedAt: number
 }
 
-/** Hashes each prefix of a prompt: a part is cached only together with everything before it. */
-function hashPrefixKeys(scope: string, parts: readonly PromptPart[]): number[] {
-  let key = scope
-  return parts.map(({ id }) => {
-    key = `${key}/${id}`
-    return hashText(key)
-  })
+interface EngineCache {
+  readonly version: number
+  readonly parts: LRUCache<number, CachedPart>
 }
 
 /** Builds the record of a prompt that is sent to an engine. */
@@ -55,52 +65,82 @@
   scope: string,
   parts: readonly PromptPart[],
 ): Placement {
-  const hashes = hashPrefixKeys(scope, parts)
-  return [server, version, ...parts.flatMap(({ tokens }, index) => [hashes[index], tokens])]
+  return [server, version, ...parts.flatMap(({ id, tokens }) => [hashPart(scope, id), tokens])]
+}
+
+/** Options of {@link createPartMemory}. */
+export interface PartMemoryOptions {
+  readonly timers: TimerService
+  /** Finds the tokens that a place has room for beside running requests. */
+  readonly findCacheTokens: (place: BackendServerId) => number
 }
 
 /** Creates an empty memory. */
-export function createPartMemory(): PartMemory {
+export function createPartMemory(options: PartMemoryOptions): PartMemory {
+  const { timers } = options
   const caches = new LRUCache<BackendServerId, EngineCache>({ max: MAX_ENGINES })
   let placements: Placement[] = []
 
-  const openCache = (server: BackendServerId, version: number, cacheTokens: number) => {
+  const openCache = (server: BackendServerId, version: number) => {
     const known = caches.get(server)
     // New weights drop everything, and late news of older ones says nothing any more.
     if (known && known.version >= version) return known
-    const maxSize = Math.max(1, Math.floor(cacheTokens * CACHED_SHARE))
-    const tokens = new LRUCache<number, number>({
+    const maxSize = Math.max(1, Math.floor(options.findCacheTokens(server)))
+    const parts = new LRUCache<number, CachedPart>({
       maxSize,
-      sizeCalculation: (size) => Math.max(1, size),
+      sizeCalculation: ({ tokens }) => Math.max(1, tokens),
     })
-    const created = { version, tokens }
+    const created = { version, parts }
     caches.set(server, created)
     return created
   }
-  const record: PartMemory['record'] = ([server, version, ...pairs], cacheTokens) => {
-    const cache = openCache(toBackendServerId(server), version, cacheTokens)
+  const apply = (placement: Placement, isConfirmed: boolean) => {
+    const [server, version, ...pairs] = placement
+    const cache = openCache(toBackendServerId(server), version)
     if (cache.version !== version) return
+    const recordedAt = timers.now()
     // Outer parts are needed by all that lies within them, so they are touched last.
     for (let index = pairs.length - 2; index >= 0; index -= 2) {
-      cache.tokens.set(pairs[index], pairs[index + 1])
+      const [hash, tokens] = [pairs[index], pairs[index + 1]]
+      if (tokens === 0) cache.parts.delete(hash)
+      // What the engine itself has said stands; being sent there again only makes it newer.
+      else if (isConfirmed || cache.parts.get(hash)?.isConfirmed !== true) {
+        cache.parts.set(hash, { tokens, isConfirmed, recordedAt })
+      }
     }
   }
-  return {
-    countMatched: (server, version, scope, parts) => {
+  const isReady = ({ isConfirmed, recordedAt }: CachedPart) =>
+    isConfirmed || timers.now() - recordedAt > READ_AFTER_MS
+  const count = (
+    cache: EngineCache,
+    scope: string,
+    parts: readonly PromptPart[],
+    isCounted: (part: CachedPart) => boolean,
+  ): number => {
+    let matched = 0
+    for (const { id, tokens } of parts) {
+      const cached = cache.parts.get(hashPart(scope, id))
+      if (!cached || !isCounted(cached)) break
+      matched += Math.min(tokens, cached.tokens)
+      if (cached.tokens + BLOCK_TOKENS <= tokens) break
+    }
+    return matched
+  }
+  const createCounter =
+    (isCounted: (part: CachedPart) => boolean): PartMemory['countMatched'] =>
+    (server, version, scope, parts) => {
       const cache = caches.get(server)
-      if (cache?.version !== version) return 0
-      let matched = 0
-      for (const [index, hash] of hashPrefixKeys(scope, parts).entries()) {
-        if (!cache.tokens.has(hash)) break
-        matched += parts[index].tokens
-      }
-      return matched
-    },
-    record,
-    recordOwn: (placement, cacheTokens) => {
-      record(placement, cacheTokens)
+      return cache?.version === version ? count(cache, scope, parts, isCounted) : 0
+    }
+  return {
+    countMatched: createCounter(() => true),
+    countReady: createCounter(isReady),
+    record: (placement) => apply(placement, false),
+    recordOwn: (placement) => {
+      apply(placement, false)
       placements.push(placement)
     },
+    confirm: (placement) => apply(placement, true),
     takePlacements: () => {
       const taken = placements.slice(-MAX_PLACEMENTS)
       placements = []
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -7,12 +7,12 @@
 import type { BackendServerId, SpoolgateError } from '@spoolgate/core'
 import { firstValueFrom, type Subscription } from 'rxjs'
 import { createStreamRelay, type StreamRelay } from './answerRelay.js'
-import { formatCacheScope, isProofFresh, type CallPlan } from './callPlan.js'
+import { formatCallScope, isProofFresh, type CallPlan } from './callPlan.js'
 import { rankServers, recordWork, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 import { CONNECT_MS } from './liveness.js'
-import { buildPlacement, STORE_TOKENS } from './partMemory.js'
+import { buildPlacement } from './partMemory.js'
 import {
   createRefusal,
   createTimeoutError,
@@ -176,7 +176,7 @@
       view,
       group: plan.group,
       prompt: plan.call.prompt,
-      formatScope: (version) => formatCacheScope(plan.team, version),
+      formatScope: (version) => formatCallScope(plan.team, version),
       excluded: this.excluded,
       hall: parts.hall,
       now: parts.timers.now(),
@@ -188,6 +188,7 @@
       server: best.server.id,
       cost: best.cost,
       matchedTokens: best.matchedTokens,
+      unreadTokens: best.unreadTokens,
       promptTokens: plan.call.prompt?.promptTokens,
       version: best.version,
       team: plan.team?.id,
@@ -224,7 +225,7 @@
       bodyBytes: this.body.length,
       leftMs,
       priority: plan.priority,
-      cacheScope: version === undefined ? undefined : formatCacheScope(plan.team, version),
+      cacheScope: version === undefined ? undefined : formatCallScope(plan.team, version),
       weightsVersion: version,
       fetchFrom: candidate.fetchFrom,
       saveTo: candidate.saveTo?.address,
@@ -235,22 +236,20 @@
   private recordSend(candidate: Candidate): void {
     const { parts, plan } = this
     const { prompt } = plan.call
-    const missing = prompt ? prompt.promptTokens - candidate.matchedTokens : 0
-    this.ticket = parts.board.open(candidate.server.id, missing)
+    this.ticket = parts.board.open(candidate.server.id, candidate.unreadTokens)
     if (this.sends === 0) parts.retries.recordFirst(plan.group.name)
     this.sends += 1
     parts.instruments.sends.add(1, { group: plan.group.name })
     if (!prompt || candidate.version === undefined) return
     parts.instruments.promptTokens.add(prompt.promptTokens)
     parts.instruments.matchedTokens.add(candidate.matchedTokens)
-    const scope = formatCacheScope(plan.team, candidate.version)
-    const cacheTokens = plan.group.engine?.cacheTokens ?? 0
-    recordWork(parts.split, plan.group.name, prompt, candidate.matchedTokens)
+    const scope = formatCallScope(plan.team, candidate.version)
+    recordWork(parts.split, plan.group.name, prompt, candidate.unreadTokens)
     const { server, version, saveTo } = candidate
-    parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts), cacheTokens)
+    parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts))
     if (!saveTo) return
     const stored = buildPlacement(saveTo.id, version, scope, prompt.parts.slice(0, -1))
-    parts.memory.recordOwn(stored, STORE_TOKENS)
+    parts.memory.recordOwn(stored)
   }
 
   private async sendTo(candidate: Candidate): Promise<SendEnd> {
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -1,42 +1,58 @@
 /**
- * Where the shared parts of a prompt are: at engines that this router sent them to, or else at the
- * engine where every router sends them first, which all work out alike without a word between them.
+ * Where the shared parts of a prompt are: at engines and stores that are known to keep them, or else
+ * at the engine where every router sends them first, which all work out alike without a word between
+ * them.
  */
 import type { FleetView, RegisteredServer } from '@spoolgate/control'
 import { toBackendServerId, type BackendServerId } from '@spoolgate/core'
-import { hashText } from '@spoolgate/routing'
+import { formatStoreId, hashText, type EngineFacts } from '@spoolgate/routing'
 import type { PromptFacts, PromptPart } from './dialects.js'
-import type { PartMemory } from './partMemory.js'
+import { BLOCK_TOKENS, type PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
 import { LONG_PROMPT_TOKENS } from './workSplit.js'
 
-/** An engine that may hold shared parts of a prompt. */
-export interface Source {
+/** An engine or store that keeps shared parts of a prompt. */
+interface Source {
   readonly id: BackendServerId
   readonly address: string
+  readonly hall: string
   readonly version: number
-  /** Leading tokens that it is presumed to hold. */
+  /** Leading tokens that can be fetched from it now. */
   readonly matchedTokens: number
+  readonly linkMbps: number
+}
+
+/** Where an engine should fetch shared parts from. */
+export interface FetchPlan {
+  readonly address: string
+  /** Leading tokens that the engine then has without reading them. */
+  readonly foundTokens: number
+  /** Time that fetching takes, in ms; waits for other fetches are not known. */
+  readonly fetchMs: number
 }
 
 /** What is known of the whereabouts of a prompt's shared parts. */
 export interface PromptPlaces {
   /** Engines that should take long prompts; undefined where the group is not divided. */
   readonly forLong: ReadonlySet<BackendServerId> | undefined
-  /** Engines that this router knows to hold some, the most first. */
-  readonly known: readonly Source[]
   /** Engine that should read what nobody is known to hold, by weights version. */
   findHome(version: number): BackendServerId | undefined
   /** Store that should get the shared parts for a version; undefined where it has them, or is down. */
   findStore(version: number): StorePlace | undefined
-  /** Where to fetch from for an engine of a version; undefined where there is nothing to gain. */
-  findSource(version: number, reader: BackendServerId, matchedTokens: number): Source | undefined
+  /** Most leading tokens that any engine or store is known to keep for a version. */
+  countAnywhere(version: number): number
+  /**
+   * Where an engine that has `matchedTokens` should fetch from. Where it seems to have everything,
+   * that is a place to turn to if it has lost some in the meantime.
+   */
+  findFetch(version: number, reader: RegisteredServer, matchedTokens: number): FetchPlan | undefined
 }
 
 /** Input of {@link findPlaces}. */
 export interface PlacesInput {
   readonly view: FleetView
   readonly prompt: PromptFacts
+  readonly engine: EngineFacts | undefined
   /** Engines of the group that answer. */
   readonly servers: readonly RegisteredServer[]
   readonly formatScope: (version: number) => string
@@ -59,6 +75,13 @@
 
 /** Shared parts of fewer tokens are read again sooner than a store is asked. */
 const MIN_STORED_TOKENS = 1_000
+/** Time of a fetch beside the bytes, in ms. */
+const FETCH_MS = 3
+/** How much longer a fetch from another data hall takes. */
+const OTHER_HALL_FACTOR = 2
+const BITS_PER_BYTE = 8
+/** Bits that a link of 1 Mbit/s carries in a ms. */
+const BITS_PER_MS = 1_000
 
 interface Engine {
   readonly server: RegisteredServer
@@ -91,64 +114,99 @@
   return parts.map(({ id }) => id).join('/')
 }
 
+/** Estimates how long moving tokens between two places takes, in ms. */
+function estimateFetchMs(
+  tokens: number,
+  source: Source,
+  reader: RegisteredServer,
+  engine: EngineFacts | undefined,
+): number {
+  if (!engine || tokens <= 0) return 0
+  const linkMbps = Math.min(engine.linkMbps, source.linkMbps)
+  if (!(linkMbps > 0)) return FETCH_MS
+  const moveMs = (tokens * engine.tokenBytes * BITS_PER_BYTE) / (linkMbps * BITS_PER_MS)
+  return FETCH_MS + moveMs * (source.hall === reader.hall ? 1 : OTHER_HALL_FACTOR)
+}
+
 /** Finds where the shared parts of a prompt are. */
 export function findPlaces(input: PlacesInput): PromptPlaces {
-  const { view, prompt, board, memory, formatScope, forLong } = input
+  const { view, prompt, board, memory, formatScope, forLong, engine } = input
   const shared = prompt.parts.slice(0, -1)
+  const sharedTokens = countSharedTokens(prompt)
   const engines = input.servers
     .filter(({ id }) => !view.loading.has(id))
     .flatMap((server): Engine[] => {
       const version = findVersion(server, prompt.model, board)
       return version === undefined ? [] : [{ server, version }]
     })
-  const known = engines
+  const holders = engines
     .map(({ server, version }): Source => {
-      const matchedTokens = memory.countMatched(server.id, version, formatScope(version), shared)
-      return { id: server.id, address: server.address, version, matchedTokens }
+      const { id, address, hall } = server
+      const matchedTokens = memory.countReady(id, version, formatScope(version), shared)
+      return { id, address, hall, version, matchedTokens, linkMbps: engine?.linkMbps ?? 0 }
     })
     .filter(({ matchedTokens }) => matchedTokens > 0)
-    .sort((a, b) => b.matchedTokens - a.matchedTokens)
 
   const isLong = prompt.promptTokens >= LONG_PROMPT_TOKENS
   const isOnSide = ({ server }: Engine) => !forLong || forLong.has(server.id) === isLong
+  const countHeld = (version: number) =>
+    Math.max(0, ...holders.filter((held) => held.version === version).map((h) => h.matchedTokens))
   /** Home of the first level that nobody of a version is known to hold. */
   const findHomeEngine = (version: number) => {
-    const best = known.find((source) => source.version === version)?.matchedTokens ?? 0
+    const best = countHeld(version)
     let tokens = 0
     const levels = shared.findIndex((part) => (tokens += part.tokens) > best)
     const depth = levels === -1 ? shared.length : levels + 1
     return findFirst(
       formatKey(shared.slice(0, depth)),
-      engines.filter((engine) => engine.version === version && isOnSide(engine)),
+      engines.filter((other) => other.version === version && isOnSide(other)),
     )
   }
-  const sharedTokens = countSharedTokens(prompt)
   const [life] = sharedTokens < MIN_STORED_TOKENS ? [] : view.stores
+  const store = life && view.index.table.stores.find(({ address }) => address === life.address)
   const findStoreSource = (version: number): Source | undefined => {
-    if (!life) return undefined
-    const id = toBackendServerId(`store/${life.address}/${life.epoch}/${version}`)
-    const matchedTokens = memory.countMatched(id, version, formatScope(version), shared)
-    return { id, address: life.address, version, matchedTokens }
+    if (!life || !store) return undefined
+    const id = toBackendServerId(formatStoreId(life.address, life.epoch, version))
+    const matchedTokens = memory.countReady(id, version, formatScope(version), shared)
+    const { address, hall, linkMbps } = store
+    return { id, address, hall, version, matchedTokens, linkMbps }
+  }
+  const listSources = (version: number, reader: BackendServerId | undefined): Source[] => {
+    const others = holders.filter((held) => held.version === version && held.id !== reader)
+    const stored = findStoreSource(version)
+    return stored && stored.matchedTokens > 0 ? [...others, stored] : others
+  }
+  /** Of the places that keep the most, the one that is fetched from soonest. */
+  const findBestSource = (version: number, reader: RegisteredServer, matchedTokens: number) => {
+    const sources = listSources(version, reader.id)
+    const most = Math.max(0, ...sources.map((source) => source.matchedTokens))
+    const plans = sources
+      .filter((source) => source.matchedTokens > most - BLOCK_TOKENS)
+      .map((source): FetchPlan => {
+        const foundTokens = Math.max(source.matchedTokens, matchedTokens)
+        const fetchMs = estimateFetchMs(foundTokens - matchedTokens, source, reader, engine)
+        return { address: source.address, foundTokens, fetchMs }
+      })
+    return plans.sort((a, b) => a.fetchMs - b.fetchMs).at(0)
   }
   return {
-    known,
     forLong,
     findStore: (version) => {
-      const store = findStoreSource(version)
-      return store && store.matchedTokens < sharedTokens ? store : undefined
+      const stored = findStoreSource(version)
+      if (!stored) return undefined
+      const toldTokens = memory.countMatched(stored.id, version, formatScope(version), shared)
+      return toldTokens + BLOCK_TOKENS * shared.length < sharedTokens ? stored : undefined
     },
     findHome: (version) => (shared.length === 0 ? undefined : findHomeEngine(version)?.server.id),
-    findSource: (version, reader, matchedTokens) => {
+    countAnywhere: (version) =>
+      Math.max(0, ...listSources(version, undefined).map((source) => source.matchedTokens)),
+    findFetch: (version, reader, matchedTokens) => {
       if (shared.length === 0) return undefined
-      const holder = known.find((source) => source.version === version && source.id !== reader)
-      const store = findStoreSource(version)
-      const best = holder && holder.matchedTokens >= (store?.matchedTokens ?? 0) ? holder : store
-      if (best && best.matchedTokens > matchedTokens) return best
-      if (holder || matchedTokens > 0) return undefined
+      const best = findBestSource(version, reader, matchedTokens)
+      if (best || matchedTokens > 0) return best
       const home = findHomeEngine(version)
-      if (!home || home.server.id === reader) return undefined
-      const { id, address } = home.server
-      return { id, address, version, matchedTokens: 0 }
+      if (!home || home.server.id === reader.id) return undefined
+      return { address: home.server.address, foundTokens: 0, fetchMs: FETCH_MS }
     },
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,4 @@
+export { formatCacheScope, formatStoreId, hashPart, parseScopeVersion } from './cacheScope.js'
 export { MAX_LEVELS, renderPrompt, type PromptText } from './promptText.js'
 export {
   buildPrefixChain,
--- a/packages/routing/src/table/routingTable.ts
+++ b/packages/routing/src/table/routingTable.ts
@@ -50,6 +50,10 @@
   readonly slots: number
   /** Tokens that fit into an engine's KV cache. */
   readonly cacheTokens: number
+  /** Bytes of KV cache for one token. */
+  readonly tokenBytes: number
+  /** Bandwidth of an engine for KV cache that moves, in Mbit/s. */
+  readonly linkMbps: number
   readonly models: readonly string[]
 }
 
@@ -70,6 +74,8 @@
   readonly address: string
   readonly hall: string
   readonly cacheTokens: number
+  /** Bandwidth for KV cache that moves, in Mbit/s. */
+  readonly linkMbps: number
 }
 
 /** A team with its keys. */
