--- a/packages/config/src/fleetSchema.ts
+++ b/packages/config/src/fleetSchema.ts
@@ -1,5 +1,5 @@
 /** Schema of the fleet configuration, which operators submit and the replicated log holds. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Names of the routing policies; each is an entry of the routing package's lookup table. */
 export const POLICY_NAMES = [
--- a/packages/config/src/instanceSchema.ts
+++ b/packages/config/src/instanceSchema.ts
@@ -1,5 +1,5 @@
 /** Schema of an instance's own settings: addresses, place, folders, keys and bounds. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const MAX_PORT = 65_535
 
--- a/packages/config/src/instanceSettings.ts
+++ b/packages/config/src/instanceSettings.ts
@@ -1,7 +1,7 @@
 /** Settings of one instance: from loose JSON with comments to one frozen, resolved type. */
 import { dirname, isAbsolute, resolve } from 'node:path'
 import { err, ok, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { toFrozen, type DeepReadonly } from './freeze.js'
 import { instanceSchema } from './instanceSchema.js'
 import {
--- a/packages/config/src/problems.ts
+++ b/packages/config/src/problems.ts
@@ -9,7 +9,7 @@
   type ParseError,
 } from 'jsonc-parser'
 import { err, ok, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 
 /** One problem, with its place in the text. */
 export interface SettingsProblem {
--- a/packages/config/src/reference.ts
+++ b/packages/config/src/reference.ts
@@ -1,5 +1,5 @@
 /** Renders docs/config.md from the schemas, so that the page cannot fall behind the code. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { fleetSchema } from './fleetSchema.js'
 import { ROLE_SCHEMAS } from './instanceSchema.js'
 
--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -39,7 +39,7 @@
   leader(): TestMember | undefined
   start(
     name: string,
-    options?: { folder?: MemoryFolder; isFounding?: boolean },
+    options?: { folder?: MemoryFolder; isFounding?: boolean; startedAt?: number },
   ): Promise<TestMember>
   close(): Promise<void>
 }
@@ -102,6 +102,7 @@
       electionMs: ELECTION_MS,
       heartbeatMs: ELECTION_MS / 5,
       snapshotEvery,
+      startedAt: options.startedAt,
     })
     const started = { name, member, machine, folder, timers }
     members.set(name, started)
--- a/packages/control/src/__tests__/raft.spec.ts
+++ b/packages/control/src/__tests__/raft.spec.ts
@@ -60,6 +60,39 @@
     )
   })
 
+  /** Stops all members and starts them again on their disks. */
+  const restartAll = async (startedAt: number) => {
+    const folders = [...group.members.values()].map(({ name, folder }) => ({ name, folder }))
+    for (const { member } of group.members.values()) await member.close()
+    group.members.clear()
+    for (const { name, folder } of folders) await group.start(name, { folder, startedAt })
+  }
+
+  it('that starts again together has a leader within an election timeout', async () => {
+    for (let seed = 1; seed <= 8; seed += 1) {
+      group = await createTestGroup(NAMES, seed)
+      await findLeader()
+      // The processes began an election timeout before: what they promised earlier is over.
+      await restartAll(-ELECTION_MS)
+      let steps = 0
+      await group.runUntil(() => {
+        steps += 1
+        return group.leader() !== undefined
+      }, 'a leader')
+      const waitedMs = steps * 5
+      expect(waitedMs, `seed ${seed}`).to.be.below(ELECTION_MS)
+      if (seed < 8) await group.close()
+    }
+  })
+
+  it('a member that has just started votes for nobody while an old lease may hold', async () => {
+    group = await createTestGroup(NAMES)
+    await findLeader()
+    await restartAll(0)
+    await group.run(ELECTION_MS - 10)
+    expect(group.leader()).to.equal(undefined)
+  })
+
   it('a leader that is cut off loses its lease before another serves', async () => {
     group = await createTestGroup(NAMES)
     const old = await findLeader()
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -27,6 +27,12 @@
 
 /** Part of the election timeout for which an acknowledged heartbeat gives a lease. */
 const LEASE_RATIO = 0.9
+/**
+ * Least and most parts of the election timeout that a member waits which has heard no leader in this
+ * life. A living leader is heard within a fifth; and where all members start together nobody leads,
+ * so that each wait is a time without service.
+ */
+const FIRST_WAIT_RATIOS = [0.3, 0.8] as const
 
 function isGroupCommand(command: unknown): command is GroupCommand {
   return typeof command === 'object' && command !== null && 'group' in command
@@ -43,7 +49,9 @@
   let appliedIndex = store.baseIndex()
   let members: MemberMap = {}
   let membersIndex = 0
-  let lastContact = timers.now()
+  /** When a leader was heard last, or may have been: before the process began. */
+  let lastContact = options.startedAt ?? timers.now()
+  let hasHeardLeader = false
   let electionTimer: Subscription | undefined
   let replicator: Replicator | undefined
   let isCompacting = false
@@ -80,11 +88,17 @@
     for (const entry of store.list(store.baseIndex() + 1, Infinity)) observeMembers(entry)
   }
 
+  const drawElectionDelay = () => {
+    const { electionMs } = options
+    if (hasHeardLeader) return electionMs * (1 + random.next())
+    const [least, most] = FIRST_WAIT_RATIOS
+    const leaseEndsMs = lastContact + electionMs - timers.now()
+    return Math.max(0, leaseEndsMs) + electionMs * (least + (most - least) * random.next())
+  }
   const startElectionTimer = () => {
     electionTimer?.unsubscribe()
     if (isClosed) return
-    const delay = options.electionMs * (1 + random.next())
-    electionTimer = timers.after(delay).subscribe(() => {
+    electionTimer = timers.after(drawElectionDelay()).subscribe(() => {
       startElectionTimer()
       if (role !== 'leader') {
         // Learners stand in no election, and must see all the same that their leader is gone.
@@ -234,6 +248,7 @@
     if (from.term < term()) return false
     await adoptTerm(from.term)
     lastContact = timers.now()
+    hasHeardLeader = true
     becomeFollower(from.leader, from.leaderUrl)
     return true
   }
--- a/packages/control/src/raft/types.ts
+++ b/packages/control/src/raft/types.ts
@@ -41,6 +41,12 @@
   readonly heartbeatMs: number
   /** Entries between snapshots. */
   readonly snapshotEvery: number
+  /**
+   * When this process began, in ms of the monotonic clock: no leader can have heard this member
+   * since without the member knowing.
+   * @default now
+   */
+  readonly startedAt?: number
 }
 
 /** Role of a member. */
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -68,6 +68,11 @@
   readonly electionMs?: number
   /** @default 100 */
   readonly heartbeatMs?: number
+  /**
+   * When this process began, in ms of the monotonic clock of `timers`.
+   * @default now
+   */
+  readonly startedAt?: number
   /** Called when the disk failed; the daemon must then end. */
   readonly onFailure?: (cause: unknown) => void
 }
@@ -139,6 +144,7 @@
     electionMs,
     heartbeatMs: options.heartbeatMs ?? DEFAULT_HEARTBEAT_MS,
     snapshotEvery: SNAPSHOT_EVERY,
+    startedAt: options.startedAt,
   })
   const keeper = createGroupKeeper({
     member,
--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -2,7 +2,7 @@
  * Logs: one line of key=value pairs for each event, written through consola. Values never hold a
  * key or the text of a prompt; callers pass hashes, ids and sizes.
  */
-import { createConsola, type ConsolaInstance } from 'consola'
+import { createConsola, type ConsolaInstance } from 'consola/core'
 
 /** Facts of one event. Objects are written as JSON. */
 export type LogFields = Readonly<Record<string, unknown>>
