fix(router): a router that stops takes no stream that may outlast it

Change: a stopping router compares the time it has left with the longest stream of the last ten to twenty seconds and refuses, as not run and with when to come back, what might outlast it. Streams begun before the SIGTERM can still outlast it; they are not refused.

--- a/packages/router/src/__tests__/directParts.spec.ts
+++ b/packages/router/src/__tests__/directParts.spec.ts
@@ -6,6 +6,7 @@
 import { createRetryShare } from '../direct/retryShare.js'
 import { createLiveness } from '../direct/liveness.js'
 import { createServerBoard } from '../direct/serverBoard.js'
+import { createStreamTimes } from '../direct/streamTimes.js'
 
 const S1 = toBackendServerId('s1')
 const PARTS = [
@@ -175,6 +176,24 @@
   })
 })
 
+describe('the times of streams', () => {
+  it('tell the longest of the last windows, and forget it', () => {
+    const timers = createManualTimerService()
+    const times = createStreamTimes(timers)
+    expect(times.findLongest()).to.equal(0)
+    times.record(900)
+    times.record(300)
+    expect(times.findLongest()).to.equal(900)
+    timers.advance(10_000)
+    times.record(400)
+    expect(times.findLongest()).to.equal(900)
+    timers.advance(10_000)
+    expect(times.findLongest()).to.equal(400)
+    timers.advance(25_000)
+    expect(times.findLongest()).to.equal(0)
+  })
+})
+
 describe('the liveness of servers', () => {
   const server = { id: S1, address: '127.0.0.1:1' }
 
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -11,6 +11,7 @@
   createMetrics,
   createRandomSource,
   readBody,
+  SpoolgateError,
   toSpoolgateError,
   waitFor,
   type BackendServerId,
@@ -19,6 +20,7 @@
   type TimerService,
 } from '@spoolgate/core'
 import type { RoutingTable } from '@spoolgate/routing'
+import { firstValueFrom, race } from 'rxjs'
 import { resolveCall } from './callPlan.js'
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
 import type { DirectInstruments, DirectParts } from './directParts.js'
@@ -27,6 +29,7 @@
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
+import { createStreamTimes } from './streamTimes.js'
 import { createWorkSplit } from './workSplit.js'
 
 /** Options of {@link createDirectRouter}. */
@@ -46,6 +49,11 @@
   readonly maxProofAgeMs: number
   readonly logger: Logger
   readonly timers: TimerService
+  /**
+   * Longest wait of a request for the first table, in ms.
+   * @default 1500, since a leader is elected within a second after all instances started together
+   */
+  readonly tableWaitMs?: number
   /**
    * Seed of the choices that are drawn.
    * @default drawn from the clock
@@ -71,6 +79,9 @@
 const ENGINE_CACHED_RATIO = 0.85
 /** Largest header block that is read, in bytes: twice what tables allow, which is checked later. */
 const MAX_HEADER_BYTES = 32_768
+const DEFAULT_TABLE_WAIT_MS = 1_500
+/** Longest wait of a request for the first table, as a part of the time that its caller waits. */
+const TABLE_WAIT_RATIO = 0.5
 /** Time between two looks at what is in progress during a planned stop, in ms. */
 const POLL_IDLE_MS = 20
 /** Bounds before the first table, in ms. */
@@ -80,6 +91,8 @@
 const BODY_TIMEOUT_MS = 10_000
 /** Time for which a stopping router still serves, in ms: two questions for its readiness. */
 const SERVE_ON_MS = 2_600
+/** Seconds after which a caller that a stopping router refused may turn to another one. */
+const RETRY_WHILE_STOPPING_S = 0.05
 /** Idle time of connections to backend servers, in ms, and the margin before their own limit. */
 const BACKEND_IDLE_MS = 30_000
 const BACKEND_IDLE_MARGIN_MS = 1_200
@@ -166,7 +179,33 @@
     instruments: createInstruments(metrics),
     maxProofAgeMs: options.maxProofAgeMs,
   }
+  /** A router that has just started gets its table within a second; its callers wait for that. */
+  const waitForTable = async ({ id, waitMs = Infinity }: DirectCall) => {
+    const startedAt = timers.now()
+    const boundMs = Math.min(
+      options.tableWaitMs ?? DEFAULT_TABLE_WAIT_MS,
+      waitMs * TABLE_WAIT_RATIO,
+    )
+    await firstValueFrom(race(feed.changes, timers.after(boundMs)), { defaultValue: undefined })
+    logger.info('call.waitedForTable', {
+      request: id,
+      ms: Math.round(timers.now() - startedAt),
+      isReady: feed.current() !== undefined,
+    })
+  }
   let isClosing = false
+  /** When a planned stop cuts off what is still in progress, in ms of the monotonic clock. */
+  let stopsAt = Infinity
+  const streamTimes = createStreamTimes(timers)
+  /** A stream that would outlast this process is better begun elsewhere. */
+  const checkTimeForStream = () => {
+    const longestMs = streamTimes.findLongest()
+    if (timers.now() + longestMs < stopsAt) return
+    throw new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
+      retryAfterSeconds: RETRY_WHILE_STOPPING_S,
+      details: { longestMs },
+    })
+  }
   let inProgress = 0
   const sockets = new Set<Socket>()
 
@@ -176,11 +215,14 @@
     try {
       parts.instruments.requests.add(1)
       call = caller.decodeCall(request)
+      if (!feed.current()) await waitForTable(call)
       const plan = resolveCall(parts, call, arrivedAt)
+      if (plan.route.isStream) checkTimeForStream()
       const { maxBodyBytes } = plan.view.index.table.bounds
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs: BODY_TIMEOUT_MS })
       if (response.destroyed) return
       await serveCall(parts, plan, body, response)
+      if (plan.route.isStream) streamTimes.record(timers.now() - arrivedAt)
     } catch (cause) {
       const error = toSpoolgateError(cause)
       logger.info('call.refused', {
@@ -240,11 +282,11 @@
     renderMetrics: metrics.render,
     close: async (drainMs) => {
       isClosing = true
-      const deadline = timers.now() + drainMs
+      stopsAt = timers.now() + drainMs
       await waitFor(timers, Math.min(SERVE_ON_MS, drainMs))
       server.close()
       server.closeIdleConnections()
-      await waitUntilIdle(deadline)
+      await waitUntilIdle(stopsAt)
       const abandoned = inProgress
       for (const socket of sockets) socket.destroy()
       boundsWatch.unsubscribe()
