--- a/packages/core/src/daemonRoutes.ts
+++ b/packages/core/src/daemonRoutes.ts
@@ -10,6 +10,19 @@
   readonly findUnreadyReason: () => string | undefined
 }
 
+/** Creates `/metrics`. */
+export function createMetricsRoute(render: () => Promise<string>): Route {
+  return {
+    method: 'GET',
+    path: '/metrics',
+    handler: async ({ response }) => {
+      const text = await render()
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+      response.end(text)
+    },
+  }
+}
+
 /** Creates `/healthz`, `/readyz` and `/metrics`. */
 export function createDaemonRoutes(options: DaemonRoutesOptions): Route[] {
   return [
@@ -27,14 +40,6 @@
         else sendJson(response, 503, { status: 'not ready', reason })
       },
     },
-    {
-      method: 'GET',
-      path: '/metrics',
-      handler: async ({ response }) => {
-        const text = await options.metrics.render()
-        response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
-        response.end(text)
-      },
-    },
+    createMetricsRoute(options.metrics.render),
   ]
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,5 +72,5 @@
   type HttpClient,
   type HttpRequest,
 } from './httpClient.js'
-export { createDaemonRoutes } from './daemonRoutes.js'
+export { createDaemonRoutes, createMetricsRoute } from './daemonRoutes.js'
 export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -94,6 +94,6 @@
   encodeHeaders(send: DirectSend): HeaderList
   /** Decodes the head of an answer. */
   decodeHead(message: IncomingMessage, call: DirectCall): AnswerHead
-  /** Removes from a failure what would pass it off as the server's own answer. */
+  /** Lists the fields of an answer that are passed on to the caller. */
   listAnswerHeaders(message: IncomingMessage): HeaderList
 }
--- /dev/null
+++ b/packages/router/src/direct/sendRecord.ts
@@ -0,0 +1,42 @@
+/** What a router notes of a choice and of a send: for its log, and for later choices of all routers. */
+import { formatCallScope, type CallPlan } from './callPlan.js'
+import { recordWork, type Candidate } from './choice.js'
+import type { DirectParts } from './directParts.js'
+import { buildPlacement } from './partMemory.js'
+
+/** Formats a choice with what decided it, and the server that came second. */
+export function formatChoice(
+  plan: CallPlan,
+  best: Candidate,
+  second: Candidate | undefined,
+): Record<string, unknown> {
+  const { prompt } = plan.call
+  return {
+    server: best.server.id,
+    cost: best.cost,
+    matchedTokens: best.matchedTokens,
+    unreadTokens: best.unreadTokens,
+    promptTokens: prompt?.promptTokens,
+    version: best.version,
+    team: plan.team?.id,
+    shared: prompt?.parts.slice(0, -1).map(({ id, tokens }) => `${id}:${tokens}`),
+    fetchFrom: best.fetchFrom,
+    saveTo: best.saveTo?.address,
+    next: second && `${second.server.id}:${Math.round(second.cost)}`,
+  }
+}
+
+/** Records the work that a prompt makes for its engine, and where its parts will be. */
+export function recordPrompt(parts: DirectParts, plan: CallPlan, candidate: Candidate): void {
+  const { prompt } = plan.call
+  const { server, version, saveTo, matchedTokens, unreadTokens } = candidate
+  if (!prompt || version === undefined) return
+  parts.instruments.promptTokens.add(prompt.promptTokens)
+  parts.instruments.matchedTokens.add(matchedTokens)
+  recordWork(parts.split, plan.group.name, prompt, unreadTokens)
+  const scope = formatCallScope(plan.team, version)
+  parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts))
+  if (!saveTo) return
+  const shared = prompt.parts.slice(0, -1)
+  parts.memory.recordOwn(buildPlacement(saveTo.id, version, scope, shared))
+}
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -8,11 +8,10 @@
 import { firstValueFrom, type Subscription } from 'rxjs'
 import { createStreamRelay, type StreamRelay } from './answerRelay.js'
 import { formatCallScope, isProofFresh, type CallPlan } from './callPlan.js'
-import { rankServers, recordWork, type Candidate } from './choice.js'
+import { rankServers, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 import { CONNECT_MS } from './liveness.js'
-import { buildPlacement } from './partMemory.js'
 import {
   createRefusal,
   createTimeoutError,
@@ -28,6 +27,7 @@
   type NotRun,
   type SendEnd,
 } from './sendEnd.js'
+import { formatChoice, recordPrompt } from './sendRecord.js'
 import { startSend, type Send, type SendResult } from './sendOnce.js'
 import type { CallTicket } from './serverBoard.js'
 
@@ -184,19 +184,7 @@
     const allowed = isUsedUp ? ranked.filter(({ server }) => this.sentTo.has(server.id)) : ranked
     const [best] = allowed
     if (!best || this.isHopeless(best)) return undefined
-    this.log('call.choice', {
-      server: best.server.id,
-      cost: best.cost,
-      matchedTokens: best.matchedTokens,
-      unreadTokens: best.unreadTokens,
-      promptTokens: plan.call.prompt?.promptTokens,
-      version: best.version,
-      team: plan.team?.id,
-      shared: plan.call.prompt?.parts.slice(0, -1).map(({ id, tokens }) => `${id}:${tokens}`),
-      fetchFrom: best.fetchFrom,
-      saveTo: best.saveTo?.address,
-      next: allowed[1] && `${allowed[1].server.id}:${Math.round(allowed[1].cost)}`,
-    })
+    this.log('call.choice', formatChoice(plan, best, allowed.at(1)))
     return best
   }
 
@@ -235,21 +223,11 @@
 
   private recordSend(candidate: Candidate): void {
     const { parts, plan } = this
-    const { prompt } = plan.call
     this.ticket = parts.board.open(candidate.server.id, candidate.unreadTokens)
     if (this.sends === 0) parts.retries.recordFirst(plan.group.name)
     this.sends += 1
     parts.instruments.sends.add(1, { group: plan.group.name })
-    if (!prompt || candidate.version === undefined) return
-    parts.instruments.promptTokens.add(prompt.promptTokens)
-    parts.instruments.matchedTokens.add(candidate.matchedTokens)
-    const scope = formatCallScope(plan.team, candidate.version)
-    recordWork(parts.split, plan.group.name, prompt, candidate.unreadTokens)
-    const { server, version, saveTo } = candidate
-    parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts))
-    if (!saveTo) return
-    const stored = buildPlacement(saveTo.id, version, scope, prompt.parts.slice(0, -1))
-    parts.memory.recordOwn(stored)
+    recordPrompt(parts, plan, candidate)
   }
 
   private async sendTo(candidate: Candidate): Promise<SendEnd> {
