fix: let parts that an engine was sent be fetched at once, and tell each part once

Found beside it: an engine's changes of one part within one answer were applied last to first, so that a part which shrank or went stayed whole at the routers. Each part is told once now, with what is left.

--- a/packages/control/src/registry/keptParts.ts
+++ b/packages/control/src/registry/keptParts.ts
@@ -21,7 +21,10 @@
 
 /** The index; see {@link createKeptParts}. */
 export interface KeptParts {
-  /** Applies changes at a place, in order; returns what routers are to be told. */
+  /**
+   * Applies changes at a place, in order; returns what routers are to be told, each part once with
+   * the tokens that are left of it in the end.
+   */
   apply(place: CachePlace, changes: readonly KeptPart[]): Placement[]
   /** Replaces all that is known of a place by a full list; returns the differences. */
   replace(place: CachePlace, parts: readonly KeptPart[]): Placement[]
@@ -73,7 +76,7 @@
     return Math.max(...openVersions(place).keys(), 0) > version
   }
   const apply: KeptParts['apply'] = (place, changes) => {
-    const told = new Map<number, number[]>()
+    const told = new Map<number, Map<number, number>>()
     for (const { scope, id, tokens } of changes) {
       const version = parseScopeVersion(scope)
       if (version === undefined || isOutdated(place, version)) continue
@@ -81,11 +84,11 @@
       const parts = openParts(place, version).tokens
       if (tokens > 0) parts.set(hash, tokens)
       else parts.delete(hash)
-      const pairs = told.get(version) ?? []
-      pairs.push(hash, tokens)
-      told.set(version, pairs)
+      told.set(version, (told.get(version) ?? new Map<number, number>()).set(hash, tokens))
     }
-    return [...told].map(([version, pairs]) => [formatPlaceId(place, version), version, ...pairs])
+    return [...told].map(([version, last]) => {
+      return [formatPlaceId(place, version), version, ...[...last].flat()]
+    })
   }
   return {
     apply,
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -127,14 +127,17 @@
   return prompt.promptTokens >= LONG_PROMPT_TOKENS ? 'long' : 'short'
 }
 
-/** Notes the work of a request that is sent to a candidate. */
+/**
+ * Notes the work of a request that is sent to a candidate. What it fetches counts as if it were read:
+ * it takes as much room, and engines for long prompts are short of room before they are of time.
+ */
 export function recordWork(
   split: WorkSplit,
   group: string,
   prompt: PromptFacts,
-  unreadTokens: number,
+  matchedTokens: number,
 ): void {
-  const readMs = unreadTokens / PREFILL_TOKENS_PER_MS
+  const readMs = (prompt.promptTokens - matchedTokens) / PREFILL_TOKENS_PER_MS
   split.record(group, findKind(prompt), readMs + prompt.maxTokens * TOKEN_MS)
 }
 
@@ -235,18 +238,9 @@
       group.name,
       alive.map(({ id }) => id),
     )
-  const places =
-    prompt &&
-    findPlaces({
-      view,
-      prompt,
-      engine: group.engine,
-      servers: alive,
-      formatScope,
-      board,
-      memory,
-      forLong,
-    })
+  const { engine } = group
+  const shares = { view, engine, servers: alive, formatScope, board, memory, forLong }
+  const places = prompt && findPlaces({ ...shares, prompt })
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
     const found =
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -132,7 +132,7 @@
     probe: openProbe,
     isRegistered: (id) => feed.current()?.servers.has(id) ?? false,
   })
-  const memory = createPartMemory({ timers, findCacheTokens: (place) => findCacheTokens(place) })
+  const memory = createPartMemory({ findCacheTokens: (place) => findCacheTokens(place) })
   const findCacheTokens = (place: BackendServerId): number => {
     const view = feed.current()
     const group = view?.servers.get(place)?.group
--- a/packages/router/src/direct/partMemory.ts
+++ b/packages/router/src/direct/partMemory.ts
@@ -3,27 +3,20 @@
  * until that is here, the prompt parts that were sent there by this router or by others.
  */
 import type { KeptPlacement, Placement } from '@spoolgate/control'
-import { toBackendServerId, type BackendServerId, type TimerService } from '@spoolgate/core'
+import { toBackendServerId, type BackendServerId } from '@spoolgate/core'
 import { hashPart } from '@spoolgate/routing'
 import { LRUCache } from 'lru-cache'
 import type { PromptPart } from './dialects.js'
 
 /** Caches of all engines and stores. */
 export interface PartMemory {
-  /** Counts the leading prompt tokens that are cached at an engine, or will be once it gets there. */
+  /** Counts the leading prompt tokens that are cached at a place, or will be once it has read them. */
   countMatched(
     server: BackendServerId,
     version: number,
     scope: string,
     parts: readonly PromptPart[],
   ): number
-  /** Counts the leading prompt tokens that others can fetch from there now. */
-  countReady(
-    server: BackendServerId,
-    version: number,
-    scope: string,
-    parts: readonly PromptPart[],
-  ): number
   /** Records that an engine reads a prompt that another router sent. */
   record(placement: Placement): void
   /** Records that an engine reads a prompt that this router sent. */
@@ -38,11 +31,6 @@
 const MAX_ENGINES = 2_000
 /** Placements that are kept for the other routers; more than one poll brings. */
 const MAX_PLACEMENTS = 200
-/**
- * Time after which a part that was sent to an engine counts as read though the engine has not said
- * so, in ms: above the time to the first part of most answers.
- */
-const READ_AFTER_MS = 700
 /** Tokens of a part that may be missing: engines keep whole blocks, of 16 on those known. */
 export const BLOCK_TOKENS = 16
 
@@ -50,7 +38,6 @@
   readonly tokens: number
   /** Whether the engine or store itself said that it keeps the part. */
   readonly isConfirmed: boolean
-  readonly recordedAt: number
 }
 
 interface EngineCache {
@@ -70,14 +57,12 @@
 
 /** Options of {@link createPartMemory}. */
 export interface PartMemoryOptions {
-  readonly timers: TimerService
   /** Finds the tokens that a place has room for beside running requests. */
   readonly findCacheTokens: (place: BackendServerId) => number
 }
 
 /** Creates an empty memory. */
 export function createPartMemory(options: PartMemoryOptions): PartMemory {
-  const { timers } = options
   const caches = new LRUCache<BackendServerId, EngineCache>({ max: MAX_ENGINES })
   let placements: Placement[] = []
 
@@ -98,43 +83,29 @@
     const [server, version, ...pairs] = placement
     const cache = openCache(toBackendServerId(server), version)
     if (cache.version !== version) return
-    const recordedAt = timers.now()
     // Outer parts are needed by all that lies within them, so they are touched last.
     for (let index = pairs.length - 2; index >= 0; index -= 2) {
       const [hash, tokens] = [pairs[index], pairs[index + 1]]
       if (tokens === 0) cache.parts.delete(hash)
       // What the engine itself has said stands; being sent there again only makes it newer.
       else if (isConfirmed || cache.parts.get(hash)?.isConfirmed !== true) {
-        cache.parts.set(hash, { tokens, isConfirmed, recordedAt })
+        cache.parts.set(hash, { tokens, isConfirmed })
       }
     }
   }
-  const isReady = ({ isConfirmed, recordedAt }: CachedPart) =>
-    isConfirmed || timers.now() - recordedAt > READ_AFTER_MS
-  const count = (
-    cache: EngineCache,
-    scope: string,
-    parts: readonly PromptPart[],
-    isCounted: (part: CachedPart) => boolean,
-  ): number => {
-    let matched = 0
-    for (const { id, tokens } of parts) {
-      const cached = cache.parts.get(hashPart(scope, id))
-      if (!cached || !isCounted(cached)) break
-      matched += Math.min(tokens, cached.tokens)
-      if (cached.tokens + BLOCK_TOKENS <= tokens) break
-    }
-    return matched
-  }
-  const createCounter =
-    (isCounted: (part: CachedPart) => boolean): PartMemory['countMatched'] =>
-    (server, version, scope, parts) => {
-      const cache = caches.get(server)
-      return cache?.version === version ? count(cache, scope, parts, isCounted) : 0
-    }
   return {
-    countMatched: createCounter(() => true),
-    countReady: createCounter(isReady),
+    countMatched: (server, version, scope, parts) => {
+      const cache = caches.get(server)
+      if (cache?.version !== version) return 0
+      let matched = 0
+      for (const { id, tokens } of parts) {
+        const cached = cache.parts.get(hashPart(scope, id))
+        if (!cached) break
+        matched += Math.min(tokens, cached.tokens)
+        if (cached.tokens + BLOCK_TOKENS <= tokens) break
+      }
+      return matched
+    },
     record: (placement) => apply(placement, false),
     recordOwn: (placement) => {
       apply(placement, false)
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -29,11 +29,11 @@
 /** Records the work that a prompt makes for its engine, and where its parts will be. */
 export function recordPrompt(parts: DirectParts, plan: CallPlan, candidate: Candidate): void {
   const { prompt } = plan.call
-  const { server, version, saveTo, matchedTokens, unreadTokens } = candidate
+  const { server, version, saveTo, matchedTokens } = candidate
   if (!prompt || version === undefined) return
   parts.instruments.promptTokens.add(prompt.promptTokens)
   parts.instruments.matchedTokens.add(matchedTokens)
-  recordWork(parts.split, plan.group.name, prompt, unreadTokens)
+  recordWork(parts.split, plan.group.name, prompt, matchedTokens)
   const scope = formatCallScope(plan.team, version)
   parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts))
   if (!saveTo) return
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -17,7 +17,10 @@
   readonly address: string
   readonly hall: string
   readonly version: number
-  /** Leading tokens that can be fetched from it now. */
+  /**
+   * Leading tokens that can be fetched from it, those included that it was only sent: an engine that
+   * fetches asks once it begins with the prompt, and by then they are mostly read.
+   */
   readonly matchedTokens: number
   readonly linkMbps: number
 }
@@ -142,7 +145,7 @@
   const holders = engines
     .map(({ server, version }): Source => {
       const { id, address, hall } = server
-      const matchedTokens = memory.countReady(id, version, formatScope(version), shared)
+      const matchedTokens = memory.countMatched(id, version, formatScope(version), shared)
       return { id, address, hall, version, matchedTokens, linkMbps: engine?.linkMbps ?? 0 }
     })
     .filter(({ matchedTokens }) => matchedTokens > 0)
@@ -167,7 +170,7 @@
   const findStoreSource = (version: number): Source | undefined => {
     if (!life || !store) return undefined
     const id = toBackendServerId(formatStoreId(life.address, life.epoch, version))
-    const matchedTokens = memory.countReady(id, version, formatScope(version), shared)
+    const matchedTokens = memory.countMatched(id, version, formatScope(version), shared)
     const { address, hall, linkMbps } = store
     return { id, address, hall, version, matchedTokens, linkMbps }
   }
@@ -194,8 +197,7 @@
     findStore: (version) => {
       const stored = findStoreSource(version)
       if (!stored) return undefined
-      const toldTokens = memory.countMatched(stored.id, version, formatScope(version), shared)
-      return toldTokens + BLOCK_TOKENS * shared.length < sharedTokens ? stored : undefined
+      return stored.matchedTokens + BLOCK_TOKENS * shared.length < sharedTokens ? stored : undefined
     },
     findHome: (version) => (shared.length === 0 ? undefined : findHomeEngine(version)?.server.id),
     countAnywhere: (version) =>
