fix(control): a group of four bears the loss of two disks

One control instance a data hall makes four voters, and two losses are to be borne; the closing wipes two disks, and the two voters that are left are no majority of four. No leader is elected any more.

Weighed: more control instances (count = 2). Where a data hall has one disk, half of them would have none; the seeds of the first start name some of these, which cannot found a group, and on small sites four more processes start beside the routers just when all come back. A share of a quarter of the instances fits the known deployments only.

Change: whoever answers a vote names itself. An instance that answers under another name than the voter at its address has lost that voter's disk: the voter can never vote or acknowledge again. Where fewer than a majority of the voters are lost like that, each committed entry is held by one of the rest, so that all of the rest together may elect; the first entry of that leader takes the lost ones out. So that the rest always knows the newest group, a change of the group counts only with a majority of the group before it as well. A leader whose disk is lost holds no lease either: nobody waits for it.

Tests: raftRestart.spec. Two of four lost in all six pairs right after an acknowledgement; too many lost; one lost and one away; a change of the group without a majority of the one before; a leader whose disk is lost.

--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -17,6 +17,8 @@
 /** One member with its disk. */
 export interface TestMember {
   readonly name: string
+  /** Where it is reached; links are cut between addresses. */
+  readonly url: string
   member: RaftMember
   machine: ControlMachine
   folder: MemoryFolder
@@ -37,9 +39,19 @@
   /** Moves time forward. */
   run(duration: number): Promise<void>
   leader(): TestMember | undefined
+  /** Waits for a leader, or for another one. */
+  findLeader(other?: string): Promise<TestMember>
+  /** Proposes a command and moves time forward until it is known what became of it. */
+  propose(leader: TestMember, command: unknown): Promise<unknown>
+  /** Members that hold a lease. */
+  countLeases(): number
+  /** Stops members and starts them again on their disks. */
+  restart(names: readonly string[], startedAt: number): Promise<void>
+  /** Stops members for good; an instance with an empty disk and a new name comes to each address. */
+  loseDisks(names: readonly string[]): Promise<void>
   start(
     name: string,
-    options?: { folder?: MemoryFolder; isFounding?: boolean; startedAt?: number },
+    options?: { folder?: MemoryFolder; isFounding?: boolean; startedAt?: number; url?: string },
   ): Promise<TestMember>
   close(): Promise<void>
 }
@@ -63,13 +75,15 @@
     names.map((name) => [name, { url: name, kind: 'voter' }]),
   )
   const logger = createQuietLogger()
-  const isUp = (name: string) => members.has(name) && !frozen.has(name)
+  const findAt = (url: string) =>
+    [...members.values()].find((other) => other.url === url && !frozen.has(other.name))
 
-  const createTransport = (from: string): RaftTransport => ({
-    send: async (to, _url, name, request) => {
+  const createTransport = (from: string, fromUrl: string): RaftTransport => ({
+    send: async (_to, url, name, request) => {
       const fail = () => new ConnectionError('link is cut', true, false)
-      if (cut.has(`${from}>${to}`) || !isUp(to) || frozen.has(from)) throw fail()
-      const { member } = members.get(to) as TestMember
+      const target = findAt(url)
+      if (cut.has(`${fromUrl}>${url}`) || !target || frozen.has(from)) throw fail()
+      const { member } = target
       const handlers = {
         vote: member.handleVote,
         append: member.handleAppend,
@@ -78,7 +92,7 @@
       const handle = handlers[name] as (message: unknown) => Promise<never>
       // Messages travel as text, so that nobody shares what another still changes.
       const reply = await handle(JSON.parse(JSON.stringify(request)))
-      if (cut.has(`${to}>${from}`) || frozen.has(from) || !isUp(to)) throw fail()
+      if (cut.has(`${url}>${fromUrl}`) || frozen.has(from) || findAt(url) !== target) throw fail()
       return reply
     },
   })
@@ -87,14 +101,15 @@
     const timers = createManualTimerService()
     const store = await openLogStore({ folder, logger, onFailure: () => {} })
     const machine = createControlMachine()
+    const url = options.url ?? name
     const member = createRaftMember({
       name,
-      url: name,
+      url,
       founders,
       isFounding: options.isFounding ?? true,
       store,
       machine,
-      transport: createTransport(name),
+      transport: createTransport(name, url),
       timers,
       random: createRandomSource(seed * 31 + members.size),
       logger,
@@ -104,7 +119,7 @@
       snapshotEvery,
       startedAt: options.startedAt,
     })
-    const started = { name, member, machine, folder, timers }
+    const started = { name, url, member, machine, folder, timers }
     members.set(name, started)
     return started
   }
@@ -121,9 +136,10 @@
     frozen,
     start,
     isolate: (name) => {
-      for (const other of members.keys()) {
-        cut.add(`${name}>${other}`)
-        cut.add(`${other}>${name}`)
+      const { url } = members.get(name) as TestMember
+      for (const other of members.values()) {
+        cut.add(`${url}>${other.url}`)
+        cut.add(`${other.url}>${url}`)
       }
     },
     heal: () => cut.clear(),
@@ -142,6 +158,42 @@
         const { role, hasLease } = member.status()
         return role === 'leader' && hasLease && !frozen.has(name)
       }),
+    findLeader: async (other) => {
+      const findNext = () => {
+        const leader = group.leader()
+        return leader?.name === other ? undefined : leader
+      }
+      await group.runUntil(() => findNext() !== undefined, 'a leader')
+      return findNext() as TestMember
+    },
+    propose: async (leader, command) => {
+      let result: unknown
+      let error: unknown
+      leader.member.propose(command).then(
+        (value) => (result = value),
+        (cause) => (error = cause),
+      )
+      await group.runUntil(() => result !== undefined || error !== undefined, 'an outcome')
+      if (error) throw error
+      return result
+    },
+    countLeases: () =>
+      [...members.values()].filter(({ member }) => member.status().hasLease).length,
+    restart: async (names, startedAt) => {
+      const stopped = names.map((name) => members.get(name) as TestMember)
+      for (const { member } of stopped) await member.close()
+      for (const { name } of stopped) members.delete(name)
+      for (const { name, folder } of stopped) await start(name, { folder, startedAt })
+    },
+    loseDisks: async (names) => {
+      for (const name of names) {
+        await members.get(name)?.member.close()
+        members.delete(name)
+      }
+      for (const name of names) {
+        await start(`${name}#new`, { url: name, isFounding: false, startedAt: 0 })
+      }
+    },
     close: async () => {
       for (const { member } of members.values()) await member.close()
     },
--- a/packages/control/src/__tests__/raft.spec.ts
+++ b/packages/control/src/__tests__/raft.spec.ts
@@ -28,24 +28,8 @@
 describe('the control group', () => {
   let group: TestGroup
 
-  const findLeader = async (other?: string): Promise<TestMember> => {
-    await group.runUntil(() => {
-      const leader = group.leader()
-      return leader !== undefined && leader.name !== other
-    }, 'a leader')
-    return group.leader() as TestMember
-  }
-  const propose = async (leader: TestMember, command: unknown) => {
-    let result: unknown
-    let error: unknown
-    leader.member.propose(command).then(
-      (value) => (result = value),
-      (cause) => (error = cause),
-    )
-    await group.runUntil(() => result !== undefined || error !== undefined, 'an outcome')
-    if (error) throw error
-    return result
-  }
+  const findLeader = (other?: string) => group.findLeader(other)
+  const propose = (leader: TestMember, command: unknown) => group.propose(leader, command)
 
   afterEach(() => group.close())
 
@@ -60,89 +44,13 @@
     )
   })
 
-  /** Stops members and starts them again on their disks. */
-  const restart = async (names: readonly string[], startedAt: number) => {
-    const stopped = names.map((name) => group.members.get(name) as TestMember)
-    for (const { member } of stopped) await member.close()
-    for (const { name } of stopped) group.members.delete(name)
-    for (const { name, folder } of stopped) await group.start(name, { folder, startedAt })
-  }
-  const countLeases = () =>
-    [...group.members.values()].filter(({ member }) => member.status().hasLease).length
-
-  it('that starts again together has a leader within half an election timeout', async () => {
-    for (let seed = 1; seed <= 8; seed += 1) {
-      group = await createTestGroup(NAMES, seed)
-      await findLeader()
-      // Nobody can have heard a leader for as long as the processes have run: they began just now.
-      await restart(NAMES, 0)
-      let steps = 0
-      await group.runUntil(() => {
-        steps += 1
-        return group.leader() !== undefined
-      }, 'a leader')
-      const waitedMs = steps * 5
-      expect(waitedMs, `seed ${seed}`).to.be.at.most(ELECTION_MS / 2)
-      if (seed < 8) await group.close()
-    }
-  })
-
-  it('members that have just started vote for nobody while an old lease may hold', async () => {
-    for (let seed = 1; seed <= 8; seed += 1) {
-      group = await createTestGroup(NAMES, seed)
-      const old = await findLeader()
-      await group.run(ELECTION_MS)
-      // The leader runs on, cut off, and serves by the lease that it got from the other two.
-      group.isolate(old.name)
-      const others = NAMES.filter((name) => name !== old.name)
-      await restart(others, 0)
-      let elapsedMs = 0
-      while (elapsedMs < ELECTION_MS - 5) {
-        await group.run(5)
-        elapsedMs += 5
-        expect(countLeases(), `seed ${seed} after ${elapsedMs} ms`).to.be.at.most(1)
-        expect(others.map((name) => group.members.get(name)?.member.status().role)).not.to.include(
-          'leader',
-        )
-      }
-      await findLeader(old.name)
-      expect(countLeases()).to.equal(1)
-      if (seed < 8) await group.close()
-    }
-  })
-
-  it('a member that followed a leader only remembers it over a restart', async () => {
-    group = await createTestGroup(NAMES)
-    const old = await findLeader()
-    await group.run(ELECTION_MS)
-    const [follower] = NAMES.filter((name) => name !== old.name)
-    await restart([follower], 0)
-    group.isolate(follower)
-    const { term, lastIndex } = old.member.status()
-    const request = {
-      isPreVote: false,
-      term: term + 5,
-      candidate: 'z',
-      lastIndex: lastIndex + 9,
-      lastTerm: term + 5,
-    }
-    const restarted = group.members.get(follower) as TestMember
-    const vote = async (endedTerms: Record<string, number>) =>
-      restarted.member.handleVote({ ...request, endedTerms })
-    const heldBackBy = { name: old.name, term }
-    expect(await vote({})).to.deep.equal({ term, isGranted: false, endedTerm: term, heldBackBy })
-    // That the leader ended an earlier term says nothing of this one.
-    expect((await vote({ [old.name]: term - 1 })).isGranted).to.equal(false)
-    expect((await vote({ [old.name]: term })).isGranted).to.equal(true)
-  })
-
   it('a leader that is cut off loses its lease before another serves', async () => {
     group = await createTestGroup(NAMES)
     const old = await findLeader()
     group.isolate(old.name)
     let overlap = 0
     const isReplaced = () => {
-      overlap = Math.max(overlap, countLeases())
+      overlap = Math.max(overlap, group.countLeases())
       return group.leader() !== undefined && group.leader()?.name !== old.name
     }
     await group.runUntil(isReplaced, 'another leader')
--- /dev/null
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -0,0 +1,191 @@
+import { expect } from 'chai'
+import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
+
+const NAMES = ['a', 'b', 'c']
+
+/** Builds a command that leaves a trace in the state: a table version. */
+function buildTable(version: number) {
+  return { kind: 'table.put', version, document: '{}' }
+}
+
+/** Lists all pairs of names. */
+function listPairs(names: readonly string[]): string[][] {
+  return names.flatMap((first, index) => names.slice(index + 1).map((second) => [first, second]))
+}
+
+describe('a control group whose members restart or lose their disks', () => {
+  let group: TestGroup
+
+  afterEach(() => group.close())
+
+  it('that starts again together has a leader within half an election timeout', async () => {
+    for (let seed = 1; seed <= 8; seed += 1) {
+      group = await createTestGroup(NAMES, seed)
+      await group.findLeader()
+      // Nobody can have heard a leader for as long as the processes have run: they began just now.
+      await group.restart(NAMES, 0)
+      let steps = 0
+      await group.runUntil(() => {
+        steps += 1
+        return group.leader() !== undefined
+      }, 'a leader')
+      const waitedMs = steps * 5
+      expect(waitedMs, `seed ${seed}`).to.be.at.most(ELECTION_MS / 2)
+      if (seed < 8) await group.close()
+    }
+  })
+
+  it('does not wait for the lease of a leader whose disk is lost', async () => {
+    for (let seed = 1; seed <= 8; seed += 1) {
+      group = await createTestGroup(NAMES, seed)
+      const old = await group.findLeader()
+      await group.run(ELECTION_MS)
+      const others = NAMES.filter((name) => name !== old.name)
+      await group.restart(others, 0)
+      await group.loseDisks([old.name])
+      await group.run(ELECTION_MS * 0.8)
+      expect(others, `seed ${seed}`).to.include(group.leader()?.name)
+      if (seed < 8) await group.close()
+    }
+  })
+
+  it('members that have just started vote for nobody while an old lease may hold', async () => {
+    for (let seed = 1; seed <= 8; seed += 1) {
+      group = await createTestGroup(NAMES, seed)
+      const old = await group.findLeader()
+      await group.run(ELECTION_MS)
+      // The leader runs on, cut off, and serves by the lease that it got from the other two.
+      group.isolate(old.name)
+      const others = NAMES.filter((name) => name !== old.name)
+      await group.restart(others, 0)
+      let elapsedMs = 0
+      while (elapsedMs < ELECTION_MS - 5) {
+        await group.run(5)
+        elapsedMs += 5
+        expect(group.countLeases(), `seed ${seed} after ${elapsedMs} ms`).to.be.at.most(1)
+        expect(others.map((name) => group.members.get(name)?.member.status().role)).not.to.include(
+          'leader',
+        )
+      }
+      await group.findLeader(old.name)
+      expect(group.countLeases()).to.equal(1)
+      if (seed < 8) await group.close()
+    }
+  })
+
+  it('a member that followed a leader only remembers it over a restart', async () => {
+    group = await createTestGroup(NAMES)
+    const old = await group.findLeader()
+    await group.run(ELECTION_MS)
+    const [follower] = NAMES.filter((name) => name !== old.name)
+    await group.restart([follower], 0)
+    group.isolate(follower)
+    const { term, lastIndex } = old.member.status()
+    const request = {
+      isPreVote: false,
+      term: term + 5,
+      candidate: 'z',
+      lastIndex: lastIndex + 9,
+      lastTerm: term + 5,
+    }
+    const restarted = group.members.get(follower) as TestMember
+    const vote = async (endedTerms: Record<string, number>) =>
+      restarted.member.handleVote({ ...request, endedTerms })
+    const heldBackBy = { name: old.name, term }
+    expect(await vote({})).to.deep.equal({
+      voter: follower,
+      term,
+      isGranted: false,
+      endedTerm: term,
+      heldBackBy,
+    })
+    // That the leader ended an earlier term says nothing of this one.
+    expect((await vote({ [old.name]: term - 1 })).isGranted).to.equal(false)
+    expect((await vote({ [old.name]: term })).isGranted).to.equal(true)
+  })
+
+  it('four voters bear the loss of two disks right after an acknowledgement', async () => {
+    const names = [...NAMES, 'd']
+    for (const [seed, pair] of listPairs(names).entries()) {
+      group = await createTestGroup(names, seed + 1)
+      await group.propose(await group.findLeader(), buildTable(7))
+      await group.restart(
+        names.filter((name) => !pair.includes(name)),
+        0,
+      )
+      await group.loseDisks(pair)
+      const leader = await group.findLeader()
+      expect(pair, 'an empty disk does not lead').not.to.include(leader.name)
+      // The group serves again, and what was acknowledged is still there: 7 is not new.
+      const again = await group.propose(leader, buildTable(7))
+      expect(again, `without ${pair.join()}`).to.deep.equal({ isNewer: false, version: 7 })
+      const left = names.filter((name) => !pair.includes(name))
+      expect(Object.keys(leader.member.status().members)).to.have.members(left)
+      if (seed < 5) await group.close()
+    }
+  })
+
+  it('elects nobody where as many disks are lost as make a majority', async () => {
+    for (const [names, lost] of [
+      [NAMES, ['a', 'b']],
+      [
+        [...NAMES, 'd'],
+        ['a', 'b', 'c'],
+      ],
+    ]) {
+      group = await createTestGroup(names)
+      await group.findLeader()
+      await group.restart(
+        names.filter((name) => !lost.includes(name)),
+        0,
+      )
+      await group.loseDisks(lost)
+      await group.run(ELECTION_MS * 30)
+      expect(group.leader()).to.equal(undefined)
+      if (names === NAMES) await group.close()
+    }
+  })
+
+  it('waits for voters that may come back with their disks', async () => {
+    const names = [...NAMES, 'd']
+    group = await createTestGroup(names)
+    await group.findLeader()
+    await group.restart(names, 0)
+    // Two are away and nothing tells that their disks are lost; of two others one is.
+    group.frozen.add('a')
+    group.frozen.add('b')
+    await group.run(ELECTION_MS * 30)
+    expect(group.leader()).to.equal(undefined)
+    group.frozen.delete('b')
+    await group.loseDisks(['c'])
+    await group.run(ELECTION_MS * 30)
+    expect(group.leader(), 'one is lost and one is away').to.equal(undefined)
+    group.frozen.delete('a')
+    await group.findLeader()
+  })
+
+  it('counts a change of the group only with a majority of the group before it', async () => {
+    const names = [...NAMES, 'd']
+    group = await createTestGroup(names)
+    const leader = await group.findLeader()
+    const others = names.filter((name) => name !== leader.name)
+    await group.start('e', { isFounding: false })
+    const { members } = leader.member.status()
+    const change = async (kind: 'learner' | 'voter') => {
+      let isDone = false
+      const next = { ...members, e: { url: 'e', kind } }
+      void leader.member.changeMembers(next).then(() => (isDone = true))
+      return () => isDone
+    }
+    await group.runUntil(await change('learner'), 'the learner is taken in')
+    await group.run(ELECTION_MS)
+    // Leader, new voter and one other are three of five, but two of the four before.
+    group.isolate(others[0])
+    group.isolate(others[1])
+    const isDone = await change('voter')
+    await group.run(ELECTION_MS)
+    expect(isDone()).to.equal(false)
+    group.heal()
+    await group.runUntil(isDone, 'the change of the group')
+  })
+})
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -131,12 +131,12 @@
     replicator?.wake()
     return entry
   }
-  const becomeLeader = () => {
+  const becomeLeader = (lostVoters: readonly string[]) => {
     role = 'leader'
     leader = name
     leaderUrl = options.url
     electionTimer?.unsubscribe()
-    logger.info('raft.elected', { term: term(), index: store.lastIndex() })
+    logger.info('raft.elected', { term: term(), index: store.lastIndex(), lostVoters })
     replicator = createReplicator({
       name,
       url: options.url,
@@ -146,17 +146,14 @@
       timers,
       heartbeatMs: options.heartbeatMs,
       listMembers: membership.members,
+      listDeciding: () => membership.listDeciding(commitIndex),
       commitIndex: () => commitIndex,
       onCommit: advanceCommit,
       onHigherTerm: (found) => void adoptTerm(found),
       onLost: () => becomeFollower(undefined, undefined),
       lostAfterMs: options.electionMs * 2,
     })
-    const isUnnamed = membership.changedAt() === 0 && !store.snapshot()
-    const first: GroupCommand = isUnnamed
-      ? { group: 'members', members: membership.members() }
-      : { group: 'noop' }
-    appendOwn(first)
+    appendOwn(membership.buildFirstCommand(lostVoters))
     elected.next(term())
   }
 
@@ -170,6 +167,7 @@
         if (found > term()) await adoptTerm(found)
       },
       own: {
+        voter: name,
         term: voteTerm,
         isGranted: heldBackBy === undefined,
         endedTerm: findEndedTerm(),
@@ -209,8 +207,9 @@
     campaignTerm = started + 1
     startElectionTimer()
     await saveVote(started + 1, name)
-    const { isWon: isElected } = await askForVotes(false, started + 1, endedTerms)
-    if (isElected && isCampaigning() && campaignTerm === started + 1) becomeLeader()
+    const outcome = await askForVotes(false, started + 1, endedTerms)
+    const isElected = outcome.isWon && isCampaigning() && campaignTerm === started + 1
+    if (isElected) becomeLeader(outcome.lostVoters)
   }
 
   const isUpToDate = (request: VoteRequest) =>
@@ -232,6 +231,7 @@
   const voteNow = async (request: VoteRequest): Promise<VoteReply> => {
     // A member that still hears its leader does not help to depose it; the lease rests on this.
     const reply = (isGranted: boolean, heldBackBy?: LeaseHolder): VoteReply => ({
+      voter: name,
       term: term(),
       isGranted,
       endedTerm: findEndedTerm(),
--- a/packages/control/src/raft/messages.ts
+++ b/packages/control/src/raft/messages.ts
@@ -28,6 +28,8 @@
 }
 
 export interface VoteReply {
+  /** Who answers: an instance whose disk was lost has another name than the member it was. */
+  readonly voter: string
   readonly term: number
   readonly isGranted: boolean
   /** Highest term in which the member that answers does not lead and never will. */
--- a/packages/control/src/raft/replicator.ts
+++ b/packages/control/src/raft/replicator.ts
@@ -22,6 +22,8 @@
   /** Time without a majority after which leadership is given up, in ms. */
   readonly lostAfterMs: number
   readonly listMembers: () => MemberMap
+  /** Groups of which each must hold a majority before an entry counts as committed. */
+  readonly listDeciding: () => readonly MemberMap[]
   readonly commitIndex: () => number
   readonly onCommit: (index: number) => void
   readonly onHigherTerm: (term: number) => void
@@ -64,7 +66,8 @@
     if (isClosed) return
     const findMatch = (member: string) =>
       member === name ? store.durableIndex() : (peers.get(member)?.matchIndex ?? 0)
-    const index = findMajorityValue(options.listMembers(), findMatch)
+    const reached = options.listDeciding().map((members) => findMajorityValue(members, findMatch))
+    const index = Math.min(...reached)
     // Only an entry of its own term may be counted (Raft, figure 8).
     if (index > options.commitIndex() && store.findTerm(index) === term) options.onCommit(index)
   }
--- a/packages/control/src/raft/votes.ts
+++ b/packages/control/src/raft/votes.ts
@@ -1,6 +1,6 @@
 /** Asking the members for their votes. */
 import type { LeaseHolder } from '../log/logStore.js'
-import { isMajority, listOthers } from './group.js'
+import { countMajority, isMajority, listOthers, listVoters } from './group.js'
 import type { EndedTerms, MemberMap, RaftTransport, VoteReply, VoteRequest } from './messages.js'
 
 /** Options of {@link askMembersForVotes}. */
@@ -19,8 +19,13 @@
   readonly isWon: boolean
   /** What the members answered, for the real vote that follows a pre-vote. */
   readonly endedTerms: EndedTerms
+  /** Voters whose disks are lost, where the vote was won by all that are left and no majority. */
+  readonly lostVoters: readonly string[]
 }
 
+/** Ended term of a member whose disk is lost: its process is gone, and nobody has its name any more. */
+const EVERY_TERM = Number.MAX_SAFE_INTEGER
+
 /** Whether a leader said that it does not lead the term any more, so that its lease is over. */
 export function isLeaseEnded(holder: LeaseHolder, endedTerms: EndedTerms): boolean {
   return (endedTerms[holder.name] ?? -Infinity) >= holder.term
@@ -30,6 +35,11 @@
  * Asks all other members at once; won as soon as a majority, with the candidate in it, has granted
  * its vote. In a pre-vote, a member that only waits for a lease counts once its holder has answered
  * that the lease is over: the real vote tells the member so.
+ *
+ * Four voters bear the loss of two disks, though two are no majority: an instance that answers under
+ * another name than the voter at its address has lost the disk of that voter, which can neither vote
+ * nor acknowledge anything ever again. Where fewer than a majority are lost, each committed entry is
+ * held by one of the rest at least, so that all of the rest together may elect.
  */
 export function askMembersForVotes(options: VoteOptions): Promise<VoteOutcome> {
   const { members, transport, request, own, onHigherTerm } = options
@@ -41,19 +51,34 @@
   const isGranting = ({ isGranted, heldBackBy }: VoteReply) =>
     isGranted ||
     (request.isPreVote && heldBackBy !== undefined && isLeaseEnded(heldBackBy, endedTerms))
-  const isWon = () => {
-    const granting = [...replies].filter(([, reply]) => isGranting(reply)).map(([name]) => name)
-    return granting.includes(request.candidate) && isMajority(members, new Set(granting))
+  const findOutcome = (): VoteOutcome | undefined => {
+    const ofMembers = [...replies].filter(([name, { voter }]) => voter === name)
+    const granting = new Set(
+      ofMembers.filter(([, reply]) => isGranting(reply)).map(([name]) => name),
+    )
+    if (!granting.has(request.candidate)) return undefined
+    if (isMajority(members, granting)) return { isWon: true, endedTerms, lostVoters: [] }
+    const voters = listVoters(members)
+    const lostVoters = voters.filter((name) => (replies.get(name)?.voter ?? name) !== name)
+    const isRestGranting = voters.every((name) => lostVoters.includes(name) || granting.has(name))
+    const isBorne = lostVoters.length > 0 && lostVoters.length < countMajority(members)
+    return isBorne && isRestGranting ? { isWon: true, endedTerms, lostVoters } : undefined
   }
   return new Promise((resolve) => {
-    if (isWon()) return resolve({ isWon: true, endedTerms })
+    const settle = () => {
+      const outcome = findOutcome()
+      if (outcome) resolve(outcome)
+    }
+    settle()
     const asked = listOthers(members, request.candidate).map(async ([other, { url }]) => {
       const reply = await transport.send(other, url, 'vote', request)
       await onHigherTerm(reply.term)
       replies.set(other, reply)
-      endedTerms[other] = reply.endedTerm
-      if (isWon()) resolve({ isWon: true, endedTerms })
+      endedTerms[reply.voter] = reply.endedTerm
+      if (reply.voter !== other) endedTerms[other] = EVERY_TERM
+      settle()
     })
-    void Promise.allSettled(asked).then(() => resolve({ isWon: false, endedTerms }))
+    const lose = () => resolve({ isWon: false, endedTerms, lostVoters: [] })
+    void Promise.allSettled(asked).then(lose)
   })
 }
