perf(control): a new leader waits only at engines that the one before may be ordering

Ruled out: a shorter wait for all; the rule counts orders of an earlier leader that may still be carried out.

Change: a leader notes in the replicated log that it begins with an engine, before its first order, and that it has ended, unless an order was not answered. A new leader waits out the lease where a load is open, counted from its own start, or has ended so lately as it saw it; elsewhere it orders at once. A leader that was cut off cannot note a beginning, and so gives no orders to further engines.

Tests: weightsRollout.spec, engines that were never ordered, are open, ended early and ended late; the mark before the first order, and none of the end where an order was not answered.

--- a/packages/control/src/__tests__/weightsRollout.spec.ts
+++ b/packages/control/src/__tests__/weightsRollout.spec.ts
@@ -10,6 +10,7 @@
 import { createServerWatch } from '../registry/serverWatch.js'
 import { createWeightsRollout, type WeightsRollout } from '../registry/weightsRollout.js'
 import type { RaftMember, RaftStatus } from '../raft/types.js'
+import type { LoadMark } from '../state/loadState.js'
 import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
 
 const STEP_MS = 10
@@ -26,7 +27,9 @@
   readonly timers: ManualTimerService = createManualTimerService()
   readonly machine: ControlMachine = createControlMachine()
   readonly engines = new Map<BackendServerId, TestEngine>()
-  readonly orders: (LoadOrder & { server: BackendServerId; at: number })[] = []
+  readonly orders: (LoadOrder & { server: BackendServerId; at: number; mark?: LoadMark })[] = []
+  /** Engines that carry orders out and do not answer them. */
+  readonly silent = new Set<BackendServerId>()
   status = { role: 'leader', term: 1, hasLease: true } as RaftStatus
   loadedAtOnce = 0
   readonly rollout: WeightsRollout
@@ -42,9 +45,10 @@
       orders: {
         fetchReport: async ({ id }) => ({ ...(this.engines.get(id) as TestEngine) }),
         sendLoad: async ({ id }, order) => {
-          this.orders.push({ ...order, server: id, at: this.timers.now() })
+          const mark = this.machine.loads.find(id)
+          this.orders.push({ ...order, server: id, at: this.timers.now(), mark })
           ;(this.engines.get(id) as TestEngine).version = order.version
-          return 'taken'
+          return this.silent.has(id) ? 'unknown' : 'taken'
         },
       },
       instance: 'control-1',
@@ -132,16 +136,41 @@
     expect(leader.orders[0].isKeepingRuns).to.equal(true)
   })
 
-  it('waits out the orders of an earlier leader', async () => {
-    await leader.run(100)
-    leader.status = { ...leader.status, term: 2 }
-    leader.addEngine('a')
-    leader.nameWeights(2)
+  /** Records what an earlier leader did with an engine. */
+  const markLoad = (kind: 'load.begin' | 'load.end', name: string) =>
+    leader.machine.apply({ kind, server: toBackendServerId(name) }, 1)
+
+  it('waits out the orders of an earlier leader, where that may have given any', async () => {
+    markLoad('load.begin', 'open')
+    markLoad('load.begin', 'endedEarly')
+    markLoad('load.end', 'endedEarly')
     await leader.run(ORDER_LEASE_MS)
-    expect(leader.orders).to.have.length(0)
+    markLoad('load.begin', 'endedLate')
+    markLoad('load.end', 'endedLate')
     await leader.run(1_000)
-    expect(leader.orders).to.have.length(1)
-    expect(leader.orders[0].at).to.be.above(ORDER_LEASE_MS + 100)
+    leader.status = { ...leader.status, term: 2 }
+    const startedAt = leader.timers.now()
+    for (const name of ['open', 'endedEarly', 'endedLate', 'untouched']) leader.addEngine(name)
+    leader.nameWeights(2)
+    await leader.run(ORDER_LEASE_MS + 2_000)
+    const findOrderAt = (name: string) =>
+      (leader.orders.find(({ server }) => server === name)?.at ?? Infinity) - startedAt
+    expect(findOrderAt('untouched')).to.be.below(500)
+    expect(findOrderAt('endedEarly')).to.be.below(1_000)
+    // Its last order may have come just before the mark, 1,000 ms before this leadership.
+    expect(findOrderAt('endedLate')).to.be.within(ORDER_LEASE_MS - 1_000, ORDER_LEASE_MS)
+    expect(findOrderAt('open')).to.be.within(ORDER_LEASE_MS, ORDER_LEASE_MS + 1_500)
+  })
+
+  it('notes a load before its first order, and its end unless an order was not answered', async () => {
+    leader.addEngine('answered')
+    leader.addEngine('silent')
+    leader.silent.add(toBackendServerId('silent'))
+    leader.nameWeights(2)
+    await leader.run(3_000)
+    expect(leader.orders.map(({ mark }) => mark)).to.deep.equal(['open', 'open'])
+    expect(leader.machine.loads.find(toBackendServerId('answered'))).to.equal('ended')
+    expect(leader.machine.loads.find(toBackendServerId('silent'))).to.equal('open')
   })
 
   it('orders nothing without the lease', async () => {
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -1,7 +1,7 @@
 /**
- * Brings every engine to the wanted weights version. Only the leader orders, after waiting out the
- * lease of the one before it, so that no two instances give orders to an engine by turns. A few
- * engines load at a time; versions that were overtaken are skipped.
+ * Brings every engine to the wanted weights version. Only the leader orders, and not to an engine
+ * that the one before it may have given orders to within a lease. A few engines load at a time;
+ * versions that were overtaken are skipped.
  */
 import {
   toSpoolgateError,
@@ -16,6 +16,7 @@
 import type { RegisteredServer } from '../state/serverState.js'
 import type { EngineOrders, EngineReport, OrderOutcome } from './engineOrders.js'
 import type { ServerLoads } from './feed.js'
+import { createOrderTurns } from './orderTurns.js'
 
 /** Options of {@link createWeightsRollout}. */
 export interface WeightsRolloutOptions {
@@ -58,8 +59,6 @@
 const REPORT_PERIOD_MS = 80
 /** Longest time for one load with all its tries, in ms; an order may be carried out 12 s late. */
 const LOAD_TIMEOUT_MS = 15_000
-/** Added to the lease of an earlier leader, for orders that were still on their way, in ms. */
-const LEASE_MARGIN_MS = 500
 /** Time after which an order without effect is repeated, in ms. */
 const REPEAT_ORDER_MS = 1_000
 /** Silence after which a server gets no orders, in ms: two heartbeats of 1.2 s. */
@@ -97,9 +96,15 @@
   const stopping = new AbortController()
   const loading = new Set<BackendServerId>()
   const pausedUntil = new Map<BackendServerId, number>()
+  /** Engines with an order that got no answer, so that it may still be carried out. */
+  const unanswered = new Set<BackendServerId>()
   const loadingChanges = new Subject<void>()
+  const turns = createOrderTurns({
+    loads: machine.loads,
+    timers,
+    orderLeaseMs: options.orderLeaseMs,
+  })
   let leadingTerm: number | undefined
-  let mayOrderAt = Infinity
   let ordersGiven = 0
 
   const isLeading = (term: number) => {
@@ -110,9 +115,7 @@
     if (term === leadingTerm) return
     leadingTerm = term
     ordersGiven = 0
-    // Nobody has ordered anything before the first leader of a group.
-    const isFirst = term <= 1
-    mayOrderAt = isFirst ? timers.now() : timers.now() + options.orderLeaseMs + LEASE_MARGIN_MS
+    turns.startLeading()
   }
   const createFencing = (term: number) => {
     ordersGiven += 1
@@ -132,7 +135,7 @@
     const tasks = machine.servers.list().flatMap((server) => {
       const held = isOutdated(server)
       const isFree = !loading.has(server.id) && (pausedUntil.get(server.id) ?? 0) <= now
-      if (!held || !isFree || !isLive(server)) return []
+      if (!held || !isFree || !isLive(server) || !turns.isFree(server.id)) return []
       return [{ server, model: held.model, held: held.version }]
     })
     const findCalls = ({ server }: LoadTask) => loads[server.id]?.calls ?? 0
@@ -154,6 +157,7 @@
       expectedOrders: report.ordersTaken,
     }
     const outcome = await orders.sendLoad(task.server, order)
+    if (outcome === 'unknown') unanswered.add(task.server.id)
     const { model, fencing } = order
     const { waiting, running } = report
     const server = task.server.id
@@ -186,13 +190,19 @@
     }
     return false
   }
+  /** Whoever leads next must know of the orders before the first of them is sent. */
+  const beginLoad = async (server: BackendServerId) => {
+    await member.propose({ kind: 'load.begin', server })
+    turns.take(server)
+  }
   const runTask = async (task: LoadTask, term: number) => {
     const { id } = task.server
     loading.add(id)
     loadingChanges.next()
     try {
-      await waitFor(timers, ANNOUNCE_MS)
+      await Promise.all([waitFor(timers, ANNOUNCE_MS), beginLoad(id)])
       if (!(await bringUp(task, term))) pausedUntil.set(id, timers.now() + FAILED_PAUSE_MS)
+      if (!unanswered.delete(id)) await member.propose({ kind: 'load.end', server: id })
     } catch (cause) {
       pausedUntil.set(id, timers.now() + FAILED_PAUSE_MS)
       logger.warn('weights.loadFailed', { server: id, reason: toSpoolgateError(cause).message })
@@ -204,7 +214,6 @@
     const { role, term, hasLease } = member.status()
     if (role !== 'leader' || !hasLease) return
     noteTerm(term)
-    if (timers.now() < mayOrderAt) return
     for (const task of listTasks()) {
       const { group } = task.server
       const busy = machine.servers
@@ -226,6 +235,7 @@
     close: async () => {
       stopping.abort()
       await running
+      turns.close()
     },
   }
 }
--- a/packages/control/src/state/controlMachine.ts
+++ b/packages/control/src/state/controlMachine.ts
@@ -23,6 +23,13 @@
   type SubmitCommand,
   type SubmitResult,
 } from './configState.js'
+import {
+  createLoadState,
+  type BeginLoad,
+  type EndLoad,
+  type LoadState,
+  type SavedLoads,
+} from './loadState.js'
 import {
   createOrderState,
   type FinishOrder,
@@ -67,6 +74,8 @@
   'weights.name': { command: NameWeights; result: NameWeightsResult }
   'server.observe': { command: ObserveServer; result: ServerResult }
   'server.retire': { command: RetireServer; result: ServerResult }
+  'load.begin': { command: BeginLoad; result: null }
+  'load.end': { command: EndLoad; result: null }
 }
 
 /** Kind of a command. */
@@ -86,6 +95,7 @@
   readonly table: TableState
   readonly weights: WeightsState
   readonly servers: ServerState
+  readonly loads: LoadState
   /** Emits after each command that changed the table, the weights or the servers. */
   readonly fleetChanges: Observable<void>
 }
@@ -94,10 +104,12 @@
   readonly config: SavedConfig
   readonly claims: SavedClaims
   readonly orders: SavedOrders
-  /** The last three are missing in snapshots of versions before 0.2. */
+  /** These three are missing in snapshots of versions before 0.2. */
   readonly table?: HeldTable | null
   readonly weights?: Readonly<Record<string, number>>
   readonly servers?: SavedServers
+  /** Missing in snapshots of versions before 0.3. */
+  readonly loads?: SavedLoads
 }
 
 type Handlers = {
@@ -116,6 +128,7 @@
   const table = createTableState()
   const weights = createWeightsState()
   const servers = createServerState()
+  const loads = createLoadState()
   const fleetChanges = new Subject<void>()
   const announce = <T>(result: T): T => {
     fleetChanges.next()
@@ -138,6 +151,8 @@
     'weights.name': (command) => announce(weights.name(command)),
     'server.observe': (command) => announce(servers.observe(command)),
     'server.retire': (command) => announce(servers.retire(command)),
+    'load.begin': loads.begin,
+    'load.end': loads.end,
   }
   return {
     config,
@@ -147,6 +162,7 @@
     table,
     weights,
     servers,
+    loads,
     fleetChanges,
     apply: (command, index) => {
       const typed = command as ControlCommand
@@ -160,6 +176,7 @@
       table: table.save(),
       weights: weights.save(),
       servers: servers.save(),
+      loads: loads.save(),
     }),
     load: (state) => {
       const saved = state as SavedMachine
@@ -169,6 +186,7 @@
       table.load(saved.table ?? null)
       weights.load(saved.weights ?? {})
       servers.load(saved.servers ?? { servers: [], retired: [] })
+      loads.load(saved.loads ?? [])
       fleetChanges.next()
       versions.next(config.version())
     },
--- /dev/null
+++ b/packages/control/src/state/loadState.ts
@@ -0,0 +1,66 @@
+/**
+ * The part of the replicated state that says where loads of weights were begun and ended. A leader
+ * notes the beginning before its first order to an engine, so that the next leader knows which
+ * engines the one before may still be giving orders to.
+ */
+import type { BackendServerId } from '@spoolgate/core'
+import { Subject, type Observable } from 'rxjs'
+
+/** Notes that a leader is about to order an engine to load weights. */
+export interface BeginLoad {
+  readonly kind: 'load.begin'
+  readonly server: BackendServerId
+}
+
+/** Notes that the leader will send the engine no more orders, and that all were answered. */
+export interface EndLoad {
+  readonly kind: 'load.end'
+  readonly server: BackendServerId
+}
+
+/** How far the last load of an engine has come. */
+export type LoadMark = 'open' | 'ended'
+
+/** State as a snapshot holds it. */
+export type SavedLoads = readonly (readonly [BackendServerId, LoadMark])[]
+
+/** Loads of weights by engine. */
+export interface LoadState {
+  /** Finds the mark of an engine; undefined where nobody ever ordered it to load. */
+  find(server: BackendServerId): LoadMark | undefined
+  list(): SavedLoads
+  /** Emits the engine of each mark that is set. */
+  readonly changes: Observable<BackendServerId>
+  begin(command: BeginLoad): null
+  end(command: EndLoad): null
+  save(): SavedLoads
+  load(saved: SavedLoads): void
+}
+
+/** Engines whose marks are kept, the newest: several times those of a large fleet. */
+const MAX_MARKS = 2_000
+
+/** Creates a state without loads. */
+export function createLoadState(): LoadState {
+  const marks = new Map<BackendServerId, LoadMark>()
+  const changes = new Subject<BackendServerId>()
+  const setMark = (server: BackendServerId, mark: LoadMark) => {
+    marks.delete(server)
+    marks.set(server, mark)
+    if (marks.size > MAX_MARKS) marks.delete(marks.keys().next().value as BackendServerId)
+    changes.next(server)
+    return null
+  }
+  return {
+    find: (server) => marks.get(server),
+    list: () => [...marks],
+    changes,
+    begin: ({ server }) => setMark(server, 'open'),
+    end: ({ server }) => setMark(server, 'ended'),
+    save: () => [...marks],
+    load: (saved) => {
+      marks.clear()
+      for (const [server, mark] of saved) setMark(server, mark)
+    },
+  }
+}
