fix(control): a late heartbeat of a crashed incarnation does not take an address back

Cause: a heartbeat that a cut held up may arrive after its sender has crashed and another incarnation has registered at the same address. It took the address, so that a good server had no requests until its own next heartbeat, 1.2 s later.

Change: the leader remembers which incarnations gave way to another one at their address. Such a one gets it back only when the other has been silent for as long as makes a server silent.

Left: where a late heartbeat is the first that this leader ever hears of its sender, it still takes the address, now until the sender is silent.

Test: lateHeartbeat.spec, fails without the change.

--- /dev/null
+++ b/packages/control/src/__tests__/lateHeartbeat.spec.ts
@@ -0,0 +1,70 @@
+import {
+  createManualTimerService,
+  createQuietLogger,
+  toBackendServerId,
+  type HttpClient,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import { createFleetOperator } from '../registry/fleetOperations.js'
+import type { RaftMember } from '../raft/types.js'
+import { createControlMachine } from '../state/controlMachine.js'
+
+const SILENT_AFTER_MS = 2_600
+
+/** A leader that hears heartbeats of incarnations at one address. */
+function createLeader() {
+  const timers = createManualTimerService()
+  const machine = createControlMachine()
+  const member = {
+    status: () => ({ role: 'leader', term: 1 }),
+    propose: async (command: unknown) => machine.apply(command, 1),
+  } as unknown as RaftMember
+  const operator = createFleetOperator({
+    member,
+    machine,
+    client: {} as HttpClient,
+    timers,
+    logger: createQuietLogger(),
+    silentAfterMs: SILENT_AFTER_MS,
+  })
+  const beat = (name: string) =>
+    operator.run('observeServer', {
+      server: {
+        id: toBackendServerId(name),
+        group: 'g',
+        address: 'a:1',
+        hall: 'h',
+        phase: 'ready',
+        slots: 4,
+        weights: [],
+      },
+    })
+  return { timers, beat, list: () => machine.servers.list().map(({ id }) => id) }
+}
+
+describe('heartbeats of incarnations at one address', () => {
+  it('let a new incarnation take the address at once', async () => {
+    const { beat, list } = createLeader()
+    await beat('old')
+    await beat('new')
+    expect(list()).to.deep.equal(['new'])
+  })
+
+  it('do not take it back when they were held up and arrive late', async () => {
+    const { timers, beat, list } = createLeader()
+    await beat('old')
+    await beat('new')
+    timers.advance(1_000)
+    expect(await beat('old')).to.deep.equal({ phase: 'gone' })
+    expect(list()).to.deep.equal(['new'])
+  })
+
+  it('take it back once the other one has fallen silent', async () => {
+    const { timers, beat, list } = createLeader()
+    await beat('old')
+    await beat('new')
+    timers.advance(SILENT_AFTER_MS)
+    expect(await beat('old')).to.deep.equal({ phase: 'ready' })
+    expect(list()).to.deep.equal(['old'])
+  })
+})
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -9,6 +9,7 @@
   type Logger,
   type TimerService,
 } from '@spoolgate/core'
+import { LRUCache } from 'lru-cache'
 import type { RaftMember } from '../raft/types.js'
 import type { ControlMachine } from '../state/controlMachine.js'
 import {
@@ -43,6 +44,8 @@
   readonly client: HttpClient
   readonly timers: TimerService
   readonly logger: Logger
+  /** Silence after which a backend server counts as silent, in ms. */
+  readonly silentAfterMs: number
 }
 
 /** Runs operations; see {@link createFleetOperator}. */
@@ -61,6 +64,8 @@
   findSilenceMs(id: BackendServerId): number
 }
 
+/** Incarnations that are remembered after they were displaced: those of minutes in a large fleet. */
+const MAX_DISPLACED = 2_000
 /** Longest wait for the leader, in ms: callers turn to another instance after a second. */
 const LEADER_TIMEOUT_MS = 850
 
@@ -78,6 +83,8 @@
 export function createFleetOperator(options: FleetOperatorOptions): FleetOperator {
   const { member, machine, client, timers, logger } = options
   const heardAt = new Map<BackendServerId, number>()
+  /** Incarnations whose address another one took over while this instance led. */
+  const displaced = new LRUCache<BackendServerId, true>({ max: MAX_DISPLACED })
   let leadingTerm: number | undefined
   let leadingSince = timers.now()
   /** Heartbeats went to the leader before, so silence counts from the start of this leadership. */
@@ -89,9 +96,37 @@
     return leadingSince
   }
 
+  const findSilenceMs = (id: BackendServerId) =>
+    timers.now() - Math.max(heardAt.get(id) ?? -Infinity, findLeadingSince())
+  const findOtherAt = ({ id, address }: RegisteredServer) =>
+    machine.servers.list().find((other) => other.address === address && other.id !== id)
+  /**
+   * A heartbeat may be held up by a cut, and arrive when its sender has crashed and another
+   * incarnation has the address. It would take a good server out until that one's next heartbeat.
+   */
+  const isLateWord = (server: RegisteredServer, holder: RegisteredServer) =>
+    displaced.has(server.id) && findSilenceMs(holder.id) < options.silentAfterMs
+  const displace = (server: RegisteredServer, holder: RegisteredServer) => {
+    logger.info('server.displaced', {
+      server: holder.id,
+      by: server.id,
+      address: server.address,
+      silentMs: Math.round(findSilenceMs(holder.id)),
+    })
+    displaced.set(holder.id, true)
+    displaced.delete(server.id)
+  }
+
   const observe: Handlers['observeServer'] = async ({ server }) => {
-    heardAt.set(server.id, timers.now())
     if (machine.servers.isRetired(server.id)) return { phase: 'gone' }
+    const holder = findOtherAt(server)
+    if (holder && isLateWord(server, holder)) {
+      const { id, address } = server
+      logger.info('server.lateHeartbeat', { server: id, address, holder: holder.id })
+      return { phase: 'gone' }
+    }
+    if (holder) displace(server, holder)
+    heardAt.set(server.id, timers.now())
     const known = machine.servers.find(server.id)
     if (known && isSameServer(known, mergeServer(known, server))) return { phase: known.phase }
     logger.info('server.observed', {
@@ -154,7 +189,6 @@
   return {
     run: (name, input) => runAtLeader(name, input) as Promise<never>,
     runHere,
-    findSilenceMs: (id) =>
-      timers.now() - Math.max(heardAt.get(id) ?? -Infinity, findLeadingSince()),
+    findSilenceMs,
   }
 }
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -157,7 +157,14 @@
     logger,
   })
   const stopping = new Subject<void>()
-  const operator = createFleetOperator({ member, machine, client, timers, logger })
+  const operator = createFleetOperator({
+    member,
+    machine,
+    client,
+    timers,
+    logger,
+    silentAfterMs: options.silentAfterMs,
+  })
   const rollout = createWeightsRollout({
     member,
     machine,
