fix(router): a stopping router counts streams that still run by their age

Change: streams that run count by their age. The record of begin and end is one object now.

Left open: a stream that outlasts all that ran when it was taken.

--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -198,9 +198,9 @@
   let stopsAt = Infinity
   const streamTimes = createStreamTimes(timers)
   /** A stream that would outlast this process is better begun elsewhere. */
-  const checkTimeForStream = () => {
+  const beginStream = () => {
     const longestMs = streamTimes.findLongest()
-    if (timers.now() + longestMs < stopsAt) return
+    if (timers.now() + longestMs < stopsAt) return streamTimes.begin()
     throw new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
       retryAfterSeconds: RETRY_WHILE_STOPPING_S,
       details: { longestMs },
@@ -212,17 +212,17 @@
   const serve = async (request: IncomingMessage, response: ServerResponse) => {
     const arrivedAt = timers.now()
     let call: DirectCall | undefined
+    let endStream = () => {}
     try {
       parts.instruments.requests.add(1)
       call = caller.decodeCall(request)
       if (!feed.current()) await waitForTable(call)
       const plan = resolveCall(parts, call, arrivedAt)
-      if (plan.route.isStream) checkTimeForStream()
+      if (plan.route.isStream) endStream = beginStream()
       const { maxBodyBytes } = plan.view.index.table.bounds
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs: BODY_TIMEOUT_MS })
       if (response.destroyed) return
       await serveCall(parts, plan, body, response)
-      if (plan.route.isStream) streamTimes.record(timers.now() - arrivedAt)
     } catch (cause) {
       const error = toSpoolgateError(cause)
       logger.info('call.refused', {
@@ -237,6 +237,8 @@
       parts.instruments.refusals.add(1, { kind: error.kind })
       if (!response.headersSent) caller.sendRefusal(response, call, error)
       else response.destroy()
+    } finally {
+      endStream()
     }
   }
   const server = createServer({
--- a/packages/router/src/direct/streamTimes.ts
+++ b/packages/router/src/direct/streamTimes.ts
@@ -3,9 +3,12 @@
 
 /** Times of streams; see {@link createStreamTimes}. */
 export interface StreamTimes {
-  /** Notes how long a stream took, in ms, however it ended. */
-  record(ms: number): void
-  /** Longest time of the last ten to twenty seconds, in ms; 0 without any stream. */
+  /** Notes that a stream begins; what it returns is called at its end, however it ends. */
+  begin(): () => void
+  /**
+   * Longest time that a stream took in the last ten to twenty seconds, or has taken that still runs,
+   * in ms; 0 without any stream.
+   */
   findLongest(): number
 }
 
@@ -17,6 +20,8 @@
   let startedAt = timers.now()
   let longest = 0
   let longestBefore = 0
+  /** Streams that run, the oldest first. */
+  const running = new Set<{ readonly startedAt: number }>()
   const turn = () => {
     const windows = Math.floor((timers.now() - startedAt) / WINDOW_MS)
     if (windows === 0) return
@@ -24,14 +29,23 @@
     longestBefore = windows === 1 ? longest : 0
     longest = 0
   }
+  const record = (ms: number) => {
+    turn()
+    longest = Math.max(longest, ms)
+  }
   return {
-    record: (ms) => {
-      turn()
-      longest = Math.max(longest, ms)
+    begin: () => {
+      const stream = { startedAt: timers.now() }
+      running.add(stream)
+      return () => {
+        if (running.delete(stream)) record(timers.now() - stream.startedAt)
+      }
     },
     findLongest: () => {
       turn()
-      return Math.max(longest, longestBefore)
+      const [oldest] = running
+      const age = oldest ? timers.now() - oldest.startedAt : 0
+      return Math.max(longest, longestBefore, age)
     },
   }
 }
