fix(router): give up kept connections that have fallen silent

Cause: open connections may go silent for good, without a reset, while new ones work. A request on such a connection waited until its deadline, since the server accepted connections and so counted as alive; and each further idle connection cost one request more.

A repeatable request to a plain service goes to another server; an engine may still be reading a prompt, so that its requests wait on.

Left: a stream that falls silent after its first part is cut by its caller or its deadline.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -63,7 +63,11 @@
   type TlsFiles,
   type TrafficCount,
 } from './httpServer.js'
-export { createKeepAliveAgent, type KeepAliveAgentOptions } from './keepAliveAgent.js'
+export {
+  createKeepAliveAgent,
+  type KeepAliveAgent,
+  type KeepAliveAgentOptions,
+} from './keepAliveAgent.js'
 export { readTextStream } from './httpTextStream.js'
 export {
   ConnectionError,
--- a/packages/core/src/keepAliveAgent.ts
+++ b/packages/core/src/keepAliveAgent.ts
@@ -27,7 +27,7 @@
 /** What Node keeps on a socket that served a request. */
 type ServedSocket = Socket & { _httpMessage?: ClientRequest & { res?: { headers: object } } }
 
-class GuardedAgent extends Agent {
+class GuardedAgent extends Agent implements KeepAliveAgent {
   constructor(private readonly guard: KeepAliveAgentOptions) {
     super({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: Infinity, scheduling: 'lifo' })
   }
@@ -44,6 +44,12 @@
     return true
   }
 
+  closeIdle(address: string): void {
+    const [host, port] = address.split(':')
+    const idle = this.freeSockets[this.getName({ host, port: Number(port) })] ?? []
+    for (const socket of [...idle]) socket.destroy()
+  }
+
   override reuseSocket(stream: Duplex, request: ClientRequest): void {
     const socket = stream as Socket
     socket.removeListener('data', closeOnData)
@@ -56,7 +62,16 @@
   this.destroy()
 }
 
+/** An agent whose idle connections can be given up. */
+export interface KeepAliveAgent extends Agent {
+  /**
+   * Closes the idle connections to an address: connections may fall silent without a reset while new
+   * ones work, and then each of them would cost a request.
+   */
+  closeIdle(address: string): void
+}
+
 /** Creates an agent for Node's HTTP client. */
-export function createKeepAliveAgent(options: KeepAliveAgentOptions): Agent {
+export function createKeepAliveAgent(options: KeepAliveAgentOptions): KeepAliveAgent {
   return new GuardedAgent(options)
 }
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -1,7 +1,13 @@
 /** Parts of a direct router that every request needs. */
-import type { Agent } from 'node:http'
 import type { FeedFollower } from '@spoolgate/control'
-import type { Counter, Histogram, Logger, RandomSource, TimerService } from '@spoolgate/core'
+import type {
+  Counter,
+  Histogram,
+  KeepAliveAgent,
+  Logger,
+  RandomSource,
+  TimerService,
+} from '@spoolgate/core'
 import type { BackendDialect, CallerDialect } from './dialects.js'
 import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
@@ -26,7 +32,7 @@
   readonly feed: FeedFollower
   readonly caller: CallerDialect
   readonly backend: BackendDialect
-  readonly agent: Agent
+  readonly agent: KeepAliveAgent
   readonly board: ServerBoard
   readonly liveness: Liveness
   readonly memory: PartMemory
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -267,7 +267,9 @@
 
   /**
    * Waits for the head of an answer. A server without any sign of life is looked at; where it is
-   * dead, the request goes to another if it may.
+   * dead, the request goes to another if it may. Where it accepts connections, those that stand may
+   * have fallen silent for good: the idle ones are closed, and a request to a plain service, which
+   * does not take that long, goes to another server as well.
    */
   private async waitForHead(send: Send, candidate: Candidate): Promise<SendResult | Abandoned> {
     let result: SendResult | undefined
@@ -277,15 +279,25 @@
     while (!result) {
       const late = firstValueFrom(this.parts.timers.after(SUSPECT_AFTER_MS))
       await Promise.race([isAnswered, late])
-      if (result || this.isOver || !this.ticket?.isUnanswered()) continue
-      const isAlive = await this.parts.liveness.checkAlive(candidate.server)
-      if (result || isAlive || this.isOver || !this.mayRepeat()) continue
+      const isAwaited = () => !result && !this.isOver && this.ticket?.isUnanswered()
+      if (!isAwaited()) continue
+      const doubt = await this.findDoubt(candidate)
+      if (!doubt || !isAwaited() || !this.mayRepeat()) continue
       send.cancel()
-      return { kind: 'abandoned', reason: 'the backend server accepts no connections' }
+      return { kind: 'abandoned', reason: doubt }
     }
     return result
   }
 
+  /** Finds out why a server that gives no sign of life should not be waited for. */
+  private async findDoubt({ server }: Candidate): Promise<string | undefined> {
+    const isAlive = await this.parts.liveness.checkAlive(server)
+    if (!isAlive) return 'the backend server accepts no connections'
+    this.parts.agent.closeIdle(server.address)
+    const mayBeReading = this.plan.call.prompt !== undefined
+    return mayBeReading ? undefined : 'the connection is silent'
+  }
+
   private relayAnswer(message: IncomingMessage): Promise<SendEnd> {
     const { response, relay } = this
     const headers = this.parts.backend.listAnswerHeaders(message)
