perf(control): load new weights after a short drain

Change: an engine is ordered once nothing waits there and it has been without new work for 100 ms for each request that still runs; after 1.5 s in any case.

--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -47,14 +47,13 @@
 /** Time between announcing a load and ordering it, in ms: routers get the news by a waiting poll. */
 const ANNOUNCE_MS = 120
 /**
- * Longest wait for an engine to become idle before it is ordered to load, in ms. One long answer
- * kept an engine from all others for 6 s (scale-1 at Samhjalp); the last ones then go on under the
- * new weights, which costs what they make from there on.
+ * Time of an engine without new work for which one more of its requests may go on under the new
+ * weights, in ms: what that one makes from there on is worth less than what the others lose that wait
+ * for a place. With waits of 1.5 to 3 s and one request a version took 9 s to reach six engines.
  */
-const IDLE_WAIT_MS = 1_500
-const LONGEST_IDLE_WAIT_MS = 3_000
-/** Requests that may go on under the new weights after the first of these waits. */
-const MAX_KEPT_RUNS = 1
+const IDLE_MS_PER_KEPT_RUN = 100
+/** Longest wait for requests that the engine has not begun, in ms; the order would refuse them. */
+const LONGEST_IDLE_WAIT_MS = 1_500
 /** Time between two looks at an engine that loads, in ms; each look costs it a request. */
 const REPORT_PERIOD_MS = 80
 /** Longest time for one load with all its tries, in ms; an order may be carried out 12 s late. */
@@ -85,9 +84,8 @@
 
 /** Whether an engine may be ordered to load after a wait. */
 function isIdleEnough({ waiting, running }: EngineReport, waitedMs: number): boolean {
-  if (waiting === 0 && running === 0) return true
   if (waitedMs > LONGEST_IDLE_WAIT_MS) return true
-  return waitedMs > IDLE_WAIT_MS && waiting === 0 && running <= MAX_KEPT_RUNS
+  return waiting === 0 && running * IDLE_MS_PER_KEPT_RUN <= waitedMs
 }
 
 /** Creates the rollout and starts its task. */
