perf(router): an answer that comes late in any case lets those go first that can be in time

Ruled out: dropping late requests; their callers wait on, and are served when there is room.

Change: a request whose first part is expected after the aim of its route is sent with the least urgent rank; a stream that has begun keeps its own. The expected time is told apart from the penalties.

Tests: refusals.spec, the rank of a send.

--- a/packages/router/src/__tests__/refusals.spec.ts
+++ b/packages/router/src/__tests__/refusals.spec.ts
@@ -1,5 +1,6 @@
+import type { RouteRule } from '@spoolgate/routing'
 import { expect } from 'chai'
-import { rankPriority } from '../direct/callPlan.js'
+import { rankPriority, rankSend } from '../direct/callPlan.js'
 import { createRefusal, createTimeoutError, findComeBackSeconds } from '../direct/refusals.js'
 
 describe('refusals', () => {
@@ -25,4 +26,11 @@
     expect(rankPriority(1, 0)).to.be.below(rankPriority(1, 1))
     expect(rankPriority(99, 99)).to.equal(9)
   })
+
+  it('is the last for an answer that comes late in any case', () => {
+    const plan = { route: { targetMs: 600 } as RouteRule, priority: 4 }
+    expect(rankSend(plan, 600)).to.equal(4)
+    expect(rankSend(plan, 601)).to.equal(9)
+    expect(rankSend({ ...plan, route: { targetMs: 0 } as RouteRule }, 5_000)).to.equal(4)
+  })
 })
--- a/packages/router/src/direct/callPlan.ts
+++ b/packages/router/src/direct/callPlan.ts
@@ -63,6 +63,19 @@
   return Math.min(MAX_PRIORITY, Math.max(0, team) * ROUTE_RANKS + withinTeam)
 }
 
+/**
+ * Ranks a send by when its answer is expected to begin, in ms after the request came. An answer that
+ * comes late in any case lets those go first that can still be in time; its caller waits on, up to
+ * its deadline.
+ */
+export function rankSend(
+  { route, priority }: Pick<CallPlan, 'route' | 'priority'>,
+  firstPartMs: number,
+): number {
+  const isLate = route.targetMs > 0 && firstPartMs > route.targetMs
+  return isLate ? MAX_PRIORITY : priority
+}
+
 /**
  * Plans a request.
  * @throws SpoolgateError for a request that must be refused.
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -36,7 +36,9 @@
 /** A server with the reasons for its rank. */
 export interface Candidate {
   readonly server: RegisteredServer
-  /** Expected time to the first part, with penalties, in ms. */
+  /** Expected time to the first part, or to the answer of a plain service, in ms. */
+  readonly expectedMs: number
+  /** The same with penalties, by which candidates are ranked. */
   readonly cost: number
   readonly matchedTokens: number
   /** Prompt tokens that it has to read itself: neither cached there nor fetched from elsewhere. */
@@ -167,7 +169,7 @@
   load: ServerLoad,
 ): Omit<Candidate, 'server'> {
   const version = findVersion(server, prompt.model, parts.board)
-  if (version === undefined) return { ...PLAIN_FACTS, cost: DEAD_MS }
+  if (version === undefined) return { ...PLAIN_FACTS, expectedMs: DEAD_MS, cost: DEAD_MS }
   const scope = input.formatScope(version)
   const matchedTokens = parts.memory.countMatched(server.id, version, scope, prompt.parts)
   const fetch = places.findFetch(version, server, matchedTokens)
@@ -175,8 +177,9 @@
   const unreadTokens = prompt.promptTokens - foundTokens
   const readMs = unreadTokens / PREFILL_TOKENS_PER_MS
   const queueMs = load.promptTokens / PREFILL_TOKENS_PER_MS + load.calls * RUNNING_MS
-  let cost = queueMs + readMs * (1 + load.calls * DISTURBANCE_RATIO)
-  cost += fetch?.fetchMs ?? 0
+  const disturbanceMs = readMs * load.calls * DISTURBANCE_RATIO
+  const expectedMs = queueMs + readMs + disturbanceMs + (fetch?.fetchMs ?? 0)
+  let cost = expectedMs
   const rereadTokens = Math.max(0, places.countAnywhere(version) - foundTokens)
   cost += rereadTokens * REREAD_MS_PER_TOKEN
   if (isOld(input, prompt.model, version)) cost += OLD_WEIGHTS_MS
@@ -187,7 +190,8 @@
   }
   cost += countSidePenalty(places, prompt, server)
   const saveTo = places.findStore(version)
-  return { cost, matchedTokens, unreadTokens, version, fetchFrom: fetch?.address, saveTo, isHome }
+  const fetchFrom = fetch?.address
+  return { expectedMs, cost, matchedTokens, unreadTokens, version, fetchFrom, saveTo, isHome }
 }
 
 /** What a server costs whatever the request. */
@@ -243,10 +247,11 @@
   const places = prompt && findPlaces({ ...shares, prompt })
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
+    const plainMs = load.calls * PLAIN_WORK_MS
     const found =
       prompt && places
         ? estimateEngineCost(parts, input, prompt, places, server, load)
-        : { ...PLAIN_FACTS, cost: load.calls * PLAIN_WORK_MS }
+        : { ...PLAIN_FACTS, expectedMs: plainMs, cost: plainMs }
     return { server, ...found, cost: found.cost + countPenalty(parts, input, server) }
   })
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -7,7 +7,7 @@
 import type { BackendServerId, SpoolgateError } from '@spoolgate/core'
 import { firstValueFrom, type Subscription } from 'rxjs'
 import { createStreamRelay, type StreamRelay } from './answerRelay.js'
-import { formatCallScope, isProofFresh, type CallPlan } from './callPlan.js'
+import { formatCallScope, isProofFresh, rankSend, type CallPlan } from './callPlan.js'
 import { rankServers, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
@@ -212,7 +212,7 @@
       team: plan.team?.id,
       bodyBytes: this.body.length,
       leftMs,
-      priority: plan.priority,
+      priority: this.rankNow(candidate),
       cacheScope: version === undefined ? undefined : formatCallScope(plan.team, version),
       weightsVersion: version,
       fetchFrom: candidate.fetchFrom,
@@ -221,6 +221,12 @@
     })
   }
 
+  private rankNow({ expectedMs }: Candidate): number {
+    const { plan, parts, relay } = this
+    if (relay.hasBegun()) return plan.priority
+    return rankSend(plan, parts.timers.now() - plan.arrivedAt + expectedMs)
+  }
+
   private recordSend(candidate: Candidate): void {
     const { parts, plan } = this
     this.ticket = parts.board.open(candidate.server.id, candidate.unreadTokens)
