refactor(router): refuse at once only what cannot be served in its time

Cause: two bounds were set for the earlier credit. A request was refused where its first part was expected after 1.3 s, about twice the aims of the deployments known; a request waited for the first table for half of its time at most. Windows of a part of an aim gain nothing now, and the first bound was a constant of other sites.

Change: a request to an engine is refused at once where its first part is expected after its own time is over, or no engine takes any; it waits for the first table for as long as its caller does, 1.5 s at most.

Tests: refusals.spec, by the time that is left.

--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -79,8 +79,8 @@
 const OLD_WEIGHTS_MS = 100
 /** Time after which weights count as old once newer ones are wanted, in ms; they do from 1.5 s on. */
 const OLD_AFTER_MS = 1_300
-/** Cost of a server that loads weights: it refuses until it is done, after 1 s or so. */
-const LOADING_MS = 5_000
+/** Cost of a server that loads weights, and least cost of one that cannot serve now. */
+export const LOADING_MS = 5_000
 /** Cost of a server that accepts no connections: it is used when there is no other. */
 const DEAD_MS = 10_000
 /** Cost of a server that fails every request, in ms; in proportion for one that fails some. */
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -80,8 +80,6 @@
 /** Largest header block that is read, in bytes: twice what tables allow, which is checked later. */
 const MAX_HEADER_BYTES = 32_768
 const DEFAULT_TABLE_WAIT_MS = 1_500
-/** Longest wait of a request for the first table, as a part of the time that its caller waits. */
-const TABLE_WAIT_RATIO = 0.5
 /** Time between two looks at what is in progress during a planned stop, in ms. */
 const POLL_IDLE_MS = 20
 /** Bounds before the first table, in ms. */
@@ -182,10 +180,7 @@
   /** A router that has just started gets its table within a second; its callers wait for that. */
   const waitForTable = async ({ id, waitMs = Infinity }: DirectCall) => {
     const startedAt = timers.now()
-    const boundMs = Math.min(
-      options.tableWaitMs ?? DEFAULT_TABLE_WAIT_MS,
-      waitMs * TABLE_WAIT_RATIO,
-    )
+    const boundMs = Math.min(options.tableWaitMs ?? DEFAULT_TABLE_WAIT_MS, waitMs)
     await firstValueFrom(race(feed.changes, timers.after(boundMs)), { defaultValue: undefined })
     logger.info('call.waitedForTable', {
       request: id,
--- a/packages/router/src/direct/refusals.ts
+++ b/packages/router/src/direct/refusals.ts
@@ -3,22 +3,18 @@
 
 /** Seconds after which a caller may try again when every server refused. */
 export const RETRY_AFTER_REFUSALS_S = 0.15
-/**
- * Longest expected time to the first part of an answer, in ms: about twice what operators aim at on
- * the deployments known. With 2,800 ms engines read more prompts for callers that had given up.
- */
-const LONGEST_FIRST_PART_MS = 1_300
 /** Longest time after which a refused caller is told to come back, in ms. */
 const LONGEST_COME_BACK_MS = 1_000
 const MS_PER_S = 1_000
 
 /**
- * Finds when a caller should come back whose request would wait for too long; undefined where it
- * should be served now. What is refused at once leaves the engines to those that wait already.
+ * Finds when a caller should come back whose answer would not begin while it waits; undefined where
+ * it should be served now. What surely cannot be served is refused at once, and leaves the engines to
+ * those that can.
  */
-export function findComeBackSeconds(expectedMs: number): number | undefined {
-  if (expectedMs <= LONGEST_FIRST_PART_MS) return undefined
-  const comeBackMs = Math.min(LONGEST_COME_BACK_MS, expectedMs - LONGEST_FIRST_PART_MS)
+export function findComeBackSeconds(expectedMs: number, leftMs: number): number | undefined {
+  if (expectedMs <= leftMs) return undefined
+  const comeBackMs = Math.min(LONGEST_COME_BACK_MS, expectedMs - leftMs)
   return Math.max(RETRY_AFTER_REFUSALS_S, comeBackMs / MS_PER_S)
 }
 
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -8,7 +8,7 @@
 import { firstValueFrom, type Subscription } from 'rxjs'
 import { createStreamRelay, type StreamRelay } from './answerRelay.js'
 import { formatCallScope, isProofFresh, rankSend, type CallPlan } from './callPlan.js'
-import { rankServers, type Candidate } from './choice.js'
+import { LOADING_MS, rankServers, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 import { CONNECT_MS } from './liveness.js'
@@ -188,13 +188,14 @@
     return best
   }
 
-  /** Whether a generation request would wait for so long that its caller should come back. */
-  private isHopeless({ cost }: Candidate): boolean {
+  /** Whether a generation request cannot begin before its time is over, or no engine takes any. */
+  private isHopeless({ expectedMs, cost }: Candidate): boolean {
     if (!this.plan.call.prompt || this.sends > 0) return false
-    const seconds = findComeBackSeconds(cost)
+    const leftMs = this.plan.deadline - this.parts.timers.now()
+    const seconds = findComeBackSeconds(cost >= LOADING_MS ? Infinity : expectedMs, leftMs)
     if (seconds === undefined) return false
     this.retryAfterSeconds = seconds
-    this.log('call.hopeless', { cost, retryAfterSeconds: seconds })
+    this.log('call.hopeless', { expectedMs, cost, leftMs, retryAfterSeconds: seconds })
     return true
   }
 
