fix(control): answer a vote under the own name over the real route as well

The route of the members' messages refuses what is addressed to another name, so that a candidate never learned that a voter's disk is lost; the tests' transport had no such check and hid it.

Ruled out: the log of the two that are left, their leases, the group as they know it: their pre-votes were granted to each other.

Change: a vote is answered by whoever is at the address, under its own name, and does not count for the voter that was asked. Entries are refused as before. The tests' transport refuses as the route does.

Tests: raftRoute.spec over HTTP; raftRestart.spec fails on the former route's check.

--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -79,10 +79,12 @@
     [...members.values()].find((other) => other.url === url && !frozen.has(other.name))
 
   const createTransport = (from: string, fromUrl: string): RaftTransport => ({
-    send: async (_to, url, name, request) => {
+    send: async (to, url, name, request) => {
       const fail = () => new ConnectionError('link is cut', true, false)
       const target = findAt(url)
       if (cut.has(`${fromUrl}>${url}`) || !target || frozen.has(from)) throw fail()
+      // As the route of these messages does: only votes are answered under another name.
+      if (name !== 'vote' && target.name !== to) throw fail()
       const { member } = target
       const handlers = {
         vote: member.handleVote,
--- a/packages/control/src/server/groupRoutes.ts
+++ b/packages/control/src/server/groupRoutes.ts
@@ -83,25 +83,29 @@
     if (to === null || to === name) return
     throw new SpoolgateError('conflict', `${to} is not here; this is ${name}`)
   }
-  const handlers: Record<string, (message: unknown) => Promise<unknown>> = {
+  const handlers: Record<string, (message: unknown, to: string | null) => Promise<unknown>> = {
+    // Whoever is at the address answers a vote under its own name: that tells the candidate that the
+    // disk of the voter is lost.
     vote: (message) => {
       checkLink((message as VoteRequest).candidate)
       return member.handleVote(message as VoteRequest)
     },
-    append: (message) => {
+    append: (message, to) => {
+      checkName(to)
       checkLink((message as AppendRequest).leader)
       return member.handleAppend(message as AppendRequest)
     },
-    install: (message) => {
+    install: (message, to) => {
+      checkName(to)
       checkLink((message as InstallRequest).leader)
       return member.handleInstall(message as InstallRequest)
     },
   }
   const handler = async ({ request, response, params, query }: HttpExchange) => {
-    checkName(query.get('to'))
     const handle = handlers[params.name]
     if (!handle) throw new SpoolgateError('unknownPath', 'unknown message; update this member')
-    sendJson(response, 200, await handle(await readJson(request, INTERNAL_BODY_LIMITS)))
+    const message = await readJson(request, INTERNAL_BODY_LIMITS)
+    sendJson(response, 200, await handle(message, query.get('to')))
   }
   return { method: 'POST', path: `${RAFT_PATH}/:name`, key: options.processKey, handler }
 }
