refactor(router): move the wait for an answer's head out of serving a call

Waiting for the head, and what to make of a server that gives no sign of life, is one job and a module of its own; behaviour stays as it is.

Tests: silence.spec and path.spec as before.

--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -5,12 +5,13 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { BackendServerId, SpoolgateError } from '@spoolgate/core'
-import { firstValueFrom, type Subscription } from 'rxjs'
+import type { Subscription } from 'rxjs'
 import { createStreamRelay, type StreamRelay } from './answerRelay.js'
 import { formatCallScope, isProofFresh, rankSend, type CallPlan } from './callPlan.js'
 import { LOADING_MS, rankServers, type Candidate } from './choice.js'
 import type { HeaderList } from './dialects.js'
 import type { DirectParts } from './directParts.js'
+import { waitForHead } from './headWait.js'
 import { CONNECT_MS } from './liveness.js'
 import {
   createRefusal,
@@ -22,20 +23,14 @@
 import {
   PROMISING_STATUSES,
   relayAnswer,
-  type Abandoned,
   type Failed,
   type NotRun,
   type SendEnd,
 } from './sendEnd.js'
 import { formatChoice, recordPrompt } from './sendRecord.js'
-import { startSend, type Send, type SendResult } from './sendOnce.js'
+import { startSend, type Send } from './sendOnce.js'
 import type { CallTicket } from './serverBoard.js'
 
-/**
- * Time without any sign of life after which a server is looked at, in ms: above the longest work of
- * a plain service (450 ms) and the reading of most prompts, below the callers' patience.
- */
-const SUSPECT_AFTER_MS = 700
 /** Sends of one request, whatever became of them; bounds the work of a request nobody takes. */
 const MAX_SENDS = 4
 
@@ -252,7 +247,16 @@
       connectMs: CONNECT_MS,
     })
     this.current = send
-    const result = await this.waitForHead(send, candidate)
+    const result = await waitForHead({
+      send,
+      server: candidate.server,
+      timers: parts.timers,
+      liveness: parts.liveness,
+      agent: parts.agent,
+      mayBeReading: plan.call.prompt !== undefined,
+      isUnanswered: () => !this.isOver && this.ticket?.isUnanswered() === true,
+      takeRepeat: () => this.mayRepeat(),
+    })
     if (result.kind === 'notSent' || result.kind === 'forbidden') this.mayHaveRun = couldHaveRun
     if (result.kind !== 'head') return result
     const { message } = result
@@ -272,39 +276,6 @@
       : this.dropAnswer(message, `status ${message.statusCode} that is not its own answer`)
   }
 
-  /**
-   * Waits for the head of an answer. A server without any sign of life is looked at; where it is
-   * dead, the request goes to another if it may. Where it accepts connections, those that stand may
-   * have fallen silent for good: the idle ones are closed, and a request to a plain service, which
-   * does not take that long, goes to another server as well.
-   */
-  private async waitForHead(send: Send, candidate: Candidate): Promise<SendResult | Abandoned> {
-    let result: SendResult | undefined
-    const isAnswered = send.result.then((found) => {
-      result = found
-    })
-    while (!result) {
-      const late = firstValueFrom(this.parts.timers.after(SUSPECT_AFTER_MS))
-      await Promise.race([isAnswered, late])
-      const isAwaited = () => !result && !this.isOver && this.ticket?.isUnanswered()
-      if (!isAwaited()) continue
-      const doubt = await this.findDoubt(candidate)
-      if (!doubt || !isAwaited() || !this.mayRepeat()) continue
-      send.cancel()
-      return { kind: 'abandoned', reason: doubt }
-    }
-    return result
-  }
-
-  /** Finds out why a server that gives no sign of life should not be waited for. */
-  private async findDoubt({ server }: Candidate): Promise<string | undefined> {
-    const isAlive = await this.parts.liveness.checkAlive(server)
-    if (!isAlive) return 'the backend server accepts no connections'
-    this.parts.agent.closeIdle(server.address)
-    const mayBeReading = this.plan.call.prompt !== undefined
-    return mayBeReading ? undefined : 'the connection is silent'
-  }
-
   private relayAnswer(message: IncomingMessage): Promise<SendEnd> {
     const { response, relay } = this
     const headers = this.parts.backend.listAnswerHeaders(message)
