perf(router): work out once a choice what does not depend on the engine

Cause: a choice looked up the store, hashed every part and found the home of a prompt again for each engine of the group, though all of it depends on the weights version alone: with 36 engines the home alone took 1,300 hashes.

Change: each is worked out once for a version. A comment that named a deployment names none.

Tests: those of the choice, unchanged.

--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -81,7 +81,7 @@
 
 /**
  * Wait that a poll asks for, in ms: what routers know of each other's calls is about this old. With
- * 400 ms they sent ten requests at once to the engine that looked free (quiet day at Samhjálp).
+ * 400 ms they sent ten requests at once to the engine that looked free, on a quiet day.
  */
 const WAIT_MS = 100
 /** Added for each router, in ms, so that the leader answers 80 polls a second at most. */
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -131,6 +131,16 @@
   return FETCH_MS + moveMs * (source.hall === reader.hall ? 1 : OTHER_HALL_FACTOR)
 }
 
+/** Works a value out once for each weights version: it is asked for at every engine of a choice. */
+function createVersionLookup<T>(find: (version: number) => T): (version: number) => T {
+  const known = new Map<number, { readonly value: T }>()
+  return (version) => {
+    const found = known.get(version) ?? { value: find(version) }
+    known.set(version, found)
+    return found.value
+  }
+}
+
 /** Finds where the shared parts of a prompt are. */
 export function findPlaces(input: PlacesInput): PromptPlaces {
   const { view, prompt, board, memory, formatScope, forLong, engine } = input
@@ -155,7 +165,7 @@
   const countHeld = (version: number) =>
     Math.max(0, ...holders.filter((held) => held.version === version).map((h) => h.matchedTokens))
   /** Home of the first level that nobody of a version is known to hold. */
-  const findHomeEngine = (version: number) => {
+  const findHomeEngine = createVersionLookup((version) => {
     const best = countHeld(version)
     let tokens = 0
     const levels = shared.findIndex((part) => (tokens += part.tokens) > best)
@@ -164,16 +174,16 @@
       formatKey(shared.slice(0, depth)),
       engines.filter((other) => other.version === version && isOnSide(other)),
     )
-  }
+  })
   const [life] = sharedTokens < MIN_STORED_TOKENS ? [] : view.stores
   const store = life && view.index.table.stores.find(({ address }) => address === life.address)
-  const findStoreSource = (version: number): Source | undefined => {
+  const findStoreSource = createVersionLookup((version): Source | undefined => {
     if (!life || !store) return undefined
     const id = toBackendServerId(formatStoreId(life.address, life.epoch, version))
     const matchedTokens = memory.countMatched(id, version, formatScope(version), shared)
     const { address, hall, linkMbps } = store
     return { id, address, hall, version, matchedTokens, linkMbps }
-  }
+  })
   const listSources = (version: number, reader: BackendServerId | undefined): Source[] => {
     const others = holders.filter((held) => held.version === version && held.id !== reader)
     const stored = findStoreSource(version)
@@ -200,8 +210,9 @@
       return stored.matchedTokens + BLOCK_TOKENS * shared.length < sharedTokens ? stored : undefined
     },
     findHome: (version) => (shared.length === 0 ? undefined : findHomeEngine(version)?.server.id),
-    countAnywhere: (version) =>
+    countAnywhere: createVersionLookup((version) =>
       Math.max(0, ...listSources(version, undefined).map((source) => source.matchedTokens)),
+    ),
     findFetch: (version, reader, matchedTokens) => {
       if (shared.length === 0) return undefined
       const best = findBestSource(version, reader, matchedTokens)
