perf(router): learn how fast engines read and plain services answer

Cause: choices reckoned with 55 prompt tokens a ms and 60 ms for a plain service, figures of earlier sites; the engines of the new one read 40.8. All that was expected came too low, so that the rank of late requests, the division of engines and the refusals rested on it.

Change: each router takes the rate from the time between a send and the first part, of the last 40 prompts of 500 tokens and more of a group, the 0.7 quantile since waiting only lowers what is seen; and the median time of a plain service. Before four values it starts from 50 each.

Left: the values are not shared through the feed, so that a router that starts reckons with 50.

--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -219,9 +219,7 @@
   const findHolder = (endedTerms: EndedTerms) =>
     promise.findHolder(store.ballot(), { ...endedTerms, [name]: findEndedTerm() })
   /** Highest term that this member certainly does not lead, now or later. */
-  const findEndedTerm = () => {
-    return role === 'leader' || isCampaigning() ? term() - 1 : term()
-  }
+  const findEndedTerm = () => (role === 'leader' || isCampaigning() ? term() - 1 : term())
   const hasLease = () => {
     if (role !== 'leader' || !replicator) return false
     const confirmed = replicator.confirmedAt()
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -11,6 +11,7 @@
 import type { PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
 import { LONG_PROMPT_TOKENS, type PromptKind, type WorkSplit } from './workSplit.js'
+import type { WorkTimes } from './workTimes.js'
 import {
   countSharedTokens,
   findPlaces,
@@ -60,10 +61,9 @@
   readonly liveness: Liveness
   readonly random: RandomSource
   readonly split: WorkSplit
+  readonly times: WorkTimes
 }
 
-/** Prompt tokens that an engine reads in a ms; 57 on the deployments known. */
-const PREFILL_TOKENS_PER_MS = 55
 /** Time that each running request adds to the first token of another, in ms. */
 const RUNNING_MS = 0.4
 /**
@@ -71,8 +71,6 @@
  * each: long prompts then gather where few answers are being generated.
  */
 const DISTURBANCE_RATIO = 0.1
-/** Expected time of one request to a plain service, in ms; 21 to 86 on the deployments known. */
-const PLAIN_WORK_MS = 60
 /**
  * Way to another data hall and back, and the price of the bytes, in ms. A long prompt is 20 KB, which
  * is dear between halls: with 6 in place of 30 days with trouble were worth 0.420 and not 0.441 (means
@@ -138,12 +136,12 @@
  * it takes as much room, and engines for long prompts are short of room before they are of time.
  */
 export function recordWork(
-  split: WorkSplit,
+  { split, times }: Pick<ChoiceParts, 'split' | 'times'>,
   group: string,
   prompt: PromptFacts,
   matchedTokens: number,
 ): void {
-  const readMs = (prompt.promptTokens - matchedTokens) / PREFILL_TOKENS_PER_MS
+  const readMs = (prompt.promptTokens - matchedTokens) / times.findTokensPerMs(group)
   split.record(group, findKind(prompt), readMs + prompt.maxTokens * TOKEN_MS)
 }
 
@@ -171,6 +169,7 @@
   places: PromptPlaces,
   server: RegisteredServer,
   load: ServerLoad,
+  tokensPerMs: number,
 ): Omit<Candidate, 'server'> {
   const version = findVersion(server, prompt.model, parts.board)
   if (version === undefined) return { ...PLAIN_FACTS, expectedMs: DEAD_MS, cost: DEAD_MS }
@@ -179,8 +178,8 @@
   const fetch = places.findFetch(version, server, matchedTokens)
   const foundTokens = Math.max(matchedTokens, fetch?.foundTokens ?? 0)
   const unreadTokens = prompt.promptTokens - foundTokens
-  const readMs = unreadTokens / PREFILL_TOKENS_PER_MS
-  const queueMs = load.promptTokens / PREFILL_TOKENS_PER_MS + load.calls * RUNNING_MS
+  const readMs = unreadTokens / tokensPerMs
+  const queueMs = load.promptTokens / tokensPerMs + load.calls * RUNNING_MS
   const disturbanceMs = readMs * load.calls * DISTURBANCE_RATIO
   const expectedMs = queueMs + readMs + disturbanceMs + (fetch?.fetchMs ?? 0)
   let cost = expectedMs
@@ -190,7 +189,7 @@
   const isHome = server.id === places.findHome(version)
   if (isHome) {
     const unknownTokens = Math.max(0, countSharedTokens(prompt) - foundTokens)
-    cost -= HOME_BONUS_MS + unknownTokens / PREFILL_TOKENS_PER_MS
+    cost -= HOME_BONUS_MS + unknownTokens / tokensPerMs
   }
   cost += countSidePenalty(places, prompt, server)
   const saveTo = places.findStore(version)
@@ -249,12 +248,14 @@
   const { engine } = group
   const shares = { view, engine, servers: alive, formatScope, board, memory, forLong }
   const places = prompt && findPlaces({ ...shares, prompt })
+  const tokensPerMs = parts.times.findTokensPerMs(group.name)
+  const plainWorkMs = parts.times.findPlainMs(group.name)
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
-    const plainMs = load.calls * PLAIN_WORK_MS
+    const plainMs = load.calls * plainWorkMs
     const found =
       prompt && places
-        ? estimateEngineCost(parts, input, prompt, places, server, load)
+        ? estimateEngineCost(parts, input, prompt, places, server, load, tokensPerMs)
         : { ...PLAIN_FACTS, expectedMs: plainMs, cost: plainMs }
     return { server, ...found, cost: found.cost + countPenalty(parts, input, server) }
   })
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -14,6 +14,7 @@
 import type { RetryShare } from './retryShare.js'
 import type { ServerBoard } from './serverBoard.js'
 import type { WorkSplit } from './workSplit.js'
+import type { WorkTimes } from './workTimes.js'
 
 /** Instruments of a direct router. */
 export interface DirectInstruments {
@@ -37,6 +38,7 @@
   readonly liveness: Liveness
   readonly memory: PartMemory
   readonly split: WorkSplit
+  readonly times: WorkTimes
   readonly retries: RetryShare
   readonly timers: TimerService
   readonly random: RandomSource
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -31,6 +31,7 @@
 import { serveCall } from './serveCall.js'
 import { createStreamTimes } from './streamTimes.js'
 import { createWorkSplit } from './workSplit.js'
+import { createWorkTimes } from './workTimes.js'
 
 /** Options of {@link createDirectRouter}. */
 export interface DirectRouterOptions {
@@ -166,6 +167,7 @@
     liveness,
     memory,
     split: createWorkSplit(timers),
+    times: createWorkTimes(),
     retries: createRetryShare({
       timers,
       bounds: options.retryBounds,
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -33,7 +33,7 @@
   if (!prompt || version === undefined) return
   parts.instruments.promptTokens.add(prompt.promptTokens)
   parts.instruments.matchedTokens.add(matchedTokens)
-  recordWork(parts.split, plan.group.name, prompt, matchedTokens)
+  recordWork(parts, plan.group.name, prompt, matchedTokens)
   const scope = formatCallScope(plan.team, version)
   parts.memory.recordOwn(buildPlacement(server.id, version, scope, prompt.parts))
   if (!saveTo) return
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -62,6 +62,8 @@
   /** Time from arrival to the first part of the answer, in ms. */
   private firstPartMs: number | undefined
   private ticket: CallTicket | undefined
+  /** The last send, as far as its time tells how fast its server works. */
+  private sent: { readonly at: number; readonly unreadTokens: number } | undefined
   private stopWaiting: () => void = () => {}
 
   constructor(
@@ -101,10 +103,20 @@
     this.ticket?.recordFirstPart()
     this.ticket?.recordSign()
     if (this.firstPartMs !== undefined) return
+    this.recordTime()
     this.firstPartMs = parts.timers.now() - plan.arrivedAt
     parts.instruments.firstPartMs.record(this.firstPartMs)
   }
 
+  /** Notes how long the server of the last send took for its work. */
+  private recordTime(): void {
+    const { parts, plan, sent } = this
+    if (!sent) return
+    const ms = parts.timers.now() - sent.at
+    if (plan.call.prompt) parts.times.recordRead(plan.group.name, sent.unreadTokens, ms)
+    else parts.times.recordPlain(plan.group.name, ms)
+  }
+
   /** Ends all work for a request whose caller is gone or was answered. */
   private stop(reason: string): void {
     if (this.isOver) return
@@ -225,7 +237,9 @@
 
   private recordSend(candidate: Candidate): void {
     const { parts, plan } = this
-    this.ticket = parts.board.open(candidate.server.id, candidate.unreadTokens)
+    const { server, unreadTokens } = candidate
+    this.ticket = parts.board.open(server.id, unreadTokens)
+    this.sent = { at: parts.timers.now(), unreadTokens }
     if (this.sends === 0) parts.retries.recordFirst(plan.group.name)
     this.sends += 1
     parts.instruments.sends.add(1, { group: plan.group.name })
@@ -305,6 +319,7 @@
     }
     switch (end.kind) {
       case 'answered':
+        if (!this.plan.call.prompt) this.recordTime()
         this.stop('answered')
         return true
       case 'notSent':
