--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,6 +79,24 @@
 const PLATFORM_NAMES =
   /x-(response-seal|not-executed|prompt-prefix|expect-instance|expect-version|weight-versions|token-count|cache-salt|tenant|instance-id|kv-)|\/spoolgate\/(configuration|instances|version-put|order|report|readiness)|HeartbeatAddress|FencingToken|KvCache|PathPrefix|TrafficSplit|SPOOLGATE_SETTINGS/i
 
+/** What holds for all code; rules that need types are added for TypeScript. */
+const HOUSE_RULES = {
+  '@typescript-eslint/naming-convention': [
+    'error',
+    {
+      selector: 'function',
+      format: ['camelCase'],
+      custom: { regex: `^(${VERBS.join('|')})([A-Z0-9]|$)`, match: true },
+    },
+  ],
+  '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+  '@typescript-eslint/no-unused-expressions': 'off',
+  'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }],
+  complexity: ['error', 12],
+  'max-depth': ['error', 3],
+  eqeqeq: 'error',
+}
+
 export default tseslint.config(
   { ignores: ['**/dist/**', 'node_modules/**'] },
   ...tseslint.configs.recommended,
@@ -86,23 +104,12 @@
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
-      '@typescript-eslint/naming-convention': [
-        'error',
-        {
-          selector: 'function',
-          format: ['camelCase'],
-          custom: { regex: `^(${VERBS.join('|')})([A-Z0-9]|$)`, match: true },
-        },
-      ],
+      ...HOUSE_RULES,
       '@typescript-eslint/no-floating-promises': 'error',
-      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
-      '@typescript-eslint/no-unused-expressions': 'off',
-      'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }],
-      complexity: ['error', 12],
-      'max-depth': ['error', 3],
-      eqeqeq: 'error',
     },
   },
+  { files: ['.ci/**/*.{js,cjs}'], rules: HOUSE_RULES },
+  { files: ['**/*.cjs'], rules: { '@typescript-eslint/no-require-imports': 'off' } },
   {
     files: ['packages/**/*.ts'],
     rules: {
