feat(router): a planned stop tells what it cuts off, and why it refuses

A stream that a planned stop cut could not be followed from its id to the cause: the log held `process.stop` and `process.end`, and the cut call itself ended as `callerLeft`, as if the caller had gone.

Lines, in the new module plannedStop.ts, which now holds what is in progress: `router.stopping` (inProgress, streams, stopsInMs), `call.cutOff` for each request that is cut (id, route, ms, leftMs of its own limit, hasBegun, isLate), at most a hundred of them, and `router.stopped` (abandoned, ms). The metric `cut_off` counts them all. `call.refused kind=instanceStopping` carries what decided it: limitMs, leftMs, longestMs. Nothing else of the stop changes.

--- /dev/null
+++ b/packages/router/src/__tests__/plannedStop.spec.ts
@@ -0,0 +1,98 @@
+import { EventEmitter } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import {
+  createLogger,
+  createManualTimerService,
+  type Counter,
+  type ManualTimerService,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import type { CallPlan } from '../direct/callPlan.js'
+import { createPlannedStop, type PlannedStop } from '../direct/plannedStop.js'
+
+const DRAIN_MS = 8_000
+
+describe('what a planned stop tells', () => {
+  let timers: ManualTimerService
+  let lines: string[]
+  let counted: number
+  let stop: PlannedStop
+
+  beforeEach(() => {
+    timers = createManualTimerService()
+    lines = []
+    counted = 0
+    const logger = createLogger({ write: (line) => lines.push(line) })
+    const cutOff = { add: (count: number) => (counted += count) } as unknown as Counter
+    stop = createPlannedStop({ timers, logger, cutOff })
+  })
+
+  /** Lines of one event, without time and level. */
+  const listLines = (event: string) =>
+    lines
+      .filter((line) => line.includes(` event=${event} `))
+      .map((line) => line.slice(line.indexOf(' event=') + ` event=${event} `.length))
+  const addCall = (id: string, limitMs: number, isStream: boolean) => {
+    const response = Object.assign(new EventEmitter(), { headersSent: false })
+    const call = stop.add(response as unknown as ServerResponse)
+    const route = { name: isStream ? 'streams' : 'orders', isStream }
+    const plan = { call: { id }, route, deadline: timers.now() + limitMs } as CallPlan
+    call.recordCall(plan.call)
+    call.recordPlan(plan)
+    return response
+  }
+
+  it('names at its begin what is in progress, the streams among it, and when it ends', () => {
+    addCall('r-1', 60_000, true)
+    addCall('r-2', 60_000, false)
+    addCall('r-3', 60_000, true).emit('close')
+    stop.start(DRAIN_MS)
+    expect(listLines('router.stopping')).to.deep.equal(['inProgress=2 streams=1 stopsInMs=8000'])
+  })
+
+  it('names each request that it cuts off with what decided it, and counts them', async () => {
+    addCall('r-1', 60_000, true).headersSent = true
+    timers.advance(1_000)
+    stop.start(DRAIN_MS)
+    timers.advance(500)
+    addCall('r-2', 9_000, false)
+    const idle = stop.waitUntilIdle()
+    timers.advance(7_520)
+    await idle
+    expect(stop.reportCutOff()).to.equal(2)
+    expect(listLines('call.cutOff')).to.deep.equal([
+      'request=r-1 route=streams ms=9020 leftMs=50980 hasBegun=true isLate=false',
+      'request=r-2 route=orders ms=7520 leftMs=1480 hasBegun=false isLate=true',
+    ])
+    expect(listLines('router.stopped')).to.deep.equal(['abandoned=2 ms=8020'])
+    expect(counted).to.equal(2)
+  })
+
+  it('names no request where all were answered', async () => {
+    const response = addCall('r-1', 60_000, true)
+    stop.start(DRAIN_MS)
+    response.emit('close')
+    await stop.waitUntilIdle()
+    expect(stop.reportCutOff()).to.equal(0)
+    expect(listLines('call.cutOff')).to.deep.equal([])
+    expect(listLines('router.stopped')).to.deep.equal(['abandoned=0 ms=0'])
+    expect(counted).to.equal(0)
+  })
+
+  it('names one that was cut off before it was known what it is', () => {
+    stop.add(Object.assign(new EventEmitter(), { headersSent: false }) as unknown as ServerResponse)
+    stop.start(0)
+    stop.reportCutOff()
+    const [line] = listLines('call.cutOff')
+    expect(line).to.equal('request=- route=- ms=0 leftMs=- hasBegun=false isLate=false')
+  })
+
+  it('bounds its lines, and counts what has none', () => {
+    for (let number = 0; number < 130; number += 1) addCall(`r-${number}`, 60_000, true)
+    stop.start(0)
+    stop.reportCutOff()
+    expect(listLines('call.cutOff')).to.have.length(100)
+    expect(listLines('router.stopped')).to.deep.equal(['abandoned=130 ms=0'])
+    expect(counted).to.equal(130)
+  })
+})
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -20,6 +20,7 @@
 export interface DirectInstruments {
   readonly requests: Counter
   readonly refusals: Counter
+  readonly cutOff: Counter
   readonly sends: Counter
   readonly firstPartMs: Histogram
   readonly promptTokens: Counter
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -16,16 +16,18 @@
   waitFor,
   type BackendServerId,
   type CloseReport,
+  type LogFields,
   type Logger,
   type TimerService,
 } from '@spoolgate/core'
 import type { RoutingTable } from '@spoolgate/routing'
 import { firstValueFrom, race } from 'rxjs'
-import { resolveCall } from './callPlan.js'
+import { resolveCall, type CallPlan } from './callPlan.js'
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
 import type { DirectInstruments, DirectParts } from './directParts.js'
 import { createLiveness, openProbe } from './liveness.js'
 import { createPartMemory } from './partMemory.js'
+import { createPlannedStop, type CallInProgress } from './plannedStop.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
@@ -81,8 +83,6 @@
 /** Largest header block that is read, in bytes: twice what tables allow, which is checked later. */
 const MAX_HEADER_BYTES = 32_768
 const DEFAULT_TABLE_WAIT_MS = 1_500
-/** Time between two looks at what is in progress during a planned stop, in ms. */
-const POLL_IDLE_MS = 20
 /** Bounds before the first table, in ms. */
 const INITIAL_HEADER_MS = 3_000
 const INITIAL_IDLE_MS = 15_000
@@ -100,6 +100,7 @@
   return {
     requests: metrics.counter('requests', 'Requests of callers'),
     refusals: metrics.counter('refusals', 'Requests that this router refused, by kind'),
+    cutOff: metrics.counter('cut_off', 'Requests that a planned stop of this router cut off'),
     sends: metrics.counter('sends', 'Sends to backend servers, by group'),
     firstPartMs: metrics.histogram('first_part_ms', 'Time to the first part of an answer'),
     promptTokens: metrics.counter('prompt_tokens', 'Prompt tokens of requests that were sent'),
@@ -107,6 +108,13 @@
   }
 }
 
+/** Lists for the log what decided a refusal of a stopping router. */
+function listInputs({ kind, details }: SpoolgateError): LogFields {
+  if (kind !== 'instanceStopping') return {}
+  const inputs = Object.entries(details as Record<string, number>)
+  return Object.fromEntries(inputs.map(([name, value]) => [name, Math.round(value)]))
+}
+
 /** Starts to listen and returns the port. */
 function startListening(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -190,32 +198,38 @@
       isReady: feed.current() !== undefined,
     })
   }
-  let isClosing = false
-  /** When a planned stop cuts off what is still in progress, in ms of the monotonic clock. */
-  let stopsAt = Infinity
+  const { cutOff } = parts.instruments
+  const stop = createPlannedStop({ timers, logger, cutOff })
   const streamTimes = createStreamTimes(timers)
   /** A stream that would outlast this process is better begun elsewhere. */
-  const beginStream = () => {
+  const beginStream = ({ deadline }: CallPlan) => {
     const longestMs = streamTimes.findLongest()
-    if (timers.now() + longestMs < stopsAt) return streamTimes.begin()
+    const leftMs = stop.findLeftMs()
+    if (longestMs < leftMs) return streamTimes.begin()
+    const limitMs = deadline - timers.now()
     throw new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
       retryAfterSeconds: RETRY_WHILE_STOPPING_S,
-      details: { longestMs },
+      details: { longestMs, limitMs, leftMs },
     })
   }
-  let inProgress = 0
   const sockets = new Set<Socket>()
 
-  const serve = async (request: IncomingMessage, response: ServerResponse) => {
+  const serve = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+    tracked: CallInProgress,
+  ) => {
     const arrivedAt = timers.now()
     let call: DirectCall | undefined
     let endStream = () => {}
     try {
       parts.instruments.requests.add(1)
       call = caller.decodeCall(request)
+      tracked.recordCall(call)
       if (!feed.current()) await waitForTable(call)
       const plan = resolveCall(parts, call, arrivedAt)
-      if (plan.route.isStream) endStream = beginStream()
+      tracked.recordPlan(plan)
+      if (plan.route.isStream) endStream = beginStream(plan)
       const { maxBodyBytes } = plan.view.index.table.bounds
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs: BODY_TIMEOUT_MS })
       if (response.destroyed) return
@@ -230,6 +244,7 @@
         reason: error.message,
         tableVersion: feed.current()?.index.table.version,
         proofAgeMs: Math.round(feed.proofAgeMs()),
+        ...listInputs(error),
       })
       parts.instruments.refusals.add(1, { kind: error.kind })
       if (!response.headersSent) caller.sendRefusal(response, call, error)
@@ -250,14 +265,12 @@
     socket.once('close', () => sockets.delete(socket))
   })
   server.on('request', (request, response) => {
-    inProgress += 1
-    if (isClosing) response.setHeader('connection', 'close')
+    if (stop.isStopping()) response.setHeader('connection', 'close')
     response.once('close', () => {
-      inProgress -= 1
       // The head of an answer that began before the stop could not say that the connection ends.
-      if (isClosing) request.socket.end()
+      if (stop.isStopping()) request.socket.end()
     })
-    void serve(request, response)
+    void serve(request, response, stop.add(response))
   })
   const boundsWatch = feed.changes.subscribe(({ index }) => {
     const { headerTimeoutMs, idleTimeoutMs } = index.table.bounds
@@ -267,26 +280,22 @@
   const port = await startListening(server, options.host, options.port)
   logger.info('router.listening', { port, seeds: options.seeds() })
 
-  const waitUntilIdle = async (deadline: number) => {
-    while (inProgress > 0 && timers.now() < deadline) await waitFor(timers, POLL_IDLE_MS)
-  }
   return {
     port,
     feed,
     findUnreadyReason: () => {
-      if (isClosing) return 'stopping'
+      if (stop.isStopping()) return 'stopping'
       if (!feed.current()) return 'no routing table yet'
       return feed.proofAgeMs() > options.maxProofAgeMs ? 'control is out of reach' : undefined
     },
     renderMetrics: metrics.render,
     close: async (drainMs) => {
-      isClosing = true
-      stopsAt = timers.now() + drainMs
+      stop.start(drainMs)
       await waitFor(timers, Math.min(SERVE_ON_MS, drainMs))
       server.close()
       server.closeIdleConnections()
-      await waitUntilIdle(stopsAt)
-      const abandoned = inProgress
+      await stop.waitUntilIdle()
+      const abandoned = stop.reportCutOff()
       for (const socket of sockets) socket.destroy()
       boundsWatch.unsubscribe()
       liveness.close()
--- /dev/null
+++ b/packages/router/src/direct/plannedStop.ts
@@ -0,0 +1,118 @@
+/**
+ * The planned stop of a router: what is in progress, when a stop cuts off what is left of it, and
+ * what the log says of it.
+ */
+import type { ServerResponse } from 'node:http'
+import { waitFor, type Counter, type Logger, type TimerService } from '@spoolgate/core'
+import type { CallPlan } from './callPlan.js'
+import type { DirectCall } from './dialects.js'
+
+/** One request from its arrival until its connection has taken the answer, or has ended. */
+export interface CallInProgress {
+  /** Notes whose request it is, once its head was read. */
+  recordCall(call: DirectCall): void
+  /** Notes its route and its own limit, once they are known. */
+  recordPlan(plan: CallPlan): void
+}
+
+/** The planned stop of one router; see {@link createPlannedStop}. */
+export interface PlannedStop {
+  isStopping(): boolean
+  /** Time until a stop cuts off what is in progress, in ms; Infinity while none is under way. */
+  findLeftMs(): number
+  /** Notes a request that has just arrived; it counts until its answer is closed. */
+  add(response: ServerResponse): CallInProgress
+  /** Begins the stop; what is in progress after `drainMs` will be cut off. */
+  start(drainMs: number): void
+  /** Waits until nothing is in progress, or until the stop is over. */
+  waitUntilIdle(): Promise<void>
+  /** Tells what is cut off, which the caller does right after, and returns its count. */
+  reportCutOff(): number
+}
+
+/** Options of {@link createPlannedStop}. */
+export interface PlannedStopOptions {
+  readonly timers: TimerService
+  readonly logger: Logger
+  /** Counts the requests that a stop cut off. */
+  readonly cutOff: Counter
+}
+
+/** Time between two looks at what is in progress during a planned stop, in ms. */
+const POLL_IDLE_MS = 20
+/** Requests that are told one by one: half of the lines that a process may log in a second. */
+const MAX_CUT_OFF_LINES = 100
+
+interface Tracked {
+  readonly response: ServerResponse
+  readonly arrivedAt: number
+  /** Whether the stop was under way when it arrived. */
+  readonly isLate: boolean
+  call: DirectCall | undefined
+  plan: CallPlan | undefined
+}
+
+/** Creates the planned stop of a router that runs. */
+export function createPlannedStop(options: PlannedStopOptions): PlannedStop {
+  const { timers, logger, cutOff } = options
+  const inProgress = new Set<Tracked>()
+  let startedAt: number | undefined
+  let stopsAt = Infinity
+
+  const sendLine = ({ response, arrivedAt, isLate, call, plan }: Tracked) => {
+    const now = timers.now()
+    logger.warn('call.cutOff', {
+      request: call?.id,
+      route: plan?.route.name,
+      ms: Math.round(now - arrivedAt),
+      leftMs: plan && Math.round(plan.deadline - now),
+      hasBegun: response.headersSent,
+      isLate,
+    })
+  }
+  return {
+    isStopping: () => startedAt !== undefined,
+    findLeftMs: () => stopsAt - timers.now(),
+    add: (response) => {
+      const tracked: Tracked = {
+        response,
+        arrivedAt: timers.now(),
+        isLate: startedAt !== undefined,
+        call: undefined,
+        plan: undefined,
+      }
+      inProgress.add(tracked)
+      response.once('close', () => inProgress.delete(tracked))
+      return {
+        recordCall: (call) => {
+          tracked.call = call
+        },
+        recordPlan: (plan) => {
+          tracked.plan = plan
+        },
+      }
+    },
+    start: (drainMs) => {
+      startedAt = timers.now()
+      stopsAt = startedAt + drainMs
+      logger.info('router.stopping', {
+        inProgress: inProgress.size,
+        streams: [...inProgress].filter(({ plan }) => plan?.route.isStream).length,
+        stopsInMs: drainMs,
+      })
+    },
+    waitUntilIdle: async () => {
+      while (inProgress.size > 0 && timers.now() < stopsAt) await waitFor(timers, POLL_IDLE_MS)
+    },
+    reportCutOff: () => {
+      const abandoned = inProgress.size
+      for (const tracked of [...inProgress].slice(0, MAX_CUT_OFF_LINES)) sendLine(tracked)
+      if (abandoned > 0) cutOff.add(abandoned)
+      logger.info('router.stopped', {
+        abandoned,
+        ms: Math.round(timers.now() - (startedAt ?? timers.now())),
+      })
+      return abandoned
+    },
+  }
+}
