fix(router): a stopping router takes only what ends by its own limit before the stop

Cause: while callers are sent elsewhere, a stopping router serves on, and refused only streams for which the longest stream of the last seconds would not have fitted. Soon after a start no stream has run for long, and requests to plain routes were not asked about at all; both were taken and cut off.

Change: an estimate is replaced by a bound. Until a stop nothing changes; from then on a request is passed on only if its own limit (the caller's deadline or the route's timeout, whichever is earlier) lies before the end of the stop, less 100 ms for its final answer. Else it is refused as not run: 503, Retry-After 0.05 s, `connection: close`. The question is asked once the body is read, not before: a connection that ends with unread bytes may be reset and lose the answer, and what arrived before the signal is asked as well. It stands in plannedStop.ts; streamTimes.ts and its two tests are dead and removed.

Kept connections, found while looking: (1) a request that came after the end of the connection had been sent (its other half is still open) was passed on, and nothing could carry its answer; (2) so was one sent right behind a request whose answer says `connection: close`; (3) of two requests on one connection that were passed on before the stop, the second lost its answer, since the connection ended after the first. Now the first two are not passed on, and the connection ends after the last answer.

--- a/packages/router/src/__tests__/directParts.spec.ts
+++ b/packages/router/src/__tests__/directParts.spec.ts
@@ -7,7 +7,6 @@
 import { createRetryShare } from '../direct/retryShare.js'
 import { createLiveness } from '../direct/liveness.js'
 import { createServerBoard } from '../direct/serverBoard.js'
-import { createStreamTimes } from '../direct/streamTimes.js'
 
 const S1 = toBackendServerId('s1')
 const PARTS = [
@@ -173,45 +172,6 @@
   })
 })
 
-describe('the times of streams', () => {
-  it('tell the longest of the last windows, and forget it', () => {
-    const timers = createManualTimerService()
-    const times = createStreamTimes(timers)
-    const runStream = (ms: number) => {
-      const end = times.begin()
-      timers.advance(ms)
-      end()
-    }
-    expect(times.findLongest()).to.equal(0)
-    runStream(900)
-    runStream(300)
-    expect(times.findLongest()).to.equal(900)
-    timers.advance(8_800)
-    runStream(400)
-    expect(times.findLongest()).to.equal(900)
-    timers.advance(9_600)
-    expect(times.findLongest()).to.equal(400)
-    timers.advance(25_000)
-    expect(times.findLongest()).to.equal(0)
-  })
-
-  it('count a stream that still runs by its age, and once only when it ends', () => {
-    const timers = createManualTimerService()
-    const times = createStreamTimes(timers)
-    const endFirst = times.begin()
-    timers.advance(1_000)
-    const endSecond = times.begin()
-    timers.advance(2_000)
-    expect(times.findLongest()).to.equal(3_000)
-    endFirst()
-    timers.advance(2_500)
-    endFirst()
-    expect(times.findLongest()).to.equal(4_500)
-    endSecond()
-    expect(times.findLongest()).to.equal(4_500)
-  })
-})
-
 describe('the liveness of servers', () => {
   const server = { id: S1, address: '127.0.0.1:1' }
 
--- a/packages/router/src/__tests__/plannedStop.spec.ts
+++ b/packages/router/src/__tests__/plannedStop.spec.ts
@@ -1,8 +1,10 @@
 import { EventEmitter } from 'node:events'
-import type { ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
   createLogger,
   createManualTimerService,
+  createQuietLogger,
+  SpoolgateError,
   type Counter,
   type ManualTimerService,
 } from '@spoolgate/core'
@@ -12,6 +14,16 @@
 
 const DRAIN_MS = 8_000
 
+/** Creates a request that comes on a connection of its own, and its answer. */
+function createExchange() {
+  const request = { socket: { end: () => {} }, headers: {} }
+  const response = Object.assign(new EventEmitter(), { headersSent: false, setHeader: () => {} })
+  return {
+    request: request as unknown as IncomingMessage,
+    response: response as unknown as ServerResponse & { headersSent: boolean },
+  }
+}
+
 describe('what a planned stop tells', () => {
   let timers: ManualTimerService
   let lines: string[]
@@ -33,12 +45,12 @@
       .filter((line) => line.includes(` event=${event} `))
       .map((line) => line.slice(line.indexOf(' event=') + ` event=${event} `.length))
   const addCall = (id: string, limitMs: number, isStream: boolean) => {
-    const response = Object.assign(new EventEmitter(), { headersSent: false })
-    const call = stop.add(response as unknown as ServerResponse)
+    const { request, response } = createExchange()
+    const call = stop.add(request, response)
     const route = { name: isStream ? 'streams' : 'orders', isStream }
     const plan = { call: { id }, route, deadline: timers.now() + limitMs } as CallPlan
-    call.recordCall(plan.call)
-    call.recordPlan(plan)
+    call?.recordCall(plan.call)
+    call?.recordPlan(plan)
     return response
   }
 
@@ -80,7 +92,8 @@
   })
 
   it('names one that was cut off before it was known what it is', () => {
-    stop.add(Object.assign(new EventEmitter(), { headersSent: false }) as unknown as ServerResponse)
+    const { request, response } = createExchange()
+    stop.add(request, response)
     stop.start(0)
     stop.reportCutOff()
     const [line] = listLines('call.cutOff')
@@ -96,3 +109,33 @@
     expect(counted).to.equal(130)
   })
 })
+
+describe('what a planned stop takes', () => {
+  const timers = createManualTimerService()
+  const cutOff = { add: () => {} } as unknown as Counter
+  const logger = createQuietLogger()
+  const stop = createPlannedStop({ timers, logger, cutOff })
+  const createPlan = (limitMs: number) => ({ deadline: timers.now() + limitMs }) as CallPlan
+
+  it('is everything while no stop is under way', () => {
+    stop.checkFits(createPlan(1e9))
+    expect(stop.isStopping()).to.equal(false)
+  })
+
+  it('is what ends by its own limit while the final answer can still be given', () => {
+    stop.start(DRAIN_MS)
+    stop.checkFits(createPlan(7_900))
+    for (const limitMs of [7_901, 8_000, 15_000]) {
+      expect(() => stop.checkFits(createPlan(limitMs)))
+        .to.throw(SpoolgateError)
+        .that.includes({ kind: 'instanceStopping', notRun: true, retryAfterSeconds: 0.05 })
+        .and.has.deep.property('details', { limitMs, leftMs: 8_000 })
+    }
+  })
+
+  it('becomes less as its end comes nearer', () => {
+    timers.advance(7_000)
+    stop.checkFits(createPlan(900))
+    expect(() => stop.checkFits(createPlan(901))).to.throw(SpoolgateError)
+  })
+})
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -11,18 +11,18 @@
   createMetrics,
   createRandomSource,
   readBody,
-  SpoolgateError,
   toSpoolgateError,
   waitFor,
   type BackendServerId,
   type CloseReport,
   type LogFields,
   type Logger,
+  type SpoolgateError,
   type TimerService,
 } from '@spoolgate/core'
 import type { RoutingTable } from '@spoolgate/routing'
 import { firstValueFrom, race } from 'rxjs'
-import { resolveCall, type CallPlan } from './callPlan.js'
+import { resolveCall } from './callPlan.js'
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
 import type { DirectInstruments, DirectParts } from './directParts.js'
 import { createLiveness, openProbe } from './liveness.js'
@@ -31,7 +31,6 @@
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
-import { createStreamTimes } from './streamTimes.js'
 import { createWorkSplit } from './workSplit.js'
 import { createWorkTimes } from './workTimes.js'
 
@@ -90,8 +89,6 @@
 const BODY_TIMEOUT_MS = 10_000
 /** Time for which a stopping router still serves, in ms: two questions for its readiness. */
 const SERVE_ON_MS = 2_600
-/** Seconds after which a caller that a stopping router refused may turn to another one. */
-const RETRY_WHILE_STOPPING_S = 0.05
 /** Idle time of connections to backend servers, in ms, and the margin before their own limit. */
 const BACKEND_IDLE_MS = 30_000
 const BACKEND_IDLE_MARGIN_MS = 1_200
@@ -200,18 +197,6 @@
   }
   const { cutOff } = parts.instruments
   const stop = createPlannedStop({ timers, logger, cutOff })
-  const streamTimes = createStreamTimes(timers)
-  /** A stream that would outlast this process is better begun elsewhere. */
-  const beginStream = ({ deadline }: CallPlan) => {
-    const longestMs = streamTimes.findLongest()
-    const leftMs = stop.findLeftMs()
-    if (longestMs < leftMs) return streamTimes.begin()
-    const limitMs = deadline - timers.now()
-    throw new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
-      retryAfterSeconds: RETRY_WHILE_STOPPING_S,
-      details: { longestMs, limitMs, leftMs },
-    })
-  }
   const sockets = new Set<Socket>()
 
   const serve = async (
@@ -221,7 +206,6 @@
   ) => {
     const arrivedAt = timers.now()
     let call: DirectCall | undefined
-    let endStream = () => {}
     try {
       parts.instruments.requests.add(1)
       call = caller.decodeCall(request)
@@ -229,10 +213,11 @@
       if (!feed.current()) await waitForTable(call)
       const plan = resolveCall(parts, call, arrivedAt)
       tracked.recordPlan(plan)
-      if (plan.route.isStream) endStream = beginStream(plan)
       const { maxBodyBytes } = plan.view.index.table.bounds
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs: BODY_TIMEOUT_MS })
       if (response.destroyed) return
+      // Not before the body is read: a connection that ends with unread bytes may lose its answer.
+      stop.checkFits(plan)
       await serveCall(parts, plan, body, response)
     } catch (cause) {
       const error = toSpoolgateError(cause)
@@ -249,8 +234,6 @@
       parts.instruments.refusals.add(1, { kind: error.kind })
       if (!response.headersSent) caller.sendRefusal(response, call, error)
       else response.destroy()
-    } finally {
-      endStream()
     }
   }
   const server = createServer({
@@ -265,12 +248,9 @@
     socket.once('close', () => sockets.delete(socket))
   })
   server.on('request', (request, response) => {
-    if (stop.isStopping()) response.setHeader('connection', 'close')
-    response.once('close', () => {
-      // The head of an answer that began before the stop could not say that the connection ends.
-      if (stop.isStopping()) request.socket.end()
-    })
-    void serve(request, response, stop.add(response))
+    const tracked = stop.add(request, response)
+    if (tracked) void serve(request, response, tracked)
+    else request.resume()
   })
   const boundsWatch = feed.changes.subscribe(({ index }) => {
     const { headerTimeoutMs, idleTimeoutMs } = index.table.bounds
--- a/packages/router/src/direct/plannedStop.ts
+++ b/packages/router/src/direct/plannedStop.ts
@@ -1,9 +1,16 @@
 /**
- * The planned stop of a router: what is in progress, when a stop cuts off what is left of it, and
- * what the log says of it.
+ * The planned stop of a router: which requests it still takes, what is in progress, when it cuts off
+ * what is left, and what the log says of it.
  */
-import type { ServerResponse } from 'node:http'
-import { waitFor, type Counter, type Logger, type TimerService } from '@spoolgate/core'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import {
+  SpoolgateError,
+  waitFor,
+  type Counter,
+  type Logger,
+  type TimerService,
+} from '@spoolgate/core'
 import type { CallPlan } from './callPlan.js'
 import type { DirectCall } from './dialects.js'
 
@@ -18,10 +25,16 @@
 /** The planned stop of one router; see {@link createPlannedStop}. */
 export interface PlannedStop {
   isStopping(): boolean
-  /** Time until a stop cuts off what is in progress, in ms; Infinity while none is under way. */
-  findLeftMs(): number
-  /** Notes a request that has just arrived; it counts until its answer is closed. */
-  add(response: ServerResponse): CallInProgress
+  /**
+   * Checks that a request is over, by its own limit, before a stop cuts it off.
+   * @throws SpoolgateError `instanceStopping`.
+   */
+  checkFits(plan: CallPlan): void
+  /**
+   * Notes a request that has just arrived; it counts until its answer is closed. Undefined when its
+   * connection has been promised to end before it, so that nothing could carry its answer.
+   */
+  add(request: IncomingMessage, response: ServerResponse): CallInProgress | undefined
   /** Begins the stop; what is in progress after `drainMs` will be cut off. */
   start(drainMs: number): void
   /** Waits until nothing is in progress, or until the stop is over. */
@@ -40,10 +53,15 @@
 
 /** Time between two looks at what is in progress during a planned stop, in ms. */
 const POLL_IDLE_MS = 20
+/** Kept for the final answer of a request whose limit is reached, in ms: five looks. */
+const FINAL_ANSWER_MS = 5 * POLL_IDLE_MS
+/** Seconds after which a caller that a stopping router refused may turn to another one. */
+const RETRY_WHILE_STOPPING_S = 0.05
 /** Requests that are told one by one: half of the lines that a process may log in a second. */
 const MAX_CUT_OFF_LINES = 100
 
 interface Tracked {
+  readonly socket: Socket
   readonly response: ServerResponse
   readonly arrivedAt: number
   /** Whether the stop was under way when it arrived. */
@@ -56,9 +74,19 @@
 export function createPlannedStop(options: PlannedStopOptions): PlannedStop {
   const { timers, logger, cutOff } = options
   const inProgress = new Set<Tracked>()
+  /** Connections of which an answer has told that they end after it. */
+  const ending = new WeakSet<Socket>()
   let startedAt: number | undefined
   let stopsAt = Infinity
 
+  /** The head of an answer that began before the stop could not say that the connection ends. */
+  const finishConnection = (socket: Socket) => {
+    if (startedAt === undefined) return
+    if ([...inProgress].some((other) => other.socket === socket)) return
+    ending.add(socket)
+    socket.end()
+  }
+
   const sendLine = ({ response, arrivedAt, isLate, call, plan }: Tracked) => {
     const now = timers.now()
     logger.warn('call.cutOff', {
@@ -72,9 +100,28 @@
   }
   return {
     isStopping: () => startedAt !== undefined,
-    findLeftMs: () => stopsAt - timers.now(),
-    add: (response) => {
+    // Only its own limit bounds a request: how long others took says nothing of this one, and what
+    // is still running at the end is cut off.
+    checkFits: ({ deadline }) => {
+      if (deadline + FINAL_ANSWER_MS <= stopsAt) return
+      const now = timers.now()
+      throw new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
+        retryAfterSeconds: RETRY_WHILE_STOPPING_S,
+        details: { limitMs: deadline - now, leftMs: stopsAt - now },
+      })
+    },
+    add: (request, response) => {
+      const { socket } = request
+      if (ending.has(socket)) {
+        logger.info('call.onEndedConnection', { host: request.headers.host, target: request.url })
+        return undefined
+      }
+      if (startedAt !== undefined) {
+        ending.add(socket)
+        response.setHeader('connection', 'close')
+      }
       const tracked: Tracked = {
+        socket,
         response,
         arrivedAt: timers.now(),
         isLate: startedAt !== undefined,
@@ -82,7 +129,10 @@
         plan: undefined,
       }
       inProgress.add(tracked)
-      response.once('close', () => inProgress.delete(tracked))
+      response.once('close', () => {
+        inProgress.delete(tracked)
+        finishConnection(socket)
+      })
       return {
         recordCall: (call) => {
           tracked.call = call
