feat(control): tell why no leader is elected, and where a group bears too few losses

Cause: where no leader came, the log held no line after control.listening. Too few answers, an old lease, a candidate that is behind, a lost disk and a member that does not listen looked the same.

Change: a vote that is not granted names its reason (VoteRefusal, optional, so that older members understand it). raft.notElected lists what each member answered; raft.lostVoter names once the voter whose address another disk has; raft.notStanding comes from an instance that may not stand. A vote that could not be sent was swallowed; its reason is in the line now.

--- /dev/null
+++ b/packages/control/src/__tests__/electionReport.spec.ts
@@ -0,0 +1,158 @@
+import { createLogger, createManualTimerService, createMetrics } from '@spoolgate/core'
+import { expect } from 'chai'
+import { BEARS_FEWER_AFTER_MS, createBearingReport } from '../group/bearingReport.js'
+import { createElectionReport } from '../raft/electionReport.js'
+import type { MemberMap } from '../raft/messages.js'
+import { createTestGroup, ELECTION_MS, type TestGroup } from './group.js'
+
+const NAMES = ['a', 'b', 'c', 'd']
+
+/** Lists the logged lines of one event. */
+function listLines(lines: readonly string[], event: string): string[] {
+  return lines.filter((line) => line.includes(` event=${event} `))
+}
+
+describe('the report of a group without a leader', () => {
+  let group: TestGroup
+
+  beforeEach(async () => {
+    group = await createTestGroup(NAMES)
+    await group.findLeader()
+    await group.run(ELECTION_MS)
+  })
+  afterEach(() => group.close())
+
+  /** Reads the answers that one member reported since it stands alone. */
+  const readAnswers = async (name: string): Promise<Record<string, string>> => {
+    const known = group.lines.length
+    await group.run(ELECTION_MS * 5)
+    const found = listLines(group.lines.slice(known), 'raft.notElected')
+    const [line] = found.filter((text) => text.includes(` member=${name} `)).slice(-1)
+    const [, answers] = /answers=("(?:[^"\\]|\\.)*")/.exec(line) as RegExpExecArray
+    return JSON.parse(JSON.parse(answers) as string) as Record<string, string>
+  }
+
+  it('names the voters that do not answer', async () => {
+    for (const name of ['a', 'b', 'c']) group.frozen.add(name)
+    const answers = await readAnswers('d')
+    expect(answers.d).to.equal('granted')
+    expect(answers.a).to.equal('silent: link is cut')
+  })
+
+  it('names a voter whose disk is lost, and says once that it is', async () => {
+    const left = ['a', 'b']
+    await group.restart(left, 0)
+    await group.loseDisks(['c'])
+    group.frozen.add('d')
+    group.frozen.add('b')
+    expect((await readAnswers('a')).c).to.equal('lost')
+    const lost = listLines(group.lines, 'raft.lostVoter').filter((line) => / member=a /.test(line))
+    expect(lost).to.have.length(1)
+    expect(lost[0]).to.include('voter=c url=c found=c#new')
+  })
+
+  it('names the leader whose lease holds a vote back', async () => {
+    const old = group.leader()?.name as string
+    const others = NAMES.filter((name) => name !== old)
+    group.isolate(old)
+    await group.restart(others, 0)
+    await group.run(ELECTION_MS * 0.8)
+    const term = group.members.get(old)?.member.status().term
+    const lines = listLines(group.lines, 'raft.notElected')
+    expect(lines.some((line) => line.includes(`heldBack by ${old} of term ${term}`))).to.equal(true)
+  })
+
+  it('tells a candidate that its log is behind', async () => {
+    const leader = await group.findLeader()
+    const [behind, other] = NAMES.filter((name) => name !== leader.name)
+    group.isolate(behind)
+    await group.propose(leader, { kind: 'table.put', version: 1, document: '{}' })
+    group.heal()
+    for (const name of NAMES) if (name !== behind && name !== other) group.frozen.add(name)
+    expect((await readAnswers(behind))[other]).to.equal('behind')
+  })
+
+  it('tells why an instance stands in no election itself', async () => {
+    await group.loseDisks(['d'])
+    await group.run(ELECTION_MS * 3)
+    const lines = listLines(group.lines, 'raft.notStanding')
+    expect(lines.some((line) => line.includes('member=d#new kind=- mayVote=false'))).to.equal(true)
+  })
+})
+
+describe('the lines of an election report', () => {
+  const members: MemberMap = { a: { url: 'a', kind: 'voter' }, b: { url: 'b', kind: 'voter' } }
+
+  it('are bounded, and say at once what has changed', () => {
+    const lines: string[] = []
+    const timers = createManualTimerService()
+    const logger = createLogger({ write: (line) => void lines.push(line) })
+    const report = createElectionReport({ logger, timers })
+    for (let round = 0; round < 100; round += 1) {
+      const answers = { b: 'silent: x' }
+      report.recordLostRound({ term: round, isPreVote: true, members, answers })
+      timers.advance(50)
+    }
+    // Rounds of 5 s: one line a second.
+    expect(lines).to.have.length(5)
+    timers.advance(100)
+    report.recordLostRound({ term: 1, isPreVote: true, members, answers: { b: 'lost' } })
+    expect(lines).to.have.length(6)
+    for (let round = 0; round < 100; round += 1) {
+      report.recordLostRound({ term: 1, isPreVote: true, members, answers: { b: `x${round}` } })
+      timers.advance(10)
+    }
+    // What changes each time is written ten times a second; the first of these came too early.
+    expect(lines).to.have.length(15)
+  })
+
+  it('go with the time without a leader as a metric', async () => {
+    const metrics = createMetrics('control')
+    const timers = createManualTimerService()
+    const logger = createLogger({ level: 'quiet' })
+    const report = createElectionReport({ logger, timers, metrics })
+    timers.advance(300)
+    report.recordLeader('a')
+    report.recordLeader('a')
+    timers.advance(1_000)
+    report.recordLeader(undefined)
+    timers.advance(200)
+    report.recordLeader(undefined)
+    report.recordLeader('b')
+    const text = await metrics.render()
+    expect(text).to.match(/leaderless_ms_count\S* 2/)
+    expect(text).to.match(/leaderless_ms_sum\S* 500/)
+    await metrics.close()
+  })
+})
+
+describe('the warning that a group bears fewer losses than wanted', () => {
+  const buildVoters = (count: number): MemberMap =>
+    Object.fromEntries(
+      Array.from({ length: count }, (_, index) => [`m${index}`, { url: '', kind: 'voter' }]),
+    )
+
+  it('is written once for each group that stays so, with the numbers and the remedy', () => {
+    const lines: string[] = []
+    const timers = createManualTimerService()
+    const logger = createLogger({ write: (line) => void lines.push(line) })
+    const report = createBearingReport({ wantedVoters: 5, timers, logger })
+    const hold = (voters: number) => {
+      for (let looks = 0; looks < 100; looks += 1) {
+        report.recordGroup(buildVoters(voters))
+        timers.advance(BEARS_FEWER_AFTER_MS / 50)
+      }
+    }
+    report.recordGroup(buildVoters(3))
+    timers.advance(BEARS_FEWER_AFTER_MS)
+    hold(5)
+    expect(lines).to.have.length(0)
+    hold(4)
+    expect(lines).to.have.length(1)
+    expect(lines[0]).to.include('event=group.bearsFewer wanted=2 away=1 lostDisks=2 voters=4')
+    expect(lines[0]).to.include('remedy="run control on 5 instances with a disk or more"')
+    hold(3)
+    expect(lines).to.have.length(2)
+    expect(lines[1]).to.include('away=1 lostDisks=1 voters=3')
+  })
+})
--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -3,7 +3,7 @@
   ConnectionError,
   createInvariants,
   createManualTimerService,
-  createQuietLogger,
+  createLogger,
   createRandomSource,
   type ManualTimerService,
 } from '@spoolgate/core'
@@ -32,6 +32,8 @@
   /** Links that are cut, as `from>to`. */
   readonly cut: Set<string>
   readonly frozen: Set<string>
+  /** What the members have logged. */
+  readonly lines: readonly string[]
   isolate(name: string): void
   heal(): void
   /** Moves time forward until the condition holds. */
@@ -74,7 +76,8 @@
   const founders: MemberMap = Object.fromEntries(
     names.map((name) => [name, { url: name, kind: 'voter' }]),
   )
-  const logger = createQuietLogger()
+  const lines: string[] = []
+  const write = (line: string) => void lines.push(line)
   const findAt = (url: string) =>
     [...members.values()].find((other) => other.url === url && !frozen.has(other.name))
 
@@ -99,6 +102,7 @@
     },
   })
   const start: TestGroup['start'] = async (name, options = {}) => {
+    const logger = createLogger({ base: { member: name }, write })
     const folder = options.folder ?? createMemoryFolder()
     const timers = createManualTimerService()
     const store = await openLogStore({ folder, logger, onFailure: () => {} })
@@ -134,6 +138,7 @@
   }
   const group: TestGroup = {
     members,
+    lines,
     cut,
     frozen,
     start,
--- a/packages/control/src/__tests__/raft.spec.ts
+++ b/packages/control/src/__tests__/raft.spec.ts
@@ -123,6 +123,7 @@
         isGranted: false,
         endedTerm: term,
         heldBackBy: undefined,
+        refusal: 'leaderAlive',
       })
     }
   })
--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -98,6 +98,7 @@
       isGranted: false,
       endedTerm: term,
       heldBackBy,
+      refusal: 'heldBack',
     })
     // That the leader ended an earlier term says nothing of this one.
     expect((await vote({ [old.name]: term - 1 })).isGranted).to.equal(false)
--- a/packages/control/src/group/groupKeeper.ts
+++ b/packages/control/src/group/groupKeeper.ts
@@ -11,6 +11,7 @@
   type TimerService,
 } from '@spoolgate/core'
 import type { RaftMember } from '../raft/types.js'
+import { createBearingReport } from './bearingReport.js'
 import { findGroupStep, type Joiner, type MemberView } from './groupPlan.js'
 
 /** Path at which an instance asks a member to be taken in. */
@@ -56,6 +57,7 @@
   let leaderSeenAt = -Infinity
   let leadingTerm: number | undefined
   let leadingSince = 0
+  const bearing = createBearingReport(options)
 
   const listJoiners = (): Joiner[] => {
     const oldest = timers.now() - JOINER_LIFE_MS
@@ -78,6 +80,7 @@
       leadingSince = timers.now()
     }
     if (!hasLease) return
+    bearing.recordGroup(members)
     const { wantedVoters, name } = options
     const step = findGroupStep({
       leader: name,
--- /dev/null
+++ b/packages/control/src/raft/appliedLog.ts
@@ -0,0 +1,80 @@
+/** The part of a member's log that is committed: applied to the machine, and compacted. */
+import type { Logger } from '@spoolgate/core'
+import type { LogStore, Snapshot } from '../log/logStore.js'
+import { isGroupCommand, type Membership, type SavedState } from './membership.js'
+import type { Proposals } from './proposals.js'
+import type { ReplicatedMachine } from './types.js'
+
+/** Options of {@link createAppliedLog}. */
+export interface AppliedLogOptions {
+  readonly store: LogStore
+  readonly machine: ReplicatedMachine
+  readonly membership: Membership
+  readonly proposals: Proposals
+  readonly logger: Logger
+  /** Entries between snapshots. */
+  readonly snapshotEvery: number
+}
+
+/** See {@link createAppliedLog}. */
+export interface AppliedLog {
+  commitIndex(): number
+  /** Term of the last entry that was applied. */
+  appliedTerm(): number | undefined
+  /** Notes that the log is committed up to an index, and applies it. */
+  advance(next: number): void
+  /** Puts a snapshot in the place of all that it covers. */
+  install(snapshot: Snapshot): Promise<void>
+}
+
+/** Loads the snapshot of the store, if there is one, into machine and membership. */
+export function createAppliedLog(options: AppliedLogOptions): AppliedLog {
+  const { store, machine, membership, proposals, logger } = options
+  let commitIndex = store.baseIndex()
+  let appliedIndex = store.baseIndex()
+  let isCompacting = false
+
+  const loadState = () => {
+    const saved = store.snapshot()?.state as SavedState | undefined
+    if (saved) machine.load(saved.machine)
+    membership.reload()
+  }
+  const compactWhenLarge = async () => {
+    if (isCompacting || appliedIndex - store.baseIndex() < options.snapshotEvery) return
+    isCompacting = true
+    const state: SavedState = { machine: machine.save(), members: membership.members() }
+    const appliedTerm = store.findTerm(appliedIndex) ?? 0
+    await store.compact({ index: appliedIndex, term: appliedTerm, state })
+    logger.info('raft.compacted', { index: store.baseIndex() })
+    isCompacting = false
+  }
+  const applyCommitted = () => {
+    while (appliedIndex < commitIndex) {
+      const [entry] = store.list(appliedIndex + 1, 1)
+      if (!entry) return
+      appliedIndex = entry.index
+      const result = isGroupCommand(entry.command)
+        ? undefined
+        : machine.apply(entry.command, entry.index)
+      proposals.finish(entry, result)
+    }
+    void compactWhenLarge()
+  }
+  loadState()
+  return {
+    commitIndex: () => commitIndex,
+    appliedTerm: () => store.findTerm(appliedIndex),
+    advance: (next) => {
+      if (next <= commitIndex) return
+      commitIndex = next
+      applyCommitted()
+    },
+    install: async (snapshot) => {
+      if (snapshot.index <= commitIndex) return
+      await store.compact(snapshot)
+      loadState()
+      commitIndex = snapshot.index
+      appliedIndex = snapshot.index
+    },
+  }
+}
--- /dev/null
+++ b/packages/control/src/raft/electionReport.ts
@@ -0,0 +1,94 @@
+/**
+ * What one member tells of elections that found no leader: too few voters answer, a lease or a log
+ * holds them back, a voter's disk is lost, or nobody listens. Bounded lines, and the time without a
+ * leader as a metric.
+ */
+import type { Histogram, Logger, Metrics, TimerService } from '@spoolgate/core'
+import type { MemberKind, MemberMap } from './messages.js'
+
+/** Options of {@link createElectionReport}. */
+export interface ElectionReportOptions {
+  readonly logger: Logger
+  readonly timers: TimerService
+  /** @default undefined, no metric */
+  readonly metrics?: Metrics
+}
+
+/** A round of votes that was not won. */
+export interface LostRound {
+  readonly term: number
+  readonly isPreVote: boolean
+  /** Group whose voters were asked. */
+  readonly members: MemberMap
+  /** By member: `granted`, why not, `lost`, or `silent` with the reason. */
+  readonly answers: Readonly<Record<string, string>>
+}
+
+/** See {@link createElectionReport}. */
+export interface ElectionReport {
+  /** Notes a round of votes that was not won. */
+  recordLostRound(round: LostRound): void
+  /** Notes that a member without a leader may not stand for election itself. */
+  recordBystander(kind: MemberKind | undefined, mayVote: boolean): void
+  /** Notes that the address of a voter is answered under another name. */
+  recordLostVoter(voter: string, url: string, found: string): void
+  /** Notes the leader that is known now; undefined for none. */
+  recordLeader(leader: string | undefined): void
+}
+
+/** Least time between two lines of the same content, in ms: a line a second can be read along. */
+const SAME_PERIOD_MS = 1_000
+/** Least time between two lines of different content, in ms: a tenth of that, for what alternates. */
+const CHANGED_PERIOD_MS = 100
+
+/** Creates the report of a member that knows no leader. */
+export function createElectionReport(options: ElectionReportOptions): ElectionReport {
+  const { logger, timers } = options
+  const leaderless: Histogram | undefined = options.metrics?.histogram(
+    'leaderless_ms',
+    'Time without a known leader in milliseconds',
+  )
+  const lostVoters = new Set<string>()
+  let lastContent: string | undefined
+  let writtenAt = -Infinity
+  let leaderlessSince: number | undefined = timers.now()
+
+  const isDue = (content: string) => {
+    const period = content === lastContent ? SAME_PERIOD_MS : CHANGED_PERIOD_MS
+    if (timers.now() - writtenAt < period) return false
+    lastContent = content
+    writtenAt = timers.now()
+    return true
+  }
+  const leaderlessMs = () => timers.now() - (leaderlessSince ?? timers.now())
+  return {
+    recordLostRound: ({ term, isPreVote, members, answers }) => {
+      const kinds = Object.fromEntries(
+        Object.entries(members).map(([name, { kind }]) => [name, kind]),
+      )
+      // The term is left out: it may rise from round to round and nothing else change.
+      if (!isDue(JSON.stringify([isPreVote, answers, kinds]))) return
+      const fields = { term, isPreVote, answers, kinds, leaderlessMs: leaderlessMs() }
+      logger.warn('raft.notElected', fields)
+    },
+    recordBystander: (kind, mayVote) => {
+      if (!isDue(JSON.stringify([kind, mayVote]))) return
+      logger.warn('raft.notStanding', { kind, mayVote, leaderlessMs: leaderlessMs() })
+    },
+    recordLostVoter: (voter, url, found) => {
+      if (lostVoters.has(voter)) return
+      lostVoters.add(voter)
+      logger.warn('raft.lostVoter', { voter, url, found })
+    },
+    recordLeader: (leader) => {
+      if (leader === undefined) {
+        leaderlessSince ??= timers.now()
+        return
+      }
+      if (leaderlessSince === undefined) return
+      leaderless?.record(leaderlessMs())
+      leaderlessSince = undefined
+      lastContent = undefined
+    },
+  }
+}
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -6,6 +6,8 @@
 import { SpoolgateError } from '@spoolgate/core'
 import { Subject, type Subscription } from 'rxjs'
 import type { Ballot, LeaseHolder, LogEntry } from '../log/logStore.js'
+import { createAppliedLog } from './appliedLog.js'
+import { createElectionReport } from './electionReport.js'
 import { countDifferences, countMajority } from './group.js'
 import type {
   AppendReply,
@@ -13,16 +15,12 @@
   EndedTerms,
   InstallReply,
   InstallRequest,
+  VoteRefusal,
   VoteReply,
   VoteRequest,
 } from './messages.js'
 import { createLeasePromise } from './leasePromise.js'
-import {
-  createMembership,
-  isGroupCommand,
-  type GroupCommand,
-  type SavedState,
-} from './membership.js'
+import { createMembership, type GroupCommand } from './membership.js'
 import { createProposals } from './proposals.js'
 import { createReplicator, type Replicator } from './replicator.js'
 import type { RaftMember, RaftMemberOptions, RaftRole } from './types.js'
@@ -35,12 +33,11 @@
 export function createRaftMember(options: RaftMemberOptions): RaftMember {
   const { name, store, machine, transport, timers, random, logger, invariants } = options
   const proposals = createProposals()
+  const report = createElectionReport({ logger, timers, metrics: options.metrics })
   const elected = new Subject<number>()
   let role: RaftRole = 'follower'
   let leader: string | undefined
   let leaderUrl: string | undefined
-  let commitIndex = store.baseIndex()
-  let appliedIndex = store.baseIndex()
   const promise = createLeasePromise({
     timers,
     random,
@@ -51,7 +48,6 @@
   let campaignTerm: number | undefined
   let electionTimer: Subscription | undefined
   let replicator: Replicator | undefined
-  let isCompacting = false
   let isClosed = false
   /** Followers take one message at a time, so that log changes never overlap. */
   let inbox: Promise<unknown> = Promise.resolve()
@@ -59,13 +55,24 @@
   const term = () => store.ballot().term
   const membership = createMembership({ name, store, founders: options.founders })
   const saveBallot = (change: Partial<Ballot>) => store.saveBallot({ ...store.ballot(), ...change })
-
-  const loadState = () => {
-    const saved = store.snapshot()?.state as SavedState | undefined
-    if (saved) machine.load(saved.machine)
-    membership.reload()
+  if (options.isFounding && store.lastIndex() === 0 && term() === 0) {
+    void saveBallot({ mayVote: true })
   }
+  const applied = createAppliedLog({
+    store,
+    machine,
+    membership,
+    proposals,
+    logger,
+    snapshotEvery: options.snapshotEvery,
+  })
+  const { commitIndex } = applied
 
+  const followLeader = (found: string | undefined, url: string | undefined) => {
+    leader = found
+    leaderUrl = url
+    report.recordLeader(found)
+  }
   const startElectionTimer = () => {
     electionTimer?.unsubscribe()
     if (isClosed) return
@@ -73,8 +80,7 @@
       startElectionTimer()
       if (role !== 'leader') {
         // Learners stand in no election, and must see all the same that their leader is gone.
-        leader = undefined
-        leaderUrl = undefined
+        followLeader(undefined, undefined)
       }
       void runElection()
     })
@@ -87,8 +93,7 @@
       proposals.failAll()
     }
     role = 'follower'
-    leader = found
-    leaderUrl = url
+    followLeader(found, url)
     startElectionTimer()
   }
   const adoptTerm = async (next: number) => {
@@ -97,33 +102,6 @@
     await saveBallot({ term: next, votedFor: undefined })
   }
 
-  const applyCommitted = () => {
-    while (appliedIndex < commitIndex) {
-      const [entry] = store.list(appliedIndex + 1, 1)
-      if (!entry) return
-      appliedIndex = entry.index
-      const result = isGroupCommand(entry.command)
-        ? undefined
-        : machine.apply(entry.command, entry.index)
-      proposals.finish(entry, result)
-    }
-    void compactWhenLarge()
-  }
-  const compactWhenLarge = async () => {
-    if (isCompacting || appliedIndex - store.baseIndex() < options.snapshotEvery) return
-    isCompacting = true
-    const state: SavedState = { machine: machine.save(), members: membership.members() }
-    const appliedTerm = store.findTerm(appliedIndex) ?? 0
-    await store.compact({ index: appliedIndex, term: appliedTerm, state })
-    logger.info('raft.compacted', { index: store.baseIndex() })
-    isCompacting = false
-  }
-  const advanceCommit = (next: number) => {
-    if (next <= commitIndex) return
-    commitIndex = next
-    applyCommitted()
-  }
-
   const appendOwn = (command: unknown): LogEntry => {
     const entry = { index: store.lastIndex() + 1, term: term(), command }
     membership.observe(entry)
@@ -133,8 +111,7 @@
   }
   const becomeLeader = (lostVoters: readonly string[]) => {
     role = 'leader'
-    leader = name
-    leaderUrl = options.url
+    followLeader(name, options.url)
     electionTimer?.unsubscribe()
     logger.info('raft.elected', { term: term(), index: store.lastIndex(), lostVoters })
     replicator = createReplicator({
@@ -146,9 +123,9 @@
       timers,
       heartbeatMs: options.heartbeatMs,
       listMembers: membership.members,
-      listDeciding: () => membership.listDeciding(commitIndex),
-      commitIndex: () => commitIndex,
-      onCommit: advanceCommit,
+      listDeciding: () => membership.listDeciding(commitIndex()),
+      commitIndex,
+      onCommit: applied.advance,
       onHigherTerm: (found) => void adoptTerm(found),
       onLost: () => becomeFollower(undefined, undefined),
       lostAfterMs: options.electionMs * 2,
@@ -157,21 +134,24 @@
     elected.next(term())
   }
 
-  const askForVotes = (isPreVote: boolean, voteTerm: number, endedTerms: EndedTerms) => {
+  const askForVotes = async (isPreVote: boolean, voteTerm: number, endedTerms: EndedTerms) => {
     // A member stands for election only once its own promise no longer keeps it from voting.
     const heldBackBy = isPreVote ? findHolder(endedTerms) : undefined
-    return askMembersForVotes({
-      members: membership.members(),
+    const members = membership.members()
+    const outcome = await askMembersForVotes({
+      members,
       transport,
       onHigherTerm: async (found) => {
         if (found > term()) await adoptTerm(found)
       },
+      onLostVoter: report.recordLostVoter,
       own: {
         voter: name,
         term: voteTerm,
         isGranted: heldBackBy === undefined,
         endedTerm: findEndedTerm(),
         heldBackBy,
+        refusal: heldBackBy && 'heldBack',
       },
       request: {
         isPreVote,
@@ -182,6 +162,11 @@
         endedTerms,
       },
     })
+    const isFollowing = leader !== undefined || isClosed
+    if (!outcome.isWon && !isFollowing) {
+      report.recordLostRound({ term: voteTerm, isPreVote, members, answers: outcome.answers })
+    }
+    return outcome
   }
   /** A vote for a member may become its lease, as an acknowledged heartbeat does. */
   const saveVote = (voteTerm: number, candidate: string) =>
@@ -194,12 +179,15 @@
     !isClosed && role === 'candidate' && term() === electionTerm
   const isCampaigning = () => campaignTerm !== undefined && isCandidateOf(campaignTerm)
   const runElection = async () => {
-    const isVoter = membership.isVoter() && store.ballot().mayVote
-    if (isClosed || role === 'leader' || !isVoter) return
+    if (isClosed || role === 'leader') return
+    const { mayVote } = store.ballot()
+    if (!membership.isVoter() || !mayVote) {
+      report.recordBystander(membership.members()[name]?.kind, mayVote)
+      return
+    }
     const started = term()
     role = 'candidate'
-    leader = undefined
-    leaderUrl = undefined
+    followLeader(undefined, undefined)
     // An earlier campaign that has not been won by now is given up, so that nobody waits for it.
     campaignTerm = undefined
     const { isWon, endedTerms } = await askForVotes(true, started + 1, {})
@@ -226,27 +214,35 @@
     return timers.now() < confirmed + options.electionMs * LEASE_RATIO
   }
 
-  const voteNow = async (request: VoteRequest): Promise<VoteReply> => {
+  const findRefusal = (request: VoteRequest): VoteRefusal | undefined => {
     // A member that still hears its leader does not help to depose it; the lease rests on this.
-    const reply = (isGranted: boolean, heldBackBy?: LeaseHolder): VoteReply => ({
+    if (hasLiveLeader()) return 'leaderAlive'
+    if (!store.ballot().mayVote) return 'mayNotVote'
+    if (request.term < term()) return 'oldTerm'
+    return isUpToDate(request) ? undefined : 'behind'
+  }
+  const voteNow = async (request: VoteRequest): Promise<VoteReply> => {
+    const reply = (refusal?: VoteRefusal, heldBackBy?: LeaseHolder): VoteReply => ({
       voter: name,
       term: term(),
-      isGranted,
+      isGranted: refusal === undefined,
       endedTerm: findEndedTerm(),
       heldBackBy,
+      refusal,
     })
-    const isStale = request.term < term() || !isUpToDate(request)
-    if (hasLiveLeader() || isStale || !store.ballot().mayVote) return reply(false)
+    const refusal = findRefusal(request)
+    if (refusal) return reply(refusal)
     const holder = findHolder(request.endedTerms)
-    if (holder || request.isPreVote) return reply(holder === undefined, holder)
+    if (holder) return reply('heldBack', holder)
+    if (request.isPreVote) return reply()
     await adoptTerm(request.term)
     const { votedFor } = store.ballot()
     if (term() !== request.term || (votedFor !== undefined && votedFor !== request.candidate)) {
-      return reply(false)
+      return reply(term() === request.term ? 'votedOther' : 'oldTerm')
     }
     startElectionTimer()
     await saveVote(request.term, request.candidate)
-    return reply(true)
+    return reply()
   }
 
   /** Accepts the sender as leader; false when its term is over. */
@@ -269,9 +265,9 @@
     const added = request.entries.filter((entry) => !isHeld(entry))
     if (added.length === 0) return
     if (added[0].index <= store.lastIndex()) {
-      invariants.assert('logKeepsCommitted', added[0].index > commitIndex, () => ({
+      invariants.assert('logKeepsCommitted', added[0].index > commitIndex(), () => ({
         from: added[0].index,
-        commitIndex,
+        commitIndex: commitIndex(),
       }))
       void store.truncate(added[0].index)
       membership.reload()
@@ -290,18 +286,12 @@
     }
     await takeEntries(request)
     const matched = previousIndex + entries.length
-    advanceCommit(Math.min(request.commitIndex, matched))
+    applied.advance(Math.min(request.commitIndex, matched))
     return { term: term(), isAccepted: true, index: matched }
   }
   const installNow = async (request: InstallRequest): Promise<InstallReply> => {
     if (!(await acceptLeader(request))) return { term: term() }
-    const { snapshot } = request
-    if (snapshot.index > commitIndex) {
-      await store.compact(snapshot)
-      loadState()
-      commitIndex = snapshot.index
-      appliedIndex = snapshot.index
-    }
+    await applied.install(request.snapshot)
     return { term: term() }
   }
   const enqueue = <T>(run: () => Promise<T>): Promise<T> => {
@@ -321,10 +311,6 @@
     return proposals.add(appendOwn(command))
   }
 
-  if (options.isFounding && store.lastIndex() === 0 && term() === 0) {
-    void saveBallot({ mayVote: true })
-  }
-  loadState()
   startElectionTimer()
   // A group of one has nobody to wait for.
   if (membership.isVoter() && countMajority(membership.members()) === 1) void runElection()
@@ -337,7 +323,7 @@
       term: term(),
       leader,
       leaderUrl,
-      commitIndex,
+      commitIndex: commitIndex(),
       lastIndex: store.lastIndex(),
       hasLease: hasLease(),
       members: membership.members(),
@@ -345,7 +331,7 @@
     propose: async (command) => propose(command),
     checkCurrent: () => {
       checkLeader()
-      const isSettled = store.findTerm(appliedIndex) === term()
+      const isSettled = applied.appliedTerm() === term()
       if (hasLease() && isSettled) return
       throw new SpoolgateError('controlUnavailable', 'the lease is not held now; try again', {
         retryAfterSeconds: 1,
@@ -354,7 +340,7 @@
     listFollowers: () => replicator?.listFollowers() ?? [],
     changeMembers: async (next) => {
       checkLeader()
-      if (membership.changedAt() > commitIndex || store.findTerm(appliedIndex) !== term()) {
+      if (membership.changedAt() > commitIndex() || applied.appliedTerm() !== term()) {
         throw new SpoolgateError('conflict', 'a change of the group is under way; try again')
       }
       if (countDifferences(membership.members(), next) > 1) {
--- a/packages/control/src/raft/messages.ts
+++ b/packages/control/src/raft/messages.ts
@@ -27,6 +27,20 @@
   readonly endedTerms: EndedTerms
 }
 
+/** Why a vote is not granted. */
+export type VoteRefusal =
+  /** A leader was heard so lately that it counts as alive. */
+  | 'leaderAlive'
+  /** An earlier leader's lease may still hold; see {@link VoteReply.heldBackBy}. */
+  | 'heldBack'
+  /** The voter started with an empty disk and was not taken in since. */
+  | 'mayNotVote'
+  | 'oldTerm'
+  /** The candidate's log ends before the voter's. */
+  | 'behind'
+  /** The vote of this term was given to another candidate. */
+  | 'votedOther'
+
 export interface VoteReply {
   /** Who answers: an instance whose disk was lost has another name than the member it was. */
   readonly voter: string
@@ -36,6 +50,8 @@
   readonly endedTerm: number
   /** Leader whose lease is all that keeps the member, which has restarted, from granting. */
   readonly heldBackBy?: LeaseHolder
+  /** Undefined where the vote is granted, and from older versions of this program. */
+  readonly refusal?: VoteRefusal
 }
 
 /** Hands entries to a follower; without entries it is a heartbeat. */
--- a/packages/control/src/raft/types.ts
+++ b/packages/control/src/raft/types.ts
@@ -1,5 +1,5 @@
 /** Types of a member of the control group, for those who create one and those who use it. */
-import type { Invariants, Logger, RandomSource, TimerService } from '@spoolgate/core'
+import type { Invariants, Logger, Metrics, RandomSource, TimerService } from '@spoolgate/core'
 import type { Observable } from 'rxjs'
 import type { LogStore } from '../log/logStore.js'
 import type {
@@ -36,6 +36,11 @@
   readonly random: RandomSource
   readonly logger: Logger
   readonly invariants: Invariants
+  /**
+   * Takes the time without a leader.
+   * @default undefined, none
+   */
+  readonly metrics?: Metrics
   /** Shortest election timeout, in ms; the longest is twice that. */
   readonly electionMs: number
   /** Period of heartbeats, in ms. */
--- a/packages/control/src/raft/votes.ts
+++ b/packages/control/src/raft/votes.ts
@@ -1,4 +1,5 @@
 /** Asking the members for their votes. */
+import { toSpoolgateError } from '@spoolgate/core'
 import type { LeaseHolder } from '../log/logStore.js'
 import { countMajority, isMajority, listOthers, listVoters } from './group.js'
 import type { EndedTerms, MemberMap, RaftTransport, VoteReply, VoteRequest } from './messages.js'
@@ -12,6 +13,8 @@
   readonly own: VoteReply
   /** Called with the term of each reply, before the vote is counted. */
   readonly onHigherTerm: (term: number) => Promise<void>
+  /** Called with each reply that comes under another name than that of the member at the address. */
+  readonly onLostVoter: (voter: string, url: string, found: string) => void
 }
 
 /** How a round of votes ended. */
@@ -21,11 +24,16 @@
   readonly endedTerms: EndedTerms
   /** Voters whose disks are lost, where the vote was won by all that are left and no majority. */
   readonly lostVoters: readonly string[]
+  /** By member: `granted`, why not, `lost`, or `silent` with the reason. */
+  readonly answers: Readonly<Record<string, string>>
 }
 
 /** Ended term of a member whose disk is lost: its process is gone, and nobody has its name any more. */
 const EVERY_TERM = Number.MAX_SAFE_INTEGER
 
+/** Characters of a failure that are reported: enough for its cause. */
+const FAILURE_LENGTH = 80
+
 /** Whether a leader said that it does not lead the term any more, so that its lease is over. */
 export function isLeaseEnded(holder: LeaseHolder, endedTerms: EndedTerms): boolean {
   return (endedTerms[holder.name] ?? -Infinity) >= holder.term
@@ -42,8 +50,9 @@
  * held by one of the rest at least, so that all of the rest together may elect.
  */
 export function askMembersForVotes(options: VoteOptions): Promise<VoteOutcome> {
-  const { members, transport, request, own, onHigherTerm } = options
+  const { members, transport, request, own, onHigherTerm, onLostVoter } = options
   const replies = new Map([[request.candidate, own]])
+  const failures = new Map<string, string>()
   const endedTerms: Record<string, number> = {
     ...request.endedTerms,
     [request.candidate]: own.endedTerm,
@@ -51,18 +60,42 @@
   const isGranting = ({ isGranted, heldBackBy }: VoteReply) =>
     isGranted ||
     (request.isPreVote && heldBackBy !== undefined && isLeaseEnded(heldBackBy, endedTerms))
+  const describeAnswer = (name: string) => {
+    const reply = replies.get(name)
+    if (!reply) return `silent: ${failures.get(name) ?? 'no answer yet'}`
+    if (reply.voter !== name) return 'lost'
+    if (isGranting(reply)) return 'granted'
+    const { heldBackBy, refusal = 'refused' } = reply
+    return heldBackBy ? `${refusal} by ${heldBackBy.name} of term ${heldBackBy.term}` : refusal
+  }
+  const buildAnswers = () =>
+    Object.fromEntries(Object.keys(members).map((name) => [name, describeAnswer(name)]))
+  const buildWon = (lostVoters: readonly string[]): VoteOutcome => ({
+    isWon: true,
+    endedTerms,
+    lostVoters,
+    answers: buildAnswers(),
+  })
   const findOutcome = (): VoteOutcome | undefined => {
     const ofMembers = [...replies].filter(([name, { voter }]) => voter === name)
     const granting = new Set(
       ofMembers.filter(([, reply]) => isGranting(reply)).map(([name]) => name),
     )
     if (!granting.has(request.candidate)) return undefined
-    if (isMajority(members, granting)) return { isWon: true, endedTerms, lostVoters: [] }
+    if (isMajority(members, granting)) return buildWon([])
     const voters = listVoters(members)
     const lostVoters = voters.filter((name) => (replies.get(name)?.voter ?? name) !== name)
     const isRestGranting = voters.every((name) => lostVoters.includes(name) || granting.has(name))
     const isBorne = lostVoters.length > 0 && lostVoters.length < countMajority(members)
-    return isBorne && isRestGranting ? { isWon: true, endedTerms, lostVoters } : undefined
+    return isBorne && isRestGranting ? buildWon(lostVoters) : undefined
+  }
+  const sendTo = async (other: string, url: string): Promise<VoteReply | undefined> => {
+    try {
+      return await transport.send(other, url, 'vote', request)
+    } catch (cause) {
+      failures.set(other, toSpoolgateError(cause).message.slice(0, FAILURE_LENGTH))
+      return undefined
+    }
   }
   return new Promise((resolve) => {
     const settle = () => {
@@ -71,14 +104,19 @@
     }
     settle()
     const asked = listOthers(members, request.candidate).map(async ([other, { url }]) => {
-      const reply = await transport.send(other, url, 'vote', request)
+      const reply = await sendTo(other, url)
+      if (!reply) return
       await onHigherTerm(reply.term)
       replies.set(other, reply)
       endedTerms[reply.voter] = reply.endedTerm
-      if (reply.voter !== other) endedTerms[other] = EVERY_TERM
+      if (reply.voter !== other) {
+        endedTerms[other] = EVERY_TERM
+        onLostVoter(other, url, reply.voter)
+      }
       settle()
     })
-    const lose = () => resolve({ isWon: false, endedTerms, lostVoters: [] })
+    const lose = () =>
+      resolve({ isWon: false, endedTerms, lostVoters: [], answers: buildAnswers() })
     void Promise.allSettled(asked).then(lose)
   })
 }
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -141,6 +141,7 @@
     random: createRandomSource(Date.now() % 2 ** 31),
     logger,
     invariants,
+    metrics,
     electionMs,
     heartbeatMs: options.heartbeatMs ?? DEFAULT_HEARTBEAT_MS,
     snapshotEvery: SNAPSHOT_EVERY,
--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -159,6 +159,7 @@
     random: createRandomSource(options.seed ?? Date.now() % 2 ** 31),
     logger,
     invariants,
+    metrics,
     electionMs,
     heartbeatMs: options.heartbeatMs ?? DEFAULT_HEARTBEAT_MS,
     snapshotEvery: options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY,
