test(control): four voters that all lose power, two with their disks, serve again

Story: a configuration was acknowledged, every machine lost power right after it, and two of the four control instances came back with empty disks; from then on every request was refused with 503. The spec tells it in the product's words with the cause: two voters are no majority of four.

Over real HTTP servers on port 0 with the members' route and transport, the empty ones first and last.

--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -49,6 +49,11 @@
   countLeases(): number
   /** Stops members and starts them again on their disks. */
   restart(names: readonly string[], startedAt: number): Promise<void>
+  /**
+   * Cuts the power of members at one moment: what they had not synced may be gone. Returns their
+   * disks, from which {@link TestGroup.start} starts them again.
+   */
+  losePower(names: readonly string[]): Promise<Map<string, MemoryFolder>>
   /** Stops members for good; an instance with an empty disk and a new name comes to each address. */
   loseDisks(names: readonly string[]): Promise<void>
   start(
@@ -76,6 +81,7 @@
   const founders: MemberMap = Object.fromEntries(
     names.map((name) => [name, { url: name, kind: 'voter' }]),
   )
+  const power = createRandomSource(seed)
   const lines: string[] = []
   const write = (line: string) => void lines.push(line)
   const findAt = (url: string) =>
@@ -192,6 +198,13 @@
       for (const { name } of stopped) members.delete(name)
       for (const { name, folder } of stopped) await start(name, { folder, startedAt })
     },
+    losePower: async (names) => {
+      const stopped = names.map((name) => members.get(name) as TestMember)
+      const disks = new Map(stopped.map(({ name, folder }) => [name, folder.restart(power)]))
+      for (const name of names) members.delete(name)
+      for (const { member } of stopped) await member.close()
+      return disks
+    },
     loseDisks: async (names) => {
       for (const name of names) {
         await members.get(name)?.member.close()
--- /dev/null
+++ b/packages/control/src/__tests__/lostDisks.spec.ts
@@ -0,0 +1,199 @@
+/**
+ * What users saw: an operator's configuration was acknowledged. Right after it every machine lost
+ * power, and two of the four control instances came back with empty disks. From then on each request
+ * was refused with 503, for good, and no instance could tell which configuration is in force.
+ *
+ * Cause: the four instances were all voters. The empty ones have new names, so that two voters were
+ * left of four, and these are no majority: nobody was ever elected. That two losses are borne had been
+ * reckoned from the five voters that there should be, not from what the rest can prove with the four
+ * that there are. Whoever is at the address of a lost voter answers under its own name: that proves
+ * the loss, and the rest then elects without it.
+ */
+import {
+  createHttpClient,
+  createHttpServer,
+  createInvariants,
+  createQuietLogger,
+  createRandomSource,
+  createTimerService,
+  SpoolgateError,
+  type HttpServer,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import type { Subscription } from 'rxjs'
+import { openLogStore } from '../log/logStore.js'
+import { createRaftMember } from '../raft/member.js'
+import type { MemberMap } from '../raft/messages.js'
+import type { RaftMember } from '../raft/types.js'
+import { createRaftRoute } from '../server/groupRoutes.js'
+import { createHttpTransport } from '../server/raftTransport.js'
+import { createControlMachine } from '../state/controlMachine.js'
+import { createTestGroup, ELECTION_MS } from './group.js'
+import { createMemoryFolder, type MemoryFolder } from './memoryFolder.js'
+
+const NAMES = ['a', 'b', 'c', 'd']
+const SEEDS = [1, 2, 3, 4, 5]
+
+/** Builds a command that leaves a trace in the state: a table version. */
+function buildTable(version: number) {
+  return { kind: 'table.put', version, document: '{}' }
+}
+
+/** Lists all pairs of names. */
+function listPairs(names: readonly string[]): string[][] {
+  return names.flatMap((first, index) => names.slice(index + 1).map((second) => [first, second]))
+}
+
+/** Orders in which the instances come back after the loss of power. */
+const ORDERS: Record<string, (lost: readonly string[], kept: readonly string[]) => string[]> = {
+  'the empty ones first': (lost, kept) => [...lost, ...kept],
+  'the empty ones last': (lost, kept) => [...kept, ...lost],
+  'one of each in turn': (lost, kept) => lost.flatMap((name, index) => [name, kept[index]]),
+}
+
+describe('four voters that all lose power, two of them with their disks', () => {
+  for (const [order, listReturns] of Object.entries(ORDERS)) {
+    it(`serve again with all that was acknowledged, ${order}`, async () => {
+      for (const seed of SEEDS) {
+        for (const lost of listPairs(NAMES)) {
+          const what = `seed ${seed} without the disks of ${lost.join()}`
+          const group = await createTestGroup(NAMES, seed)
+          const random = createRandomSource(seed)
+          await group.propose(await group.findLeader(), buildTable(7))
+          const disks = await group.losePower(NAMES)
+          const kept = NAMES.filter((name) => !lost.includes(name))
+          for (const name of listReturns(lost, kept)) {
+            const isLost = lost.includes(name)
+            await group.start(isLost ? `${name}#new` : name, {
+              url: name,
+              folder: isLost ? undefined : disks.get(name),
+              isFounding: false,
+              startedAt: 0,
+            })
+            await group.run(random.nextInt(ELECTION_MS * 3))
+          }
+          const leader = await group.findLeader()
+          expect(kept, what).to.include(leader.name)
+          // What was acknowledged is still there: 7 is not new. And the group takes what is new.
+          const again = await group.propose(leader, buildTable(7))
+          expect(again, what).to.deep.equal({ isNewer: false, version: 7 })
+          const next = await group.propose(leader, buildTable(8))
+          expect(next, what).to.deep.equal({ isNewer: true, version: 8 })
+          expect(group.countLeases(), what).to.equal(1)
+          await group.close()
+        }
+      }
+    })
+  }
+})
+
+/** One address with whatever instance runs there. */
+interface Place {
+  readonly server: HttpServer
+  folder: MemoryFolder
+  /** Undefined without power. */
+  member: RaftMember | undefined
+}
+
+/** Long against what a machine under load takes for a message; no time is asserted. */
+const ROUTE_ELECTION_MS = 300
+
+describe('the same over the routes of the members', () => {
+  const timers = createTimerService()
+  const logger = createQuietLogger()
+  let places: Place[] = []
+  let founders: MemberMap = {}
+  const client = createHttpClient()
+
+  const openPlace = async (): Promise<Place> => {
+    const server = await createHttpServer({
+      host: '127.0.0.1',
+      port: 0,
+      logger,
+      timers,
+      routes: [],
+    })
+    const place: Place = { server, folder: createMemoryFolder(), member: undefined }
+    const findMember = () => {
+      if (place.member) return place.member
+      throw new SpoolgateError('controlUnavailable', 'there is no power')
+    }
+    const current = {
+      status: () => findMember().status(),
+      handleVote: (request) => findMember().handleVote(request),
+      handleAppend: (request) => findMember().handleAppend(request),
+      handleInstall: (request) => findMember().handleInstall(request),
+    } as Pick<RaftMember, 'status' | 'handleVote' | 'handleAppend' | 'handleInstall'>
+    const route = createRaftRoute({ member: current as RaftMember, isCut: () => false })
+    server.addRoutes([route])
+    return place
+  }
+  const startAt = async (place: Place, name: string, isFounding: boolean) => {
+    const { folder } = place
+    place.member = createRaftMember({
+      name,
+      url: place.server.url,
+      founders,
+      isFounding,
+      store: await openLogStore({ folder, logger, onFailure: () => {} }),
+      machine: createControlMachine(),
+      transport: createHttpTransport({ client, timeoutMs: ROUTE_ELECTION_MS }),
+      timers,
+      random: createRandomSource(places.indexOf(place) + 1),
+      logger,
+      invariants: createInvariants({ logger, fatal: true }),
+      electionMs: ROUTE_ELECTION_MS,
+      heartbeatMs: ROUTE_ELECTION_MS / 5,
+      snapshotEvery: 1_000,
+    })
+  }
+  /** Proposes to whoever is elected, until one has an answer. */
+  const proposeToElected = (command: unknown) => {
+    const members = places.flatMap(({ member }) => (member ? [member] : []))
+    const watches: Subscription[] = []
+    return new Promise((resolve) => {
+      const tryAt = (member: RaftMember) => {
+        // A leader that is deposed says so; whoever follows it is asked in its turn.
+        member.propose(command).then(resolve, () => {})
+      }
+      for (const member of members) watches.push(member.elected.subscribe(() => tryAt(member)))
+      for (const member of members) if (member.status().role === 'leader') tryAt(member)
+    }).finally(() => watches.forEach((watch) => watch.unsubscribe()))
+  }
+
+  beforeEach(async () => {
+    places = await Promise.all(NAMES.map(openPlace))
+    founders = Object.fromEntries(
+      places.map(({ server }) => [server.url, { url: server.url, kind: 'voter' }]),
+    )
+    for (const place of places) await startAt(place, place.server.url, true)
+  })
+  afterEach(async () => {
+    for (const { member, server } of places) {
+      await member?.close()
+      await server.close(0)
+    }
+  })
+  after(() => client.close())
+
+  for (const order of ['first', 'last']) {
+    it(`serve again with all that was acknowledged, the empty ones ${order}`, async function () {
+      this.timeout(20_000)
+      await proposeToElected(buildTable(7))
+      const stopped = places.map(({ member }) => member)
+      for (const place of places) {
+        place.folder = place.folder.restart(createRandomSource(1))
+        place.member = undefined
+      }
+      for (const member of stopped) await member?.close()
+      const lost = places.slice(1, 3)
+      for (const place of lost) place.folder = createMemoryFolder()
+      const kept = places.filter((place) => !lost.includes(place))
+      for (const place of order === 'first' ? [...lost, ...kept] : [...kept, ...lost]) {
+        const { url } = place.server
+        await startAt(place, lost.includes(place) ? `${url}#new` : url, false)
+      }
+      expect(await proposeToElected(buildTable(7))).to.deep.equal({ isNewer: false, version: 7 })
+    })
+  }
+})
