test(control): losses that a group should bear and does not, red by design

Cause: faults of the class "the losses that a group bears were reckoned from the voters it should have".

Every size from 1 to 7 is played with every number of lost disks and of voters that stay down or are cut off.

--- /dev/null
+++ b/packages/control/src/__tests__/lossesBorne.spec.ts
@@ -0,0 +1,124 @@
+/**
+ * What a group bears follows from the voters that it has, in each size: of an even group with a lost
+ * disk, half may be gone; of any other, all that leaves a majority.
+ */
+import { expect } from 'chai'
+import { REPLACE_AFTER_MS } from '../group/groupPlan.js'
+import { createTestGroup, ELECTION_MS, type TestGroup } from './group.js'
+import { createGroupSteps } from './groupSteps.js'
+
+const NAMES = ['a', 'b', 'c', 'd', 'e', 'f', 'g']
+/** Election timeouts after which a group that has elected nobody will not do so. */
+const NOBODY_TIMEOUTS = 20
+
+/** Builds a command that leaves a trace in the state: a table version. */
+function buildTable(version: number) {
+  return { kind: 'table.put', version, document: '{}' }
+}
+
+/** Losses of voters: some with their disks, others stay down or are cut off. */
+interface Losses {
+  readonly lost: readonly string[]
+  readonly down: readonly string[]
+  readonly cutOff: readonly string[]
+}
+
+/** Lists the losses of up to all voters, in every mixture, the voters chosen in turn. */
+function listLosses(names: readonly string[]): Losses[] {
+  const found: Losses[] = []
+  for (let lost = 0; lost <= names.length; lost += 1) {
+    for (let away = 0; away <= names.length - lost; away += 1) {
+      const from = found.length % names.length
+      const turned = [...names.slice(from), ...names.slice(0, from)]
+      const down = Math.ceil(away / 2)
+      found.push({
+        lost: turned.slice(0, lost),
+        down: turned.slice(lost, lost + down),
+        cutOff: turned.slice(lost + down, lost + away),
+      })
+    }
+  }
+  return found
+}
+
+/** Whether the voters that are left may elect. */
+function isBorne(voters: number, { lost, down, cutOff }: Losses): boolean {
+  const gone = lost.length + down.length + cutOff.length
+  const isHalfEnough = voters % 2 === 0 && lost.length > 0
+  return gone <= (isHalfEnough ? voters / 2 : (voters - 1) / 2)
+}
+
+/** Lets a group lose power and some of its voters after an entry was acknowledged. */
+async function applyLosses(group: TestGroup, names: readonly string[], losses: Losses) {
+  const disks = await group.losePower(names)
+  for (const name of names) {
+    if (losses.down.includes(name)) continue
+    const isLost = losses.lost.includes(name)
+    await group.start(isLost ? `${name}#new` : name, {
+      url: name,
+      folder: isLost ? undefined : disks.get(name),
+      isFounding: false,
+      startedAt: 0,
+    })
+  }
+  for (const name of losses.cutOff) group.isolate(name)
+}
+
+describe('the losses that a group bears', () => {
+  for (let voters = 1; voters <= NAMES.length; voters += 1) {
+    it(`of ${voters} voters are those that leave enough of them to prove what was acknowledged`, async () => {
+      const names = NAMES.slice(0, voters)
+      for (const [index, losses] of listLosses(names).entries()) {
+        const group = await createTestGroup(names, index + 1)
+        await group.propose(await group.findLeader(), buildTable(7))
+        await applyLosses(group, names, losses)
+        const what = JSON.stringify(losses)
+        await group.run(ELECTION_MS * NOBODY_TIMEOUTS)
+        const leader = group.leader()
+        expect(leader !== undefined, what).to.equal(isBorne(voters, losses))
+        if (leader) {
+          const again = await group.propose(leader, buildTable(7))
+          expect(again, what).to.deep.equal({ isNewer: false, version: 7 })
+          expect(group.countLeases(), what).to.equal(1)
+        }
+        await group.close()
+      }
+    })
+  }
+
+  it('are two disks of five where one voter was replaced for good and has not returned', async () => {
+    const first = NAMES.slice(0, 4)
+    const now = ['a', 'b', 'c', 'e']
+    for (const [seed, kept] of [
+      ['a', 'b'],
+      ['a', 'e'],
+      ['c', 'e'],
+      ['b', 'c'],
+    ].entries()) {
+      const group = await createTestGroup(first, seed + 1)
+      const steps = createGroupSteps({ group, wantedVoters: 5 })
+      const runSteps = async (duration: number) => {
+        for (let spent = 0; spent < duration; spent += ELECTION_MS) {
+          steps.apply()
+          await group.run(ELECTION_MS)
+        }
+      }
+      await group.findLeader()
+      await group.losePower(['d'])
+      await group.start('e', { isFounding: false })
+      await runSteps(REPLACE_AFTER_MS * 3)
+      await group.propose(await group.findLeader(), buildTable(7))
+      const lost = now.filter((name) => !kept.includes(name))
+      await applyLosses(group, now, { lost, down: [], cutOff: [] })
+      await group.run(ELECTION_MS * NOBODY_TIMEOUTS)
+      const leader = group.leader()
+      expect(kept, `only ${kept.join()} are left`).to.include(leader?.name)
+      const again = leader && (await group.propose(leader, buildTable(7)))
+      expect(again).to.deep.equal({ isNewer: false, version: 7 })
+      await runSteps(REPLACE_AFTER_MS * 3)
+      const voters = Object.entries(group.leader()?.member.status().members ?? {})
+      expect(voters.filter(([, { kind }]) => kind === 'voter')).to.have.length(4)
+      await group.close()
+    }
+  })
+})
