fix(control): count what a group bears from the voters that it has

Cause, three places of one class: 1. One disk lost and another voter away: two of four were left and elected nobody until the absent one came back, though two losses are to be borne. 2. Where more voters are wanted than there are instances, a voter that was replaced for good stayed a voter for ever: five voters, one dead. Two lost disks then left two of five, for good. 3.

Change: - Where a disk is proven lost, half of an even group may elect (countGrants). A majority M = N/2 + 1 keeps at least M - L of the N - L that are left, and N/2 + M - L > N - L: the two meet. "All of the rest" for L = N/2 is a case of it; odd groups need a majority as ever; as many lost as make a majority elect nobody. - Two such elections of one term, resting on different losses, meet only if each proof came before the votes: a loss that shows in a real vote counts in the next round (lostBefore). Proofs are kept between rounds. - While a change may not be committed, each of the groups must elect, commit and give the lease. Two elections then always share a group, so that no jump of the term is needed. Members keep the last committed change in their ballot (settledChange); a leader tells it at once, not with the next heartbeat: a new voter that does not know that it is one could elect nobody if the others were lost meanwhile. - An odd group of five or more goes on without a voter that is silent for 5 s (SHRINK_AFTER_MS): the majority is the same number. At 2 s, as a replacement, it would risk more: while a voter that is only cut off is a learner, two others may not go for good.

Tests: 'waits for voters that may come back with their disks' held that nobody is elected where one is lost and one is away; the rule above says that those two prove all that was acknowledged, so the assertion was wrong. In its place: two of four away and none lost, nobody; two of five lost and one away, nobody; one of four lost and one away, a leader in every pair with all that was acknowledged and one lease at any time.

--- /dev/null
+++ b/packages/control/src/__tests__/appliedLog.spec.ts
@@ -0,0 +1,61 @@
+import { createLogger, createQuietLogger } from '@spoolgate/core'
+import { expect } from 'chai'
+import { openLogStore, type LogStore } from '../log/logStore.js'
+import { createAppliedLog, type AppliedLog } from '../raft/appliedLog.js'
+import { createMembership, type Membership, type SavedState } from '../raft/membership.js'
+import type { MemberMap } from '../raft/messages.js'
+import { createProposals } from '../raft/proposals.js'
+import { createControlMachine } from '../state/controlMachine.js'
+import { createMemoryFolder } from './memoryFolder.js'
+
+const SNAPSHOT_EVERY = 4
+
+function buildVoters(names: readonly string[]): MemberMap {
+  return Object.fromEntries(names.map((name) => [name, { url: name, kind: 'voter' }]))
+}
+
+describe('the committed part of a log', () => {
+  const founders = buildVoters(['a', 'b', 'c'])
+  const grown = buildVoters(['a', 'b', 'c', 'd'])
+  const logger = createQuietLogger()
+  let store: LogStore
+  let membership: Membership
+  let applied: AppliedLog
+  let written: () => void
+
+  const append = async (command: unknown) => {
+    const entry = { index: store.lastIndex() + 1, term: 1, command }
+    membership.observe(entry)
+    await store.append([entry])
+  }
+  /** Waits for the line of the next snapshot. */
+  const waitForSnapshot = () => new Promise<void>((resolve) => (written = resolve))
+
+  beforeEach(async () => {
+    written = () => {}
+    store = await openLogStore({ folder: createMemoryFolder(), logger, onFailure: () => {} })
+    await store.saveBallot({ term: 1, votedFor: 'a', mayVote: true })
+    membership = createMembership({ name: 'a', store, founders })
+    applied = createAppliedLog({
+      store,
+      machine: createControlMachine(),
+      membership,
+      proposals: createProposals(),
+      logger: createLogger({ write: (line) => line.includes('raft.compacted') && written() }),
+      snapshotEvery: SNAPSHOT_EVERY,
+    })
+  })
+  afterEach(() => store.close())
+
+  it('is saved with the group that was in force at its end, not with a change that is under way', async () => {
+    for (let index = 0; index < SNAPSHOT_EVERY; index += 1) await append({ group: 'noop' })
+    await append({ group: 'members', members: grown })
+    const saved = waitForSnapshot()
+    applied.advance(SNAPSHOT_EVERY)
+    await saved
+    expect((store.snapshot()?.state as SavedState).members).to.deep.equal(founders)
+    // The change goes on to count with the group before it, also for who reads the disk again.
+    membership.reload()
+    expect(membership.listDeciding(SNAPSHOT_EVERY)).to.deep.include.members([founders, grown])
+  })
+})
--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -117,7 +117,8 @@
     const member = createRaftMember({
       name,
       url,
-      founders,
+      // As its identity says: who joined later founded no group.
+      founders: name in founders ? founders : {},
       isFounding: options.isFounding ?? true,
       store,
       machine,
--- a/packages/control/src/__tests__/groupPlan.spec.ts
+++ b/packages/control/src/__tests__/groupPlan.spec.ts
@@ -3,12 +3,14 @@
   findGroupStep,
   FORGET_AFTER_MS,
   REPLACE_AFTER_MS,
+  SHRINK_AFTER_MS,
   type GroupPlanInput,
   type MemberView,
 } from '../group/groupPlan.js'
 import type { MemberMap } from '../raft/messages.js'
 
 const WELL: MemberView = { silentMs: 0, isCaughtUp: true }
+const AWAY: MemberView = { silentMs: SHRINK_AFTER_MS + 1, isCaughtUp: true }
 const SILENT: MemberView = { silentMs: REPLACE_AFTER_MS + 1, isCaughtUp: true }
 
 function buildMembers(kinds: Record<string, 'voter' | 'learner'>): MemberMap {
@@ -64,6 +66,36 @@
     expect(findGroupStep(buildInput(whole, { c: SILENT }))).to.equal(undefined)
   })
 
+  it('takes a silent voter out of an odd group, whose majority stays the same without it', () => {
+    const kinds = { ...whole, d: 'voter', e: 'voter' } as const
+    const five = findGroupStep(buildInput(kinds, { e: AWAY }, { wantedVoters: 5 }))
+    expect(five?.members.e.kind).to.equal('learner')
+    const seven = { ...kinds, f: 'voter', g: 'voter' } as const
+    // One that may only restart or be cut off stays a voter.
+    expect(findGroupStep(buildInput(kinds, { e: SILENT }, { wantedVoters: 5 }))).to.equal(undefined)
+    const six = findGroupStep(buildInput(seven, { c: AWAY }, { wantedVoters: 7 }))
+    expect(six?.members.c.kind).to.equal('learner')
+  })
+
+  it('keeps a silent voter where fewer copies would be held without it', () => {
+    const four = { ...whole, d: 'voter' } as const
+    expect(findGroupStep(buildInput(four, { d: AWAY }, { wantedVoters: 5 }))).to.equal(undefined)
+    const two = { a: 'voter', b: 'voter' } as const
+    expect(findGroupStep(buildInput(two, { b: AWAY }, { wantedVoters: 5 }))).to.equal(undefined)
+    expect(findGroupStep(buildInput(whole, { c: AWAY }, { wantedVoters: 5 }))).to.equal(undefined)
+  })
+
+  it('takes silent voters out one at a time, and makes them voters again when they are back', () => {
+    const five = { ...whole, d: 'voter', e: 'voter' } as const
+    const input = { wantedVoters: 5 }
+    const step = findGroupStep(buildInput(five, { d: AWAY, e: AWAY }, input))
+    const kinds = Object.values(step?.members ?? {}).map(({ kind }) => kind)
+    expect(kinds.filter((kind) => kind === 'voter')).to.have.length(4)
+    const four = { ...five, e: 'learner' } as const
+    expect(findGroupStep(buildInput(four, { d: AWAY, e: AWAY }, input))).to.equal(undefined)
+    expect(findGroupStep(buildInput(four, {}, input))?.members.e.kind).to.equal('voter')
+  })
+
   it('removes a voter whose address came back with an empty disk', () => {
     const joiners = [{ name: 'c#new', url: 'http://c' }]
     const first = findGroupStep(buildInput(whole, {}, { joiners }))
--- a/packages/control/src/__tests__/lossesBorne.spec.ts
+++ b/packages/control/src/__tests__/lossesBorne.spec.ts
@@ -3,8 +3,8 @@
  * disk, half may be gone; of any other, all that leaves a majority.
  */
 import { expect } from 'chai'
-import { REPLACE_AFTER_MS } from '../group/groupPlan.js'
-import { createTestGroup, ELECTION_MS, type TestGroup } from './group.js'
+import { REPLACE_AFTER_MS, SHRINK_AFTER_MS } from '../group/groupPlan.js'
+import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
 import { createGroupSteps } from './groupSteps.js'
 
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f', 'g']
@@ -106,7 +106,7 @@
       await group.findLeader()
       await group.losePower(['d'])
       await group.start('e', { isFounding: false })
-      await runSteps(REPLACE_AFTER_MS * 3)
+      await runSteps(SHRINK_AFTER_MS + REPLACE_AFTER_MS)
       await group.propose(await group.findLeader(), buildTable(7))
       const lost = now.filter((name) => !kept.includes(name))
       await applyLosses(group, now, { lost, down: [], cutOff: [] })
@@ -115,10 +115,78 @@
       expect(kept, `only ${kept.join()} are left`).to.include(leader?.name)
       const again = leader && (await group.propose(leader, buildTable(7)))
       expect(again).to.deep.equal({ isNewer: false, version: 7 })
-      await runSteps(REPLACE_AFTER_MS * 3)
+      await runSteps(SHRINK_AFTER_MS + REPLACE_AFTER_MS)
       const voters = Object.entries(group.leader()?.member.status().members ?? {})
       expect(voters.filter(([, { kind }]) => kind === 'voter')).to.have.length(4)
       await group.close()
     }
   })
 })
+
+describe('a change of the group that is under way while a disk is lost', () => {
+  /** Starts a change without waiting for it; what became of it is not known. */
+  const startChange = (leader: TestMember, name: string, kind: 'learner' | 'voter') => {
+    const members = { ...leader.member.status().members, [name]: { url: name, kind } }
+    leader.member.changeMembers(members).catch(() => undefined)
+  }
+  const addLearner = async (group: TestGroup, leader: TestMember, name: string) => {
+    const learner = await group.start(name, { isFounding: false })
+    startChange(leader, name, 'learner')
+    const isIn = () => learner.member.status().members[name] !== undefined
+    await group.runUntil(isIn, 'the learner is taken in')
+    await group.run(ELECTION_MS)
+  }
+  const cutBetween = (group: TestGroup, some: readonly string[], others: readonly string[]) => {
+    for (const one of some) {
+      for (const other of others) group.cut.add(`${one}>${other}`).add(`${other}>${one}`)
+    }
+  }
+
+  it('elects nobody by half of a group that may never have come to be', async () => {
+    const names = ['a', 'b', 'c']
+    for (const seed of [1, 2, 3]) {
+      const group = await createTestGroup(names, seed)
+      const old = await group.findLeader()
+      const [next, third] = names.filter((name) => name !== old.name)
+      await addLearner(group, old, 'x')
+      // The change reaches the new voter alone; the two others elect and acknowledge without it.
+      cutBetween(group, [old.name, 'x'], [next, third])
+      startChange(old, 'x', 'voter')
+      const other = await group.findLeader(old.name)
+      await group.propose(other, buildTable(7))
+      const lost = other.name === next ? third : next
+      await group.loseDisks([lost])
+      group.heal()
+      group.frozen.add(other.name)
+      // Of four voters one is lost and two grant, but neither holds what was acknowledged.
+      await group.run(ELECTION_MS * NOBODY_TIMEOUTS)
+      expect(group.leader()?.name, `seed ${seed}`).to.equal(undefined)
+      group.frozen.delete(other.name)
+      const again = await group.propose(await group.findLeader(), buildTable(7))
+      expect(again, `seed ${seed}`).to.deep.equal({ isNewer: false, version: 7 })
+      await group.close()
+    }
+  })
+
+  it('gives no lease by a majority of the new group alone', async () => {
+    const names = ['a', 'b', 'c', 'd']
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const group = await createTestGroup(names, seed)
+      const old = await group.findLeader()
+      const [lost, ...others] = names.filter((name) => name !== old.name)
+      await addLearner(group, old, 'x')
+      // The leader, one more and the new voter are three of five, and two of the four before.
+      cutBetween(group, [old.name, 'x'], others)
+      startChange(old, 'x', 'voter')
+      await group.run(ELECTION_MS * 1.5)
+      await group.loseDisks([lost])
+      for (let spent = 0; spent < ELECTION_MS * 4; spent += 5) {
+        await group.run(5)
+        expect(group.countLeases(), `seed ${seed} after ${spent} ms`).to.be.at.most(1)
+      }
+      const leader = await group.findLeader(old.name)
+      expect(others, `seed ${seed}`).to.include(leader.name)
+      await group.close()
+    }
+  })
+})
--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -150,19 +150,64 @@
   it('waits for voters that may come back with their disks', async () => {
     const names = [...NAMES, 'd']
     group = await createTestGroup(names)
-    await group.findLeader()
+    await group.propose(await group.findLeader(), buildTable(7))
     await group.restart(names, 0)
-    // Two are away and nothing tells that their disks are lost; of two others one is.
+    // Two are away and nothing tells that their disks are lost.
     group.frozen.add('a')
     group.frozen.add('b')
     await group.run(ELECTION_MS * 30)
-    expect(group.leader()).to.equal(undefined)
+    expect(group.leader(), 'two of four are away').to.equal(undefined)
     group.frozen.delete('b')
-    await group.loseDisks(['c'])
+    await group.findLeader()
+    await group.close()
+
+    const five = [...names, 'e']
+    group = await createTestGroup(five)
+    await group.propose(await group.findLeader(), buildTable(7))
+    await group.restart(five, 0)
+    group.frozen.add('a')
+    await group.loseDisks(['c', 'd'])
     await group.run(ELECTION_MS * 30)
-    expect(group.leader(), 'one is lost and one is away').to.equal(undefined)
+    expect(group.leader(), 'two of five are lost and one is away').to.equal(undefined)
     group.frozen.delete('a')
-    await group.findLeader()
+    const again = await group.propose(await group.findLeader(), buildTable(7))
+    expect(again).to.deep.equal({ isNewer: false, version: 7 })
+  })
+
+  it('four voters bear that one disk is lost while another voter is away', async () => {
+    const names = [...NAMES, 'd']
+    for (const [seed, [away, lost]] of [...listPairs(names), ...listPairs(names)].entries()) {
+      group = await createTestGroup(names, seed + 1)
+      const old = await group.findLeader()
+      await group.propose(old, buildTable(7))
+      const what = `${lost} is lost and ${away} is away, ${old.name} led`
+      // The one that is away runs on and may lead, by a lease that rests on the disk now lost.
+      group.isolate(away)
+      await group.loseDisks([lost])
+      for (const other of group.members.values()) {
+        group.cut.add(`${away}>${other.url}`)
+        group.cut.add(`${other.url}>${away}`)
+      }
+      let leases = 0
+      const runWatched = async (duration: number) => {
+        for (let spent = 0; spent < duration; spent += 5) {
+          await group.run(5)
+          leases = Math.max(leases, group.countLeases())
+        }
+      }
+      await runWatched(ELECTION_MS * 30)
+      const leader = group.leader() as TestMember
+      expect([away, `${lost}#new`], what).not.to.include(leader.name)
+      const again = await group.propose(leader, buildTable(7))
+      expect(again, what).to.deep.equal({ isNewer: false, version: 7 })
+      await group.propose(leader, buildTable(8))
+      group.heal()
+      await runWatched(ELECTION_MS * 10)
+      expect(leases, what).to.equal(1)
+      const last = await group.propose(await group.findLeader(), buildTable(8))
+      expect(last, what).to.deep.equal({ isNewer: false, version: 8 })
+      if (seed < 11) await group.close()
+    }
   })
 
   it('counts a change of the group only with a majority of the group before it', async () => {
--- a/packages/control/src/group/groupPlan.ts
+++ b/packages/control/src/group/groupPlan.ts
@@ -41,11 +41,19 @@
  * that its successor has for catching up (4 s on the deployments known).
  */
 export const REPLACE_AFTER_MS = 2_000
+/**
+ * Silence after which an odd group goes on without a voter, in ms; chosen, not measured. Longer than
+ * for a replacement: while a voter that will return is a learner, two others may not go for good.
+ */
+export const SHRINK_AFTER_MS = 5_000
 /** Silence after which a learner is forgotten, in ms; it asks to be taken in when it returns. */
 export const FORGET_AFTER_MS = 15_000
 /** Longest silence of a learner that becomes a voter, in ms. */
 const ALIVE_MS = 600
 
+/** Voters below which a silent one is kept: of two, one that is away would stop the group. */
+const LEAST_VOTERS = 3
+
 type Entry = readonly [string, MemberInfo]
 
 function removeMember(members: MemberMap, name: string): MemberMap {
@@ -88,10 +96,18 @@
   if (ready && working < wantedVoters && voters.length <= wantedVoters) {
     return { members: applyKind(members, ready, 'voter'), member: ready[0], reason: 'caughtUp' }
   }
-  if (voters.length <= wantedVoters) return undefined
-  const surplus = silent[0] ?? voters.filter(([name]) => name !== leader).at(-1)
-  if (!surplus) return undefined
-  return { members: applyKind(members, surplus, 'learner'), member: surplus[0], reason: 'surplus' }
+  if (voters.length > wantedVoters) {
+    const surplus = silent[0] ?? voters.filter(([name]) => name !== leader).at(-1)
+    if (!surplus) return undefined
+    const next = applyKind(members, surplus, 'learner')
+    return { members: next, member: surplus[0], reason: 'surplus' }
+  }
+  // An odd group without one has the same majority, and no entry is held on fewer disks. It bears
+  // more: a voter that was replaced for good would else count as away for ever, besides new losses.
+  const isSpare = voters.length % 2 === 1 && voters.length > LEAST_VOTERS
+  const away = silent.find(([name]) => findView(name).silentMs > SHRINK_AFTER_MS)
+  if (!isSpare || !away) return undefined
+  return { members: applyKind(members, away, 'learner'), member: away[0], reason: 'away' }
 }
 
 function findForgotten({ members, findView, leader }: GroupPlanInput): GroupStep | undefined {
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -40,6 +40,11 @@
    * taken in as a learner: it could have forgotten a vote together with its disk.
    */
   readonly mayVote: boolean
+  /**
+   * Index of the last change of the group that is known to be committed; undefined for none. While it
+   * is not known, an election must be won in the group before the change as well.
+   */
+  readonly settledChange?: number
 }
 
 /** A change to the log, as written to the file. */
--- a/packages/control/src/raft/appliedLog.ts
+++ b/packages/control/src/raft/appliedLog.ts
@@ -42,9 +42,9 @@
   const compactWhenLarge = async () => {
     if (isCompacting || appliedIndex - store.baseIndex() < options.snapshotEvery) return
     isCompacting = true
-    const state: SavedState = { machine: machine.save(), members: membership.members() }
-    const appliedTerm = store.findTerm(appliedIndex) ?? 0
-    await store.compact({ index: appliedIndex, term: appliedTerm, state })
+    const state: SavedState = { machine: machine.save(), members: membership.findAt(appliedIndex) }
+    const snapshot = { index: appliedIndex, term: store.findTerm(appliedIndex) ?? 0, state }
+    await store.compact(snapshot)
     logger.info('raft.compacted', { index: store.baseIndex() })
     isCompacting = false
   }
@@ -67,6 +67,7 @@
     advance: (next) => {
       if (next <= commitIndex) return
       commitIndex = next
+      membership.settle(commitIndex)
       applyCommitted()
     },
     install: async (snapshot) => {
--- a/packages/control/src/raft/group.ts
+++ b/packages/control/src/raft/group.ts
@@ -16,10 +16,18 @@
   return Math.floor(listVoters(members).length / 2) + 1
 }
 
-/** Whether the named members hold a majority of the voters. */
-export function isMajority(members: MemberMap, names: ReadonlySet<string>): boolean {
-  const found = listVoters(members).filter((name) => names.has(name)).length
-  return found >= countMajority(members)
+/**
+ * Counts the voters that must grant their vote where the disks of some are proven lost. Every majority
+ * that has acknowledged anything, holds a lease or has elected keeps so many of the rest that these
+ * meet it: of an even group that is half, of an odd one a majority as ever. Where as many are lost as
+ * make a majority, all that hold an entry may be gone.
+ */
+export function countGrants(members: MemberMap, lost: ReadonlySet<string>): number {
+  const voters = listVoters(members)
+  const majority = countMajority(members)
+  const lostHere = voters.filter((name) => lost.has(name)).length
+  const isProving = lostHere > 0 && lostHere < majority
+  return isProving ? voters.length - majority + 1 : majority
 }
 
 /** Finds the highest value that a majority of the voters has reached. */
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -46,6 +46,8 @@
   })
   /** Term for which this member is asking for real votes: it may still win it. */
   let campaignTerm: number | undefined
+  /** Voters whose addresses were answered under another name: names of disks that never return. */
+  const lostVoters = new Set<string>()
   let electionTimer: Subscription | undefined
   let replicator: Replicator | undefined
   let isClosed = false
@@ -125,7 +127,12 @@
       listMembers: membership.members,
       listDeciding: () => membership.listDeciding(commitIndex()),
       commitIndex,
-      onCommit: applied.advance,
+      onCommit: (index) => {
+        const isChanging = membership.changedAt() > commitIndex()
+        applied.advance(index)
+        // Until a new voter knows that it is one, the loss of the others would leave it no vote.
+        if (isChanging && membership.changedAt() <= index) replicator?.wake()
+      },
       onHigherTerm: (found) => void adoptTerm(found),
       onLost: () => becomeFollower(undefined, undefined),
       lostAfterMs: options.electionMs * 2,
@@ -137,14 +144,18 @@
   const askForVotes = async (isPreVote: boolean, voteTerm: number, endedTerms: EndedTerms) => {
     // A member stands for election only once its own promise no longer keeps it from voting.
     const heldBackBy = isPreVote ? findHolder(endedTerms) : undefined
-    const members = membership.members()
+    const groups = membership.listElecting(commitIndex())
     const outcome = await askMembersForVotes({
-      members,
+      groups,
+      lostBefore: [...lostVoters, ...membership.listLost()],
       transport,
       onHigherTerm: async (found) => {
         if (found > term()) await adoptTerm(found)
       },
-      onLostVoter: report.recordLostVoter,
+      onLostVoter: (voter, url, found) => {
+        lostVoters.add(voter)
+        report.recordLostVoter(voter, url, found)
+      },
       own: {
         voter: name,
         term: voteTerm,
@@ -164,6 +175,7 @@
     })
     const isFollowing = leader !== undefined || isClosed
     if (!outcome.isWon && !isFollowing) {
+      const members = membership.members()
       report.recordLostRound({ term: voteTerm, isPreVote, members, answers: outcome.answers })
     }
     return outcome
--- a/packages/control/src/raft/membership.ts
+++ b/packages/control/src/raft/membership.ts
@@ -1,5 +1,6 @@
 /** Who belongs to the control group, as a member's log and snapshot say it. */
 import type { LogEntry, LogStore } from '../log/logStore.js'
+import { listVoters } from './group.js'
 import type { MemberMap } from './messages.js'
 
 /** Entries that the group itself appends. */
@@ -31,11 +32,19 @@
   members(): MemberMap
   isVoter(): boolean
   /**
-   * Groups of which each must hold a majority before an entry counts as committed. While a change of
-   * the group is under way that is the one before as well: whoever elects by all that are left of it
-   * (see {@link askMembersForVotes}) then finds the change.
+   * Groups of which each must hold a majority before an entry counts as committed or a lease as held.
+   * While a change of the group is under way that is the one before as well: whoever is elected by
+   * half of it (see {@link countGrants}) then finds the change.
    */
   listDeciding(commitIndex: number): readonly MemberMap[]
+  /** The same groups with the voters whose disks are lost; an election must be won in each. */
+  listElecting(commitIndex: number): readonly MemberMap[]
+  /** Voters that the log names as lost. */
+  listLost(): readonly string[]
+  /** Finds the group that was in force at an index. */
+  findAt(index: number): MemberMap
+  /** Notes that the log is committed up to an index, for elections after a restart. */
+  settle(commitIndex: number): void
   /** Index of the entry that last changed the group; 0 when the log holds none. */
   changedAt(): number
   /** Builds the first entry of a leader that was elected without the voters whose disks were lost. */
@@ -55,40 +64,72 @@
   return Object.fromEntries(Object.entries(members).filter(([name]) => !names.includes(name)))
 }
 
+/** A group with the index from which on it counts. */
+interface GroupAt {
+  readonly at: number
+  readonly members: MemberMap
+  /** Voters of the groups before whose disks were lost. */
+  readonly lostVoters: readonly string[]
+}
+
 /** Creates the membership; {@link Membership.reload} must follow once the vote is settled. */
 export function createMembership(options: MembershipOptions): Membership {
   const { name, store } = options
-  let members: MemberMap = {}
-  let previous: MemberMap = {}
-  let changedAt = 0
+  /** The groups that the log holds, oldest first. */
+  let groups: GroupAt[] = [{ at: 0, members: {}, lostVoters: [] }]
+  /** Index of the last change that a later one proves to be committed. */
+  let provenChange = 0
 
+  const newest = () => groups[groups.length - 1]
+  const members = () => newest().members
+  const changedAt = () => (groups.length > 1 ? newest().at : 0)
+  const listUnsettled = (commitIndex: number) => {
+    const settled = Math.max(commitIndex, provenChange, store.ballot().settledChange ?? 0)
+    const from = groups.findLastIndex(({ at }) => at <= settled)
+    // An instance that was taken in does not know the group before the first change in its log.
+    return groups.slice(Math.max(from, 0)).filter(({ members }) => listVoters(members).length > 0)
+  }
   const observe = ({ command, index }: LogEntry) => {
     if (!isGroupCommand(command) || command.group !== 'members') return
-    const lost = command.lostVoters ?? []
-    previous = Object.fromEntries(
-      Object.entries(members).filter(([other]) => !lost.includes(other)),
-    )
-    members = command.members
-    changedAt = index
-    const isTakenIn = members[name]?.kind === 'learner' && !store.ballot().mayVote
+    // A change is begun only once the one before is committed, but where disks were lost.
+    if (!command.lostVoters) provenChange = changedAt()
+    groups.push({ at: index, members: command.members, lostVoters: command.lostVoters ?? [] })
+    const isTakenIn = members()[name]?.kind === 'learner' && !store.ballot().mayVote
     if (isTakenIn) void store.saveBallot({ ...store.ballot(), mayVote: true })
   }
   return {
-    members: () => members,
-    isVoter: () => members[name]?.kind === 'voter',
-    listDeciding: (commitIndex) => (changedAt > commitIndex ? [members, previous] : [members]),
-    changedAt: () => changedAt,
+    members,
+    isVoter: () => members()[name]?.kind === 'voter',
+    listDeciding: (commitIndex) => {
+      const unsettled = listUnsettled(commitIndex)
+      return unsettled.map(({ members }, place) => {
+        const later = unsettled.slice(place + 1)
+        return listWithout(
+          members,
+          later.flatMap(({ lostVoters }) => lostVoters),
+        )
+      })
+    },
+    listElecting: (commitIndex) => listUnsettled(commitIndex).map(({ members }) => members),
+    listLost: () => groups.flatMap(({ lostVoters }) => lostVoters),
+    findAt: (index) => (groups.findLast(({ at }) => at <= index) ?? groups[0]).members,
+    settle: (commitIndex) => {
+      const settled = groups.findLast(({ at }) => at <= commitIndex)?.at ?? 0
+      if (settled <= (store.ballot().settledChange ?? 0)) return
+      void store.saveBallot({ ...store.ballot(), settledChange: settled })
+    },
+    changedAt,
     buildFirstCommand: (lostVoters) => {
-      const isUnnamed = changedAt === 0 && !store.snapshot()
+      const isUnnamed = changedAt() === 0 && !store.snapshot()
       if (!isUnnamed && lostVoters.length === 0) return { group: 'noop' }
-      return { group: 'members', members: listWithout(members, lostVoters), lostVoters }
+      return { group: 'members', members: listWithout(members(), lostVoters), lostVoters }
     },
     observe,
     reload: () => {
       const saved = store.snapshot()?.state as SavedState | undefined
       const founders = store.ballot().mayVote ? options.founders : {}
-      members = saved?.members ?? founders
-      changedAt = 0
+      groups = [{ at: store.baseIndex(), members: saved?.members ?? founders, lostVoters: [] }]
+      provenChange = 0
       for (const entry of store.list(store.baseIndex() + 1, Infinity)) observe(entry)
     },
   }
--- a/packages/control/src/raft/replicator.ts
+++ b/packages/control/src/raft/replicator.ts
@@ -22,7 +22,7 @@
   /** Time without a majority after which leadership is given up, in ms. */
   readonly lostAfterMs: number
   readonly listMembers: () => MemberMap
-  /** Groups of which each must hold a majority before an entry counts as committed. */
+  /** Groups of which each must hold a majority before an entry is committed or a lease held. */
   readonly listDeciding: () => readonly MemberMap[]
   readonly commitIndex: () => number
   readonly onCommit: (index: number) => void
@@ -71,10 +71,14 @@
     // Only an entry of its own term may be counted (Raft, figure 8).
     if (index > options.commitIndex() && store.findTerm(index) === term) options.onCommit(index)
   }
-  const confirmedAt = () =>
-    findMajorityValue(options.listMembers(), (member) =>
-      member === name ? timers.now() : (peers.get(member)?.confirmedAt ?? -Infinity),
-    )
+  // A lease rests on all groups that decide, as a commit does: while the group changes, whoever is
+  // elected by half of the group before the change need not meet a majority of the one after it.
+  const confirmedAt = () => {
+    const findConfirmed = (member: string) =>
+      member === name ? timers.now() : (peers.get(member)?.confirmedAt ?? -Infinity)
+    const reached = options.listDeciding()
+    return Math.min(...reached.map((members) => findMajorityValue(members, findConfirmed)))
+  }
 
   const sendSnapshot = async (member: string, info: MemberInfo, peer: Peer) => {
     const snapshot = store.snapshot()
--- a/packages/control/src/raft/votes.ts
+++ b/packages/control/src/raft/votes.ts
@@ -1,12 +1,15 @@
 /** Asking the members for their votes. */
 import { toSpoolgateError } from '@spoolgate/core'
 import type { LeaseHolder } from '../log/logStore.js'
-import { countMajority, isMajority, listOthers, listVoters } from './group.js'
+import { countGrants, countMajority, listOthers, listVoters } from './group.js'
 import type { EndedTerms, MemberMap, RaftTransport, VoteReply, VoteRequest } from './messages.js'
 
 /** Options of {@link askMembersForVotes}. */
 export interface VoteOptions {
-  readonly members: MemberMap
+  /** Groups that must each elect, the newest last: those whose changes may not be committed. */
+  readonly groups: readonly MemberMap[]
+  /** Voters whose disks were proven lost before this round. */
+  readonly lostBefore: readonly string[]
   readonly transport: RaftTransport
   readonly request: VoteRequest
   /** What the candidate itself answers to the request. */
@@ -22,7 +25,7 @@
   readonly isWon: boolean
   /** What the members answered, for the real vote that follows a pre-vote. */
   readonly endedTerms: EndedTerms
-  /** Voters whose disks are lost, where the vote was won by all that are left and no majority. */
+  /** Voters whose disks are lost, where the vote was won by fewer than a majority. */
   readonly lostVoters: readonly string[]
   /** By member: `granted`, why not, `lost`, or `silent` with the reason. */
   readonly answers: Readonly<Record<string, string>>
@@ -44,13 +47,15 @@
  * its vote. In a pre-vote, a member that only waits for a lease counts once its holder has answered
  * that the lease is over: the real vote tells the member so.
  *
- * Four voters bear the loss of two disks, though two are no majority: an instance that answers under
- * another name than the voter at its address has lost the disk of that voter, which can neither vote
- * nor acknowledge anything ever again. Where fewer than a majority are lost, each committed entry is
- * held by one of the rest at least, so that all of the rest together may elect.
+ * Four voters bear the loss of two, though two are no majority: an instance that answers under another
+ * name than the voter at its address has lost the disk of that voter, which can neither vote nor
+ * acknowledge anything ever again. Where a disk is proven lost, half of an even group may elect (see
+ * {@link countGrants}). The proofs come before the votes that rest on them: a loss that shows in a real
+ * vote counts in the next round only, so that two such elections of one term always share a voter.
  */
 export function askMembersForVotes(options: VoteOptions): Promise<VoteOutcome> {
-  const { members, transport, request, own, onHigherTerm, onLostVoter } = options
+  const { groups, transport, request, own, onHigherTerm, onLostVoter } = options
+  const members: MemberMap = Object.assign({}, ...groups)
   const replies = new Map([[request.candidate, own]])
   const failures = new Map<string, string>()
   const endedTerms: Record<string, number> = {
@@ -62,6 +67,7 @@
     (request.isPreVote && heldBackBy !== undefined && isLeaseEnded(heldBackBy, endedTerms))
   const describeAnswer = (name: string) => {
     const reply = replies.get(name)
+    if (options.lostBefore.includes(name)) return 'lost'
     if (!reply) return `silent: ${failures.get(name) ?? 'no answer yet'}`
     if (reply.voter !== name) return 'lost'
     if (isGranting(reply)) return 'granted'
@@ -76,18 +82,22 @@
     lostVoters,
     answers: buildAnswers(),
   })
+  const listLost = () => {
+    const found = [...replies].filter(([name, { voter }]) => voter !== name).map(([name]) => name)
+    return new Set([...options.lostBefore, ...(request.isPreVote ? found : [])])
+  }
   const findOutcome = (): VoteOutcome | undefined => {
     const ofMembers = [...replies].filter(([name, { voter }]) => voter === name)
     const granting = new Set(
       ofMembers.filter(([, reply]) => isGranting(reply)).map(([name]) => name),
     )
     if (!granting.has(request.candidate)) return undefined
-    if (isMajority(members, granting)) return buildWon([])
-    const voters = listVoters(members)
-    const lostVoters = voters.filter((name) => (replies.get(name)?.voter ?? name) !== name)
-    const isRestGranting = voters.every((name) => lostVoters.includes(name) || granting.has(name))
-    const isBorne = lostVoters.length > 0 && lostVoters.length < countMajority(members)
-    return isBorne && isRestGranting ? buildWon(lostVoters) : undefined
+    const lost = listLost()
+    const countGranting = (group: MemberMap) =>
+      listVoters(group).filter((name) => granting.has(name) && !lost.has(name)).length
+    if (!groups.every((group) => countGranting(group) >= countGrants(group, lost))) return undefined
+    const isByMajority = groups.every((group) => countGranting(group) >= countMajority(group))
+    return buildWon(isByMajority ? [] : listVoters(members).filter((name) => lost.has(name)))
   }
   const sendTo = async (other: string, url: string): Promise<VoteReply | undefined> => {
     try {
