fix: what is being stopped begins nothing that it may not finish, in other places too

The same question was asked of each role: where does a process that is being stopped begin what it cannot be sure to finish, by an estimate or by nothing?

- A stopping router sent a request that a server had refused as not run to a second server, whatever its limit (200 where 503 is wanted).
Now only if its limit lies before the end; `call.notSentAgain` tells it.
What may have run goes on as before.
- A request whose body did not come was cut off without an answer ("socket hang up").
While the router stops, the body has until the last tenth of a second; then 408.
- The project's own router interface began calls that came on kept connections, or whose body came, after its stop had begun (200 where 503 is wanted).
A caller's deadline bounds only the first token there, so nothing bounds a call; it now begins none, and says 503, Retry-After, not run.
The mend of the direct router's kept connections moved to core/connectionEnds.ts; both servers use it.

Asked and left as it is: the sidecar declines every call once it leaves. What ran before the signal and outlasts the grace period is still cut: no remedy is known on one machine; `router.stopping` and `call.cutOff isLate=false` count it.

checkFits became findRefusal, since two places ask now; its tests ask the same.

--- a/packages/core/src/__tests__/core.spec.ts
+++ b/packages/core/src/__tests__/core.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import { expect } from 'chai'
 import {
@@ -148,3 +149,52 @@
     expect(slow).to.match(/408.*bodyTimeout/s)
   })
 })
+
+describe('an HTTP server that stops', () => {
+  it('ends a kept connection after its last answer, and takes nothing more from it', async () => {
+    const begun: string[] = []
+    const answers = new Map<string, () => void>()
+    const server = await createHttpServer({
+      host: '127.0.0.1',
+      port: 0,
+      logger: createQuietLogger(),
+      timers: createTimerService(),
+      routes: [
+        {
+          method: 'GET',
+          path: '/:name',
+          handler: ({ response, params: { name } }) => {
+            begun.push(name)
+            answers.set(name, () => sendJson(response, 200, { name }))
+          },
+        },
+      ],
+    })
+    const open = (name: string) => {
+      const socket = connect({ port: server.port, host: '127.0.0.1', allowHalfOpen: true })
+      socket.write(formatGet(name))
+      return socket
+    }
+    const formatGet = (name: string) => `GET /${name} HTTP/1.1\r\nhost: a\r\n\r\n`
+    const waitForBegun = async (count: number) => {
+      while (begun.length < count) await new Promise((resolve) => setImmediate(resolve))
+    }
+    const other = open('other')
+    await waitForBegun(1)
+    const kept = open('kept')
+    await waitForBegun(2)
+    const closing = server.close(10_000)
+    answers.get('kept')?.()
+    await once(kept, 'data')
+    kept.end(formatGet('late'))
+    let isClosed = false
+    kept.once('close', () => (isClosed = true))
+    while (!isClosed && begun.length < 3) await new Promise((resolve) => setImmediate(resolve))
+    expect(begun).to.deep.equal(['other', 'kept'])
+    other.resume()
+    answers.get('other')?.()
+    await once(other, 'end')
+    other.end()
+    expect((await closing).abandoned).to.equal(0)
+  })
+})
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -12,6 +12,7 @@
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { Subscription } from 'rxjs'
+import { createConnectionEnds } from './connectionEnds.js'
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
 import { isSameSecret } from './keys.js'
 import type { Logger } from './logger.js'
@@ -98,6 +99,8 @@
   readonly port: number
   /** Exchanges in progress. */
   inProgress(): number
+  /** Whether a planned stop is under way, or over. */
+  isClosing(): boolean
   /** Bytes over all connections so far. */
   traffic(): TrafficCount
   /** Adds routes that could only be made once the port was known. */
@@ -258,7 +261,8 @@
   const active = new Set<ServerResponse>()
   const sockets = new Set<Socket>()
   const closedTraffic = { received: 0, sent: 0 }
-  let closing = false
+  const ends = createConnectionEnds(options.logger)
+  let isClosing = false
   let notifyIdle: () => void = () => {}
 
   server.on('connection', (socket: Socket) => {
@@ -270,8 +274,8 @@
     })
   })
   server.on('request', (request, response) => {
+    if (!ends.take(request, response)) return
     active.add(response)
-    if (closing) response.setHeader('connection', 'close')
     response.once('close', () => {
       active.delete(response)
       if (active.size === 0) notifyIdle()
@@ -299,6 +303,7 @@
     url: `${scheme}://${options.host}:${port}`,
     port,
     inProgress: () => active.size,
+    isClosing: () => isClosing,
     traffic: () => {
       const total = { ...closedTraffic }
       for (const socket of sockets) {
@@ -309,7 +314,8 @@
     },
     addRoutes,
     close: async (drainMs) => {
-      closing = true
+      isClosing = true
+      ends.start()
       tlsWatch?.unsubscribe()
       // Node's own close also cuts idle connections at once, and with them a request that a caller
       // is just sending on one. They stay for a moment, and what arrives is still served.
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -76,5 +76,6 @@
   type HttpClient,
   type HttpRequest,
 } from './httpClient.js'
+export { createConnectionEnds, type ConnectionEnds } from './connectionEnds.js'
 export { createDaemonRoutes, createMetricsRoute } from './daemonRoutes.js'
 export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
--- a/packages/router/src/__tests__/plannedStop.spec.ts
+++ b/packages/router/src/__tests__/plannedStop.spec.ts
@@ -10,7 +10,7 @@
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import type { CallPlan } from '../direct/callPlan.js'
-import { createPlannedStop, type PlannedStop } from '../direct/plannedStop.js'
+import { createPlannedStop, listStopInputs, type PlannedStop } from '../direct/plannedStop.js'
 
 const DRAIN_MS = 8_000
 
@@ -118,24 +118,32 @@
   const createPlan = (limitMs: number) => ({ deadline: timers.now() + limitMs }) as CallPlan
 
   it('is everything while no stop is under way', () => {
-    stop.checkFits(createPlan(1e9))
+    expect(stop.findRefusal(createPlan(1e9))).to.equal(undefined)
     expect(stop.isStopping()).to.equal(false)
+    expect(stop.findBodyMs()).to.equal(Infinity)
   })
 
   it('is what ends by its own limit while the final answer can still be given', () => {
     stop.start(DRAIN_MS)
-    stop.checkFits(createPlan(7_900))
+    expect(stop.findRefusal(createPlan(7_900))).to.equal(undefined)
     for (const limitMs of [7_901, 8_000, 15_000]) {
-      expect(() => stop.checkFits(createPlan(limitMs)))
-        .to.throw(SpoolgateError)
-        .that.includes({ kind: 'instanceStopping', notRun: true, retryAfterSeconds: 0.05 })
-        .and.has.deep.property('details', { limitMs, leftMs: 8_000 })
+      const refusal = stop.findRefusal(createPlan(limitMs))
+      expect(refusal).to.be.instanceOf(SpoolgateError)
+      expect(refusal).to.include({
+        kind: 'instanceStopping',
+        notRun: true,
+        retryAfterSeconds: 0.05,
+      })
+      expect(listStopInputs(refusal as SpoolgateError)).to.deep.equal({ limitMs, leftMs: 8_000 })
     }
   })
 
   it('becomes less as its end comes nearer', () => {
     timers.advance(7_000)
-    stop.checkFits(createPlan(900))
-    expect(() => stop.checkFits(createPlan(901))).to.throw(SpoolgateError)
+    expect(stop.findRefusal(createPlan(900))).to.equal(undefined)
+    expect(stop.findRefusal(createPlan(901))).to.be.instanceOf(SpoolgateError)
+    expect(stop.findBodyMs()).to.equal(900)
+    timers.advance(2_000)
+    expect(stop.findBodyMs()).to.equal(0)
   })
 })
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -11,6 +11,7 @@
 import type { BackendDialect, CallerDialect } from './dialects.js'
 import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
+import type { PlannedStop } from './plannedStop.js'
 import type { RetryShare } from './retryShare.js'
 import type { ServerBoard } from './serverBoard.js'
 import type { WorkSplit } from './workSplit.js'
@@ -45,6 +46,7 @@
   readonly random: RandomSource
   readonly logger: Logger
   readonly instruments: DirectInstruments
+  readonly stop: Pick<PlannedStop, 'findRefusal'>
   /** Age of the proof of the newest table beyond which keys are not trusted, in ms. */
   readonly maxProofAgeMs: number
 }
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -15,9 +15,7 @@
   waitFor,
   type BackendServerId,
   type CloseReport,
-  type LogFields,
   type Logger,
-  type SpoolgateError,
   type TimerService,
 } from '@spoolgate/core'
 import type { RoutingTable } from '@spoolgate/routing'
@@ -27,7 +25,7 @@
 import type { DirectInstruments, DirectParts } from './directParts.js'
 import { createLiveness, openProbe } from './liveness.js'
 import { createPartMemory } from './partMemory.js'
-import { createPlannedStop, type CallInProgress } from './plannedStop.js'
+import { createPlannedStop, listStopInputs, type CallInProgress } from './plannedStop.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerBoard } from './serverBoard.js'
 import { serveCall } from './serveCall.js'
@@ -105,13 +103,6 @@
   }
 }
 
-/** Lists for the log what decided a refusal of a stopping router. */
-function listInputs({ kind, details }: SpoolgateError): LogFields {
-  if (kind !== 'instanceStopping') return {}
-  const inputs = Object.entries(details as Record<string, number>)
-  return Object.fromEntries(inputs.map(([name, value]) => [name, Math.round(value)]))
-}
-
 /** Starts to listen and returns the port. */
 function startListening(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -161,6 +152,8 @@
       for (const placement of placements) memory.confirm(placement)
     },
   })
+  const instruments = createInstruments(metrics)
+  const stop = createPlannedStop({ timers, logger, cutOff: instruments.cutOff })
   const parts: DirectParts = {
     instance: options.instance,
     hall: options.hall,
@@ -181,7 +174,8 @@
     timers,
     random: createRandomSource(options.seed ?? Date.now() % 2 ** 31),
     logger,
-    instruments: createInstruments(metrics),
+    instruments,
+    stop,
     maxProofAgeMs: options.maxProofAgeMs,
   }
   /** A router that has just started gets its table within a second; its callers wait for that. */
@@ -195,8 +189,6 @@
       isReady: feed.current() !== undefined,
     })
   }
-  const { cutOff } = parts.instruments
-  const stop = createPlannedStop({ timers, logger, cutOff })
   const sockets = new Set<Socket>()
 
   const serve = async (
@@ -207,17 +199,19 @@
     const arrivedAt = timers.now()
     let call: DirectCall | undefined
     try {
-      parts.instruments.requests.add(1)
+      instruments.requests.add(1)
       call = caller.decodeCall(request)
       tracked.recordCall(call)
       if (!feed.current()) await waitForTable(call)
       const plan = resolveCall(parts, call, arrivedAt)
       tracked.recordPlan(plan)
       const { maxBodyBytes } = plan.view.index.table.bounds
-      const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs: BODY_TIMEOUT_MS })
+      const timeoutMs = Math.min(BODY_TIMEOUT_MS, stop.findBodyMs())
+      const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs })
       if (response.destroyed) return
       // Not before the body is read: a connection that ends with unread bytes may lose its answer.
-      stop.checkFits(plan)
+      const refusal = stop.findRefusal(plan)
+      if (refusal) throw refusal
       await serveCall(parts, plan, body, response)
     } catch (cause) {
       const error = toSpoolgateError(cause)
@@ -229,9 +223,9 @@
         reason: error.message,
         tableVersion: feed.current()?.index.table.version,
         proofAgeMs: Math.round(feed.proofAgeMs()),
-        ...listInputs(error),
+        ...listStopInputs(error),
       })
-      parts.instruments.refusals.add(1, { kind: error.kind })
+      instruments.refusals.add(1, { kind: error.kind })
       if (!response.headersSent) caller.sendRefusal(response, call, error)
       else response.destroy()
     }
@@ -250,7 +244,6 @@
   server.on('request', (request, response) => {
     const tracked = stop.add(request, response)
     if (tracked) void serve(request, response, tracked)
-    else request.resume()
   })
   const boundsWatch = feed.changes.subscribe(({ index }) => {
     const { headerTimeoutMs, idleTimeoutMs } = index.table.bounds
--- a/packages/router/src/direct/plannedStop.ts
+++ b/packages/router/src/direct/plannedStop.ts
@@ -3,11 +3,12 @@
  * what is left, and what the log says of it.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import {
+  createConnectionEnds,
   SpoolgateError,
   waitFor,
   type Counter,
+  type LogFields,
   type Logger,
   type TimerService,
 } from '@spoolgate/core'
@@ -26,10 +27,15 @@
 export interface PlannedStop {
   isStopping(): boolean
   /**
-   * Checks that a request is over, by its own limit, before a stop cuts it off.
-   * @throws SpoolgateError `instanceStopping`.
+   * Time within which a body must be there so that its request can still get an answer, in ms;
+   * Infinity while no stop is under way.
    */
-  checkFits(plan: CallPlan): void
+  findBodyMs(): number
+  /**
+   * Finds why a request must not be passed on: by its own limit it may not be over before a stop
+   * cuts it off. Undefined where it may be passed on.
+   */
+  findRefusal(plan: CallPlan): SpoolgateError | undefined
   /**
    * Notes a request that has just arrived; it counts until its answer is closed. Undefined when its
    * connection has been promised to end before it, so that nothing could carry its answer.
@@ -61,7 +67,6 @@
 const MAX_CUT_OFF_LINES = 100
 
 interface Tracked {
-  readonly socket: Socket
   readonly response: ServerResponse
   readonly arrivedAt: number
   /** Whether the stop was under way when it arrived. */
@@ -70,23 +75,21 @@
   plan: CallPlan | undefined
 }
 
+/** Lists for the log what decided a refusal of a stopping router. */
+export function listStopInputs({ kind, details }: SpoolgateError): LogFields {
+  if (kind !== 'instanceStopping') return {}
+  const inputs = Object.entries(details as Record<string, number>)
+  return Object.fromEntries(inputs.map(([name, value]) => [name, Math.round(value)]))
+}
+
 /** Creates the planned stop of a router that runs. */
 export function createPlannedStop(options: PlannedStopOptions): PlannedStop {
   const { timers, logger, cutOff } = options
   const inProgress = new Set<Tracked>()
-  /** Connections of which an answer has told that they end after it. */
-  const ending = new WeakSet<Socket>()
+  const ends = createConnectionEnds(logger)
   let startedAt: number | undefined
   let stopsAt = Infinity
 
-  /** The head of an answer that began before the stop could not say that the connection ends. */
-  const finishConnection = (socket: Socket) => {
-    if (startedAt === undefined) return
-    if ([...inProgress].some((other) => other.socket === socket)) return
-    ending.add(socket)
-    socket.end()
-  }
-
   const sendLine = ({ response, arrivedAt, isLate, call, plan }: Tracked) => {
     const now = timers.now()
     logger.warn('call.cutOff', {
@@ -100,28 +103,20 @@
   }
   return {
     isStopping: () => startedAt !== undefined,
+    findBodyMs: () => Math.max(0, stopsAt - FINAL_ANSWER_MS - timers.now()),
     // Only its own limit bounds a request: how long others took says nothing of this one, and what
     // is still running at the end is cut off.
-    checkFits: ({ deadline }) => {
-      if (deadline + FINAL_ANSWER_MS <= stopsAt) return
+    findRefusal: ({ deadline }) => {
+      if (deadline + FINAL_ANSWER_MS <= stopsAt) return undefined
       const now = timers.now()
-      throw new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
+      return new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
         retryAfterSeconds: RETRY_WHILE_STOPPING_S,
         details: { limitMs: deadline - now, leftMs: stopsAt - now },
       })
     },
     add: (request, response) => {
-      const { socket } = request
-      if (ending.has(socket)) {
-        logger.info('call.onEndedConnection', { host: request.headers.host, target: request.url })
-        return undefined
-      }
-      if (startedAt !== undefined) {
-        ending.add(socket)
-        response.setHeader('connection', 'close')
-      }
+      if (!ends.take(request, response)) return undefined
       const tracked: Tracked = {
-        socket,
         response,
         arrivedAt: timers.now(),
         isLate: startedAt !== undefined,
@@ -129,10 +124,7 @@
         plan: undefined,
       }
       inProgress.add(tracked)
-      response.once('close', () => {
-        inProgress.delete(tracked)
-        finishConnection(socket)
-      })
+      response.once('close', () => inProgress.delete(tracked))
       return {
         recordCall: (call) => {
           tracked.call = call
@@ -143,6 +135,7 @@
       }
     },
     start: (drainMs) => {
+      ends.start()
       startedAt = timers.now()
       stopsAt = startedAt + drainMs
       logger.info('router.stopping', {
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -13,6 +13,7 @@
 import type { DirectParts } from './directParts.js'
 import { waitForHead } from './headWait.js'
 import { CONNECT_MS } from './liveness.js'
+import { listStopInputs } from './plannedStop.js'
 import {
   createRefusal,
   createTimeoutError,
@@ -162,6 +163,8 @@
 
   private async sendUntilAnswered(): Promise<void> {
     while (!this.isOver) {
+      const refusal = this.findStopRefusal()
+      if (refusal) return this.refuse(refusal)
       const candidate = this.chooseServer()
       if (!candidate) return this.refuse(this.createRefusal())
       const end = await this.sendTo(candidate)
@@ -170,6 +173,17 @@
     }
   }
 
+  /**
+   * A request that servers refused may still be begun elsewhere, rather than here by a router that
+   * may not see its end; what may have run goes on. The first send was judged before.
+   */
+  private findStopRefusal(): SpoolgateError | undefined {
+    if (this.sends === 0 || this.mayHaveRun) return undefined
+    const refusal = this.parts.stop.findRefusal(this.plan)
+    if (refusal) this.log('call.notSentAgain', listStopInputs(refusal))
+    return refusal
+  }
+
   private createRefusal(): SpoolgateError {
     return createRefusal(this.mayHaveRun, this.retryAfterSeconds)
   }
--- a/packages/router/src/server/callerRoutes.ts
+++ b/packages/router/src/server/callerRoutes.ts
@@ -35,10 +35,14 @@
 export interface CallerRoutesOptions {
   readonly parts: RelayParts
   readonly limits: BodyLimits
+  /** Whether this router is being stopped, so that it begins nothing more. */
+  readonly isStopping: () => boolean
 }
 
 /** Header that names the request, for `spoolgate explain`. */
 export const REQUEST_ID_HEADER = 'x-request-id'
+/** Seconds after which a caller that a stopping router refused may turn to another one. */
+const RETRY_WHILE_STOPPING_S = 1
 const EMPTY_CHAIN: PrefixChain = { scope: '', levels: [], totalTokens: 0 }
 
 /** Creates the keyring of a configuration, once for each version. */
@@ -64,7 +68,7 @@
 
 /** Creates the routes. */
 export function createCallerRoutes(options: CallerRoutesOptions): Route[] {
-  const { parts, limits } = options
+  const { parts, limits, isStopping } = options
   const findKeyring = createKeyringSource()
 
   const accept = (exchange: HttpExchange): AcceptedRequest => {
@@ -107,6 +111,17 @@
   const relay = async (context: CallContext, exchange: HttpExchange, isOnce: boolean) => {
     const release = await parts.limits.admit(context.team, context.parameters, context.tokens)
     try {
+      // A caller's deadline bounds only the first token here, so that nothing says of a request
+      // that it is over before the stop cuts it off.
+      if (isStopping()) {
+        throw new SpoolgateError(
+          'instanceStopping',
+          'this instance stops; send it to another one',
+          {
+            retryAfterSeconds: RETRY_WHILE_STOPPING_S,
+          },
+        )
+      }
       if (!isOnce) return await relayRepeatable(parts, context)
       const given = readIdempotencyKey(exchange.request)
       const key = { key: given ?? createUniqueId('auto'), isCallers: given !== undefined }
--- a/packages/router/src/server/routerServer.ts
+++ b/packages/router/src/server/routerServer.ts
@@ -194,7 +194,11 @@
       }),
       ...config.createRoutes(processKey),
       { method: 'GET', path: '/explain/:request', key: processKey, handler: serveExplanation },
-      ...createCallerRoutes({ parts, limits: options.bodyLimits ?? DEFAULT_BODY_LIMITS }),
+      ...createCallerRoutes({
+        parts,
+        limits: options.bodyLimits ?? DEFAULT_BODY_LIMITS,
+        isStopping: () => server.isClosing(),
+      }),
     ],
   })
   logger.info('router.listening', { url: server.url, version: config.version() })
--- a/packages/spoolgate/src/__tests__/path.spec.ts
+++ b/packages/spoolgate/src/__tests__/path.spec.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events'
+import { request as startRequest, type IncomingMessage } from 'node:http'
+import { json } from 'node:stream/consumers'
 import { expect } from 'chai'
 import OpenAI from 'openai'
 import { LOCAL_MODEL, type LocalFleet } from '../index.js'
@@ -200,6 +203,29 @@
     expect((await closed)?.abandoned).to.equal(0)
   })
 
+  it('begins nothing once its stop began, and says that it did not run', async () => {
+    fleet = await createTestFleet({ engines: 1 })
+    const call = startRequest(`${fleet.routerUrls[0]}/v1/chat/completions`, {
+      method: 'POST',
+      agent: false,
+      headers: {
+        authorization: `Bearer ${fleet.callerKeys['team-0']}`,
+        expect: '100-continue',
+      },
+    })
+    call.flushHeaders()
+    await once(call, 'continue')
+    const closed = fleet.routers[0]?.close(20_000)
+    call.end(JSON.stringify(ask('late')))
+    const [answer] = (await once(call, 'response')) as [IncomingMessage]
+    const { error } = (await json(answer)) as { error: Record<string, unknown> }
+    expect(answer.statusCode).to.equal(503)
+    expect(answer.headers).to.have.property('retry-after')
+    expect(error).to.include({ code: 'instanceStopping', not_run: true })
+    expect(fleet.engines[0].started.size).to.equal(0)
+    expect((await closed)?.abandoned).to.equal(0)
+  })
+
   it('serves the first request of a router that was killed and restarted', async () => {
     fleet = await createTestFleet({ engines: 2 })
     const messages = createMessages('restart')
