--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -210,6 +210,39 @@
     }
   })
 
+  it('an instance that was taken in by a snapshot votes as others do', async () => {
+    group = await createTestGroup(NAMES, 1, 20)
+    const leader = await group.findLeader()
+    const newcomer = await group.start('x', { isFounding: false })
+    const take = async (kind: 'learner' | 'voter') => {
+      const members = { ...leader.member.status().members, x: { url: 'x', kind } }
+      let isDone = false
+      void leader.member.changeMembers(members).then(() => (isDone = true))
+      await group.runUntil(() => isDone, 'the change of the group')
+    }
+    group.isolate('x')
+    await take('learner')
+    // By then the change is in a snapshot, and no entry tells the instance of it.
+    for (let version = 1; version <= 50; version += 1) {
+      await group.propose(leader, buildTable(version))
+    }
+    group.heal()
+    await group.runUntil(() => newcomer.machine.table.current()?.version === 50, 'it is caught up')
+    await take('voter')
+    group.isolate('x')
+    await group.run(ELECTION_MS * 2)
+    const { lastIndex, term } = leader.member.status()
+    const vote = await newcomer.member.handleVote({
+      isPreVote: true,
+      term: term + 9,
+      candidate: 'z',
+      lastIndex: lastIndex + 9,
+      lastTerm: term + 9,
+      endedTerms: {},
+    })
+    expect(vote).to.include({ isGranted: true, refusal: undefined })
+  })
+
   it('counts a change of the group only with a majority of the group before it', async () => {
     const names = [...NAMES, 'd']
     group = await createTestGroup(names)
--- a/packages/control/src/raft/membership.ts
+++ b/packages/control/src/raft/membership.ts
@@ -89,13 +89,16 @@
     // An instance that was taken in does not know the group before the first change in its log.
     return groups.slice(Math.max(from, 0)).filter(({ members }) => listVoters(members).length > 0)
   }
+  const recordTakenIn = () => {
+    const isTakenIn = members()[name]?.kind === 'learner' && !store.ballot().mayVote
+    if (isTakenIn) void store.saveBallot({ ...store.ballot(), mayVote: true })
+  }
   const observe = ({ command, index }: LogEntry) => {
     if (!isGroupCommand(command) || command.group !== 'members') return
     // A change is begun only once the one before is committed, but where disks were lost.
     if (!command.lostVoters) provenChange = changedAt()
     groups.push({ at: index, members: command.members, lostVoters: command.lostVoters ?? [] })
-    const isTakenIn = members()[name]?.kind === 'learner' && !store.ballot().mayVote
-    if (isTakenIn) void store.saveBallot({ ...store.ballot(), mayVote: true })
+    recordTakenIn()
   }
   return {
     members,
@@ -130,6 +133,8 @@
       const founders = store.ballot().mayVote ? options.founders : {}
       groups = [{ at: store.baseIndex(), members: saved?.members ?? founders, lostVoters: [] }]
       provenChange = 0
+      // The entry that took this member in may be in the snapshot; it would vote for nobody, for ever.
+      recordTakenIn()
       for (const entry of store.list(store.baseIndex() + 1, Infinity)) observe(entry)
     },
   }
