test(control): commit again after the next disk is lost, when an earlier lost one was replaced

A member that restarts does not know what is committed, took its last change for one under way, and asked for a majority of a group of two of which one was the lost voter.

No change of code here.

--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { MemberMap } from '../raft/messages.js'
 import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
 
 const NAMES = ['a', 'b', 'c']
@@ -267,4 +268,28 @@
     group.heal()
     await group.runUntil(isDone, 'the change of the group')
   })
+
+  it('commits again after the next disk is lost, when an earlier lost one was replaced', async () => {
+    group = await createTestGroup(NAMES)
+    let leader = await group.findLeader()
+    const [first, second] = NAMES.filter((name) => name !== leader.name)
+    await group.loseDisks([first])
+    const replacement = `${first}#new`
+    const change = async (build: (members: MemberMap) => MemberMap) => {
+      let isDone = false
+      const next = build(leader.member.status().members)
+      void leader.member.changeMembers(next).then(() => (isDone = true))
+      await group.runUntil(() => isDone, 'the change of the group')
+    }
+    await change(({ [first]: _lost, ...rest }) => rest)
+    await change((members) => ({ ...members, [replacement]: { url: first, kind: 'learner' } }))
+    await group.run(ELECTION_MS)
+    await change((members) => ({ ...members, [replacement]: { url: first, kind: 'voter' } }))
+    await group.propose(leader, buildTable(7))
+    await group.restart([leader.name, replacement], 0)
+    await group.loseDisks([second])
+    leader = await group.findLeader()
+    const again = await group.propose(leader, buildTable(7))
+    expect(again).to.deep.equal({ isNewer: false, version: 7 })
+  })
 })
