--- a/packages/control/src/__tests__/lossesBorne.spec.ts
+++ b/packages/control/src/__tests__/lossesBorne.spec.ts
@@ -121,6 +121,41 @@
       await group.close()
     }
   })
+
+  it('are two disks of four again as soon as both are voters again', async () => {
+    const urls = NAMES.slice(0, 4)
+    for (const seed of [1, 2, 3]) {
+      const group = await createTestGroup(urls, seed)
+      const steps = createGroupSteps({ group, wantedVoters: 5 })
+      const names = new Map(urls.map((url) => [url, url]))
+      await group.propose(await group.findLeader(), buildTable(7))
+      // Each disk is lost in its turn, and again: whoever holds the entry got it by a repair.
+      for (let round = 0; round < 6; round += 1) {
+        const lost = [urls[(round * 2 + seed) % 4], urls[(round * 2 + seed + 1) % 4]]
+        const disks = await group.losePower([...names.values()])
+        for (const url of urls) {
+          const old = names.get(url) as string
+          const isLost = lost.includes(url)
+          const name = isLost ? `${url}#${round}` : old
+          names.set(url, name)
+          const folder = isLost ? undefined : disks.get(old)
+          await group.start(name, { url, folder, isFounding: false, startedAt: 0 })
+        }
+        const isWhole = ({ member }: TestMember) => {
+          const { members, commitIndex, lastIndex } = member.status()
+          const voters = Object.values(members).filter(({ kind }) => kind === 'voter')
+          return voters.length === 4 && commitIndex === lastIndex
+        }
+        await group.runUntil(() => {
+          steps.apply()
+          return group.leader() !== undefined && [...group.members.values()].every(isWhole)
+        }, `all four are voters again in round ${round}`)
+        const again = await group.propose(await group.findLeader(), buildTable(7))
+        expect(again, `round ${round}`).to.deep.equal({ isNewer: false, version: 7 })
+      }
+      await group.close()
+    }
+  })
 })
 
 describe('a change of the group that is under way while a disk is lost', () => {
--- a/packages/control/src/__tests__/lostDisks.spec.ts
+++ b/packages/control/src/__tests__/lostDisks.spec.ts
@@ -176,24 +176,39 @@
   })
   after(() => client.close())
 
+  /** Cuts the power of all right after an acknowledgement. */
+  const losePower = async () => {
+    await proposeToElected(buildTable(7))
+    const stopped = places.map(({ member }) => member)
+    for (const place of places) {
+      place.folder = place.folder.restart(createRandomSource(1))
+      place.member = undefined
+    }
+    for (const member of stopped) await member?.close()
+  }
+  const startEmpty = async (place: Place) => {
+    place.folder = createMemoryFolder()
+    await startAt(place, `${place.server.url}#new`, false)
+  }
+  const startKept = (place: Place) => startAt(place, place.server.url, false)
+
   for (const order of ['first', 'last']) {
     it(`serve again with all that was acknowledged, the empty ones ${order}`, async function () {
       this.timeout(20_000)
-      await proposeToElected(buildTable(7))
-      const stopped = places.map(({ member }) => member)
-      for (const place of places) {
-        place.folder = place.folder.restart(createRandomSource(1))
-        place.member = undefined
-      }
-      for (const member of stopped) await member?.close()
-      const lost = places.slice(1, 3)
-      for (const place of lost) place.folder = createMemoryFolder()
-      const kept = places.filter((place) => !lost.includes(place))
-      for (const place of order === 'first' ? [...lost, ...kept] : [...kept, ...lost]) {
-        const { url } = place.server
-        await startAt(place, lost.includes(place) ? `${url}#new` : url, false)
-      }
+      await losePower()
+      const [kept, lost] = [[places[0], places[3]], places.slice(1, 3)]
+      if (order === 'first') for (const place of lost) await startEmpty(place)
+      for (const place of kept) await startKept(place)
+      if (order === 'last') for (const place of lost) await startEmpty(place)
       expect(await proposeToElected(buildTable(7))).to.deep.equal({ isNewer: false, version: 7 })
     })
   }
+
+  it('serve again where one of two has lost its disk and the other stays away', async function () {
+    this.timeout(20_000)
+    await losePower()
+    await startEmpty(places[1])
+    for (const place of [places[0], places[3]]) await startKept(place)
+    expect(await proposeToElected(buildTable(7))).to.deep.equal({ isNewer: false, version: 7 })
+  })
 })
