--- /dev/null
+++ b/packages/control/src/__tests__/lostProof.spec.ts
@@ -0,0 +1,101 @@
+/** What proves a lost disk, and what does not: elections by half of a group rest on it. */
+import { expect } from 'chai'
+import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
+
+/** Builds a command that leaves a trace in the state: a table version. */
+function buildTable(version: number) {
+  return { kind: 'table.put', version, document: '{}' }
+}
+
+/** Starts a change of one member's kind, without waiting for it. */
+function startChange(leader: TestMember, name: string, kind: 'learner' | 'voter'): Promise<void> {
+  const known = leader.member.status().members
+  const members = { ...known, [name]: { url: known[name]?.url ?? name, kind } }
+  return leader.member.changeMembers(members)
+}
+
+/** Cuts the links between two sets of addresses in both directions. */
+function applyCut(group: TestGroup, some: readonly string[], others: readonly string[]): void {
+  for (const one of some) {
+    for (const other of others) group.cut.add(`${one}>${other}`).add(`${other}>${one}`)
+  }
+}
+
+describe('the proof that the disk of a voter is lost', () => {
+  const names = ['a', 'b', 'c', 'd']
+
+  it('takes it out of every group that decides, also where the newest has it as a learner', async () => {
+    for (const seed of [1, 2, 3]) {
+      const group = await createTestGroup(names, seed)
+      const old = await group.findLeader()
+      const [demoted, near, far] = names.filter((name) => name !== old.name)
+      await group.run(ELECTION_MS)
+      // A voter that fell silent is made a learner; the change reaches one other member only.
+      applyCut(group, [old.name], [far, demoted])
+      startChange(old, demoted, 'learner').catch(() => undefined)
+      await group.runUntil(
+        () => group.members.get(near)?.member.status().members[demoted].kind === 'learner',
+        'the change has reached one',
+      )
+      group.frozen.add(old.name)
+      await group.loseDisks([demoted])
+      group.heal()
+      const leader = await group.findLeader()
+      await group.propose(leader, buildTable(7))
+      await group.close()
+    }
+  })
+
+  it('is none where a member has moved to the address, so that no term has two leaders', async () => {
+    for (let seed = 1; seed <= 40; seed += 1) {
+      const group = await createTestGroup(names, seed)
+      await group.propose(await group.findLeader(), buildTable(7))
+      const disks = await group.losePower(names)
+      const urls: Record<string, string> = { a: 'c', c: 'a', b: 'b', d: 'd' }
+      for (const name of names) {
+        await group.start(name, { url: urls[name], folder: disks.get(name), startedAt: 0 })
+      }
+      applyCut(group, [urls.a, 'b'], [urls.c, 'd'])
+      await group.run(ELECTION_MS * 10)
+      const leaders = new Map<number, string>()
+      for (const { name, member } of group.members.values()) {
+        const { role, term } = member.status()
+        if (role !== 'leader') continue
+        expect(leaders.get(term), `seed ${seed}, term ${term}`).to.equal(undefined)
+        leaders.set(term, name)
+      }
+      expect(group.countLeases(), `seed ${seed}`).to.be.at.most(1)
+      await group.close()
+    }
+  })
+
+  it('is needed where a name stays: an emptied member votes only once it is taken in again', async () => {
+    const group = await createTestGroup(['a', 'b', 'c'])
+    const leader = await group.findLeader()
+    const applyKind = async (kind: 'learner' | 'voter') => {
+      let isDone = false
+      void startChange(leader, 'x', kind).then(() => (isDone = true))
+      await group.runUntil(() => isDone, 'the change of the group')
+      await group.run(ELECTION_MS)
+    }
+    await group.start('x', { isFounding: false })
+    await applyKind('learner')
+    await applyKind('voter')
+    await group.losePower(['x'])
+    const emptied = await group.start('x', { isFounding: false })
+    await group.run(ELECTION_MS * 5)
+    group.isolate('x')
+    await group.run(ELECTION_MS * 5)
+    const { lastIndex, term } = leader.member.status()
+    const vote = await emptied.member.handleVote({
+      isPreVote: true,
+      term: term + 9,
+      candidate: 'z',
+      lastIndex: lastIndex + 9,
+      lastTerm: term + 9,
+      endedTerms: {},
+    })
+    expect(vote).to.include({ isGranted: false, refusal: 'mayNotVote' })
+    await group.close()
+  })
+})
