fix(control): only an emptied address proves a lost disk, and only who holds what is committed may vote anew

Whoever was elected by half of a group took the lost voters from the newest group alone. Any other name at the address of a voter counted as proof that its disk is lost, also the name of a member that had moved there. 3. The entry that once took a member in was replayed to it after its disk was emptied, and let it vote though the group has it as a voter now, with votes and acknowledgements that it has forgotten.

Change: lost voters are taken from every group that must elect; the name of a member of another address proves nothing; a member may vote anew only where it holds all that its leader has committed in its own term and the newest group has it as a learner. A follower also answers only once it has on its disk which change of the group is committed: a loss of power within these milliseconds could have left nobody who may elect.

--- a/packages/control/src/__tests__/appliedLog.spec.ts
+++ b/packages/control/src/__tests__/appliedLog.spec.ts
@@ -51,7 +51,7 @@
     for (let index = 0; index < SNAPSHOT_EVERY; index += 1) await append({ group: 'noop' })
     await append({ group: 'members', members: grown })
     const saved = waitForSnapshot()
-    applied.advance(SNAPSHOT_EVERY)
+    void applied.advance(SNAPSHOT_EVERY)
     await saved
     expect((store.snapshot()?.state as SavedState).members).to.deep.equal(founders)
     // The change goes on to count with the group before it, also for who reads the disk again.
--- a/packages/control/src/raft/appliedLog.ts
+++ b/packages/control/src/raft/appliedLog.ts
@@ -21,8 +21,11 @@
   commitIndex(): number
   /** Term of the last entry that was applied. */
   appliedTerm(): number | undefined
-  /** Notes that the log is committed up to an index, and applies it. */
-  advance(next: number): void
+  /**
+   * Notes that the log is committed up to an index, and applies it; resolves once it is on the disk
+   * which change of the group is committed by that.
+   */
+  advance(next: number): Promise<void>
   /** Puts a snapshot in the place of all that it covers. */
   install(snapshot: Snapshot): Promise<void>
 }
@@ -64,11 +67,12 @@
   return {
     commitIndex: () => commitIndex,
     appliedTerm: () => store.findTerm(appliedIndex),
-    advance: (next) => {
+    advance: async (next) => {
       if (next <= commitIndex) return
       commitIndex = next
-      membership.settle(commitIndex)
+      const settled = membership.settle(commitIndex)
       applyCommitted()
+      await settled
     },
     install: async (snapshot) => {
       if (snapshot.index <= commitIndex) return
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -129,7 +129,7 @@
       commitIndex,
       onCommit: (index) => {
         const isChanging = membership.changedAt() > commitIndex()
-        applied.advance(index)
+        void applied.advance(index)
         // Until a new voter knows that it is one, the loss of the others would leave it no vote.
         if (isChanging && membership.changedAt() <= index) replicator?.wake()
       },
@@ -298,7 +298,11 @@
     }
     await takeEntries(request)
     const matched = previousIndex + entries.length
-    applied.advance(Math.min(request.commitIndex, matched))
+    await applied.advance(Math.min(request.commitIndex, matched))
+    // What the sender committed in its own term covers every change of the group before it.
+    const isCurrent = matched >= request.commitIndex
+    const isOfTerm = store.findTerm(request.commitIndex) === request.term
+    if (isCurrent && isOfTerm) await membership.recordTakenIn()
     return { term: term(), isAccepted: true, index: matched }
   }
   const installNow = async (request: InstallRequest): Promise<InstallReply> => {
--- a/packages/control/src/raft/membership.ts
+++ b/packages/control/src/raft/membership.ts
@@ -43,8 +43,14 @@
   listLost(): readonly string[]
   /** Finds the group that was in force at an index. */
   findAt(index: number): MemberMap
-  /** Notes that the log is committed up to an index, for elections after a restart. */
-  settle(commitIndex: number): void
+  /** Notes that the log is committed up to an index, for elections after a restart; resolves once that is on the disk. */
+  settle(commitIndex: number): Promise<void>
+  /**
+   * Lets this member vote where the newest group has it as a learner. Only for a member that holds all
+   * that was committed: an older group in the log may have had it as a learner before its disk was
+   * emptied.
+   */
+  recordTakenIn(): Promise<void>
   /** Index of the entry that last changed the group; 0 when the log holds none. */
   changedAt(): number
   /** Builds the first entry of a leader that was elected without the voters whose disks were lost. */
@@ -89,16 +95,11 @@
     // An instance that was taken in does not know the group before the first change in its log.
     return groups.slice(Math.max(from, 0)).filter(({ members }) => listVoters(members).length > 0)
   }
-  const recordTakenIn = () => {
-    const isTakenIn = members()[name]?.kind === 'learner' && !store.ballot().mayVote
-    if (isTakenIn) void store.saveBallot({ ...store.ballot(), mayVote: true })
-  }
   const observe = ({ command, index }: LogEntry) => {
     if (!isGroupCommand(command) || command.group !== 'members') return
     // A change is begun only once the one before is committed, but where disks were lost.
     if (!command.lostVoters) provenChange = changedAt()
     groups.push({ at: index, members: command.members, lostVoters: command.lostVoters ?? [] })
-    recordTakenIn()
   }
   return {
     members,
@@ -116,10 +117,14 @@
     listElecting: (commitIndex) => listUnsettled(commitIndex).map(({ members }) => members),
     listLost: () => groups.flatMap(({ lostVoters }) => lostVoters),
     findAt: (index) => (groups.findLast(({ at }) => at <= index) ?? groups[0]).members,
-    settle: (commitIndex) => {
+    settle: async (commitIndex) => {
       const settled = groups.findLast(({ at }) => at <= commitIndex)?.at ?? 0
       if (settled <= (store.ballot().settledChange ?? 0)) return
-      void store.saveBallot({ ...store.ballot(), settledChange: settled })
+      await store.saveBallot({ ...store.ballot(), settledChange: settled })
+    },
+    recordTakenIn: async () => {
+      if (members()[name]?.kind !== 'learner' || store.ballot().mayVote) return
+      await store.saveBallot({ ...store.ballot(), mayVote: true })
     },
     changedAt,
     buildFirstCommand: (lostVoters) => {
@@ -133,8 +138,6 @@
       const founders = store.ballot().mayVote ? options.founders : {}
       groups = [{ at: store.baseIndex(), members: saved?.members ?? founders, lostVoters: [] }]
       provenChange = 0
-      // The entry that took this member in may be in the snapshot; it would vote for nobody, for ever.
-      recordTakenIn()
       for (const entry of store.list(store.baseIndex() + 1, Infinity)) observe(entry)
     },
   }
--- a/packages/control/src/raft/votes.ts
+++ b/packages/control/src/raft/votes.ts
@@ -82,8 +82,11 @@
     lostVoters,
     answers: buildAnswers(),
   })
+  // A member that answers at the address of another one has moved; it says nothing of that one's disk.
+  const isProof = (name: string, { voter }: VoteReply) =>
+    voter !== name && (members[voter] === undefined || members[voter].url === members[name].url)
   const listLost = () => {
-    const found = [...replies].filter(([name, { voter }]) => voter !== name).map(([name]) => name)
+    const found = [...replies].filter(([name, reply]) => isProof(name, reply)).map(([name]) => name)
     return new Set([...options.lostBefore, ...(request.isPreVote ? found : [])])
   }
   const findOutcome = (): VoteOutcome | undefined => {
@@ -97,7 +100,8 @@
       listVoters(group).filter((name) => granting.has(name) && !lost.has(name)).length
     if (!groups.every((group) => countGranting(group) >= countGrants(group, lost))) return undefined
     const isByMajority = groups.every((group) => countGranting(group) >= countMajority(group))
-    return buildWon(isByMajority ? [] : listVoters(members).filter((name) => lost.has(name)))
+    const votersOfAny = new Set(groups.flatMap(listVoters))
+    return buildWon(isByMajority ? [] : [...votersOfAny].filter((name) => lost.has(name)))
   }
   const sendTo = async (other: string, url: string): Promise<VoteReply | undefined> => {
     try {
@@ -119,7 +123,7 @@
       await onHigherTerm(reply.term)
       replies.set(other, reply)
       endedTerms[reply.voter] = reply.endedTerm
-      if (reply.voter !== other) {
+      if (isProof(other, reply)) {
         endedTerms[other] = EVERY_TERM
         onLostVoter(other, url, reply.voter)
       }
