fix(core): forget the answers of a connection that is gone

Cause: Node never tells an answer that waits behind another one on its connection that the connection closed. Such a request stayed in progress for ever, in our own servers and in the direct router: a planned stop waited out its whole time for it and counted it as cut off.

Change: the ends of connections tell once of each answer that it is over, by its own close or by that of its connection.

Tests: 'waits for no answer whose connection is gone …' got `abandoned` 1 before and 0 after. The fake connection of the router's test became an event source, since the stop listens to it now; its assertions are as they were.

--- a/packages/core/src/__tests__/core.spec.ts
+++ b/packages/core/src/__tests__/core.spec.ts
@@ -197,4 +197,21 @@
     other.end()
     expect((await closing).abandoned).to.equal(0)
   })
+
+  it('waits for no answer whose connection is gone, the second of two on it neither', async () => {
+    let begun = 0
+    const server = await createHttpServer({
+      host: '127.0.0.1',
+      port: 0,
+      logger: createQuietLogger(),
+      timers: createTimerService(),
+      routes: [{ method: 'GET', path: '/:name', handler: () => void (begun += 1) }],
+    })
+    const caller = connect(server.port, '127.0.0.1')
+    caller.write('GET /a HTTP/1.1\r\nhost: a\r\n\r\nGET /b HTTP/1.1\r\nhost: a\r\n\r\n')
+    while (begun < 2) await new Promise((resolve) => setImmediate(resolve))
+    caller.destroy()
+    // Of two that wait on one connection Node tells only the first that it closed.
+    expect((await server.close(2_000)).abandoned).to.equal(0)
+  })
 })
--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -8,33 +8,44 @@
 
 /** Ends of the connections of one server; see {@link createConnectionEnds}. */
 export interface ConnectionEnds {
-  /** Takes a request that has arrived; false when its connection was promised to end before it. */
-  take(request: IncomingMessage, response: ServerResponse): boolean
+  /**
+   * Takes a request that has arrived; false when its connection was promised to end before it.
+   * @param onEnd called once its answer is closed, or its connection is.
+   */
+  take(request: IncomingMessage, response: ServerResponse, onEnd: () => void): boolean
   /** From now on each connection ends after the answers under way on it. */
   start(): void
 }
 
 /** Creates the ends of a server that runs. */
 export function createConnectionEnds(logger: Logger): ConnectionEnds {
-  /** Answers under way on each connection. */
-  const underWay = new WeakMap<Socket, number>()
+  /** What ends each of the answers under way on a connection. */
+  const underWay = new WeakMap<Socket, Set<() => void>>()
   /** Connections of which an answer, or their own end, has told that nothing follows. */
   const ending = new WeakSet<Socket>()
+  /** Connections of which a request that came too late was told: one line each. */
+  const told = new WeakSet<Socket>()
   let isStopping = false
 
-  /** The head of an answer that began before the stop could not say that the connection ends. */
-  const settleAnswer = (socket: Socket) => {
-    const left = (underWay.get(socket) ?? 1) - 1
-    underWay.set(socket, left)
-    if (!isStopping || left > 0) return
-    ending.add(socket)
-    socket.end()
+  const openUnderWay = (socket: Socket) => {
+    const answers = new Set<() => void>()
+    underWay.set(socket, answers)
+    // An answer that waits behind another one is never told by Node that its connection closed.
+    socket.once('close', () => {
+      for (const end of [...answers]) end()
+    })
+    return answers
+  }
+  const recordLate = ({ socket, headers, url }: IncomingMessage) => {
+    if (told.has(socket)) return
+    told.add(socket)
+    logger.info('call.onEndedConnection', { host: headers.host, target: url?.split('?', 1)[0] })
   }
   return {
-    take: (request, response) => {
-      const { socket, headers, url } = request
+    take: (request, response, onEnd) => {
+      const { socket } = request
       if (ending.has(socket)) {
-        logger.info('call.onEndedConnection', { host: headers.host, target: url?.split('?', 1)[0] })
+        recordLate(request)
         request.resume()
         return false
       }
@@ -42,8 +53,17 @@
         ending.add(socket)
         response.setHeader('connection', 'close')
       }
-      underWay.set(socket, (underWay.get(socket) ?? 0) + 1)
-      response.once('close', () => settleAnswer(socket))
+      const answers = underWay.get(socket) ?? openUnderWay(socket)
+      const end = () => {
+        if (!answers.delete(end)) return
+        onEnd()
+        // The head of an answer that began before the stop could not say that the connection ends.
+        if (!isStopping || answers.size > 0) return
+        ending.add(socket)
+        socket.end()
+      }
+      answers.add(end)
+      response.once('close', end)
       return true
     },
     start: () => {
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -274,12 +274,12 @@
     })
   })
   server.on('request', (request, response) => {
-    if (!ends.take(request, response)) return
-    active.add(response)
-    response.once('close', () => {
+    const onEnd = () => {
       active.delete(response)
       if (active.size === 0) notifyIdle()
-    })
+    }
+    if (!ends.take(request, response, onEnd)) return
+    active.add(response)
     dispatch(request, response).catch((cause) => sendError(response, cause))
   })
   await waitUntilListening(server, options.host, options.port)
--- a/packages/router/src/__tests__/plannedStop.spec.ts
+++ b/packages/router/src/__tests__/plannedStop.spec.ts
@@ -16,7 +16,8 @@
 
 /** Creates a request that comes on a connection of its own, and its answer. */
 function createExchange() {
-  const request = { socket: { end: () => {} }, headers: {} }
+  const socket = Object.assign(new EventEmitter(), { end: () => {} })
+  const request = { socket, headers: {} }
   const response = Object.assign(new EventEmitter(), { headersSent: false, setHeader: () => {} })
   return {
     request: request as unknown as IncomingMessage,
--- a/packages/router/src/direct/plannedStop.ts
+++ b/packages/router/src/direct/plannedStop.ts
@@ -115,7 +115,6 @@
       })
     },
     add: (request, response) => {
-      if (!ends.take(request, response)) return undefined
       const tracked: Tracked = {
         response,
         arrivedAt: timers.now(),
@@ -123,8 +122,8 @@
         call: undefined,
         plan: undefined,
       }
+      if (!ends.take(request, response, () => inProgress.delete(tracked))) return undefined
       inProgress.add(tracked)
-      response.once('close', () => inProgress.delete(tracked))
       return {
         recordCall: (call) => {
           tracked.call = call
