--- /dev/null
+++ b/packages/control/src/__tests__/membership.spec.ts
@@ -0,0 +1,60 @@
+import { createQuietLogger } from '@spoolgate/core'
+import { expect } from 'chai'
+import { openLogStore, type LogStore } from '../log/logStore.js'
+import { createMembership } from '../raft/membership.js'
+import type { MemberKind, MemberMap } from '../raft/messages.js'
+import { createTestGroup, ELECTION_MS } from './group.js'
+import { createMemoryFolder } from './memoryFolder.js'
+
+function buildMembers(kinds: Record<string, MemberKind>): MemberMap {
+  return Object.fromEntries(
+    Object.entries(kinds).map(([name, kind]) => [name, { url: name, kind }]),
+  )
+}
+
+describe('the groups that must elect after a restart', () => {
+  let store: LogStore
+
+  beforeEach(async () => {
+    const folder = createMemoryFolder()
+    store = await openLogStore({ folder, logger: createQuietLogger(), onFailure: () => {} })
+    await store.saveBallot({ term: 1, votedFor: 'a', mayVote: true })
+  })
+  afterEach(() => store.close())
+
+  it('leave out those before a change that a later one proves to be committed', () => {
+    const founders = buildMembers({ a: 'voter', b: 'voter', c: 'voter' })
+    const first = { ...founders, d: { url: 'd', kind: 'learner' as const } }
+    const second = { ...founders, d: { url: 'd', kind: 'voter' as const } }
+    const membership = createMembership({ name: 'a', store, founders })
+    membership.reload()
+    const observe = (index: number, members: MemberMap) =>
+      membership.observe({ index, term: 1, command: { group: 'members', members } })
+    observe(5, first)
+    expect(membership.listElecting(0)).to.deep.equal([founders, first])
+    observe(9, second)
+    // Nothing says that the log is committed, but the second change was begun.
+    expect(membership.listElecting(0)).to.deep.equal([first, second])
+  })
+})
+
+describe('a change of the group that was committed', () => {
+  it('is told to the members at once, not with the next heartbeat', async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const group = await createTestGroup(['a', 'b', 'c'], seed)
+      const leader = await group.findLeader()
+      await group.run(ELECTION_MS)
+      const { members } = leader.member.status()
+      let isDone = false
+      const next = { ...members, x: { url: 'x', kind: 'learner' as const } }
+      void leader.member.changeMembers(next).then(() => (isDone = true))
+      await group.runUntil(() => isDone, 'the change of the group')
+      await group.run(5)
+      for (const { name, member } of group.members.values()) {
+        const { commitIndex } = leader.member.status()
+        expect(member.status().commitIndex, `seed ${seed}, ${name}`).to.equal(commitIndex)
+      }
+      await group.close()
+    }
+  })
+})
