--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -10,7 +10,7 @@
 import { openLogStore } from '../log/logStore.js'
 import { createRaftMember } from '../raft/member.js'
 import type { RaftMember } from '../raft/types.js'
-import type { MemberMap, RaftTransport } from '../raft/messages.js'
+import type { MemberMap, RaftTransport, VoteRequest } from '../raft/messages.js'
 import { createControlMachine, type ControlMachine } from '../state/controlMachine.js'
 import { createMemoryFolder, type MemoryFolder } from './memoryFolder.js'
 
@@ -64,6 +64,12 @@
 }
 
 export const ELECTION_MS = 100
+
+/** Builds what a candidate outside of the group asks, whose log is up to date. */
+export function buildPreVote(term: number, lastIndex: number): VoteRequest {
+  return { isPreVote: true, term, candidate: 'z', lastIndex, lastTerm: term, endedTerms: {} }
+}
+
 const STEP_MS = 5
 const MAX_STEPS = 4_000
 
--- a/packages/control/src/__tests__/lostProof.spec.ts
+++ b/packages/control/src/__tests__/lostProof.spec.ts
@@ -1,6 +1,12 @@
 /** What proves a lost disk, and what does not: elections by half of a group rest on it. */
 import { expect } from 'chai'
-import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
+import {
+  buildPreVote,
+  createTestGroup,
+  ELECTION_MS,
+  type TestGroup,
+  type TestMember,
+} from './group.js'
 
 /** Builds a command that leaves a trace in the state: a table version. */
 function buildTable(version: number) {
@@ -87,14 +93,7 @@
     group.isolate('x')
     await group.run(ELECTION_MS * 5)
     const { lastIndex, term } = leader.member.status()
-    const vote = await emptied.member.handleVote({
-      isPreVote: true,
-      term: term + 9,
-      candidate: 'z',
-      lastIndex: lastIndex + 9,
-      lastTerm: term + 9,
-      endedTerms: {},
-    })
+    const vote = await emptied.member.handleVote(buildPreVote(term + 9, lastIndex + 9))
     expect(vote).to.include({ isGranted: false, refusal: 'mayNotVote' })
     await group.close()
   })
--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -1,6 +1,12 @@
 import { expect } from 'chai'
 import type { MemberMap } from '../raft/messages.js'
-import { createTestGroup, ELECTION_MS, type TestGroup, type TestMember } from './group.js'
+import {
+  buildPreVote,
+  createTestGroup,
+  ELECTION_MS,
+  type TestGroup,
+  type TestMember,
+} from './group.js'
 
 const NAMES = ['a', 'b', 'c']
 
@@ -233,14 +239,7 @@
     group.isolate('x')
     await group.run(ELECTION_MS * 2)
     const { lastIndex, term } = leader.member.status()
-    const vote = await newcomer.member.handleVote({
-      isPreVote: true,
-      term: term + 9,
-      candidate: 'z',
-      lastIndex: lastIndex + 9,
-      lastTerm: term + 9,
-      endedTerms: {},
-    })
+    const vote = await newcomer.member.handleVote(buildPreVote(term + 9, lastIndex + 9))
     expect(vote).to.include({ isGranted: true, refusal: undefined })
   })
 
