--- a/packages/control/src/raft/membership.ts
+++ b/packages/control/src/raft/membership.ts
@@ -43,7 +43,10 @@
   listLost(): readonly string[]
   /** Finds the group that was in force at an index. */
   findAt(index: number): MemberMap
-  /** Notes that the log is committed up to an index, for elections after a restart; resolves once that is on the disk. */
+  /**
+   * Notes that the log is committed up to an index, for elections after a restart; resolves once that
+   * is on the disk.
+   */
   settle(commitIndex: number): Promise<void>
   /**
    * Lets this member vote where the newest group has it as a learner. Only for a member that holds all
