fix(control): a router that looks for its table never begins a try anew, and a first answer is bounded

The class is a retry that throws away the work of the try before it, under a limit that does not know the size of the answer.

Change: - leaderSearch.ts: instances are asked one after the other; one that is silent is not given up, the next is asked beside it, and whoever answers first is the leader. A poll that stays silent goes on in the same way. Pauses grow and are drawn; a search says at most once a second why it has no answer (control.searching). - feedSource.ts: an instance that knows no leader holds the ask for 250 ms in place of refusing it at once. The list of all that is kept goes out in pieces of 1,000 parts, each kept by the router, in the order of the names, once around; changes are told meanwhile. Answers with news take turns of the event loop, so that heartbeats run in between. What routers have in progress is summed up as it comes (loadSum.ts) and not for each answer over all routers. - Placements that no leader has taken are told again with the next ask.

--- a/packages/control/src/__tests__/feedHerd.ts
+++ b/packages/control/src/__tests__/feedHerd.ts
@@ -6,6 +6,7 @@
   ConnectionError,
   createLogger,
   createManualTimerService,
+  createRandomSource,
   toBackendServerId,
   type HttpClient,
   type ManualTimerService,
@@ -35,6 +36,8 @@
   readonly routerMbps: number
   /** Ms after the start of the routers at which a leader is elected; it leads from then on. */
   readonly electedAt: number
+  /** Ms for which the leader is busy from then on with the lists of what engines keep. */
+  readonly listingMs: number
 }
 
 /** A herd. */
@@ -58,6 +61,8 @@
 const TERM = 3
 const INSTANCES = 6
 const STEP_MS = 5
+/** Turns of the event loop in one step: a leader paces its answers by them. */
+const TURNS_PER_STEP = 4
 /** One way between data halls, in ms. */
 const DELAY_MS = 1
 /** Work of a request beside its bytes, in ms of a whole core; as docs/CAPACITY.md reckons. */
@@ -66,10 +71,10 @@
 const WRITE_MS_PER_BYTE = 1e-5
 const READ_MS_PER_BYTE = 7e-6
 /**
- * How much longer the work of a process that has just started takes, since its code is not compiled
- * yet: writing a reply of 122 KB took 3.4 ms the first time and 1.1 ms later.
+ * The first pieces of work of a process that has just started take longer: writing a reply of 140 KB
+ * took 2.2, 1.7 and from then on 0.8 ms.
  */
-const COLD_FACTOR = 3
+const COLD_FACTORS = [2.8, 2.1]
 const BITS_PER_BYTE = 8
 const BITS_PER_MS_AND_MBPS = 1_000
 const ROUTES = 44
@@ -98,6 +103,8 @@
 
 interface Place {
   readonly processor: Resource
+  /** Pieces of work done so far. */
+  workDone: number
   readonly link: Resource
   readonly cores: number
   readonly mbps: number
@@ -181,12 +188,13 @@
       timers,
       findConditions: () => ({ loading: [], expired: [], silent: [], stores: [] }),
       conditionChanges: NEVER,
-      listKept: kept.list,
+      kept,
       waitForKept: async () => {},
       stopping: NEVER,
     })
   const createPlace = (cores: number, mbps: number): Place => ({
     processor: createResource(timers),
+    workDone: 0,
     link: createResource(timers),
     cores,
     mbps,
@@ -197,7 +205,11 @@
       return [url, { source: createSource(url), place }]
     }),
   )
-  const work = (place: Place, ms: number) => place.processor.use((ms * COLD_FACTOR) / place.cores)
+  const work = (place: Place, ms: number) => {
+    const factor = COLD_FACTORS[place.workDone] ?? 1
+    place.workDone += 1
+    return place.processor.use((ms * factor) / place.cores)
+  }
   const carry = (place: Place, bytes: number) =>
     place.link.use((bytes * BITS_PER_BYTE) / (place.mbps * BITS_PER_MS_AND_MBPS))
 
@@ -236,6 +248,9 @@
     close: () => {},
   })
 
+  timers.after(options.electedAt).subscribe(() => {
+    void instances.get(leaderUrl)?.place.processor.use(options.listingMs)
+  })
   const tableMs: (number | undefined)[] = []
   const keptParts: number[] = []
   const followers = Array.from({ length: options.routers }, (_, index) => {
@@ -247,6 +262,7 @@
       seeds: () => urls.slice(0, 3),
       client: createClient(place),
       timers,
+      random: createRandomSource(index + 1),
       logger: createLogger({ write: (line) => void lines.push(line) }),
       decodeTable: () =>
         ({ routes: [], groups: [], stores: [], version: 7 }) as unknown as RoutingTable,
@@ -262,7 +278,11 @@
     })
     return follower
   })
-  const settle = () => new Promise((resolve) => setImmediate(resolve))
+  const settle = async () => {
+    for (let turn = 0; turn < TURNS_PER_STEP; turn += 1) {
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+  }
   const run: Herd['run'] = async (duration) => {
     for (let spent = 0; spent < duration; spent += STEP_MS) {
       timers.advance(STEP_MS)
--- a/packages/control/src/registry/cacheWatch.ts
+++ b/packages/control/src/registry/cacheWatch.ts
@@ -8,7 +8,7 @@
 import type { RaftMember } from '../raft/types.js'
 import type { ControlMachine } from '../state/controlMachine.js'
 import type { Placement, StoreLife } from './feed.js'
-import { createKeptParts, type CachePlace, type KeptPart } from './keptParts.js'
+import { createKeptParts, type CachePlace, type KeptPart, type KeptParts } from './keptParts.js'
 
 /** Speaks to what keeps KV cache; deployments bring their own way. */
 export interface CacheCalls {
@@ -60,8 +60,8 @@
 export interface CacheWatch {
   /** Stores that answered last time. */
   listLives(): readonly StoreLife[]
-  /** Lists all that is known to be kept. */
-  listKept(): Placement[]
+  /** What is known to be kept. */
+  readonly kept: Pick<KeptParts, 'takePiece'>
   /** Waits until every place has answered once, or for {@link FIRST_ANSWERS_MS}. */
   waitForFirstAnswers(): Promise<void>
   /** Emits when the lives of stores changed. */
@@ -228,7 +228,7 @@
   const news = merge(member.elected, machine.fleetChanges).subscribe(look)
   return {
     listLives: () => [...lives].map(([address, epoch]) => ({ address, epoch })),
-    listKept: kept.list,
+    kept,
     waitForFirstAnswers: async () => {
       const isOver = settledChanges.pipe(filter(isSettled))
       if (!isSettled()) await firstValueFrom(isOver, { defaultValue: undefined })
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -36,6 +36,17 @@
 /** Placements in one reply; at 60 bytes each they stay under 15 KB a second. */
 export const MAX_PLACEMENTS_PER_REPLY = 100
 
+/**
+ * Where a router stands in the list of all that engines and stores keep. The list is told place by
+ * place in the order of their names, over several replies; the last name is followed by the first.
+ */
+export interface KeptPosition {
+  /** Place that was told last; empty before the first. */
+  readonly after: string
+  /** Places that are still to be told; 0 once the router knows the list. */
+  readonly left: number
+}
+
 /** A store of KV cache that answers. */
 export interface StoreLife {
   readonly address: string
@@ -70,6 +81,8 @@
   readonly placementsSeen: number
   /** Number of the last change of what is kept that this router was told of, in the same way. */
   readonly keptSeen: number
+  /** Where this router stands in the list of all that is kept. */
+  readonly keptPosition: KeptPosition
   /** Longest wait for something new, in ms. */
   readonly waitMs: number
 }
@@ -94,7 +107,8 @@
   readonly placements: readonly Placement[]
   /** Number of the last placement so far. */
   readonly placementsSeen: number
-  /** Changes of what is kept since the last reply, or all that is kept. */
+  /** Changes of what is kept since the last reply, then a piece of the list of all that is kept. */
   readonly kept: readonly KeptPlacement[]
   readonly keptSeen: number
+  readonly keptPosition: KeptPosition
 }
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -4,28 +4,28 @@
  * version, and it knows how old the proof is that it holds the newest.
  */
 import {
-  createTimeLimit,
-  toSpoolgateError,
   waitFor,
   type BackendServerId,
   type HttpClient,
   type Logger,
+  type RandomSource,
   type TimerService,
 } from '@spoolgate/core'
 import { buildTableIndex, type RoutingTable, type TableIndex } from '@spoolgate/routing'
 import { Subject, type Observable } from 'rxjs'
-import { findLeaderUrl } from '../group/groupKeeper.js'
 import type { RegisteredServer } from '../state/serverState.js'
 import {
   FEED_PATH,
   type FeedReply,
   type FeedRequest,
   type KeptPlacement,
+  type KeptPosition,
   type Placement,
   type ServerConditions,
   type ServerLoads,
   type StoreLife,
 } from './feed.js'
+import { createLeaderSearch } from './leaderSearch.js'
 
 /** Options of {@link createFeedFollower}. */
 export interface FeedFollowerOptions {
@@ -35,6 +35,7 @@
   readonly seeds: () => readonly string[]
   readonly client: HttpClient
   readonly timers: TimerService
+  readonly random: RandomSource
   readonly logger: Logger
   /** Decodes the operators' document; throws for one that this version cannot read. */
   readonly decodeTable: (document: string) => RoutingTable
@@ -87,14 +88,24 @@
 const WAIT_MS = 100
 /** Added for each router, in ms, so that the leader answers 80 polls a second at most. */
 const WAIT_PER_ROUTER_MS = 12
-/** Time beyond the wait after which an instance counts as not answering, in ms. */
+/** Silence beyond the wait after which other instances are asked as well, in ms. */
 const ANSWER_MS = 500
-/** Longest wait for an answer while the leader is searched, in ms. */
-const SEARCH_MS = 350
-/** Pause after every known instance was asked in vain, in ms. */
-const PAUSE_MS = 60
+/** Pause after an answer that cannot be read, in ms: the next will most likely be like it. */
+const UNREADABLE_PAUSE_MS = 500
+/** Placements that are kept until a leader has taken them; more than one poll brings. */
+const MAX_UNTOLD = 200
 
 const NO_VERSION = -1
+const NOTHING_KEPT: KeptPosition = { after: '', left: 0 }
+
+/** A reply with the facts of its ask. */
+interface FeedAnswer {
+  readonly reply: FeedReply
+  /** When it was asked for, in ms of the monotonic clock. */
+  readonly askedAt: number
+  /** Placements that the leader was told with it. */
+  readonly told: ReadonlySet<Placement>
+}
 
 type ConditionSets = Pick<FleetView, 'loading' | 'expired' | 'silent' | 'stores'>
 
@@ -131,6 +142,8 @@
   let revision = NO_VERSION
   let placementsSeen = 0
   let keptSeen = 0
+  let keptPosition = NOTHING_KEPT
+  let untold: readonly Placement[] = []
   let provenAt = -Infinity
   let view: FleetView | undefined
   /** Instance that answered last. */
@@ -166,67 +179,85 @@
     revision = reply.revision
     placementsSeen = reply.placementsSeen
     keptSeen = reply.keptSeen
+    keptPosition = reply.keptPosition
     rebuildView()
     options.onPlacements(reply.placements)
     options.onKept(reply.kept)
     if (isChanged && view) changes.next(view)
   }
-  const askInstance = async (url: string, waitMs: number, answerMs: number) => {
-    const sentAt = timers.now()
+  /** Wait that a poll asks for; what is kept comes in pieces, one right after the other. */
+  const findWaitMs = (url: string) => {
+    if (url !== leader || keptPosition.left > 0) return 0
+    return Math.max(WAIT_MS, routers * WAIT_PER_ROUTER_MS)
+  }
+  const askInstance = async (url: string, signal: AbortSignal): Promise<FeedAnswer> => {
+    const askedAt = timers.now()
+    untold = [...untold, ...options.takePlacements()].slice(-MAX_UNTOLD)
+    const placements = untold
     const request: FeedRequest = {
       router: options.router,
       tableVersion: index?.table.version ?? NO_VERSION,
       term,
       revision,
       loads: options.listLoads(),
-      placements: options.takePlacements(),
+      placements,
       placementsSeen,
       keptSeen,
-      waitMs,
+      keptPosition,
+      waitMs: findWaitMs(url),
     }
-    const limit = createTimeLimit(timers, waitMs + answerMs, [stopping.signal])
-    const reply = await client
-      .sendJson<FeedReply>({
-        method: 'POST',
-        url: `${url}${FEED_PATH}`,
-        json: request,
-        signal: limit.signal,
-      })
-      .finally(limit.close)
+    const reply = await client.sendJson<FeedReply>({
+      method: 'POST',
+      url: `${url}${FEED_PATH}`,
+      json: request,
+      signal,
+    })
+    return { reply, askedAt, told: new Set(placements) }
+  }
+  const applyAnswer = ({ reply, askedAt, told }: FeedAnswer) => {
     applyReply(reply)
-    provenAt = sentAt
-    if (leader === url) return
-    leader = url
-    logger.info('control.regained', { url, term })
+    untold = untold.filter((placement) => !told.has(placement))
+    // An ask that was silent for a while may be answered after a younger one.
+    provenAt = Math.max(provenAt, askedAt)
   }
-  /** Asks each known instance in turn, and whoever it names as leader. */
-  const findLeader = async () => {
-    const targets = [...new Set([...control, ...options.seeds()])]
-    for (let turn = 0; turn < targets.length && !stopping.signal.aborted; turn += 1) {
-      try {
-        return await askInstance(targets[turn], 0, SEARCH_MS)
-      } catch (cause) {
-        const named = findLeaderUrl(cause)
-        if (named && !targets.slice(0, turn + 1).includes(named)) {
-          targets.splice(turn + 1, 0, named)
-        }
-      }
-    }
-    await waitFor(timers, PAUSE_MS, stopping.signal)
+  const search = createLeaderSearch({
+    listInstances: () => [...new Set([...control, ...options.seeds()])],
+    ask: askInstance,
+    timers,
+    random: options.random,
+    logger,
+    listState: () => ({
+      tableVersion: index?.table.version,
+      proofAgeMs: Math.round(timers.now() - provenAt),
+      term,
+    }),
+    stopping: stopping.signal,
+  })
+  const pollLeader = async (url: string) => {
+    const answered = await search.askFirst(url, findWaitMs(url) + ANSWER_MS)
+    if (answered || stopping.signal.aborted) return answered
+    logger.warn('control.lost', { url, term, proofAgeMs: Math.round(timers.now() - provenAt) })
+    leader = undefined
+    return undefined
+  }
+  const followLeader = async () => {
+    const polled = leader === undefined ? undefined : await pollLeader(leader)
+    const found = polled ?? (await search.run())
+    if (!found) return
+    applyAnswer(found.answer)
+    if (leader === found.url) return
+    leader = found.url
+    logger.info('control.regained', { url: leader, term })
   }
   const run = async () => {
     while (!stopping.signal.aborted) {
-      if (leader === undefined) {
-        await findLeader()
-        continue
-      }
       try {
-        await askInstance(leader, Math.max(WAIT_MS, routers * WAIT_PER_ROUTER_MS), ANSWER_MS)
+        await followLeader()
       } catch (cause) {
-        if (stopping.signal.aborted) break
-        const reason = toSpoolgateError(cause).message
-        logger.warn('control.lost', { url: leader, reason, proofAgeMs: timers.now() - provenAt })
+        // Only what cannot be read comes here: a table of a newer version of this program.
+        logger.error('feed.unreadable', { url: leader, reason: String(cause) })
         leader = undefined
+        await waitFor(timers, UNREADABLE_PAUSE_MS, stopping.signal)
       }
     }
   }
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -1,6 +1,6 @@
 /** The leader's side of the feed to routers. */
-import { SpoolgateError, type TimerService } from '@spoolgate/core'
-import { firstValueFrom, fromEvent, merge, race, type Observable } from 'rxjs'
+import { createTurnQueue, SpoolgateError, type TimerService } from '@spoolgate/core'
+import { filter, firstValueFrom, fromEvent, merge, race, share, type Observable } from 'rxjs'
 import type { ServerResponse } from 'node:http'
 import type { RaftMember } from '../raft/types.js'
 import type { ControlMachine } from '../state/controlMachine.js'
@@ -9,10 +9,12 @@
   type FeedReply,
   type FeedRequest,
   type KeptPlacement,
+  type KeptPosition,
   type ServerConditions,
-  type ServerLoad,
   type ServerLoads,
 } from './feed.js'
+import type { KeptParts } from './keptParts.js'
+import { createLoadSum } from './loadSum.js'
 import { createPlacementLog } from './placementLog.js'
 
 /** Options of {@link createFeedSource}. */
@@ -23,8 +25,8 @@
   readonly findConditions: () => ServerConditions
   /** Emits when the conditions changed. */
   readonly conditionChanges: Observable<void>
-  /** Lists all that engines and stores keep, for a router that knows nothing. */
-  readonly listKept: () => KeptPlacement[]
+  /** What engines and stores keep, for routers that do not know it yet. */
+  readonly kept: Pick<KeptParts, 'takePiece'>
   /** Waits until what engines and stores keep is known, for a little while. */
   readonly waitForKept: () => Promise<void>
   /** Emits when the instance stops: waiting polls are answered at once. */
@@ -48,30 +50,32 @@
 const ROUTER_LIFE_MS = 3_000
 /** Longest wait that a router may ask for, in ms. */
 const MAX_WAIT_MS = 1_000
+/**
+ * Time for which a router is held that asks while no leader is known, in ms. Held, 70 routers ask 280
+ * times a second; refused at once, each asked some sixty times a second while it had no table. Below
+ * the silence after which a router asks another instance as well.
+ */
+const HOLD_MS = 250
+/** Time between two looks whether a leader is known, while somebody waits for it, in ms. */
+const LEADER_LOOK_MS = 25
+/**
+ * Parts in one piece of the list of all that is kept: at 20 bytes each, 20 KB, as much as a routing
+ * table. With the whole list of 82 engines, of 190 KB, the first answers to 70 routers took a link of
+ * 100 Mbit/s for 1.5 s; with this piece they take it for 0.4 s. Six engines fit into one piece.
+ */
+const MAX_KEPT_PARTS_PER_REPLY = 1_000
+/** Position of a router that knows nothing of what is kept. */
+const WHOLE_LIST: KeptPosition = { after: '', left: Number.MAX_SAFE_INTEGER }
 /** Sender of what comes from no router. */
 const NOBODY = 'nobody'
 
-interface RouterView {
-  readonly loads: ServerLoads
-  readonly at: number
-}
-
-function addLoads(total: Map<string, ServerLoad>, loads: ServerLoads): void {
-  for (const [server, { calls, promptTokens }] of Object.entries(loads)) {
-    const sum = total.get(server) ?? { calls: 0, promptTokens: 0 }
-    total.set(server, {
-      calls: sum.calls + calls,
-      promptTokens: sum.promptTokens + promptTokens,
-    })
-  }
-}
-
 /** Creates the source. */
 export function createFeedSource(options: FeedSourceOptions): FeedSource {
   const { member, machine, timers } = options
-  const routers = new Map<string, RouterView>()
+  const loads = createLoadSum({ timers, routerLifeMs: ROUTER_LIFE_MS })
   const placements = createPlacementLog()
-  const kept = createPlacementLog()
+  const changesOfKept = createPlacementLog()
+  const turns = createTurnQueue()
   let placementsTerm: number | undefined
   let revision = 0
   const changes = merge(machine.fleetChanges, options.conditionChanges)
@@ -79,55 +83,73 @@
     revision += 1
   })
 
-  const listRouters = () => {
-    const oldest = timers.now() - ROUTER_LIFE_MS
-    for (const [name, { at }] of routers) if (at < oldest) routers.delete(name)
-    return [...routers]
+  const checkLeading = () => {
+    const { role, leader, leaderUrl } = member.status()
+    if (role !== 'leader') {
+      throw new SpoolgateError('notLeader', 'ask the leader', { details: { leader, leaderUrl } })
+    }
+    member.checkCurrent()
+  }
+  /** Whether a router that asks here can be told the table, or whom to ask. */
+  const isLeaderKnown = () => {
+    const { role, leader } = member.status()
+    if (role !== 'leader') return leader !== undefined
+    try {
+      member.checkCurrent()
+      return true
+    } catch {
+      // Not an error here: the lease comes with the first acknowledged heartbeats.
+      return false
+    }
   }
-  const sumOthers = (router: string | undefined): ServerLoads => {
-    const total = new Map<string, ServerLoad>()
-    for (const [name, { loads }] of listRouters()) if (name !== router) addLoads(total, loads)
-    return Object.fromEntries(total)
+  const leaderKnown = timers.every(LEADER_LOOK_MS).pipe(filter(isLeaderKnown), share())
+  const waitUntil = async (news: Observable<unknown>, waitMs: number, response: ServerResponse) => {
+    const isOver = race(news, timers.after(waitMs), fromEvent(response, 'close'), options.stopping)
+    await firstValueFrom(isOver, { defaultValue: undefined })
   }
+
   /** A router that heard another leader last has heard nothing of this one's numbers. */
-  const findSeen = (request: FeedRequest, field: 'placementsSeen' | 'keptSeen') =>
-    request.term === member.status().term ? request[field] : 0
-  const listKeptSince = (request: FeedRequest): KeptPlacement[] => {
-    const seen = findSeen(request, 'keptSeen')
-    const isTooMuch = seen === 0 || kept.last() - seen > MAX_PLACEMENTS_PER_REPLY
-    return isTooMuch ? options.listKept() : kept.listSince(NOBODY, seen)
+  const isOfTerm = (request: FeedRequest) => request.term === member.status().term
+  const findKeptPosition = (request: FeedRequest): KeptPosition => {
+    if (!isOfTerm(request)) return WHOLE_LIST
+    const isTooMuch = changesOfKept.last() - request.keptSeen > MAX_PLACEMENTS_PER_REPLY
+    // The list goes on where it stood, once around, so that what was told of it is not told for nothing.
+    return isTooMuch ? { ...WHOLE_LIST, after: request.keptPosition.after } : request.keptPosition
   }
-  const addPlacements = (request: FeedRequest) => {
+  const listKeptChanges = (request: FeedRequest) =>
+    isOfTerm(request) ? changesOfKept.listSince(NOBODY, request.keptSeen) : []
+  const recordRouter = (request: FeedRequest) => {
     const { term } = member.status()
     if (term !== placementsTerm) placements.reset()
     placementsTerm = term
     placements.add(request.router, request.placements)
+    loads.record(request.router, request.loads)
   }
   const isNews = (request: FeedRequest) => {
     const isOtherTable = (machine.table.current()?.version ?? -1) !== request.tableVersion
-    return isOtherTable || request.term !== member.status().term || request.revision !== revision
-  }
-  const waitForNews = async (waitMs: number, response: ServerResponse) => {
-    const late = timers.after(Math.min(waitMs, MAX_WAIT_MS))
-    const isOver = race(changes, late, fromEvent(response, 'close'), options.stopping)
-    await firstValueFrom(isOver, { defaultValue: undefined })
+    return isOtherTable || !isOfTerm(request) || request.revision !== revision
   }
   const buildReply = (request: FeedRequest): FeedReply => {
     const { term, members } = member.status()
     const table = machine.table.current()
     const isOtherTable = table !== undefined && table.version > request.tableVersion
+    const piece = options.kept.takePiece(findKeptPosition(request), MAX_KEPT_PARTS_PER_REPLY)
     const common = {
       term,
       revision,
       ...(isOtherTable ? { table } : {}),
-      routers: listRouters().length,
-      loads: sumOthers(request.router),
-      placements: placements.listSince(request.router, findSeen(request, 'placementsSeen')),
+      routers: loads.countRouters(),
+      loads: loads.sumOthers(request.router),
+      placements: placements.listSince(
+        request.router,
+        isOfTerm(request) ? request.placementsSeen : 0,
+      ),
       placementsSeen: placements.last(),
-      kept: listKeptSince(request),
-      keptSeen: kept.last(),
+      kept: [...listKeptChanges(request), ...piece.placements],
+      keptSeen: changesOfKept.last(),
+      keptPosition: piece.position,
     }
-    if (request.term === term && request.revision === revision) return common
+    if (isOfTerm(request) && request.revision === revision) return common
     return {
       ...common,
       weights: machine.weights.list(),
@@ -136,28 +158,21 @@
       control: Object.values(members).map(({ url }) => url),
     }
   }
-  const checkLeading = () => {
-    const { role, leader, leaderUrl } = member.status()
-    if (role !== 'leader') {
-      throw new SpoolgateError('notLeader', 'ask the leader', { details: { leader, leaderUrl } })
-    }
-    member.checkCurrent()
-  }
   return {
     answer: async (request, response) => {
-      addPlacements(request)
-      routers.set(request.router, { loads: request.loads, at: timers.now() })
-      if (member.status().role === 'leader' && !isNews(request)) {
-        await waitForNews(request.waitMs, response)
-      }
+      if (!isLeaderKnown()) await waitUntil(leaderKnown, HOLD_MS, response)
       checkLeading()
-      if (findSeen(request, 'keptSeen') === 0) {
-        await options.waitForKept()
-        checkLeading()
+      recordRouter(request)
+      if (!isOfTerm(request)) await options.waitForKept()
+      if (!isNews(request)) {
+        await waitUntil(changes, Math.min(request.waitMs, MAX_WAIT_MS), response)
       }
+      // Answers with news are large, and all routers wait for them at once.
+      if (isNews(request)) await turns.take()
+      checkLeading()
       return buildReply(request)
     },
-    addKept: (changes) => kept.add(NOBODY, changes),
-    sumLoads: () => sumOthers(undefined),
+    addKept: (placed) => changesOfKept.add(NOBODY, placed),
+    sumLoads: () => loads.sumOthers(undefined),
   }
 }
--- a/packages/control/src/registry/keptParts.ts
+++ b/packages/control/src/registry/keptParts.ts
@@ -3,7 +3,7 @@
  * in the form in which routers are told: placements whose parts have 0 tokens are gone.
  */
 import { formatStoreId, hashPart, parseScopeVersion } from '@spoolgate/routing'
-import type { Placement } from './feed.js'
+import type { KeptPosition, Placement } from './feed.js'
 
 /** A part of a prompt as an engine or store keeps it. */
 export interface KeptPart {
@@ -30,8 +30,20 @@
   replace(place: CachePlace, parts: readonly KeptPart[]): Placement[]
   /** Forgets a place that is gone. */
   forget(place: CachePlace): void
-  /** Lists all that is kept, for a router that knows nothing. */
+  /** Lists all that is kept. */
   list(): Placement[]
+  /**
+   * Takes the next places of the list for a router that stands at a position in it: as many as hold
+   * `maxParts`, and one at least. A position whose `left` is larger than the list means all of it.
+   */
+  takePiece(position: KeptPosition, maxParts: number): KeptPiece
+}
+
+/** A piece of the list of all that is kept. */
+export interface KeptPiece {
+  readonly placements: readonly Placement[]
+  /** Where the router stands once it has the piece. */
+  readonly position: KeptPosition
 }
 
 interface VersionParts {
@@ -51,6 +63,10 @@
   return place.kind === 'engine' ? place.id : `${place.address}/${place.epoch}`
 }
 
+function buildListing({ place, version, tokens }: VersionParts): Placement {
+  return [place, version, ...[...tokens].flat()]
+}
+
 /** Creates an index that knows of nothing. */
 export function createKeptParts(): KeptParts {
   const places = new Map<string, Map<number, VersionParts>>()
@@ -90,6 +106,27 @@
       return [formatPlaceId(place, version), version, ...[...last].flat()]
     })
   }
+  const listVersions = () =>
+    [...places.values()]
+      .flatMap((versions) => [...versions.values()])
+      .filter(({ tokens }) => tokens.size > 0)
+  const takePiece: KeptParts['takePiece'] = ({ after, left }, maxParts) => {
+    if (left <= 0) return { placements: [], position: { after, left: 0 } }
+    const ordered = listVersions().sort((a, b) => (a.place < b.place ? -1 : 1))
+    const told = ordered.filter(({ place }) => place <= after)
+    // Behind the last name comes the first again.
+    const coming = [...ordered.slice(told.length), ...told].slice(0, left)
+    let parts = 0
+    const end = coming.findIndex(({ tokens }, index) => {
+      parts += tokens.size
+      return index > 0 && parts > maxParts
+    })
+    const piece = end === -1 ? coming : coming.slice(0, end)
+    return {
+      placements: piece.map(buildListing),
+      position: { after: piece.at(-1)?.place ?? after, left: coming.length - piece.length },
+    }
+  }
   return {
     apply,
     replace: (place, parts) => {
@@ -103,11 +140,7 @@
       return [...gone, ...apply(place, parts)]
     },
     forget: (place) => void places.delete(formatPlaceKey(place)),
-    list: () =>
-      [...places.values()].flatMap((versions) =>
-        [...versions.values()]
-          .filter(({ tokens }) => tokens.size > 0)
-          .map(({ place, version, tokens }): Placement => [place, version, ...[...tokens].flat()]),
-      ),
+    list: () => listVersions().map(buildListing),
+    takePiece,
   }
 }
--- /dev/null
+++ b/packages/control/src/registry/loadSum.ts
@@ -0,0 +1,86 @@
+/**
+ * What routers have in progress, summed up as they tell it: an answer to one of 400 routers costs one
+ * pass over the servers, and not one over the servers of each router.
+ */
+import type { TimerService } from '@spoolgate/core'
+import type { ServerLoad, ServerLoads } from './feed.js'
+
+/** The sum; see {@link createLoadSum}. */
+export interface LoadSum {
+  /** Replaces what a router has in progress. */
+  record(router: string, loads: ServerLoads): void
+  /** Counts the routers that were heard of lately. */
+  countRouters(): number
+  /** Sums up what all routers but one have in progress; undefined leaves none out. */
+  sumOthers(router: string | undefined): ServerLoads
+}
+
+/** Options of {@link createLoadSum}. */
+export interface LoadSumOptions {
+  readonly timers: TimerService
+  /** Time after which a router that is not heard of no longer counts, in ms. */
+  readonly routerLifeMs: number
+}
+
+interface RouterLoads {
+  readonly loads: ServerLoads
+  readonly at: number
+}
+
+const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
+
+function addLoad(a: ServerLoad, b: ServerLoad, sign: 1 | -1): ServerLoad {
+  return {
+    calls: a.calls + sign * b.calls,
+    promptTokens: a.promptTokens + sign * b.promptTokens,
+  }
+}
+
+/** Creates a sum over no routers. */
+export function createLoadSum({ timers, routerLifeMs }: LoadSumOptions): LoadSum {
+  /** In the order in which they were last heard of. */
+  const routers = new Map<string, RouterLoads>()
+  const total = new Map<string, ServerLoad>()
+
+  const applyLoads = (loads: ServerLoads, sign: 1 | -1) => {
+    for (const [server, load] of Object.entries(loads)) {
+      const sum = addLoad(total.get(server) ?? NO_LOAD, load, sign)
+      if (sum.calls === 0 && sum.promptTokens === 0) total.delete(server)
+      else total.set(server, sum)
+    }
+  }
+  const remove = (router: string) => {
+    const known = routers.get(router)
+    if (!known) return
+    routers.delete(router)
+    applyLoads(known.loads, -1)
+  }
+  const removeSilent = () => {
+    const oldest = timers.now() - routerLifeMs
+    for (const [router, { at }] of routers) {
+      if (at >= oldest) return
+      remove(router)
+    }
+  }
+  return {
+    record: (router, loads) => {
+      remove(router)
+      routers.set(router, { loads, at: timers.now() })
+      applyLoads(loads, 1)
+    },
+    countRouters: () => {
+      removeSilent()
+      return routers.size
+    },
+    sumOthers: (router) => {
+      removeSilent()
+      const own = (router === undefined ? undefined : routers.get(router)?.loads) ?? {}
+      const others: Record<string, ServerLoad> = {}
+      for (const [server, sum] of total) {
+        const load = addLoad(sum, own[server] ?? NO_LOAD, -1)
+        if (load.calls !== 0 || load.promptTokens !== 0) others[server] = load
+      }
+      return others
+    },
+  }
+}
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -204,7 +204,7 @@
       stores: caches.listLives(),
     }),
     conditionChanges: merge(rollout.loadingChanges, watch.changes, caches.changes),
-    listKept: caches.listKept,
+    kept: caches.kept,
     waitForKept: caches.waitForFirstAnswers,
     stopping,
   })
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
   type LoggerOptions,
   type LogLevel,
 } from './logger.js'
+export { createTurnQueue, type TurnQueue } from './turnQueue.js'
 export { createLineBudget, type LineBudgetOptions } from './lineBudget.js'
 export { createMetrics, type Counter, type Histogram, type Metrics } from './metrics.js'
 export {
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -120,6 +120,7 @@
   const { timers, logger, caller } = options
   const metrics = createMetrics('router')
   const client = createHttpClient()
+  const random = createRandomSource(options.seed ?? Date.now() % 2 ** 31)
   const board = createServerBoard(timers)
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const liveness = createLiveness({
@@ -141,6 +142,7 @@
     seeds: options.seeds,
     client,
     timers,
+    random,
     logger,
     decodeTable: options.decodeTable,
     listLoads: board.listLoads,
@@ -172,7 +174,7 @@
       countRouters: () => feed.current()?.routers ?? 1,
     }),
     timers,
-    random: createRandomSource(options.seed ?? Date.now() % 2 ** 31),
+    random,
     logger,
     instruments,
     stop,
