fix(router): look at the caller's connection once more before each send

Each send takes a turn of the event loop of its own, after the loop has looked at its sockets; a caller whose end is closed by then is sent nowhere. The response tells of the close some turns later than the socket, so the socket is asked. What waits for its turn is answered at its limit by the timer that bounds the whole request, as before.

At low load a request costs two turns more; a router that is short of processor reads everything that came before it sends the next one.

--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -7,6 +7,7 @@
   Logger,
   RandomSource,
   TimerService,
+  TurnQueue,
 } from '@spoolgate/core'
 import type { BackendDialect, CallerDialect } from './dialects.js'
 import type { Liveness } from './liveness.js'
@@ -43,6 +44,8 @@
   readonly times: WorkTimes
   readonly retries: RetryShare
   readonly timers: TimerService
+  /** Turns in which requests are sent. */
+  readonly turns: TurnQueue
   readonly random: RandomSource
   readonly logger: Logger
   readonly instruments: DirectInstruments
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -46,6 +46,11 @@
   await served.run()
 }
 
+/** Whether the caller's end of the connection is closed; the response is told some turns later. */
+function isCallerGone(response: ServerResponse): boolean {
+  return response.destroyed || response.socket?.readableEnded === true
+}
+
 /** The state of one request while it is served. */
 class ServedCall {
   private readonly relay: StreamRelay
@@ -163,6 +168,11 @@
 
   private async sendUntilAnswered(): Promise<void> {
     while (!this.isOver) {
+      // A busy router finds a request and the end of its caller's connection together: looking at the
+      // sockets once more before each send keeps what nobody waits for from the backend servers.
+      await this.parts.turns.take()
+      if (isCallerGone(this.response)) this.stop('callerLeft')
+      if (this.isOver) return
       const refusal = this.findStopRefusal()
       if (refusal) return this.refuse(refusal)
       const candidate = this.chooseServer()
