fix(control): hand over no more entries in one message than a link carries in time

Cause: a follower that missed up to 63 tables gets them in one message, of 6 MB with tables of 100 KB. A message that is not answered within 0.5 s is given up and sent again whole: over 100 Mbit/s such a member never catches up, and a replacement never joins.

Change: messages of 256 KB, one entry at least. Test with 40 tables of 100 KB and links that carry 2 MB in time: never caught up before, does now.

--- a/packages/control/src/__tests__/group.ts
+++ b/packages/control/src/__tests__/group.ts
@@ -32,6 +32,8 @@
   /** Links that are cut, as `from>to`. */
   readonly cut: Set<string>
   readonly frozen: Set<string>
+  /** Bytes that a link carries within the time limit of a message; larger ones never arrive. */
+  carriedBytes: number
   /** What the members have logged. */
   readonly lines: readonly string[]
   isolate(name: string): void
@@ -100,6 +102,9 @@
       if (cut.has(`${fromUrl}>${url}`) || !target || frozen.has(from)) throw fail()
       // As the route of these messages does: only votes are answered under another name.
       if (name !== 'vote' && target.name !== to) throw fail()
+      // Messages travel as text, so that nobody shares what another still changes.
+      const text = JSON.stringify(request)
+      if (text.length > group.carriedBytes) throw fail()
       const { member } = target
       const handlers = {
         vote: member.handleVote,
@@ -107,8 +112,7 @@
         install: member.handleInstall,
       }
       const handle = handlers[name] as (message: unknown) => Promise<never>
-      // Messages travel as text, so that nobody shares what another still changes.
-      const reply = await handle(JSON.parse(JSON.stringify(request)))
+      const reply = await handle(JSON.parse(text))
       if (cut.has(`${url}>${fromUrl}`) || frozen.has(from) || findAt(url) !== target) throw fail()
       return reply
     },
@@ -154,6 +158,7 @@
     lines,
     cut,
     frozen,
+    carriedBytes: Infinity,
     start,
     isolate: (name) => {
       const { url } = members.get(name) as TestMember
--- a/packages/control/src/raft/replicator.ts
+++ b/packages/control/src/raft/replicator.ts
@@ -4,7 +4,7 @@
  */
 import { type TimerService, waitFor } from '@spoolgate/core'
 import type { Subscription } from 'rxjs'
-import type { LogStore } from '../log/logStore.js'
+import type { LogEntry, LogStore } from '../log/logStore.js'
 import { findMajorityValue, listOthers } from './group.js'
 import type { MemberInfo, MemberMap, RaftTransport } from './messages.js'
 import type { FollowerProgress } from './types.js'
@@ -45,6 +45,22 @@
 
 /** Entries in one message. */
 const MAX_ENTRIES = 512
+/**
+ * Bytes of entries in one message, if there is more than one: 0.3 s on the slowest link of the users'
+ * deployments, 7 Mbit/s, within the time limit of a message of 0.5 s. A message that takes longer is
+ * sent again whole, and its follower never catches up.
+ */
+const MAX_BYTES = 256 * 1024
+
+/** The first entries that one message may carry; one at least. */
+function listCarried(entries: readonly LogEntry[]): LogEntry[] {
+  let bytes = 0
+  const end = entries.findIndex((entry, index) => {
+    bytes += JSON.stringify(entry.command).length
+    return index > 0 && bytes > MAX_BYTES
+  })
+  return end === -1 ? [...entries] : entries.slice(0, end)
+}
 
 interface Peer {
   nextIndex: number
@@ -100,7 +116,7 @@
       leaderUrl: options.url,
       previousIndex,
       previousTerm: store.findTerm(previousIndex) ?? 0,
-      entries: store.list(peer.nextIndex, MAX_ENTRIES),
+      entries: listCarried(store.list(peer.nextIndex, MAX_ENTRIES)),
       commitIndex: options.commitIndex(),
     })
     if (reply.term > term) return options.onHigherTerm(reply.term)
