fix(control): ask an instance again whose connection may have fallen silent

An ask that is kept open keeps its instance from being asked again until its limit of 8 s, also where only its connection fell silent, or a cut has healed.

Change: an instance is asked again beside an ask that is 1.5 s old; three asks are kept, the oldest gives way. Tests for each of the properties of the search.

--- /dev/null
+++ b/packages/control/src/__tests__/leaderSearch.spec.ts
@@ -0,0 +1,161 @@
+import {
+  ConnectionError,
+  createLogger,
+  createManualTimerService,
+  createRandomSource,
+  SpoolgateError,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import { createLeaderSearch, type FoundLeader } from '../registry/leaderSearch.js'
+
+const STEP_MS = 10
+
+/** How an instance behaves towards one ask, which is the n-th that it gets. */
+type Behaviour = (ask: number) => { afterMs: number; fails?: unknown }
+
+const SILENCE = Infinity
+
+/** Instances whose behaviour is set, and a search among them. */
+function createSearch(instances: Record<string, Behaviour>) {
+  const timers = createManualTimerService()
+  const stopping = new AbortController()
+  const lines: string[] = []
+  const asks = new Map<string, number>()
+  const open = new Map<string, number>()
+  let mostOpen = 0
+  const count = (map: Map<string, number>, url: string, change: number) => {
+    map.set(url, (map.get(url) ?? 0) + change)
+    return map.get(url) as number
+  }
+  const ask = (url: string, signal: AbortSignal) =>
+    new Promise<string>((resolve, reject) => {
+      const number = count(asks, url, 1)
+      mostOpen = Math.max(mostOpen, count(open, url, 1))
+      const { afterMs, fails } = instances[url](number)
+      const end = (finish: () => void) => {
+        count(open, url, -1)
+        finish()
+      }
+      signal.addEventListener(
+        'abort',
+        () => end(() => reject(new ConnectionError('gave up', false, true))),
+        { once: true },
+      )
+      if (afterMs === SILENCE) return
+      timers.after(afterMs).subscribe(() => {
+        if (signal.aborted) return
+        end(() => (fails === undefined ? resolve(`answer ${number} of ${url}`) : reject(fails)))
+      })
+    })
+  const search = createLeaderSearch({
+    listInstances: () => Object.keys(instances),
+    ask,
+    timers,
+    random: createRandomSource(1),
+    logger: createLogger({ write: (line) => void lines.push(line) }),
+    listState: () => ({ tableVersion: undefined }),
+    stopping: stopping.signal,
+  })
+  let found: FoundLeader<string> | undefined
+  const take = (result: FoundLeader<string> | undefined) => void (found = result)
+  const run = async (duration: number) => {
+    for (let spent = 0; spent < duration && !found; spent += STEP_MS) {
+      timers.advance(STEP_MS)
+      for (let turn = 0; turn < 4; turn += 1) await new Promise((done) => setImmediate(done))
+    }
+  }
+  const finish = async () => {
+    stopping.abort()
+    await run(20_000)
+  }
+  return {
+    search,
+    asks,
+    lines,
+    take,
+    run,
+    finish,
+    found: () => found,
+    mostOpen: () => mostOpen,
+  }
+}
+
+const refuse = (leaderUrl?: string) => ({
+  afterMs: STEP_MS,
+  fails: new SpoolgateError('notLeader', 'ask the leader', { details: { leaderUrl } }),
+})
+
+describe('the search for the leader', () => {
+  it('takes the answer of a leader that is slow, and asks it no second time meanwhile', async () => {
+    const scene = createSearch({
+      slow: () => ({ afterMs: 900 }),
+      other: () => refuse('slow'),
+    })
+    void scene.search.run().then(scene.take)
+    await scene.run(3_000)
+    expect(scene.found()).to.deep.equal({ url: 'slow', answer: 'answer 1 of slow' })
+    expect(scene.asks.get('slow')).to.equal(1)
+  })
+
+  it('takes the late answer of an ask that began as a poll', async () => {
+    const scene = createSearch({
+      slow: () => ({ afterMs: 700 }),
+      other: () => refuse('slow'),
+    })
+    let polled: unknown = 'nothing yet'
+    const polling = scene.search.askFirst('slow', 500).then((answer) => {
+      polled = answer
+      return scene.search.run()
+    })
+    void polling.then(scene.take)
+    await scene.run(3_000)
+    expect(polled).to.equal(undefined)
+    expect(scene.found()?.answer).to.equal('answer 1 of slow')
+  })
+
+  it('asks a leader again whose connection fell silent, within 2 s', async () => {
+    const scene = createSearch({
+      leader: (ask) => ({ afterMs: ask === 1 ? SILENCE : STEP_MS }),
+      other: () => refuse('leader'),
+    })
+    void scene.search.run().then(scene.take)
+    await scene.run(2_000)
+    expect(scene.found()?.answer).to.equal('answer 2 of leader')
+  })
+
+  it('is not held up by instances that are out of reach', async () => {
+    const scene = createSearch({
+      gone1: () => ({ afterMs: SILENCE }),
+      gone2: () => ({ afterMs: SILENCE }),
+      leader: () => ({ afterMs: STEP_MS }),
+    })
+    void scene.search.run().then(scene.take)
+    await scene.run(1_000)
+    expect(scene.found()?.url).to.equal('leader')
+  })
+
+  it('keeps three asks of an instance open at most, and says why there is no answer', async () => {
+    const scene = createSearch({ gone: () => ({ afterMs: SILENCE }), other: () => refuse() })
+    void scene.search.run().then(scene.take)
+    await scene.run(10_000)
+    expect(scene.mostOpen()).to.equal(3)
+    const reports = scene.lines.filter((line) => line.includes('event=control.searching'))
+    expect(reports.length).to.be.within(5, 10)
+    expect(reports.at(-1)).to.include('silent').and.to.include('notLeader: ask the leader')
+    await scene.finish()
+  })
+
+  it('goes to whom an instance names before it asks the others', async () => {
+    const scene = createSearch({
+      a: () => refuse('leader'),
+      b: () => refuse('leader'),
+      c: () => refuse('leader'),
+      leader: () => ({ afterMs: STEP_MS }),
+    })
+    void scene.search.run().then(scene.take)
+    await scene.run(100)
+    expect(scene.found()?.url).to.equal('leader')
+    const others = ['a', 'b', 'c'].map((url) => scene.asks.get(url) ?? 0)
+    expect(others.reduce((sum, each) => sum + each, 0)).to.be.at.most(1)
+  })
+})
--- a/packages/control/src/registry/leaderSearch.ts
+++ b/packages/control/src/registry/leaderSearch.ts
@@ -48,9 +48,16 @@
 /** Silence of an instance after which the next one is asked beside it, in ms. */
 const SILENT_MS = 350
 /**
- * Longest wait for one answer, in ms: the first answers to 400 routers take a leader 3 s. An instance
- * that is out of reach holds nobody up for so long, since the others are asked beside it.
+ * Age of an ask after which its instance is asked again beside it, in ms: its connection may have
+ * fallen silent without a reset, while the instance is well.
  */
+const REPEAT_MS = 1_500
+/**
+ * Asks of one instance that are kept open; the oldest gives way. So each has 4.5 s at least, and the first
+ * answers to 400 routers take a leader on a whole core 2 s.
+ */
+const MAX_PER_INSTANCE = 3
+/** Longest wait for one answer, in ms; only an instance that is out of reach is waited for so long. */
 const ASK_LIMIT_MS = 8_000
 /**
  * Pause after all instances were asked in vain, in ms; it doubles up to the longest. Instances that do
@@ -68,20 +75,37 @@
   | { readonly kind: 'answered'; readonly url: string; readonly answer: Answer }
   | { readonly kind: 'failed'; readonly url: string; readonly cause: unknown }
 
+/** An ask under way. */
+interface OpenAsk<Answer> {
+  readonly url: string
+  readonly startedAt: number
+  readonly ended: Promise<EndedAsk<Answer>>
+  cancel(): void
+}
+
 /** Creates a search; nothing is asked yet. */
 export function createLeaderSearch<Answer>(
   options: LeaderSearchOptions<Answer>,
 ): LeaderSearch<Answer> {
   const { timers, random, logger, stopping } = options
-  /** Asks under way, by URL. */
-  const open = new Map<string, Promise<EndedAsk<Answer>>>()
+  /** Asks under way, the oldest first. */
+  const open = new Set<OpenAsk<Answer>>()
   /** Why each instance has not answered. */
   const reasons = new Map<string, string>()
-  let ending = new AbortController()
   let reportedAt = -Infinity
 
+  const listOpen = (url: string) => [...open].filter((ask) => ask.url === url)
+  const isAskedLately = (url: string) =>
+    listOpen(url).some(({ startedAt }) => timers.now() - startedAt < REPEAT_MS)
+  const removeAsk = (ask: OpenAsk<Answer>) => {
+    open.delete(ask)
+    ask.cancel()
+  }
   const startAsk = (url: string) => {
-    const limit = createTimeLimit(timers, ASK_LIMIT_MS, [ending.signal, stopping])
+    const before = listOpen(url)
+    if (before.length >= MAX_PER_INSTANCE) removeAsk(before[0])
+    const leaving = new AbortController()
+    const limit = createTimeLimit(timers, ASK_LIMIT_MS, [leaving.signal, stopping])
     const ended = options
       .ask(url, limit.signal)
       .then(
@@ -89,22 +113,21 @@
         (cause): EndedAsk<Answer> => ({ kind: 'failed', url, cause }),
       )
       .finally(limit.close)
-    open.set(url, ended)
+    open.add({ url, startedAt: timers.now(), ended, cancel: () => leaving.abort() })
     reasons.set(url, 'silent')
   }
   /** Waits for an ask that ends; undefined when none does in time. */
   const waitForEnded = async (waitMs: number) => {
     const waiting = new AbortController()
     const late = waitFor(timers, waitMs, waiting.signal).then(() => undefined)
-    const ended = await Promise.race([...open.values(), late])
+    const ends = [...open].map(async (ask) => ({ ask, end: await ask.ended }))
+    const first = await Promise.race([...ends, late])
     waiting.abort()
-    if (ended) open.delete(ended.url)
-    return ended
+    if (first) open.delete(first.ask)
+    return first?.end
   }
   const settle = ({ url, answer }: FoundLeader<Answer>): FoundLeader<Answer> => {
-    ending.abort()
-    ending = new AbortController()
-    open.clear()
+    for (const ask of open) removeAsk(ask)
     reasons.clear()
     return { url, answer }
   }
@@ -133,10 +156,10 @@
   const askAll = async (named: string | undefined) => {
     const queue = shuffle(options.listInstances())
     if (named !== undefined) queue.unshift(named)
-    const asked = new Set(open.keys())
+    const asked = new Set<string>()
     while (queue.length > 0 && !stopping.aborted) {
       const url = queue.shift() as string
-      if (asked.has(url)) continue
+      if (asked.has(url) || isAskedLately(url)) continue
       asked.add(url)
       startAsk(url)
       const ended = await waitForEnded(SILENT_MS)
