refactor(control): what a router holds of the fleet apart from how it asks for it

Behaviour as before but for one order: whoever is told of a change finds the age of the proof already renewed.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -31,7 +31,8 @@
   LoadOrder,
   OrderOutcome,
 } from './registry/engineOrders.js'
-export { createFeedFollower, type FeedFollower, type FleetView } from './registry/feedFollower.js'
+export { createFeedFollower, type FeedFollower } from './registry/feedFollower.js'
+export type { FleetView } from './registry/heldFleet.js'
 export type { CacheCalls, CacheNews } from './registry/cacheWatch.js'
 export type { KeptPart } from './registry/keptParts.js'
 export type {
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -1,30 +1,25 @@
 /**
  * A router's side of the feed: one task that polls the leader, finds it again when it changes, and
- * keeps the newest routing table, weights and servers. What it holds never goes back to an older
- * version, and it knows how old the proof is that it holds the newest.
+ * keeps what it is told. It knows how old the proof is that it holds the newest.
  */
 import {
   waitFor,
-  type BackendServerId,
   type HttpClient,
   type Logger,
   type RandomSource,
   type TimerService,
 } from '@spoolgate/core'
-import { buildTableIndex, type RoutingTable, type TableIndex } from '@spoolgate/routing'
+import type { RoutingTable } from '@spoolgate/routing'
 import { Subject, type Observable } from 'rxjs'
-import type { RegisteredServer } from '../state/serverState.js'
 import {
   FEED_PATH,
   type FeedReply,
   type FeedRequest,
   type KeptPlacement,
-  type KeptPosition,
   type Placement,
-  type ServerConditions,
   type ServerLoads,
-  type StoreLife,
 } from './feed.js'
+import { createHeldFleet, type FleetView } from './heldFleet.js'
 import { createLeaderSearch } from './leaderSearch.js'
 
 /** Options of {@link createFeedFollower}. */
@@ -49,27 +44,6 @@
   readonly onKept: (placements: readonly KeptPlacement[]) => void
 }
 
-/** What a router knows of the fleet. */
-export interface FleetView {
-  readonly index: TableIndex
-  readonly weights: Readonly<Record<string, number>>
-  /** When this router learned of each model's wanted weights, in ms of its monotonic clock. */
-  readonly weightsSince: Readonly<Record<string, number>>
-  readonly servers: ReadonlyMap<BackendServerId, RegisteredServer>
-  /** Servers that are loading weights, or about to. */
-  readonly loading: ReadonlySet<BackendServerId>
-  /** Servers whose weights are so old that nothing may begin on them any more. */
-  readonly expired: ReadonlySet<BackendServerId>
-  /** Servers that missed their last heartbeats. */
-  readonly silent: ReadonlySet<BackendServerId>
-  /** Stores of KV cache that answer. */
-  readonly stores: readonly StoreLife[]
-  /** Routers that control heard of lately, this one included. */
-  readonly routers: number
-  /** What the other routers have in progress, as of the last poll. */
-  readonly loads: ServerLoads
-}
-
 /** A follower of the feed. */
 export interface FeedFollower {
   /** Undefined before the first table was fetched. */
@@ -95,9 +69,6 @@
 /** Placements that are kept until a leader has taken them; more than one poll brings. */
 const MAX_UNTOLD = 200
 
-const NO_VERSION = -1
-const NOTHING_KEPT: KeptPosition = { after: '', left: 0 }
-
 /** A reply with the facts of its ask. */
 interface FeedAnswer {
   readonly reply: FeedReply
@@ -107,88 +78,21 @@
   readonly told: ReadonlySet<Placement>
 }
 
-type ConditionSets = Pick<FleetView, 'loading' | 'expired' | 'silent' | 'stores'>
-
-const NO_CONDITIONS: ConditionSets = {
-  loading: new Set(),
-  expired: new Set(),
-  silent: new Set(),
-  stores: [],
-}
-
-function toSets(conditions: ServerConditions): ConditionSets {
-  return {
-    loading: new Set(conditions.loading),
-    expired: new Set(conditions.expired),
-    silent: new Set(conditions.silent),
-    stores: conditions.stores,
-  }
-}
-
 /** Creates a follower and starts its task. */
 export function createFeedFollower(options: FeedFollowerOptions): FeedFollower {
   const { client, timers, logger } = options
   const stopping = new AbortController()
   const changes = new Subject<FleetView>()
-  let index: TableIndex | undefined
-  let weights: Readonly<Record<string, number>> = {}
-  let weightsSince: Readonly<Record<string, number>> = {}
-  let servers: ReadonlyMap<BackendServerId, RegisteredServer> = new Map()
-  let conditions = NO_CONDITIONS
-  let control: readonly string[] = []
-  let routers = 1
-  let loads: ServerLoads = {}
-  let term = NO_VERSION
-  let revision = NO_VERSION
-  let placementsSeen = 0
-  let keptSeen = 0
-  let keptPosition = NOTHING_KEPT
+  const held = createHeldFleet(options)
   let untold: readonly Placement[] = []
   let provenAt = -Infinity
-  let view: FleetView | undefined
   /** Instance that answered last. */
   let leader: string | undefined
 
-  const rebuildView = () => {
-    if (!index) return
-    view = { index, weights, weightsSince, servers, ...conditions, routers, loads }
-  }
-  const applyTable = (table: NonNullable<FeedReply['table']>) => {
-    if (index && table.version <= index.table.version) return
-    index = buildTableIndex(options.decodeTable(table.document))
-    logger.info('table.inForce', { version: table.version, routes: index.table.routes.length })
-  }
-  const applyWeights = (next: Readonly<Record<string, number>>) => {
-    const changed = Object.keys(next).filter((model) => next[model] !== weights[model])
-    // Nobody knows for how long the first ones that a router hears of have been wanted.
-    const isFirst = Object.keys(weights).length === 0
-    const at = isFirst ? -Infinity : timers.now()
-    weightsSince = { ...weightsSince, ...Object.fromEntries(changed.map((model) => [model, at])) }
-    weights = next
-  }
-  const applyReply = (reply: FeedReply) => {
-    const isChanged = reply.table !== undefined || reply.servers !== undefined
-    if (reply.table) applyTable(reply.table)
-    if (reply.servers) servers = new Map(reply.servers.map((server) => [server.id, server]))
-    if (reply.conditions) conditions = toSets(reply.conditions)
-    applyWeights(reply.weights ?? weights)
-    control = reply.control ?? control
-    routers = Math.max(1, reply.routers)
-    loads = reply.loads
-    term = reply.term
-    revision = reply.revision
-    placementsSeen = reply.placementsSeen
-    keptSeen = reply.keptSeen
-    keptPosition = reply.keptPosition
-    rebuildView()
-    options.onPlacements(reply.placements)
-    options.onKept(reply.kept)
-    if (isChanged && view) changes.next(view)
-  }
   /** Wait that a poll asks for; what is kept comes in pieces, one right after the other. */
   const findWaitMs = (url: string) => {
-    if (url !== leader || keptPosition.left > 0) return 0
-    return Math.max(WAIT_MS, routers * WAIT_PER_ROUTER_MS)
+    if (url !== leader || held.position().keptPosition.left > 0) return 0
+    return Math.max(WAIT_MS, held.countRouters() * WAIT_PER_ROUTER_MS)
   }
   const askInstance = async (url: string, signal: AbortSignal): Promise<FeedAnswer> => {
     const askedAt = timers.now()
@@ -196,14 +100,9 @@
     const placements = untold
     const request: FeedRequest = {
       router: options.router,
-      tableVersion: index?.table.version ?? NO_VERSION,
-      term,
-      revision,
+      ...held.position(),
       loads: options.listLoads(),
       placements,
-      placementsSeen,
-      keptSeen,
-      keptPosition,
       waitMs: findWaitMs(url),
     }
     const reply = await client.sendJson<FeedReply>({
@@ -215,28 +114,33 @@
     return { reply, askedAt, told: new Set(placements) }
   }
   const applyAnswer = ({ reply, askedAt, told }: FeedAnswer) => {
-    applyReply(reply)
+    const isChanged = held.apply(reply)
+    options.onPlacements(reply.placements)
+    options.onKept(reply.kept)
     untold = untold.filter((placement) => !told.has(placement))
     // An ask that was silent for a while may be answered after a younger one.
     provenAt = Math.max(provenAt, askedAt)
+    const view = held.view()
+    if (isChanged && view) changes.next(view)
   }
   const search = createLeaderSearch({
-    listInstances: () => [...new Set([...control, ...options.seeds()])],
+    listInstances: () => [...new Set([...held.listControl(), ...options.seeds()])],
     ask: askInstance,
     timers,
     random: options.random,
     logger,
     listState: () => ({
-      tableVersion: index?.table.version,
+      tableVersion: held.view()?.index.table.version,
       proofAgeMs: Math.round(timers.now() - provenAt),
-      term,
+      term: held.position().term,
     }),
     stopping: stopping.signal,
   })
   const pollLeader = async (url: string) => {
     const answered = await search.askFirst(url, findWaitMs(url) + ANSWER_MS)
     if (answered || stopping.signal.aborted) return answered
-    logger.warn('control.lost', { url, term, proofAgeMs: Math.round(timers.now() - provenAt) })
+    const proofAgeMs = Math.round(timers.now() - provenAt)
+    logger.warn('control.lost', { url, term: held.position().term, proofAgeMs })
     leader = undefined
     return undefined
   }
@@ -247,7 +151,7 @@
     applyAnswer(found.answer)
     if (leader === found.url) return
     leader = found.url
-    logger.info('control.regained', { url: leader, term })
+    logger.info('control.regained', { url: leader, term: held.position().term })
   }
   const run = async () => {
     while (!stopping.signal.aborted) {
@@ -263,7 +167,7 @@
   }
   const running = run()
   return {
-    current: () => view,
+    current: held.view,
     proofAgeMs: () => timers.now() - provenAt,
     changes,
     close: async () => {
