feat(router): spread the shared parts of prompts over all stores

Hypothesis: shared parts are read again, since what is shared is larger than what engines keep, and of several stores only the first was used: two on the large site, three on the grown ones. Spread by rendezvous hashing over the shared parts of a prompt, the stores hold two or three times as much, and their links carry as much more; the loss of one moves only its own prompts.

Found by overturning the hypothesis before it: that parts are read again because the caches of more than 48 engines are not watched.

Sites with one store are served as before. Test: each of three stores gets its part of 300 prompts (one got all before), and only the prompts of a lost one move.

--- a/packages/router/src/__tests__/sources.spec.ts
+++ b/packages/router/src/__tests__/sources.spec.ts
@@ -1,4 +1,4 @@
-import type { FleetView, RegisteredServer } from '@spoolgate/control'
+import type { FleetView, RegisteredServer, StoreLife } from '@spoolgate/control'
 import { createManualTimerService, toBackendServerId } from '@spoolgate/core'
 import { formatCacheScope, formatStoreId } from '@spoolgate/routing'
 import { expect } from 'chai'
@@ -7,6 +7,7 @@
 import { findPlaces } from '../direct/sources.js'
 
 const STORE = { address: 's:1', epoch: 5 }
+const STORES = ['s:1', 's:2', 's:3'].map((address) => ({ address, epoch: 5 }))
 const SCOPE = formatCacheScope(undefined, 1)
 const SHARED = [
   { id: 'outer', tokens: 2_000 },
@@ -98,3 +99,60 @@
     expect(findKept({ [STORE_ID]: 2 }).places.findStore(1)).to.equal(undefined)
   })
 })
+
+describe('the store of several that gets the shared parts of a prompt', () => {
+  const SHARED_TOKENS = 3_000
+  const PROMPTS = 300
+
+  /** Finds the stores that a number of prompts are saved to. */
+  function listSavedTo(stores: readonly StoreLife[]): (string | undefined)[] {
+    const table = {
+      stores: STORES.map(({ address }) => ({
+        address,
+        hall: 'h1',
+        cacheTokens: 1,
+        linkMbps: 25_000,
+      })),
+    }
+    const view = { loading: new Set(), stores, index: { table } } as unknown as FleetView
+    const memory = createPartMemory({ findCacheTokens: () => 100_000 })
+    return Array.from({ length: PROMPTS }, (_, index) => {
+      const parts = [
+        { id: `shared-${index}`, tokens: SHARED_TOKENS },
+        { id: 'own', tokens: 100 },
+      ]
+      const places = findPlaces({
+        view,
+        prompt: { model: 'm', parts, promptTokens: SHARED_TOKENS + 100, maxTokens: 10 },
+        engine: undefined,
+        servers: [],
+        formatScope: () => SCOPE,
+        board: createServerBoard(createManualTimerService()),
+        memory,
+        forLong: undefined,
+      })
+      return places.findStore(1)?.address
+    })
+  }
+
+  it('is each of them for its part of all prompts, so that together they hold more', () => {
+    const savedTo = listSavedTo(STORES)
+    for (const { address } of STORES) {
+      const count = savedTo.filter((store) => store === address).length
+      expect(count).to.be.within(PROMPTS / 5, PROMPTS / 2)
+    }
+  })
+
+  it('changes only for the prompts of a store that is gone', () => {
+    const before = listSavedTo(STORES)
+    const after = listSavedTo(STORES.slice(0, 2))
+    for (const [index, store] of before.entries()) {
+      if (store !== 's:3') expect(after[index]).to.equal(store)
+      else expect(after[index]).to.be.oneOf(['s:1', 's:2'])
+    }
+  })
+
+  it('is the same whatever the order in which a router hears of them', () => {
+    expect(listSavedTo([...STORES].reverse())).to.deep.equal(listSavedTo(STORES))
+  })
+})
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -3,7 +3,7 @@
  * at the engine where every router sends them first, which all work out alike without a word between
  * them.
  */
-import type { FleetView, RegisteredServer } from '@spoolgate/control'
+import type { FleetView, RegisteredServer, StoreLife } from '@spoolgate/control'
 import { toBackendServerId, type BackendServerId } from '@spoolgate/core'
 import { formatStoreId, hashText, type EngineFacts } from '@spoolgate/routing'
 import type { PromptFacts, PromptPart } from './dialects.js'
@@ -101,18 +101,33 @@
   return registered === undefined ? undefined : Math.max(registered, board.findVersion(server.id))
 }
 
-/** Finds the engine that comes first for a key; the loss of one moves only its own keys. */
-function findFirst(key: string, engines: readonly Engine[]): Engine | undefined {
+/** Finds the place that comes first for a key; the loss of one moves only its own keys. */
+function findFirst<Place>(
+  key: string,
+  places: readonly Place[],
+  findName: (place: Place) => string,
+): Place | undefined {
   const seed = hashText(key)
-  let best: Engine | undefined
+  let best: Place | undefined
   let bestScore = -1
-  for (const engine of engines) {
-    const score = hashText(engine.server.id, seed)
-    if (score > bestScore) [best, bestScore] = [engine, score]
+  for (const place of places) {
+    const score = hashText(findName(place), seed)
+    if (score > bestScore) [best, bestScore] = [place, score]
   }
   return best
 }
 
+/**
+ * Finds the store for the shared parts of a prompt. Where there are several, each takes its part of all
+ * prompts, so that together they hold as much as all of them: with one of three the others stay empty.
+ */
+function findStoreLife(
+  stores: readonly StoreLife[],
+  shared: readonly PromptPart[],
+): StoreLife | undefined {
+  return findFirst(formatKey(shared), stores, ({ address }) => address)
+}
+
 function formatKey(parts: readonly PromptPart[]): string {
   return parts.map(({ id }) => id).join('/')
 }
@@ -173,9 +188,11 @@
     return findFirst(
       formatKey(shared.slice(0, depth)),
       engines.filter((other) => other.version === version && isOnSide(other)),
+      ({ server }) => server.id,
     )
   })
-  const [life] = sharedTokens < MIN_STORED_TOKENS ? [] : view.stores
+  const isStored = sharedTokens >= MIN_STORED_TOKENS
+  const life = isStored ? findStoreLife(view.stores, shared) : undefined
   const store = life && view.index.table.stores.find(({ address }) => address === life.address)
   const findStoreSource = createVersionLookup((version): Source | undefined => {
     if (!life || !store) return undefined
