--- a/packages/control/src/__tests__/cacheWatch.spec.ts
+++ b/packages/control/src/__tests__/cacheWatch.spec.ts
@@ -64,6 +64,32 @@
     ])
   })
 
+  it('is listed in pieces, place by place, from where a router stands and once around', () => {
+    const kept = createKeptParts()
+    const ids = ['e1', 'e2', 'e3']
+    for (const id of ids) {
+      const parts = [createPart(V1, 'a', 60), createPart(V1, 'b', 30)]
+      kept.apply({ kind: 'engine', id, address: id }, parts)
+    }
+    const told: string[][] = []
+    let position = { after: 'e1', left: Number.MAX_SAFE_INTEGER }
+    while (position.left > 0) {
+      const piece = kept.takePiece(position, 4)
+      told.push(piece.placements.map(([place]) => place))
+      position = piece.position
+    }
+    expect(told).to.deep.equal([['e2', 'e3'], ['e1']])
+    expect(kept.takePiece(position, 4).placements).to.deep.equal([])
+  })
+
+  it('tells one place at least, however many parts it keeps', () => {
+    const kept = createKeptParts()
+    kept.apply(ENGINE, [createPart(V1, 'a', 60), createPart(V1, 'b', 30)])
+    const piece = kept.takePiece({ after: '', left: Number.MAX_SAFE_INTEGER }, 1)
+    expect(piece.placements).to.have.length(1)
+    expect(piece.position.left).to.equal(0)
+  })
+
   it('takes no notice of parts under a scope that is not of the fleet', () => {
     const kept = createKeptParts()
     expect(kept.apply(ENGINE, [createPart('forged', 'a', 60)])).to.deep.equal([])
--- a/packages/control/src/registry/cacheWatch.ts
+++ b/packages/control/src/registry/cacheWatch.ts
@@ -92,8 +92,8 @@
 /** Pause after a place did not answer, in ms. */
 const FAILED_PAUSE_MS = 300
 /**
- * Whole lists that are asked for at the same time: 23 took a new leader on a third of a core 0.31 s, in
- * which it sent no heartbeats. The lists of 16 keep it from them for 0.06 s on half of 0.86 of a core.
+ * Whole lists that are asked for at the same time: 23 took a new leader, on half of a third of a core,
+ * 0.31 s, in which it sent no heartbeats. By that slope 16 take it 0.08 s on half of 0.86 of a core.
  */
 const LISTS_AT_ONCE = 16
 /** Engines up to which the leader watches them; beyond, their events would outgrow its part. */
--- a/packages/core/src/turnQueue.ts
+++ b/packages/core/src/turnQueue.ts
@@ -18,8 +18,9 @@
  */
 const DRAIN_TURNS = 8
 /**
- * Most that goes on in one turn: sending a request takes a router on an eighth of a core about 25 ms,
- * and whether its callers are still there must be looked at more often than each half second.
+ * Most that goes on in one turn. A request takes a router 1.7 ms of a core (0.033 of one at 19 requests a
+ * second), so that 16 take 0.23 s on an eighth of one: whether callers are still there must be looked at
+ * more often than each half second.
  */
 const MAX_PER_TURN = 16
 
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -119,7 +119,8 @@
 
 /**
  * Finds the store for the shared parts of a prompt. Where there are several, each takes its part of all
- * prompts, so that together they hold as much as all of them: with one of three the others stay empty.
+ * prompts, so that together they hold more: with three stores and 36 engines, on a day with trouble, 2.6
+ * million tokens of shared parts were read again, and 6.7 million with one of the three (one run each).
  */
 function findStoreLife(
   stores: readonly StoreLife[],
