--- a/packages/control/src/__tests__/requestBlame.spec.ts
+++ b/packages/control/src/__tests__/requestBlame.spec.ts
@@ -88,7 +88,7 @@
   })
 
   it('counts what routers tell a new leader again, and what is in the log only once', async () => {
-    const { source, record, state } = createLeader()
+    const { source, record, state, commands } = createLeader()
     await record(report('a', 'b'))
     state.term = 2
     await record(report('a', 'b'))
@@ -97,6 +97,7 @@
     state.term = 3
     await record(report('a', 'b', 'c', 'd', 'e', 'f'))
     expect(source.list()).to.deep.equal([{ request: R, round: 1 }])
+    expect(commands).to.have.length(1)
   })
 
   it('proposes a quarantine again whose entry was lost', async () => {
@@ -125,6 +126,21 @@
     }
   })
 
+  it('lets one request be tried at a time', async () => {
+    const { record, timers } = createLeader()
+    const other = toRequestFingerprint('caller.other')
+    const sends = [R, other].map((request) => ({ request, round: 0 }))
+    const ended = ['a', 'b', 'c'].map((name) => ({ server: server(name), sends }))
+    await record(buildReport({ ended }))
+    const asked = buildReport({ asked: [R, other] })
+    await record(asked)
+    timers.advance(findHoldMs(1))
+    expect(await record(asked)).to.equal(R)
+    expect(await record(asked)).to.equal(undefined)
+    await record(buildReport({ answered: [R] }))
+    expect(await record(asked)).to.equal(other)
+  })
+
   it('lets it be tried again at once where nobody or no server was there', async () => {
     const { record, timers } = createLeader()
     await record(report('a', 'b', 'c'))
