fix(router): each send that breaks off has its server looked at

Cause, found when the change was read once more: after one look that found a server alive, further sends to it that broke off were kept for 10 s without a look. Change: a look for each send that broke off (those that come during a look share the next); what broke off before a look that found the server alive is blamed only by a later start, for 3 s in place of 10. Ruled out: blaming all sends of the last seconds at the next look, which would blame what had nothing to do with the end.

--- a/packages/router/src/__tests__/serverEnds.spec.ts
+++ b/packages/router/src/__tests__/serverEnds.spec.ts
@@ -14,7 +14,8 @@
 const SERVER = { id: toBackendServerId('s@1'), address: '10.0.0.1:80' }
 const settle = () => new Promise((resolve) => setImmediate(resolve))
 
-function createEnds(isAlive: boolean) {
+function createEnds(isAliveAtFirst: boolean) {
+  let isAlive = isAliveAtFirst
   const timers = createManualTimerService()
   const views = new Subject<{ servers: ReadonlyMap<BackendServerId, RegisteredServer> }>()
   const ended: BackendServerId[] = []
@@ -35,7 +36,10 @@
     const server = { id: toBackendServerId(id), address } as RegisteredServer
     views.next({ servers: new Map([[server.id, server]]) })
   }
-  return { timers, ends, ended, tell, looks: () => looks }
+  const end = () => {
+    isAlive = false
+  }
+  return { timers, ends, ended, tell, end, looks: () => looks }
 }
 
 describe('sends that break off', () => {
@@ -59,6 +63,16 @@
     expect(ended).to.deep.equal([])
   })
 
+  it('show the end of a server that was alive when an earlier one broke off', async () => {
+    const { ends, ended, end } = createEnds(true)
+    ends.recordLost(SERVER, SEND)
+    await settle()
+    end()
+    ends.recordLost(SERVER, SEND)
+    await settle()
+    expect(ended).to.deep.equal([SERVER.id])
+  })
+
   it('show the end of a server whose later start is heard of', async () => {
     const { ends, ended, tell } = createEnds(true)
     ends.recordLost(SERVER, SEND)
--- a/packages/router/src/direct/serverEnds.ts
+++ b/packages/router/src/direct/serverEnds.ts
@@ -29,14 +29,18 @@
 /** Sends to one server that broke off while it is not known whether the server ended. */
 interface Doubt {
   readonly server: ProbedServer
-  readonly sends: BlamedSend[]
+  /** Sends after which nobody has looked at the server yet. */
+  fresh: BlamedSend[]
+  /** Sends after which the server accepted connections; it may have started again at once. */
+  older: readonly BlamedSend[]
+  isLooking: boolean
 }
 
 /**
  * Time for which a server that accepts connections may turn out to have started again, in ms: it tells control with its
  * first heartbeat, within 2 s on the users' deployments.
  */
-const DOUBT_MS = 10_000
+const DOUBT_MS = 3_000
 /** Servers that ended and are remembered: some for each of a large fleet. */
 const MAX_ENDED = 2_000
 
@@ -46,23 +50,42 @@
   const ended = new LRUCache<BackendServerId, true>({ max: MAX_ENDED })
   const doubts = new Map<BackendServerId, Doubt>()
 
-  const confirm = ({ server, sends }: Doubt, shownBy: string) => {
-    if (!doubts.delete(server.id)) return
-    ended.set(server.id, true)
-    logger.warn('server.ended', {
-      server: server.id,
-      address: server.address,
-      shownBy,
-      sends: sends.length,
+  const confirm = (doubt: Doubt, sends: readonly BlamedSend[], shownBy: string) => {
+    const { id, address } = doubt.server
+    doubts.delete(id)
+    ended.set(id, true)
+    logger.warn('server.ended', { server: id, address, shownBy, sends: sends.length })
+    for (const send of sends) onEnd(id, send)
+  }
+  /** Keeps what broke off for a while, in case that a later start is heard of. */
+  const addOlder = (doubt: Doubt, sends: readonly BlamedSend[]) => {
+    doubt.older = [...doubt.older, ...sends]
+    timers.after(DOUBT_MS).subscribe(() => {
+      doubt.older = doubt.older.filter((send) => !sends.includes(send))
+      const isOver = doubt.older.length + doubt.fresh.length === 0 && !doubt.isLooking
+      if (isOver && doubts.get(doubt.server.id) === doubt) doubts.delete(doubt.server.id)
     })
-    for (const send of sends) onEnd(server.id, send)
   }
+  /**
+   * Looks at a server after each send that broke off. Answers break off without the end of their server as well, and
+   * the next one may be the end: one look for all of them would take a server for alive that ended since.
+   */
   const look = async (doubt: Doubt) => {
     const { server } = doubt
-    if (!(await liveness.checkAlive(server))) return confirm(doubt, 'no connections')
-    timers.after(DOUBT_MS).subscribe(() => {
-      if (doubts.get(server.id) === doubt) doubts.delete(server.id)
-    })
+    if (doubt.isLooking) return
+    doubt.isLooking = true
+    while (doubt.fresh.length > 0) {
+      const sends = doubt.fresh
+      doubt.fresh = []
+      const isAlive = await liveness.checkAlive(server)
+      if (ended.has(server.id)) {
+        for (const send of [...sends, ...doubt.fresh]) onEnd(server.id, send)
+        return
+      }
+      if (!isAlive) return confirm(doubt, [...sends, ...doubt.fresh], 'no connections')
+      addOlder(doubt, sends)
+    }
+    doubt.isLooking = false
   }
   const watching = options.views.subscribe(({ servers }) => {
     if (doubts.size === 0) return
@@ -70,19 +93,15 @@
     for (const doubt of doubts.values()) {
       const { id, address } = doubt.server
       const isReplaced = !servers.has(id) && addresses.has(address)
-      if (isReplaced) confirm(doubt, 'a later start')
+      if (isReplaced) confirm(doubt, doubt.older, 'a later start')
     }
   })
   return {
     recordLost: (server, send) => {
       if (ended.has(server.id)) return onEnd(server.id, send)
-      const known = doubts.get(server.id)
-      if (known) {
-        known.sends.push(send)
-        return
-      }
-      const doubt = { server, sends: [send] }
+      const doubt = doubts.get(server.id) ?? { server, fresh: [], older: [], isLooking: false }
       doubts.set(server.id, doubt)
+      doubt.fresh.push(send)
       void look(doubt)
     },
     close: () => watching.unsubscribe(),
