feat(router): the log tells for how long a server asked for rest

Of an answer with 503 no line told more than that it had not run, so that a rest which is not kept could not be seen in our own logs. Now call.sendEnded names the rest, and the head of an answer is decoded with it and with the server's word that it is about to end. Nothing is decided by either yet.

--- a/packages/router/src/direct/answerHead.ts
+++ b/packages/router/src/direct/answerHead.ts
@@ -17,7 +17,7 @@
   if (head.isNotRun) {
     message.resume()
     const reason = head.isOtherServer ? 'otherServer' : `status${message.statusCode}`
-    return { kind: 'notRun', reason, version: head.weightsVersion }
+    return { kind: 'notRun', reason, version: head.weightsVersion, rest: head.rest }
   }
   if (head.isGenuine) return undefined
   message.destroy()
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -76,6 +76,12 @@
   readonly lastEventId: string | undefined
 }
 
+/** What a server that turns a request away says of when it takes some again. */
+export type RestWord =
+  /** It wants nothing from this router for so many ms. */
+  | { readonly kind: 'asked'; readonly ms: number }
+  | { readonly kind: 'unreadable'; readonly text: string }
+
 /** What the head of a backend server's answer says. */
 export interface AnswerHead {
   /** Whether the server promises that it did not run the request. */
@@ -84,6 +90,10 @@
   readonly isGenuine: boolean
   /** Whether another incarnation answered, or one with other weights. */
   readonly isOtherServer: boolean
+  /** Undefined where the server does not ask for rest. */
+  readonly rest: RestWord | undefined
+  /** Whether the server says that it is about to end. */
+  readonly isLeaving: boolean
   /** Weights version of the server; undefined where it does not say. */
   readonly weightsVersion: number | undefined
 }
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -326,7 +326,8 @@
     this.ticket?.finish(CALL_OUTCOMES[end.kind])
     if (end.kind !== 'answered') {
       const { kind, reason } = end
-      this.log('call.sendEnded', { server: candidate.server.id, end: kind, reason })
+      const rest = kind === 'notRun' ? end.rest : undefined
+      this.log('call.sendEnded', { server: candidate.server.id, end: kind, reason, rest })
     }
     switch (end.kind) {
       case 'answered':
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -16,4 +16,5 @@
   HeaderList,
   PromptFacts,
   PromptPart,
+  RestWord,
 } from './direct/dialects.js'
