fix(router): a server that asks for rest gets it, and one that says it is about to end gets nothing more

What callers saw: for seconds, two of ten engines turned away what a router sent them, request after request, though each had asked for three seconds of rest; callers were refused while eight others were free.

Cause: of an answer with 503 the router took only that the request had not run there. The server was left out for that one request; the next was sent to it again, the sooner as a server that turns all away has nothing under way. The same for a server that says in its answers that it is about to end. The class: what an outside server says of itself is read for the request at hand and thrown away with it.

Change: routing/backpressure keeps, without clock or socket, who rests until when and who leaves; answerWords feeds it from the heads of answers, the choice asks it. After a rest one request goes first, and for 0.2 s no other. Homes of shared parts move to the second in line meanwhile. Where all rest, callers are refused at once and told the end of the first rest and up to a quarter more. A Retry-After that is no number of seconds is put aside; ten minutes are believed at most.

--- a/packages/router/src/__tests__/sources.spec.ts
+++ b/packages/router/src/__tests__/sources.spec.ts
@@ -32,7 +32,11 @@
 }
 
 /** Finds the places of a prompt when some engines, or the store, keep the first parts of it. */
-function findKept(kept: Record<string, number>, sent: Record<string, number> = {}) {
+function findKept(
+  kept: Record<string, number>,
+  sent: Record<string, number> = {},
+  resting: readonly string[] = [],
+) {
   const timers = createManualTimerService()
   const memory = createPartMemory({ findCacheTokens: () => 100_000 })
   for (const [id, count] of Object.entries(kept)) {
@@ -57,6 +61,7 @@
     },
     engine: { slots: 4, cacheTokens: 1, tokenBytes: 18_432, linkMbps: 550_000, models: ['m'] },
     servers,
+    isOpen: (id) => !resting.includes(id),
     formatScope: () => SCOPE,
     board: createServerBoard(timers),
     memory,
@@ -105,6 +110,21 @@
   })
 })
 
+describe('the engine that should read what nobody keeps', () => {
+  it('is another one while it takes no requests, and the same again afterwards', () => {
+    const home = String(findKept({}).places.findHome(1))
+    const second = findKept({}, {}, [home]).places.findHome(1)
+    expect(second).to.not.equal(home)
+    expect(findKept({}, {}, [String(second)]).places.findHome(1)).to.equal(home)
+    expect(findKept({}, {}, ['a', 'b', 'c']).places.findHome(1)).to.equal(undefined)
+  })
+
+  it('may still be fetched from while it rests', () => {
+    const { places, reader } = findKept({ b: 2 }, {}, ['b'])
+    expect(places.findFetch(1, reader, 0)).to.include({ address: 'b:1', foundTokens: 5_000 })
+  })
+})
+
 describe('the store of several that gets the shared parts of a prompt', () => {
   const SHARED_TOKENS = 3_000
   const PROMPTS = 300
@@ -131,6 +151,7 @@
         prompt: { model: 'm', parts, promptTokens: SHARED_TOKENS + 100, maxTokens: 10 },
         engine: undefined,
         servers: [],
+        isOpen: () => true,
         formatScope: () => SCOPE,
         board: createServerBoard(createManualTimerService()),
         memory,
--- a/packages/router/src/direct/answerHead.ts
+++ b/packages/router/src/direct/answerHead.ts
@@ -1,5 +1,6 @@
 /** What the head of an answer says of a send, before anything of it is passed on. */
 import type { IncomingMessage } from 'node:http'
+import { recordAnswerWords } from './answerWords.js'
 import type { CallPlan } from './callPlan.js'
 import type { Candidate } from './choice.js'
 import type { DirectParts } from './directParts.js'
@@ -7,12 +8,14 @@
 
 /** Judges a head; undefined where the answer is the server's own and may be passed on. */
 export function judgeHead(
-  { backend, board }: Pick<DirectParts, 'backend' | 'board'>,
+  parts: DirectParts,
   { call }: CallPlan,
   { server }: Candidate,
   message: IncomingMessage,
 ): SendEnd | undefined {
+  const { backend, board } = parts
   const head = backend.decodeHead(message, call)
+  recordAnswerWords(parts, call, server, head)
   if (head.weightsVersion !== undefined) board.recordVersion(server.id, head.weightsVersion)
   if (head.isNotRun) {
     message.resume()
--- /dev/null
+++ b/packages/router/src/direct/answerWords.ts
@@ -0,0 +1,38 @@
+/** What a backend server says of itself in an answer: that it wants nothing for a while, or is about to end. */
+import { MAX_REST_MS } from '@spoolgate/routing'
+import type { RegisteredServer } from '@spoolgate/control'
+import type { AnswerHead, DirectCall, RestWord } from './dialects.js'
+import type { DirectParts } from './directParts.js'
+
+type WordParts = Pick<DirectParts, 'backpressure' | 'putAside' | 'logger' | 'timers'>
+
+/** Names what is wrong with a word; undefined where it is believed as it stands. */
+function findRestProblem(rest: RestWord): string | undefined {
+  if (rest.kind === 'unreadable') return 'not a number of seconds; no rest is presumed'
+  if (rest.ms > MAX_REST_MS) return `longer than the ${MAX_REST_MS} ms that are believed`
+  return undefined
+}
+
+function recordRest(parts: WordParts, call: DirectCall, { id }: RegisteredServer, rest: RestWord) {
+  const { backpressure, putAside, logger, timers } = parts
+  const reason = findRestProblem(rest)
+  if (reason) putAside.record({ source: 'rest', from: id, reason })
+  if (rest.kind === 'unreadable') return
+  logger.info('server.restAsked', { server: id, request: call.id, restMs: rest.ms })
+  backpressure.recordRest(id, rest.ms, timers.now())
+}
+
+/** Takes note of what the head of an answer says of its server, before the next choice is made. */
+export function recordAnswerWords(
+  parts: WordParts,
+  call: DirectCall,
+  server: RegisteredServer,
+  { rest, isLeaving }: AnswerHead,
+): void {
+  const { backpressure, logger, timers } = parts
+  if (rest) recordRest(parts, call, server, rest)
+  if (!isLeaving) return
+  if (backpressure.judgeSend(server.id, timers.now()).kind === 'leaving') return
+  logger.info('server.leaving', { server: server.id, request: call.id, saidBy: 'server' })
+  backpressure.recordLeaving(server.id, timers.now())
+}
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -5,7 +5,7 @@
  */
 import type { FleetView, RegisteredServer, ServerLoad } from '@spoolgate/control'
 import type { BackendServerId, RandomSource } from '@spoolgate/core'
-import type { ServerGroup } from '@spoolgate/routing'
+import type { Backpressure, SendVerdict, ServerGroup } from '@spoolgate/routing'
 import type { PromptFacts } from './dialects.js'
 import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
@@ -57,6 +57,7 @@
 /** Parts that a choice reads. */
 export interface ChoiceParts {
   readonly board: ServerBoard
+  readonly backpressure: Pick<Backpressure, 'judgeSend'>
   readonly memory: PartMemory
   readonly liveness: Liveness
   readonly random: RandomSource
@@ -209,6 +210,11 @@
   return cost
 }
 
+/** Whether a server that was judged so may get a request. */
+function isOpenTo({ kind }: SendVerdict): boolean {
+  return kind === 'open' || kind === 'trial'
+}
+
 /** Moves the candidates that were drawn for this request, or hold its prompt, before the others. */
 function drawCandidates(
   ranked: readonly Candidate[],
@@ -232,12 +238,15 @@
 
 /** Ranks the servers of a group that may take the request, the best first. */
 export function rankServers(parts: ChoiceParts, input: ChoiceInput): Candidate[] {
-  const { view, group, prompt, excluded, formatScope } = input
-  const { board, memory, liveness } = parts
+  const { view, group, prompt, excluded, formatScope, now } = input
+  const { board, memory, liveness, backpressure } = parts
+  const isOpen = (id: BackendServerId) => isOpenTo(backpressure.judgeSend(id, now))
   const inGroup = [...view.servers.values()].filter(
     (server) => server.group === group.name && server.phase === 'ready',
   )
-  const usable = inGroup.filter(({ id }) => !excluded.has(id) && !view.expired.has(id))
+  const usable = inGroup.filter(
+    ({ id }) => !excluded.has(id) && !view.expired.has(id) && isOpen(id),
+  )
   const alive = inGroup.filter(({ id }) => !liveness.isDead(id) && !view.silent.has(id))
   const forLong =
     prompt &&
@@ -246,7 +255,7 @@
       alive.map(({ id }) => id),
     )
   const { engine } = group
-  const shares = { view, engine, servers: alive, formatScope, board, memory, forLong }
+  const shares = { view, engine, servers: alive, isOpen, formatScope, board, memory, forLong }
   const places = prompt && findPlaces({ ...shares, prompt })
   const tokensPerMs = parts.times.findTokensPerMs(group.name)
   const plainWorkMs = parts.times.findPlainMs(group.name)
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -5,10 +5,12 @@
   Histogram,
   KeepAliveAgent,
   Logger,
+  PutAside,
   RandomSource,
   TimerService,
   TurnQueue,
 } from '@spoolgate/core'
+import type { Backpressure } from '@spoolgate/routing'
 import type { BackendDialect, CallerDialect } from './dialects.js'
 import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
@@ -41,6 +43,7 @@
   readonly backend: BackendDialect
   readonly agent: KeepAliveAgent
   readonly board: ServerBoard
+  readonly backpressure: Backpressure
   readonly liveness: Liveness
   readonly memory: PartMemory
   readonly split: WorkSplit
@@ -54,6 +57,7 @@
   readonly turns: TurnQueue
   readonly random: RandomSource
   readonly logger: Logger
+  readonly putAside: Pick<PutAside, 'record'>
   readonly instruments: DirectInstruments
   readonly stop: Pick<PlannedStop, 'findRefusal'>
   /** Age of the proof of the newest table beyond which keys are not trusted, in ms. */
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -9,6 +9,7 @@
   createHttpClient,
   createKeepAliveAgent,
   createMetrics,
+  createPutAside,
   createRandomSource,
   createTurnQueue,
   readBody,
@@ -19,7 +20,7 @@
   type Logger,
   type TimerService,
 } from '@spoolgate/core'
-import type { RoutingTable } from '@spoolgate/routing'
+import { createBackpressure, type RoutingTable } from '@spoolgate/routing'
 import { firstValueFrom, race } from 'rxjs'
 import { resolveCall } from './callPlan.js'
 import type { BackendDialect, CallerDialect, DirectCall } from './dialects.js'
@@ -126,6 +127,8 @@
   const client = createHttpClient()
   const random = createRandomSource(options.seed ?? Date.now() % 2 ** 31)
   const board = createServerBoard(timers)
+  const backpressure = createBackpressure()
+  const putAside = createPutAside({ logger, timers })
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const liveness = createLiveness({
     timers,
@@ -178,6 +181,9 @@
     'Requests that are refused, since servers ended under them',
     quarantine.countHeld,
   )
+  metrics.gauge('resting_servers', 'Backend servers that asked this router for rest', () =>
+    backpressure.countResting(timers.now()),
+  )
   const parts: DirectParts = {
     instance: options.instance,
     hall: options.hall,
@@ -186,6 +192,7 @@
     backend: options.backend,
     agent,
     board,
+    backpressure,
     liveness,
     memory,
     split: createWorkSplit(timers),
@@ -202,6 +209,7 @@
     turns: createTurnQueue(),
     random,
     logger,
+    putAside,
     instruments,
     stop,
     maxProofAgeMs: options.maxProofAgeMs,
--- a/packages/router/src/direct/refusals.ts
+++ b/packages/router/src/direct/refusals.ts
@@ -1,10 +1,12 @@
 /** Final answers for requests that no backend server answered, and when their callers may come back. */
-import { SpoolgateError } from '@spoolgate/core'
+import { SpoolgateError, type RandomSource } from '@spoolgate/core'
 
 /** Seconds after which a caller may try again when every server refused. */
 export const RETRY_AFTER_REFUSALS_S = 0.15
 /** Longest time after which a refused caller is told to come back, in ms. */
 const LONGEST_COME_BACK_MS = 1_000
+/** Part of a rest over which the returns of callers are spread after it. */
+const RETURN_SPREAD = 0.25
 const MS_PER_S = 1_000
 
 /**
@@ -18,6 +20,16 @@
   return Math.max(RETRY_AFTER_REFUSALS_S, comeBackMs / MS_PER_S)
 }
 
+/**
+ * Draws after how many seconds a caller should come back that no server takes for so many ms. All would come back
+ * together at the end of a rest otherwise.
+ */
+export function drawReturnSeconds(restMs: number, random: RandomSource): number {
+  if (restMs <= 0) return RETRY_AFTER_REFUSALS_S
+  const spreadMs = Math.max(RETRY_AFTER_REFUSALS_S * MS_PER_S, restMs * RETURN_SPREAD)
+  return Math.ceil(restMs + random.next() * spreadMs) / MS_PER_S
+}
+
 /** Creates the answer for a request whose outcome nobody knows. */
 export function createUnknownError(message: string): SpoolgateError {
   return new SpoolgateError('outcomeUnknown', message)
--- a/packages/router/src/direct/sendChoice.ts
+++ b/packages/router/src/direct/sendChoice.ts
@@ -3,7 +3,7 @@
 import { formatCallScope, type CallPlan } from './callPlan.js'
 import { LOADING_MS, rankServers, type Candidate } from './choice.js'
 import type { DirectParts } from './directParts.js'
-import { findComeBackSeconds, RETRY_AFTER_REFUSALS_S } from './refusals.js'
+import { findComeBackSeconds, drawReturnSeconds } from './refusals.js'
 import { formatChoice } from './sendRecord.js'
 
 /** Sends of one request, whatever became of them; bounds the work of a request nobody takes. */
@@ -31,7 +31,29 @@
 /** What was chosen. */
 export type SendChoice = { readonly kind: 'server'; readonly candidate: Candidate } | NoServer
 
-const NO_SERVER: NoServer = { kind: 'none', retryAfterSeconds: RETRY_AFTER_REFUSALS_S }
+/** When some server of the group takes requests again; now where one does already. */
+function findOpenAt({ backpressure, timers }: DirectParts, plan: CallPlan): number {
+  const now = timers.now()
+  const instants = [...plan.view.servers.values()]
+    .filter(({ group, phase }) => group === plan.group.name && phase === 'ready')
+    .map(({ id }) => backpressure.judgeSend(id, now))
+    .filter(({ kind }) => kind !== 'leaving')
+    .map((verdict) => (verdict.kind === 'resting' ? verdict.until : now))
+  return instants.length === 0 ? now : Math.min(...instants)
+}
+
+/** Finds after how many seconds it is worth coming back for a caller that no server takes now. */
+export function findReturnSeconds(parts: DirectParts, plan: CallPlan): number {
+  const restMs = findOpenAt(parts, plan) - parts.timers.now()
+  return drawReturnSeconds(restMs, parts.random)
+}
+
+function createNoServer(parts: DirectParts, plan: CallPlan, log: CallLog): NoServer {
+  const retryAfterSeconds = findReturnSeconds(parts, plan)
+  const resting = parts.backpressure.countResting(parts.timers.now())
+  log('call.noServer', { group: plan.group.name, resting, retryAfterSeconds })
+  return { kind: 'none', retryAfterSeconds }
+}
 
 /** Whether a generation request cannot begin before its time is over, or no engine takes any. */
 function findHopeless(
@@ -54,7 +76,7 @@
   { sends, sentTo, excluded }: SendsSoFar,
   log: CallLog,
 ): SendChoice {
-  if (sends >= MAX_SENDS) return NO_SERVER
+  if (sends >= MAX_SENDS) return createNoServer(parts, plan, log)
   const ranked = rankServers(parts, {
     view: parts.feed.current() ?? plan.view,
     group: plan.group,
@@ -67,7 +89,7 @@
   const isUsedUp = sentTo.size >= plan.route.maxServers
   const allowed = isUsedUp ? ranked.filter(({ server }) => sentTo.has(server.id)) : ranked
   const [best] = allowed
-  if (!best) return NO_SERVER
+  if (!best) return createNoServer(parts, plan, log)
   const isJudged = plan.call.prompt !== undefined && sends === 0
   const hopeless = isJudged ? findHopeless(parts, plan, best, log) : undefined
   if (hopeless) return hopeless
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -33,7 +33,7 @@
 } from './sendEnd.js'
 import { hashRequest } from './requestFingerprint.js'
 import type { Admission, Refusal } from './requestQuarantine.js'
-import { chooseSend, type SendsSoFar } from './sendChoice.js'
+import { chooseSend, findReturnSeconds, type SendsSoFar } from './sendChoice.js'
 import { buildSend, recordPrompt } from './sendRecord.js'
 import { startSend, type Send } from './sendOnce.js'
 import { watchSilence } from './serverRestarts.js'
@@ -253,6 +253,7 @@
     const { parts, plan } = this
     const { server, unreadTokens } = candidate
     this.ticket = parts.board.open(server.id, unreadTokens)
+    parts.backpressure.recordSend(server.id, parts.timers.now())
     this.times.recordSend(unreadTokens)
     if (this.sends === 0) parts.retries.recordFirst(plan.group.name)
     this.sends += 1
@@ -359,6 +360,7 @@
     const isCorrected = (end.version ?? 0) > (version ?? Infinity)
     if (!isCorrected) this.excluded.add(server.id)
     if (this.parts.retries.take(this.plan.group.name)) return false
+    this.retryAfterSeconds = findReturnSeconds(this.parts, this.plan)
     this.refuse(this.createRefusal())
     return true
   }
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -58,6 +58,8 @@
   readonly engine: EngineFacts | undefined
   /** Engines of the group that answer. */
   readonly servers: readonly RegisteredServer[]
+  /** Whether an engine takes requests; one that does not may still be fetched from. */
+  readonly isOpen: (id: BackendServerId) => boolean
   readonly formatScope: (version: number) => string
   readonly board: ServerBoard
   readonly memory: PartMemory
@@ -178,6 +180,7 @@
 
   const isLong = prompt.promptTokens >= LONG_PROMPT_TOKENS
   const isOnSide = ({ server }: Engine) => !forLong || forLong.has(server.id) === isLong
+  const isHomeOpen = (engine: Engine) => isOnSide(engine) && input.isOpen(engine.server.id)
   const countHeld = (version: number) =>
     Math.max(0, ...holders.filter((held) => held.version === version).map((h) => h.matchedTokens))
   /** Home of the first level that nobody of a version is known to hold. */
@@ -188,7 +191,7 @@
     const depth = levels === -1 ? shared.length : levels + 1
     return findFirst(
       formatKey(shared.slice(0, depth)),
-      engines.filter((other) => other.version === version && isOnSide(other)),
+      engines.filter((other) => other.version === version && isHomeOpen(other)),
       ({ server }) => server.id,
     )
   })
--- /dev/null
+++ b/packages/routing/src/backpressure.ts
@@ -0,0 +1,82 @@
+/**
+ * Which backend servers want nothing more from this process, by their own word: some ask for rest, some are about to end.
+ * Facts in, verdicts out; no clock and no socket. A word binds the one that it was said to, and lasts as long as the
+ * incarnation that said it: the next one has another id.
+ */
+import type { BackendServerId } from '@spoolgate/core'
+import { LRUCache } from 'lru-cache'
+
+/** What may be sent to a server now. */
+export type SendVerdict =
+  | { readonly kind: 'open' }
+  /** One request, which shows whether the rest is over. */
+  | { readonly kind: 'trial' }
+  /** Nothing until then, an instant of the clock that the facts were dated by, in ms. */
+  | { readonly kind: 'resting'; readonly until: number }
+  /** Nothing any more, but for a look after a long time. */
+  | { readonly kind: 'leaving' }
+
+/** Servers that hold back; see {@link createBackpressure}. Instants are in ms of one monotonic clock. */
+export interface Backpressure {
+  /** Notes that a server asked for rest. */
+  recordRest(server: BackendServerId, restMs: number, now: number): void
+  /** Notes that a server said that it is about to end. */
+  recordLeaving(server: BackendServerId, now: number): void
+  /** Notes that a request is sent. */
+  recordSend(server: BackendServerId, now: number): void
+  judgeSend(server: BackendServerId, now: number): SendVerdict
+  /** Counts the servers that rest now. */
+  countResting(now: number): number
+}
+
+/** Longest rest that is believed, in ms: a mistaken word must not take a server out for good. */
+export const MAX_REST_MS = 600_000
+/** Time after which a server that said that it is about to end is asked once more, in ms; most have ended long before. */
+const LEAVING_MS = 600_000
+/**
+ * Time from the first request after a rest to the next, in ms. A server that still has too much to do says so at once;
+ * without this, all that waited would be turned away together.
+ */
+export const TRIAL_MS = 200
+/** Incarnations that are remembered: several times those of a large fleet. */
+const MAX_SERVERS = 5_000
+
+interface Rest {
+  until: number
+  /** Whether a request was sent since the rest ended. */
+  isTried: boolean
+}
+
+const OPEN: SendVerdict = { kind: 'open' }
+const TRIAL: SendVerdict = { kind: 'trial' }
+const LEAVING: SendVerdict = { kind: 'leaving' }
+
+/** Creates a record in which all servers are open. */
+export function createBackpressure(): Backpressure {
+  const rests = new LRUCache<BackendServerId, Rest>({ max: MAX_SERVERS })
+  const leavingUntil = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
+
+  return {
+    recordRest: (server, restMs, now) => {
+      const asked = now + Math.min(restMs, MAX_REST_MS)
+      // Answers overtake one another: the shorter of two words does not take back the longer one.
+      const until = Math.max(asked, rests.get(server)?.until ?? asked)
+      rests.set(server, { until, isTried: false })
+    },
+    recordLeaving: (server, now) => void leavingUntil.set(server, now + LEAVING_MS),
+    recordSend: (server, now) => {
+      const rest = rests.get(server)
+      if (!rest || now < rest.until) return
+      if (rest.isTried) rests.delete(server)
+      else rests.set(server, { until: now + TRIAL_MS, isTried: true })
+    },
+    judgeSend: (server, now) => {
+      if (now < (leavingUntil.get(server) ?? -Infinity)) return LEAVING
+      const rest = rests.get(server)
+      if (!rest) return OPEN
+      if (now < rest.until) return { kind: 'resting', until: rest.until }
+      return rest.isTried ? OPEN : TRIAL
+    },
+    countResting: (now) => [...rests.values()].filter(({ until }) => now < until).length,
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,6 +29,13 @@
 export { createRendezvous, type Rendezvous } from './rendezvous.js'
 export { createSubsetWidths, type SubsetWidths } from './subsetWidths.js'
 export { createRetryBudget, type RetryBudget } from './retryBudget.js'
+export {
+  createBackpressure,
+  MAX_REST_MS,
+  TRIAL_MS,
+  type Backpressure,
+  type SendVerdict,
+} from './backpressure.js'
 export { createEjection, type EjectableServer, type Ejection, type TryOutcome } from './ejection.js'
 export { POLICIES } from './policies/index.js'
 export type { Policy, PolicyInput, PolicyState, RankedCandidate } from './policies/policy.js'
