feat(router): routers tell each other which servers ask for rest, and send to others first

Change: what a router has in progress tells the others also that a server asked it for rest (one field of a load that travels anyway). They are not bound by it: the server costs a second more there, and is home of nothing new. While anybody of a group sheds, a server at which nobody has a call costs 0.1 to 0.2 s more, drawn, since who works on something takes requests.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -38,6 +38,7 @@
 } from './registry/engineOrders.js'
 export { createFeedFollower, type FeedFollower } from './registry/feedFollower.js'
 export { createControlMachine, type ControlMachine } from './state/controlMachine.js'
+export { createLoadSum, type LoadSum } from './registry/loadSum.js'
 export { createBlameSource, type BlameSource } from './blame/blameSource.js'
 export { createBlameRecord, type BlameRecord } from './blame/blameRecord.js'
 export {
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -19,6 +19,8 @@
   readonly calls: number
   /** Prompt tokens whose first token has not come yet. */
   readonly promptTokens: number
+  /** Routers that the server has asked for rest; missing for none. */
+  readonly rests?: number
 }
 
 /** Loads by backend server. */
--- a/packages/control/src/registry/loadSum.ts
+++ b/packages/control/src/registry/loadSum.ts
@@ -30,12 +30,18 @@
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
 function addLoad(a: ServerLoad, b: ServerLoad, sign: 1 | -1): ServerLoad {
+  const rests = (a.rests ?? 0) + sign * (b.rests ?? 0)
   return {
     calls: a.calls + sign * b.calls,
     promptTokens: a.promptTokens + sign * b.promptTokens,
+    ...(rests === 0 ? {} : { rests }),
   }
 }
 
+function isNothing({ calls, promptTokens, rests }: ServerLoad): boolean {
+  return calls === 0 && promptTokens === 0 && rests === undefined
+}
+
 /** Creates a sum over no routers. */
 export function createLoadSum({ timers, routerLifeMs }: LoadSumOptions): LoadSum {
   /** In the order in which they were last heard of. */
@@ -45,7 +51,7 @@
   const applyLoads = (loads: ServerLoads, sign: 1 | -1) => {
     for (const [server, load] of Object.entries(loads)) {
       const sum = addLoad(total.get(server) ?? NO_LOAD, load, sign)
-      if (sum.calls === 0 && sum.promptTokens === 0) total.delete(server)
+      if (isNothing(sum)) total.delete(server)
       else total.set(server, sum)
     }
   }
@@ -78,7 +84,7 @@
       const others: Record<string, ServerLoad> = {}
       for (const [server, sum] of total) {
         const load = addLoad(sum, own[server] ?? NO_LOAD, -1)
-        if (load.calls !== 0 || load.promptTokens !== 0) others[server] = load
+        if (!isNothing(load)) others[server] = load
       }
       return others
     },
--- a/packages/router/src/__tests__/restPlay.ts
+++ b/packages/router/src/__tests__/restPlay.ts
@@ -2,7 +2,12 @@
  * Servers that turn requests away and ask for rest, in virtual time and without a network: the real choice and the real
  * words of routers, on stand-in servers that shed in turn.
  */
-import { buildServerIdentity, type FleetView, type RegisteredServer } from '@spoolgate/control'
+import {
+  buildServerIdentity,
+  createLoadSum,
+  type FleetView,
+  type RegisteredServer,
+} from '@spoolgate/control'
 import {
   createManualTimerService,
   createRandomSource,
@@ -10,6 +15,7 @@
   type BackendServerId,
 } from '@spoolgate/core'
 import { createBackpressure, type Backpressure, type ServerGroup } from '@spoolgate/routing'
+import { addRests } from '../direct/answerWords.js'
 import { rankServers, type ChoiceParts } from '../direct/choice.js'
 import { createPartMemory } from '../direct/partMemory.js'
 import { createRetryShare, type RetryShare } from '../direct/retryShare.js'
@@ -26,6 +32,8 @@
   readonly sheddingPart: number
   /** How long they ask to be left alone, in ms. */
   readonly restMs: number
+  /** After this time, and so on, a part sheds; in every second turn nobody does. */
+  readonly turnMs: number
   readonly durationMs: number
   readonly seed: number
 }
@@ -38,7 +46,7 @@
   readonly rests: number
   /** Most requests of one router within one rest, from {@link HEARD_MS} on. */
   readonly mostInRest: number
-  /** Largest part of the requests of a second after rests that one server of those got, over the even part. */
+  /** Largest share that a server got of the requests of the second after its last rest, over the even one. */
   readonly largestShare: number
 }
 
@@ -46,14 +54,26 @@
 const HEARD_MS = 500
 const ANSWER_MS = 5
 const WORK_MS = 100
-/** Time for which a part of the servers sheds before others do, in ms. */
-const TURN_MS = 4_000
 const STEP_MS = 5
 const MAX_SENDS = 2
+const POLL_MS = 100
+const POLL_MS_PER_ROUTER = 2
+const ROUTER_LIFE_MS = 3_000
 const BOUNDS = { ratio: 0.2, slack: 40, windowMs: 10_000 }
 const GROUP: ServerGroup = { name: 'g' } as ServerGroup
+const WEIGHTS = [{ model: 'm', version: 1 }]
+/** Shares nothing with other requests. */
+const PROMPT = {
+  model: 'm',
+  parts: [{ id: 'own', tokens: 500 }],
+  promptTokens: 500,
+  maxTokens: 20,
+}
 
 interface PlayedRouter {
+  readonly name: string
+  /** The fleet with what the leader last told of the others. */
+  view: FleetView
   readonly parts: ChoiceParts & {
     readonly backpressure: Backpressure
     readonly retries: RetryShare
@@ -64,13 +84,13 @@
 
 function createServer(_: unknown, index: number): RegisteredServer {
   const name = toServerName(`s${index}`)
-  const facts = { group: 'g', address: `${name}:1`, hall: 'h', slots: 4, weights: [] }
+  const facts = { group: 'g', address: `${name}:1`, hall: 'h', slots: 4, weights: WEIGHTS }
   return { ...buildServerIdentity(name, 1), ...facts, phase: 'ready' }
 }
 
 /** Plays a load and tells what became of it. */
 export async function runRestPlay(options: RestPlayOptions): Promise<RestPlayResult> {
-  const { routers: routerCount, servers: serverCount, sheddingPart, restMs, seed } = options
+  const { routers: routerCount, servers: serverCount, sheddingPart, restMs, turnMs, seed } = options
   const timers = createManualTimerService()
   const random = createRandomSource(seed)
   const servers = Array.from({ length: serverCount }, createServer)
@@ -80,9 +100,15 @@
     silent: new Set(),
     loading: new Set(),
     loads: {},
+    weights: {},
+    weightsSince: {},
+    stores: [],
     index: { table: { stores: [] } },
   } as unknown as FleetView
+  const leader = createLoadSum({ timers, routerLifeMs: ROUTER_LIFE_MS })
   const createRouter = (_: unknown, index: number): PlayedRouter => ({
+    name: `r${index}`,
+    view,
     parts: {
       board: createServerBoard(timers),
       backpressure: createBackpressure(),
@@ -97,17 +123,15 @@
   })
   const routers = Array.from({ length: routerCount }, createRouter)
   const shedding = Math.round(serverCount * sheddingPart)
-  const turnAt = (at: number) => Math.floor(at / TURN_MS)
-  /** Every second turn is calm, so that the time after rests shows. */
+  const turnAt = (at: number) => Math.floor(at / turnMs)
   const isShedding = (index: number) => {
     const turn = turnAt(timers.now())
-    const first = (turn * shedding) % serverCount
-    return turn % 2 === 0 && (index - first + serverCount) % serverCount < shedding
+    const first = (Math.floor(turn / 2) * shedding) % serverCount
+    return turn % 2 === 1 && (index - first + serverCount) % serverCount < shedding
   }
   let sent = 0
   let answered = 0
-  /** Requests that each server got in the first second of a calm turn. */
-  const afterRests = new Map<BackendServerId, number>()
+  const sends: { server: BackendServerId; at: number }[] = []
 
   const countSend = ({ rests }: PlayedRouter, server: BackendServerId) => {
     const now = timers.now()
@@ -115,18 +139,15 @@
       const isIn = rest.server === server && now >= rest.from + HEARD_MS && now < rest.until
       if (isIn) rest.sends += 1
     }
-    const restsEndedAt = (turnAt(now) - 1) * TURN_MS + TURN_MS
-    if (turnAt(now) % 2 === 1 && now < restsEndedAt + 1_000) {
-      afterRests.set(server, (afterRests.get(server) ?? 0) + 1)
-    }
+    sends.push({ server, at: now })
   }
-  const send = (router: PlayedRouter, sends: number, excluded: Set<BackendServerId>): void => {
+  const send = (router: PlayedRouter, turn: number, excluded: Set<BackendServerId>): void => {
     const { parts } = router
     const now = timers.now()
     const [best] = rankServers(parts, {
-      view,
+      view: router.view,
       group: GROUP,
-      prompt: undefined,
+      prompt: PROMPT,
       formatScope: () => '',
       excluded,
       hall: 'h',
@@ -134,10 +155,10 @@
     })
     if (!best) return
     const { id } = best.server
-    const ticket = parts.board.open(id, 0)
+    const ticket = parts.board.open(id, best.unreadTokens)
     parts.backpressure.recordSend(id, now)
     countSend(router, id)
-    if (sends === 0) parts.retries.recordFirst('g')
+    if (turn === 0) parts.retries.recordFirst('g')
     if (!isShedding(servers.indexOf(best.server))) {
       timers.after(WORK_MS * (0.5 + random.next())).subscribe(() => {
         ticket.finish('ok')
@@ -151,9 +172,17 @@
       parts.backpressure.recordRest(id, restMs, from)
       router.rests.push({ server: id, from, until: from + restMs, sends: 0 })
       excluded.add(id)
-      if (sends + 1 < MAX_SENDS && parts.retries.take('g')) send(router, sends + 1, excluded)
+      if (turn + 1 < MAX_SENDS && parts.retries.take('g')) send(router, turn + 1, excluded)
     })
   }
+  const poll = (router: PlayedRouter) => {
+    const { board, backpressure } = router.parts
+    leader.record(router.name, addRests(board.listLoads(), backpressure.listResting(timers.now())))
+    router.view = { ...view, loads: leader.sumOthers(router.name) }
+    const periodMs = Math.max(POLL_MS, routerCount * POLL_MS_PER_ROUTER)
+    timers.after(periodMs * (0.5 + random.next())).subscribe(() => poll(router))
+  }
+  for (const router of routers) poll(router)
   const endsAt = options.durationMs
   const perStep = (options.requestsPerSecond * STEP_MS) / 1_000
   let due = 0
@@ -166,13 +195,18 @@
   }
   timers.advance(2 * WORK_MS)
   const rests = routers.flatMap((router) => router.rests)
-  const calm = [...afterRests.values()]
-  const even = calm.reduce((sum, count) => sum + count, 0) / serverCount
+  /** Share of a server in the second after the last rest that it asked for, over the even one. */
+  const findShare = ({ id }: RegisteredServer) => {
+    const endedAt = Math.max(0, ...rests.filter((one) => one.server === id).map((one) => one.until))
+    if (endedAt === 0 || endedAt + 1_000 > endsAt) return 0
+    const inSecond = sends.filter(({ at }) => at >= endedAt && at < endedAt + 1_000)
+    return (inSecond.filter(({ server }) => server === id).length * serverCount) / inSecond.length
+  }
   return {
     sent,
     answered,
     rests: rests.length,
     mostInRest: Math.max(0, ...rests.map(({ sends }) => sends)),
-    largestShare: calm.length === 0 ? 0 : Math.max(...calm) / even,
+    largestShare: Math.max(...servers.map(findShare)),
   }
 }
--- a/packages/router/src/direct/answerWords.ts
+++ b/packages/router/src/direct/answerWords.ts
@@ -1,11 +1,14 @@
 /** What a backend server says of itself in an answer: that it wants nothing for a while, or is about to end. */
 import { MAX_REST_MS } from '@spoolgate/routing'
-import type { RegisteredServer } from '@spoolgate/control'
+import type { RegisteredServer, ServerLoad, ServerLoads } from '@spoolgate/control'
+import type { BackendServerId } from '@spoolgate/core'
 import type { AnswerHead, DirectCall, RestWord } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 
 type WordParts = Pick<DirectParts, 'backpressure' | 'putAside' | 'logger' | 'timers'>
 
+const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
+
 /** Names what is wrong with a word; undefined where it is believed as it stands. */
 function findRestProblem(rest: RestWord): string | undefined {
   if (rest.kind === 'unreadable') return 'not a number of seconds; no rest is presumed'
@@ -22,6 +25,14 @@
   backpressure.recordRest(id, rest.ms, timers.now())
 }
 
+/** Adds the servers that asked for rest to what a router tells the others: they turn requests away there as well. */
+export function addRests(loads: ServerLoads, resting: readonly BackendServerId[]): ServerLoads {
+  if (resting.length === 0) return loads
+  const told: Record<string, ServerLoad> = { ...loads }
+  for (const id of resting) told[id] = { ...(loads[id] ?? NO_LOAD), rests: 1 }
+  return told
+}
+
 /** Takes note of what the head of an answer says of its server, before the next choice is made. */
 export function recordAnswerWords(
   parts: WordParts,
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -84,6 +84,16 @@
 const OLD_AFTER_MS = 1_300
 /** Cost of a server that loads weights, and least cost of one that cannot serve now. */
 export const LOADING_MS = 5_000
+/**
+ * Cost of a server that asked other routers for rest, in ms. Nobody is bound by what others were asked, but it probably
+ * turns away here as well, and that spends the budget of repeated sends.
+ */
+const SHEDDING_MS = 1_000
+/**
+ * Least cost of a server that nobody is known to have a call at, in ms, while others of its group turn requests away: it
+ * may do so too, and who works on something does not. Up to twice that is drawn, so that not all try the same one.
+ */
+const UNPROVEN_MS = 100
 /** Cost of a server that accepts no connections: it is used when there is no other. */
 const DEAD_MS = 10_000
 /** Cost of a server that fails every request, in ms; in proportion for one that fails some. */
@@ -198,6 +208,10 @@
   return { expectedMs, cost, matchedTokens, unreadTokens, version, fetchFrom, saveTo, isHome }
 }
 
+function isShedding({ loads }: FleetView, id: BackendServerId): boolean {
+  return (loads[id]?.rests ?? 0) > 0
+}
+
 /** What a server costs whatever the request. */
 function countPenalty(parts: ChoiceParts, input: ChoiceInput, server: RegisteredServer): number {
   const { view, hall } = input
@@ -205,6 +219,7 @@
   if (server.hall !== hall) cost += OTHER_HALL_MS
   if (view.silent.has(server.id)) cost += SILENT_MS
   if (view.loading.has(server.id)) cost += LOADING_MS
+  if (isShedding(view, server.id)) cost += SHEDDING_MS
   if (parts.liveness.isDead(server.id)) cost += DEAD_MS
   cost += parts.board.findFailureRate(server.id) * FAILING_MS
   return cost
@@ -255,9 +270,20 @@
       alive.map(({ id }) => id),
     )
   const { engine } = group
-  const shares = { view, engine, servers: alive, isOpen, formatScope, board, memory, forLong }
+  const takesParts = (id: BackendServerId) => isOpen(id) && !isShedding(view, id)
+  const shares = {
+    view,
+    engine,
+    servers: alive,
+    isOpen: takesParts,
+    formatScope,
+    board,
+    memory,
+    forLong,
+  }
   const places = prompt && findPlaces({ ...shares, prompt })
   const tokensPerMs = parts.times.findTokensPerMs(group.name)
+  const isAnyShedding = inGroup.some(({ id }) => !takesParts(id))
   const plainWorkMs = parts.times.findPlainMs(group.name)
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
@@ -266,7 +292,10 @@
       prompt && places
         ? estimateEngineCost(parts, input, prompt, places, server, load, tokensPerMs)
         : { ...PLAIN_FACTS, expectedMs: plainMs, cost: plainMs }
-    return { server, ...found, cost: found.cost + countPenalty(parts, input, server) }
+    const isUnproven = isAnyShedding && load.calls === 0
+    const unprovenMs = isUnproven ? UNPROVEN_MS * (1 + parts.random.next()) : 0
+    const cost = found.cost + countPenalty(parts, input, server) + unprovenMs
+    return { server, ...found, cost }
   })
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
   return prompt ? drawCandidates(ranked, countSharedTokens(prompt), parts.random) : ranked
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -30,6 +30,7 @@
 import { createPlannedStop, listStopInputs, type CallInProgress } from './plannedStop.js'
 import { createRequestQuarantine } from './requestQuarantine.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
+import { addRests } from './answerWords.js'
 import { createServerBoard } from './serverBoard.js'
 import { createServerEnds } from './serverEnds.js'
 import { createServerRestarts } from './serverRestarts.js'
@@ -154,7 +155,7 @@
     random,
     logger,
     decodeTable: options.decodeTable,
-    listLoads: board.listLoads,
+    listLoads: () => addRests(board.listLoads(), backpressure.listResting(timers.now())),
     takePlacements: memory.takePlacements,
     blame,
     onSuspects: quarantine.apply,
@@ -181,8 +182,10 @@
     'Requests that are refused, since servers ended under them',
     quarantine.countHeld,
   )
-  metrics.gauge('resting_servers', 'Backend servers that asked this router for rest', () =>
-    backpressure.countResting(timers.now()),
+  metrics.gauge(
+    'resting_servers',
+    'Backend servers that asked this router for rest',
+    () => backpressure.listResting(timers.now()).length,
   )
   const parts: DirectParts = {
     instance: options.instance,
--- a/packages/router/src/direct/sendChoice.ts
+++ b/packages/router/src/direct/sendChoice.ts
@@ -50,7 +50,7 @@
 
 function createNoServer(parts: DirectParts, plan: CallPlan, log: CallLog): NoServer {
   const retryAfterSeconds = findReturnSeconds(parts, plan)
-  const resting = parts.backpressure.countResting(parts.timers.now())
+  const resting = parts.backpressure.listResting(parts.timers.now()).length
   log('call.noServer', { group: plan.group.name, resting, retryAfterSeconds })
   return { kind: 'none', retryAfterSeconds }
 }
--- a/packages/routing/src/__tests__/backpressure.spec.ts
+++ b/packages/routing/src/__tests__/backpressure.spec.ts
@@ -14,7 +14,8 @@
     expect(backpressure.judgeSend(S1, 1_799).kind).to.equal('resting')
     expect(backpressure.judgeSend(S1, 1_800).kind).to.equal('trial')
     expect(backpressure.judgeSend(S2, 100).kind).to.equal('open')
-    expect([backpressure.countResting(1_799), backpressure.countResting(1_800)]).to.eql([1, 0])
+    expect(backpressure.listResting(1_799)).to.deep.equal([S1])
+    expect(backpressure.listResting(1_800)).to.deep.equal([])
   })
 
   it('get one request first, and the others only when it was not turned away', () => {
--- a/packages/routing/src/backpressure.ts
+++ b/packages/routing/src/backpressure.ts
@@ -25,8 +25,8 @@
   /** Notes that a request is sent. */
   recordSend(server: BackendServerId, now: number): void
   judgeSend(server: BackendServerId, now: number): SendVerdict
-  /** Counts the servers that rest now. */
-  countResting(now: number): number
+  /** Lists the servers that rest now. */
+  listResting(now: number): readonly BackendServerId[]
 }
 
 /** Longest rest that is believed, in ms: a mistaken word must not take a server out for good. */
@@ -77,6 +77,7 @@
       if (now < rest.until) return { kind: 'resting', until: rest.until }
       return rest.isTried ? OPEN : TRIAL
     },
-    countResting: (now) => [...rests.values()].filter(({ until }) => now < until).length,
+    listResting: (now) =>
+      [...rests].flatMap(([server, { until }]) => (now < until ? [server] : [])),
   }
 }
