test(control): a machine that was suspended believes its lease, its proof and its shares

Every instant is read from the steady clock, which stands still while a machine is suspended: a leader that was replaced meanwhile still holds its lease, a router takes what it holds for proven, shares of a limit outlive their time.

--- a/packages/control/src/__tests__/tableProof.spec.ts
+++ b/packages/control/src/__tests__/tableProof.spec.ts
@@ -15,68 +15,85 @@
 const POLL_MS = 100
 const table = (version: number) => ({ version, document: JSON.stringify({ version }) })
 
+/** A router that asks a leader, which answers with the newest table or tells of it. */
+function startFollower() {
+  const timers = createManualTimerService()
+  const leader = { newest: 1, isFetchable: false }
+  const answerPoll = ({ tableVersion }: FeedRequest): Partial<FeedReply> => ({
+    term: 1,
+    revision: 1,
+    tableVersion: leader.newest,
+    tableUpdate: tableVersion < 1 ? buildTableUpdate(undefined, table(1)) : undefined,
+    routers: 1,
+    loads: {},
+    placements: [],
+    kept: [],
+    keptPosition: { after: '', left: 0 },
+  })
+  const wait = (ms: number) =>
+    new Promise<void>((resolve) => timers.after(ms).subscribe(() => resolve()))
+  const sendJson = (async ({ url, json }: { url: string; json: FeedRequest }) => {
+    if (url.endsWith(TABLE_PATH)) {
+      if (!leader.isFetchable) throw new Error('not here yet')
+      return buildTableUpdate(undefined, table(leader.newest))
+    }
+    await wait(POLL_MS)
+    return answerPoll(json)
+  }) as HttpClient['sendJson']
+  const follower = createFeedFollower({
+    router: 'r',
+    seeds: () => ['http://a'],
+    client: { sendJson } as HttpClient,
+    timers,
+    random: createRandomSource(1),
+    logger: createLogger({ write: () => {} }),
+    decodeTable: (document) =>
+      ({ ...JSON.parse(document), routes: [], groups: [] }) as RoutingTable,
+    listLoads: () => ({}),
+    takePlacements: () => [],
+    onPlacements: () => {},
+    blame: createBlameRecord(timers),
+    onSuspects: () => {},
+    onTrial: () => {},
+    onKept: () => {},
+  })
+  const run = async (duration: number) => {
+    for (let spent = 0; spent < duration; spent += STEP_MS) {
+      timers.advance(STEP_MS)
+      for (let turn = 0; turn < 4; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    }
+  }
+  const stop = async () => {
+    const closed = follower.close()
+    await run(1_000)
+    await closed
+  }
+  return { timers, leader, follower, run, stop }
+}
+
 describe('the proof of a router that it holds the newest table', () => {
   it('is not renewed by a leader that tells of a newer one, until that is here', async () => {
-    const timers = createManualTimerService()
-    let newest = 1
-    let isFetchable = false
-    const answerPoll = ({ tableVersion }: FeedRequest): Partial<FeedReply> => ({
-      term: 1,
-      revision: 1,
-      tableVersion: newest,
-      tableUpdate: tableVersion < 1 ? buildTableUpdate(undefined, table(1)) : undefined,
-      routers: 1,
-      loads: {},
-      placements: [],
-      kept: [],
-      keptPosition: { after: '', left: 0 },
-    })
-    const wait = (ms: number) =>
-      new Promise<void>((resolve) => timers.after(ms).subscribe(() => resolve()))
-    const sendJson = (async ({ url, json }: { url: string; json: FeedRequest }) => {
-      if (url.endsWith(TABLE_PATH)) {
-        if (!isFetchable) throw new Error('not here yet')
-        return buildTableUpdate(undefined, table(newest))
-      }
-      await wait(POLL_MS)
-      return answerPoll(json)
-    }) as HttpClient['sendJson']
-    const follower = createFeedFollower({
-      router: 'r',
-      seeds: () => ['http://a'],
-      client: { sendJson } as HttpClient,
-      timers,
-      random: createRandomSource(1),
-      logger: createLogger({ write: () => {} }),
-      decodeTable: (document) =>
-        ({ ...JSON.parse(document), routes: [], groups: [] }) as RoutingTable,
-      listLoads: () => ({}),
-      takePlacements: () => [],
-      onPlacements: () => {},
-      blame: createBlameRecord(timers),
-      onSuspects: () => {},
-      onTrial: () => {},
-      onKept: () => {},
-    })
-    const run = async (duration: number) => {
-      for (let spent = 0; spent < duration; spent += STEP_MS) {
-        timers.advance(STEP_MS)
-        for (let turn = 0; turn < 4; turn += 1)
-          await new Promise((resolve) => setImmediate(resolve))
-      }
-    }
+    const { leader, follower, run, stop } = startFollower()
     await run(1_000)
     expect(follower.proofAgeMs()).to.be.at.most(3 * POLL_MS)
-    newest = 2
+    leader.newest = 2
     await run(2_000)
     expect(follower.current()?.index.table.version).to.equal(1)
     expect(follower.proofAgeMs()).to.be.at.least(2_000 - POLL_MS)
-    isFetchable = true
+    leader.isFetchable = true
     await run(1_000)
     expect(follower.current()?.index.table.version).to.equal(2)
     expect(follower.proofAgeMs()).to.be.at.most(3 * POLL_MS)
-    const closed = follower.close()
+    await stop()
+  })
+
+  it('ages while the machine of the router is suspended', async () => {
+    const { timers, follower, run, stop } = startFollower()
     await run(1_000)
-    await closed
+    timers.suspend(20_000)
+    expect(follower.proofAgeMs()).to.be.at.least(20_000)
+    await run(1_000)
+    expect(follower.proofAgeMs()).to.be.at.most(3 * POLL_MS)
+    await stop()
   })
 })
--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -2,12 +2,21 @@
  * Time as a service that parts subscribe to. Real daemons use the machine's monotonic clock;
  * tests pass a manual clock and move it by hand, so that no test waits for time to pass.
  */
-import { Observable } from 'rxjs'
+import { uptime } from 'node:os'
+import { Observable, Subject } from 'rxjs'
+import { createBootClock } from './bootClock.js'
 
 /** Clock and timers. All durations and instants are in milliseconds. */
 export interface TimerService {
-  /** Monotonic time; its zero has no meaning. */
+  /** Monotonic time; its zero has no meaning. Lacks a suspension of the machine that nobody has noticed yet. */
   now(): number
+  /**
+   * The same with every suspension, at some microseconds a call: for judging whether a promise still holds that others
+   * count on by clocks of their own. Instants of {@link now} may be compared with it; they are never too late.
+   */
+  bootNow(): number
+  /** Emits the length of each suspension that was noticed, in ms. */
+  readonly suspensions: Observable<number>
   /** Wall-clock time since the Unix epoch, for stamps that people read. */
   wallNow(): number
   /** Emits once after `delay`, then completes; unsubscribing cancels. */
@@ -20,12 +29,27 @@
 export interface ManualTimerService extends TimerService {
   /** Moves time forward and runs what falls due, in order of due time. */
   advance(duration: number): void
+  /** Lets time pass as on a suspended machine: nothing falls due, and only {@link bootNow} notices. */
+  suspend(duration: number): void
 }
 
+/** Time between two looks for a suspension, in ms; who judges a promise looks by itself. */
+const LOOK_MS = 250
+const MS_PER_S = 1_000
+
 /** Creates the timer service of a real daemon. */
 export function createTimerService(): TimerService {
+  const suspensions = new Subject<number>()
+  const clock = createBootClock({
+    steadyNow: () => performance.now(),
+    sinceBoot: () => uptime() * MS_PER_S,
+    onSuspended: (ms) => suspensions.next(ms),
+  })
+  setInterval(clock.bootNow, LOOK_MS).unref()
   return {
-    now: () => performance.now(),
+    now: clock.now,
+    bootNow: clock.bootNow,
+    suspensions,
     wallNow: () => Date.now(),
     after: (delay) =>
       new Observable((subscriber) => {
@@ -51,7 +75,15 @@
 
 /** Creates a timer service for tests; time starts at zero. */
 export function createManualTimerService(): ManualTimerService {
-  let now = 0
+  /** Time without suspensions; timers fall due by it. */
+  let steady = 0
+  let suspended = 0
+  const suspensions = new Subject<number>()
+  const clock = createBootClock({
+    steadyNow: () => steady,
+    sinceBoot: () => steady + suspended,
+    onSuspended: (ms) => suspensions.next(ms),
+  })
   const tasks = new Set<ManualTask>()
   const addTask = (due: number, period: number | undefined, run: () => void) => {
     const task: ManualTask = { due, period, run }
@@ -63,26 +95,31 @@
     return due.sort((a, b) => a.due - b.due)[0]
   }
   return {
-    now: () => now,
-    wallNow: () => now,
+    now: clock.now,
+    bootNow: clock.bootNow,
+    suspensions,
+    wallNow: () => steady + suspended,
     after: (delay) =>
       new Observable((subscriber) =>
-        addTask(now + delay, undefined, () => {
+        addTask(steady + delay, undefined, () => {
           subscriber.next()
           subscriber.complete()
         }),
       ),
     every: (period) =>
-      new Observable((subscriber) => addTask(now + period, period, () => subscriber.next())),
+      new Observable((subscriber) => addTask(steady + period, period, () => subscriber.next())),
     advance: (duration) => {
-      const until = now + duration
+      const until = steady + duration
       for (let task = findNext(until); task; task = findNext(until)) {
-        now = task.due
+        steady = task.due
         if (task.period === undefined) tasks.delete(task)
         else task.due += task.period
         task.run()
       }
-      now = until
+      steady = until
+    },
+    suspend: (duration) => {
+      suspended += duration
     },
   }
 }
--- a/packages/router/src/__tests__/teamLimits.spec.ts
+++ b/packages/router/src/__tests__/teamLimits.spec.ts
@@ -80,6 +80,16 @@
     router.close()
   })
 
+  it('ends with its shares though the machine was suspended, and control is away', async () => {
+    const { routers, link } = createRouters(1)
+    const [router] = routers
+    expect(await tryAdmit(router)).to.be.a('function')
+    link.isUp = false
+    timers.suspend(6_000)
+    expect(await tryAdmit(router)).to.equal(undefined)
+    router.close()
+  })
+
   it('hands out nothing under a new leader until earlier shares have expired', () => {
     const ledger = createLedger()
     const ask = () =>
