fix(control): what a machine sleeps through counts for its lease, its proof and its shares

What callers would have seen: a control instance whose machine was suspended for seconds, and replaced meanwhile, tells an older configuration as the newest; a router that slept honours a key that was taken away; shares of a limit outlive their time.

Cause: these were judged by the steady clock, which stands still while a machine is suspended.

Change: timers.promiseNow(), the steady clock and all that the time of day was seen to gain on it. A leader's lease, a router's proof and its shares are judged by it, against instants of its own kind. What waits out others' promises stays on the steady clock, so that it waits longer, not shorter (docs/design/time.md). One timer service for each program.

Tried before, in the same tree, and thrown away: the clock since boot by os.uptime(), as was intended.

Why it holds: a promise is given by the others' clocks, which went on; the clock it is judged by is never behind what passed, unless the time of day is set back in the same pause. A lease that ends early costs one round of heartbeats and no election (suspendedMachine.spec).

--- a/packages/control/src/__tests__/groupModel.ts
+++ b/packages/control/src/__tests__/groupModel.ts
@@ -47,10 +47,16 @@
   lost: string[]
 }
 
+/** Part of the freezes in which the machine itself is suspended. */
+const SUSPENDED_PART = 0.5
+const SLEEPS_SEED_OFFSET = 1_000_003
+
 class Life {
   readonly actions: string[] = []
   readonly leaderOf = new Map<number, string>()
   readonly frozenAt = new Map<string, number>()
+  /** Drawn apart, so that the other draws of a seed stay as they were. */
+  readonly sleeps: RandomSource
   places: Place[]
   now = 0
   acknowledged = 0
@@ -68,6 +74,7 @@
     /** Of these, machines that may be gone for good. */
     readonly borneAway: number,
   ) {
+    this.sleeps = createRandomSource(seed + SLEEPS_SEED_OFFSET)
     this.places = [...group.members.keys()].map((name) => ({
       url: name,
       name,
@@ -200,9 +207,10 @@
     if (since === undefined) return
     this.frozenAt.delete(name)
     this.group.frozen.delete(name)
-    // A frozen process sees its monotonic clock jump when it wakes.
     const found = this.group.members.get(name) as TestMember
-    found.timers.advance(this.now - since)
+    // A frozen process sees its monotonic clock jump when it wakes; one whose machine was suspended does not.
+    if (this.sleeps.next() < SUSPENDED_PART) found.timers.suspend(this.now - since)
+    else found.timers.advance(this.now - since)
   }
 
   async removeDisk(place: Place): Promise<void> {
--- a/packages/control/src/__tests__/suspendedMachine.spec.ts
+++ b/packages/control/src/__tests__/suspendedMachine.spec.ts
@@ -27,6 +27,15 @@
     expect(group.countLeases()).to.equal(1)
   })
 
+  it('is not deposed because its time of day was set ahead', async () => {
+    const leader = await group.findLeader()
+    const { term } = leader.member.status()
+    leader.timers.setWall(60_000)
+    expect(leader.member.status().hasLease).to.equal(false)
+    await group.run(ELECTION_MS)
+    expect(leader.member.status()).to.include({ role: 'leader', hasLease: true, term })
+  })
+
   it('helps nobody to depose a leader that it heard before, any sooner than without', async () => {
     const leader = await group.findLeader()
     const [voter] = [...group.members.values()].filter(({ name }) => name !== leader.name)
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -224,8 +224,9 @@
   const findEndedTerm = () => (role === 'leader' || isCampaigning() ? term() - 1 : term())
   const hasLease = () => {
     if (role !== 'leader' || !replicator) return false
-    const confirmed = replicator.confirmedAt()
-    return timers.now() < confirmed + options.electionMs * LEASE_RATIO
+    // The others' clocks went on while this machine was suspended; they may have another leader.
+    const now = timers.promiseNow()
+    return now < replicator.promisedAt() + options.electionMs * LEASE_RATIO
   }
 
   const findRefusal = (request: VoteRequest): VoteRefusal | undefined => {
--- a/packages/control/src/raft/replicator.ts
+++ b/packages/control/src/raft/replicator.ts
@@ -39,6 +39,8 @@
   wake(): void
   /** Latest instant at which a majority was known to follow, in ms of the monotonic clock. */
   confirmedAt(): number
+  /** The same by the clock for promises; the lease rests on it. */
+  promisedAt(): number
   listFollowers(): FollowerProgress[]
   close(): void
 }
@@ -67,6 +69,8 @@
   matchIndex: number
   /** When the last acknowledged message was sent. */
   confirmedAt: number
+  /** The same by the clock for promises. */
+  promisedAt: number
   /** Ends the wait for the next heartbeat. */
   wake: AbortController
 }
@@ -89,27 +93,35 @@
   }
   // A lease rests on all groups that decide, as a commit does: while the group changes, whoever is
   // elected by half of the group before the change need not meet a majority of the one after it.
-  const confirmedAt = () => {
-    const findConfirmed = (member: string) =>
-      member === name ? timers.now() : (peers.get(member)?.confirmedAt ?? -Infinity)
+  const findReached = (now: number, findConfirmed: (peer: Peer) => number) => {
+    const findOne = (member: string) => {
+      const peer = peers.get(member)
+      if (member === name) return now
+      return peer ? findConfirmed(peer) : -Infinity
+    }
     const reached = options.listDeciding()
-    return Math.min(...reached.map((members) => findMajorityValue(members, findConfirmed)))
+    return Math.min(...reached.map((members) => findMajorityValue(members, findOne)))
   }
+  const confirmedAt = () => findReached(timers.now(), (peer) => peer.confirmedAt)
+  const promisedAt = () => findReached(timers.promiseNow(), (peer) => peer.promisedAt)
 
   const sendSnapshot = async (member: string, info: MemberInfo, peer: Peer) => {
     const snapshot = store.snapshot()
     if (!snapshot) return
     const request = { term, leader: name, leaderUrl: options.url, snapshot }
     const sentAt = timers.now()
+    const promisedFrom = timers.promiseNow()
     const reply = await transport.send(member, info.url, 'install', request)
     if (reply.term > term) return options.onHigherTerm(reply.term)
     peer.confirmedAt = sentAt
+    peer.promisedAt = promisedFrom
     peer.matchIndex = Math.max(peer.matchIndex, snapshot.index)
     peer.nextIndex = peer.matchIndex + 1
   }
   const sendEntries = async (member: string, info: MemberInfo, peer: Peer) => {
     const previousIndex = peer.nextIndex - 1
     const sentAt = timers.now()
+    const promisedFrom = timers.promiseNow()
     const reply = await transport.send(member, info.url, 'append', {
       term,
       leader: name,
@@ -121,6 +133,7 @@
     })
     if (reply.term > term) return options.onHigherTerm(reply.term)
     peer.confirmedAt = sentAt
+    peer.promisedAt = promisedFrom
     if (!reply.isAccepted) {
       peer.nextIndex = Math.max(1, reply.index)
       return
@@ -155,6 +168,7 @@
         nextIndex: store.lastIndex() + 1,
         matchIndex: 0,
         confirmedAt: -Infinity,
+        promisedAt: -Infinity,
         wake: new AbortController(),
       }
       peers.set(member, peer)
@@ -175,6 +189,7 @@
       for (const peer of peers.values()) peer.wake.abort()
     },
     confirmedAt,
+    promisedAt,
     listFollowers: () =>
       [...peers].map(([member, peer]) => ({
         name: member,
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -97,7 +97,7 @@
 /** Word of the leader that a version was the newest. */
 interface TableProof {
   readonly version: number
-  /** When the router asked, in ms of the monotonic clock. */
+  /** When the router asked, in ms of the clock for promises. */
   readonly askedAt: number
 }
 
@@ -120,7 +120,7 @@
     return Math.max(WAIT_MS, held.countRouters() * WAIT_PER_ROUTER_MS)
   }
   const askInstance = async (url: string, signal: AbortSignal): Promise<FeedAnswer> => {
-    const askedAt = timers.now()
+    const askedAt = timers.promiseNow()
     untold = [...untold, ...options.takePlacements()].slice(-MAX_UNTOLD)
     const placements = untold
     const position = held.position()
@@ -190,7 +190,7 @@
     searchEvent: 'control.searching',
     listState: () => ({
       tableVersion: held.view()?.index.table.version,
-      proofAgeMs: Math.round(timers.now() - provenAt),
+      proofAgeMs: Math.round(timers.promiseNow() - provenAt),
       term: held.position().term,
     }),
     stopping: stopping.signal,
@@ -198,7 +198,7 @@
   const pollLeader = async (url: string) => {
     const answered = await search.askFirst(url, findWaitMs(url) + ANSWER_MS)
     if (answered || stopping.signal.aborted) return answered
-    const proofAgeMs = Math.round(timers.now() - provenAt)
+    const proofAgeMs = Math.round(timers.promiseNow() - provenAt)
     logger.warn('control.lost', { url, term: held.position().term, proofAgeMs })
     leader = undefined
     return undefined
@@ -227,7 +227,8 @@
   const running = run()
   return {
     current: held.view,
-    proofAgeMs: () => timers.now() - provenAt,
+    // What is held may have been replaced while this machine was suspended.
+    proofAgeMs: () => timers.promiseNow() - provenAt,
     changes,
     close: async () => {
       stopping.abort()
--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -2,21 +2,20 @@
  * Time as a service that parts subscribe to. Real daemons use the machine's monotonic clock;
  * tests pass a manual clock and move it by hand, so that no test waits for time to pass.
  */
-import { uptime } from 'node:os'
 import { Observable, Subject } from 'rxjs'
-import { createBootClock } from './bootClock.js'
+import { createPromiseClock } from './promiseClock.js'
 
 /** Clock and timers. All durations and instants are in milliseconds. */
 export interface TimerService {
-  /** Monotonic time; its zero has no meaning. Lacks a suspension of the machine that nobody has noticed yet. */
+  /** Monotonic time; its zero has no meaning. Stands still while the machine is suspended. */
   now(): number
   /**
-   * The same with every suspension, at some microseconds a call: for judging whether a promise still holds that others
-   * count on by clocks of their own. Instants of {@link now} may be compared with it; they are never too late.
+   * Monotonic time as others may have counted it: with what this machine slept through, or more. Only for judging whether a
+   * promise still holds that others rely on by clocks of their own, and against instants of its own kind.
    */
-  bootNow(): number
-  /** Emits the length of each suspension that was noticed, in ms. */
-  readonly suspensions: Observable<number>
+  promiseNow(): number
+  /** Emits what {@link promiseNow} found to be missing in {@link now}, in ms. */
+  readonly missed: Observable<number>
   /** Wall-clock time since the Unix epoch, for stamps that people read. */
   wallNow(): number
   /** Emits once after `delay`, then completes; unsubscribing cancels. */
@@ -29,28 +28,23 @@
 export interface ManualTimerService extends TimerService {
   /** Moves time forward and runs what falls due, in order of due time. */
   advance(duration: number): void
-  /** Lets time pass as on a suspended machine: nothing falls due, and only {@link bootNow} notices. */
+  /** Lets time pass as on a suspended machine: nothing falls due, and only the time of day goes on. */
   suspend(duration: number): void
+  /** Sets the time of day ahead, or back by a negative duration. */
+  setWall(duration: number): void
 }
 
-/** Time between two looks for a suspension, in ms; who judges a promise looks by itself. */
-const LOOK_MS = 250
-const MS_PER_S = 1_000
-
 /** Creates the timer service of a real daemon. */
 export function createTimerService(): TimerService {
-  const suspensions = new Subject<number>()
-  const clock = createBootClock({
-    steadyNow: () => performance.now(),
-    sinceBoot: () => uptime() * MS_PER_S,
-    onSuspended: (ms) => suspensions.next(ms),
-  })
-  setInterval(clock.bootNow, LOOK_MS).unref()
+  const missed = new Subject<number>()
+  const steadyNow = () => performance.now()
+  const wallNow = () => Date.now()
+  const onMissed = (ms: number) => missed.next(ms)
   return {
-    now: clock.now,
-    bootNow: clock.bootNow,
-    suspensions,
-    wallNow: () => Date.now(),
+    now: steadyNow,
+    promiseNow: createPromiseClock({ steadyNow, wallNow, onMissed }),
+    missed,
+    wallNow,
     after: (delay) =>
       new Observable((subscriber) => {
         const handle = setTimeout(() => {
@@ -75,14 +69,14 @@
 
 /** Creates a timer service for tests; time starts at zero. */
 export function createManualTimerService(): ManualTimerService {
-  /** Time without suspensions; timers fall due by it. */
-  let steady = 0
-  let suspended = 0
-  const suspensions = new Subject<number>()
-  const clock = createBootClock({
-    steadyNow: () => steady,
-    sinceBoot: () => steady + suspended,
-    onSuspended: (ms) => suspensions.next(ms),
+  let now = 0
+  /** What the time of day is ahead. */
+  let aheadMs = 0
+  const missed = new Subject<number>()
+  const promiseNow = createPromiseClock({
+    steadyNow: () => now,
+    wallNow: () => now + aheadMs,
+    onMissed: (ms) => missed.next(ms),
   })
   const tasks = new Set<ManualTask>()
   const addTask = (due: number, period: number | undefined, run: () => void) => {
@@ -95,31 +89,34 @@
     return due.sort((a, b) => a.due - b.due)[0]
   }
   return {
-    now: clock.now,
-    bootNow: clock.bootNow,
-    suspensions,
-    wallNow: () => steady + suspended,
+    now: () => now,
+    promiseNow,
+    missed,
+    wallNow: () => now + aheadMs,
     after: (delay) =>
       new Observable((subscriber) =>
-        addTask(steady + delay, undefined, () => {
+        addTask(now + delay, undefined, () => {
           subscriber.next()
           subscriber.complete()
         }),
       ),
     every: (period) =>
-      new Observable((subscriber) => addTask(steady + period, period, () => subscriber.next())),
+      new Observable((subscriber) => addTask(now + period, period, () => subscriber.next())),
     advance: (duration) => {
-      const until = steady + duration
+      const until = now + duration
       for (let task = findNext(until); task; task = findNext(until)) {
-        steady = task.due
+        now = task.due
         if (task.period === undefined) tasks.delete(task)
         else task.due += task.period
         task.run()
       }
-      steady = until
+      now = until
     },
     suspend: (duration) => {
-      suspended += duration
+      aheadMs += duration
+    },
+    setWall: (duration) => {
+      aheadMs += duration
     },
   }
 }
--- a/packages/router/src/limits/teamLimits.ts
+++ b/packages/router/src/limits/teamLimits.ts
@@ -97,7 +97,7 @@
     }
   }
   const renewNow = async () => {
-    const askedAt = timers.now()
+    const askedAt = timers.promiseNow()
     const demands = Object.fromEntries([...uses].map(([team, use]) => [team, buildDemand(use)]))
     try {
       const reply = await control.request<ShareReply>('POST', '/shares', { router, demands })
@@ -115,7 +115,7 @@
   const forgetIdle = () => {
     for (const [team, use] of uses) {
       const isIdle = use.running === 0 && use.askedRequests === 0
-      if (isIdle && use.expiresAt < timers.now()) uses.delete(team)
+      if (isIdle && use.expiresAt < timers.promiseNow()) uses.delete(team)
     }
   }
   const renewal = timers.every(RENEW_PERIOD_MS).subscribe(() => {
@@ -136,7 +136,8 @@
     parameters: TeamParameters,
     tokens: number,
   ): LimitKind | undefined => {
-    const isValid = timers.now() < use.expiresAt
+    // The ledger gives an expired share to others, also while this machine is suspended.
+    const isValid = timers.promiseNow() < use.expiresAt
     const isWithin: Record<LimitKind, () => boolean> = {
       concurrentRequests: () => use.running + 1 <= (use.shares.concurrentRequests ?? 0),
       requestsPerSecond: () => (use.shares.requestsPerSecond ?? 0) > 0 && use.requests >= 1,
