refactor(control): one way to bound a map, and one bound for requests in quarantine

Three copies of removing the oldest entries, and a fourth by hand, are one function in core; the bounds of requests in quarantine stood twice. Nothing else changes. Tests of the states, of blame and of orders: passed.

--- a/packages/control/src/blame/blameTrials.ts
+++ b/packages/control/src/blame/blameTrials.ts
@@ -3,7 +3,7 @@
  * one for each router, and its end is not put down to another that is tried beside it.
  */
 import type { RequestFingerprint, TimerService } from '@spoolgate/core'
-import type { QuarantineState } from '../state/quarantineState.js'
+import { QUARANTINE_BOUNDS, type QuarantineState } from '../state/quarantineState.js'
 import { createFingerprintMap } from './fingerprintMap.js'
 import { findHoldMs } from './requestBlame.js'
 
@@ -38,12 +38,10 @@
 const TRIAL_MS = 4_000
 /** Time after which a trial of which nothing was heard is made again, in ms: above the deadlines of the users' callers. */
 const RETRY_MS = 20_000
-/** As many as there are requests in quarantine. */
-const BOUNDS = { maxPerCaller: 64, maxCallers: 512 }
 
 /** Creates trials, none of them under way. */
 export function createBlameTrials({ quarantine, timers }: BlameTrialsOptions): BlameTrials {
-  const rounds = createFingerprintMap<Round>(BOUNDS)
+  const rounds = createFingerprintMap<Round>(QUARANTINE_BOUNDS)
   let current: { readonly request: RequestFingerprint; readonly state: Round } | undefined
 
   const findRound = (request: RequestFingerprint): Round | undefined => {
--- a/packages/control/src/blame/fingerprintMap.ts
+++ b/packages/control/src/blame/fingerprintMap.ts
@@ -2,7 +2,7 @@
  * A bounded map by fingerprint. Each caller has its own bound, so that one that sends many harmful requests pushes out its
  * own and nobody else's.
  */
-import type { RequestFingerprint } from '@spoolgate/core'
+import { removeOldest, type RequestFingerprint } from '@spoolgate/core'
 import { findCaller } from './requestBlame.js'
 
 /** Bounds of {@link createFingerprintMap}. */
@@ -26,7 +26,7 @@
 function addNewest<Key, Value>(map: Map<Key, Value>, key: Key, value: Value, most: number): void {
   map.delete(key)
   map.set(key, value)
-  if (map.size > most) map.delete(map.keys().next().value as Key)
+  removeOldest(map, most)
 }
 
 /** Creates an empty map. */
--- a/packages/control/src/state/configState.ts
+++ b/packages/control/src/state/configState.ts
@@ -1,5 +1,6 @@
 /** The part of the replicated state that holds the fleet configuration and its history. */
 import type { FleetConfigInput } from '@spoolgate/config'
+import { removeOldest } from '@spoolgate/core'
 import {
   compareFleets,
   hashFleet,
@@ -98,10 +99,6 @@
 /** First results kept for resent changes. */
 const MAX_RESULTS = 10_000
 
-function removeOldest<K, V>(map: Map<K, V>, limit: number): void {
-  while (map.size > limit) map.delete(map.keys().next().value as K)
-}
-
 /** Creates an empty state at version 0. */
 export function createConfigState(): ConfigState {
   let version = 0
--- a/packages/control/src/state/loadState.ts
+++ b/packages/control/src/state/loadState.ts
@@ -4,7 +4,7 @@
  * engines the one before may still be giving orders to. A mark outlives a restart of its engine: an order
  * that is under way reaches whichever start is there when it arrives.
  */
-import type { ServerName } from '@spoolgate/core'
+import { removeOldest, type ServerName } from '@spoolgate/core'
 import { Subject, type Observable } from 'rxjs'
 
 /** Notes that a leader is about to order an engine to load weights. */
@@ -48,7 +48,7 @@
   const setMark = (server: ServerName, mark: LoadMark) => {
     marks.delete(server)
     marks.set(server, mark)
-    if (marks.size > MAX_MARKS) marks.delete(marks.keys().next().value as ServerName)
+    removeOldest(marks, MAX_MARKS)
     changes.next(server)
     return null
   }
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -2,7 +2,12 @@
  * The part of the replicated state that holds the backend servers which registered themselves. Only
  * what a router must know survives here; when a server was last heard is soft state of the leader.
  */
-import { toBackendServerId, type BackendServerId, type ServerName } from '@spoolgate/core'
+import {
+  removeOldest,
+  toBackendServerId,
+  type BackendServerId,
+  type ServerName,
+} from '@spoolgate/core'
 
 /** Phase in the life of one incarnation of a backend server; it only moves forward. */
 export type ServerPhase = 'ready' | 'draining' | 'gone'
@@ -150,14 +155,6 @@
   return { name: saved.id as string as ServerName, startedAt: UNKNOWN_START, ...saved }
 }
 
-/** Removes the oldest entries of a map or set beyond a number. */
-function removeOldest<Key>(
-  entries: { readonly size: number; keys(): Iterator<Key>; delete(key: Key): boolean },
-  most: number,
-): void {
-  while (entries.size > most) entries.delete(entries.keys().next().value as Key)
-}
-
 /** Creates a state without servers. */
 export function createServerState(): ServerState {
   const servers = new Map<BackendServerId, RegisteredServer>()
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
   type LoggerOptions,
   type LogLevel,
 } from './logger.js'
+export { removeOldest } from './removeOldest.js'
 export { createTurnQueue, type TurnQueue } from './turnQueue.js'
 export { createPutAside, type PutAside, type PutAsideEntry } from './putAside.js'
 export { createLineBudget, type LineBudgetOptions } from './lineBudget.js'
