test(router): the choice beside servers that rest, and what each safeguard of it is noticed by

With the safeguards taken out one at a time in the built files, two were noticed by nothing: that parts get another home while theirs rests, and the cost of a server that is not known to take work. A spec of the choice for them; both, and the cost of who sheds at others, are noticed now.

--- /dev/null
+++ b/packages/router/src/__tests__/choice.spec.ts
@@ -0,0 +1,106 @@
+import {
+  buildServerIdentity,
+  type FleetView,
+  type RegisteredServer,
+  type ServerLoads,
+} from '@spoolgate/control'
+import { createManualTimerService, createRandomSource, toServerName } from '@spoolgate/core'
+import { createBackpressure, formatCacheScope, type ServerGroup } from '@spoolgate/routing'
+import { expect } from 'chai'
+import { rankServers } from '../direct/choice.js'
+import { createPartMemory } from '../direct/partMemory.js'
+import { createServerBoard } from '../direct/serverBoard.js'
+import { createWorkSplit } from '../direct/workSplit.js'
+import { createWorkTimes } from '../direct/workTimes.js'
+
+const REST_MS = 3_000
+const PROMPT = {
+  model: 'm',
+  parts: [
+    { id: 'shared', tokens: 3_000 },
+    { id: 'own', tokens: 100 },
+  ],
+  promptTokens: 3_100,
+  maxTokens: 10,
+}
+
+function createServer(id: string): RegisteredServer {
+  return {
+    ...buildServerIdentity(toServerName(id), undefined),
+    group: 'g',
+    address: `${id}:1`,
+    hall: 'h',
+    phase: 'ready',
+    slots: 4,
+    weights: [{ model: 'm', version: 1 }],
+  }
+}
+
+describe('the choice of a server', () => {
+  const servers = ['a', 'b', 'c'].map(createServer)
+  const [a, b, c] = servers
+
+  const createChoice = () => {
+    const timers = createManualTimerService()
+    const parts = {
+      board: createServerBoard(timers),
+      backpressure: createBackpressure(),
+      memory: createPartMemory({ findCacheTokens: () => 100_000 }),
+      liveness: { isDead: () => false } as never,
+      random: createRandomSource(1),
+      split: createWorkSplit(timers),
+      times: createWorkTimes(),
+    }
+    const rank = (loads: ServerLoads, prompt?: typeof PROMPT) => {
+      const view = {
+        servers: new Map(servers.map((server) => [server.id, server])),
+        expired: new Set(),
+        silent: new Set(),
+        loading: new Set(),
+        loads,
+        weights: {},
+        weightsSince: {},
+        stores: [],
+        index: { table: { stores: [] } },
+      } as unknown as FleetView
+      const group = { name: 'g' } as ServerGroup
+      const formatScope = () => formatCacheScope(undefined, 1)
+      const excluded = new Set<never>()
+      const now = timers.now()
+      return rankServers(parts, { view, group, prompt, formatScope, excluded, hall: 'h', now })
+    }
+    const rankIds = (loads: ServerLoads) => rank(loads).map(({ server }) => server.id)
+    return { parts, rank, rankIds, timers }
+  }
+  const call = { calls: 1, promptTokens: 0 }
+
+  it('goes to who has nothing to do, and where somebody sheds to who is known to take work', () => {
+    const { rankIds } = createChoice()
+    expect(rankIds({ [b.id]: call })).to.deep.equal([a.id, c.id, b.id])
+    const shedding = { [c.id]: { ...call, rests: 2 } }
+    expect(rankIds({ ...shedding, [b.id]: call })).to.deep.equal([b.id, a.id, c.id])
+  })
+
+  it('leaves out who asked this router for rest, and who leaves, and no others', () => {
+    const { parts, rankIds, timers } = createChoice()
+    parts.backpressure.recordRest(a.id, REST_MS, timers.now())
+    parts.backpressure.recordLeaving(c.id, timers.now())
+    expect(rankIds({})).to.deep.equal([b.id])
+    timers.advance(REST_MS)
+    expect(rankIds({})).to.have.members([a.id, b.id])
+  })
+
+  it('gives shared parts another home while theirs rests, here or at others, and the same again', () => {
+    const { parts, rank, timers } = createChoice()
+    const findHome = (loads: ServerLoads = {}) =>
+      rank(loads, PROMPT).find(({ isHome }) => isHome)?.server.id
+    const home = findHome()
+    if (home === undefined) throw new Error('no home')
+    const second = findHome({ [home]: { ...call, rests: 1 } })
+    expect(second).to.be.a('string').and.not.equal(home)
+    parts.backpressure.recordRest(home, REST_MS, timers.now())
+    expect(findHome()).to.equal(second)
+    timers.advance(REST_MS)
+    expect(findHome()).to.equal(home)
+  })
+})
