--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -2,12 +2,20 @@
  * Time as a service that parts subscribe to. Real daemons use the machine's monotonic clock;
  * tests pass a manual clock and move it by hand, so that no test waits for time to pass.
  */
-import { Observable } from 'rxjs'
+import { Observable, Subject } from 'rxjs'
+import { createPromiseClock } from './promiseClock.js'
 
 /** Clock and timers. All durations and instants are in milliseconds. */
 export interface TimerService {
-  /** Monotonic time; its zero has no meaning. */
+  /** Monotonic time; its zero has no meaning. Stands still while the machine is suspended. */
   now(): number
+  /**
+   * Monotonic time as others may have counted it: with what this machine slept through, or more. Only for judging whether a
+   * promise still holds that others rely on by clocks of their own, and against instants of its own kind.
+   */
+  promiseNow(): number
+  /** Emits what {@link promiseNow} found to be missing in {@link now}, in ms. */
+  readonly missed: Observable<number>
   /** Wall-clock time since the Unix epoch, for stamps that people read. */
   wallNow(): number
   /** Emits once after `delay`, then completes; unsubscribing cancels. */
@@ -20,13 +28,23 @@
 export interface ManualTimerService extends TimerService {
   /** Moves time forward and runs what falls due, in order of due time. */
   advance(duration: number): void
+  /** Lets time pass as on a suspended machine: nothing falls due, and only the time of day goes on. */
+  suspend(duration: number): void
+  /** Sets the time of day ahead, or back by a negative duration. */
+  setWall(duration: number): void
 }
 
 /** Creates the timer service of a real daemon. */
 export function createTimerService(): TimerService {
+  const missed = new Subject<number>()
+  const steadyNow = () => performance.now()
+  const wallNow = () => Date.now()
+  const onMissed = (ms: number) => missed.next(ms)
   return {
-    now: () => performance.now(),
-    wallNow: () => Date.now(),
+    now: steadyNow,
+    promiseNow: createPromiseClock({ steadyNow, wallNow, onMissed }),
+    missed,
+    wallNow,
     after: (delay) =>
       new Observable((subscriber) => {
         const handle = setTimeout(() => {
@@ -52,6 +70,14 @@
 /** Creates a timer service for tests; time starts at zero. */
 export function createManualTimerService(): ManualTimerService {
   let now = 0
+  /** What the time of day is ahead. */
+  let aheadMs = 0
+  const missed = new Subject<number>()
+  const promiseNow = createPromiseClock({
+    steadyNow: () => now,
+    wallNow: () => now + aheadMs,
+    onMissed: (ms) => missed.next(ms),
+  })
   const tasks = new Set<ManualTask>()
   const addTask = (due: number, period: number | undefined, run: () => void) => {
     const task: ManualTask = { due, period, run }
@@ -64,7 +90,9 @@
   }
   return {
     now: () => now,
-    wallNow: () => now,
+    promiseNow,
+    missed,
+    wallNow: () => now + aheadMs,
     after: (delay) =>
       new Observable((subscriber) =>
         addTask(now + delay, undefined, () => {
@@ -84,6 +112,12 @@
       }
       now = until
     },
+    suspend: (duration) => {
+      aheadMs += duration
+    },
+    setWall: (duration) => {
+      aheadMs += duration
+    },
   }
 }
 
