test(router): the play of rests in short parts, with the stand-in fleet that the choice's spec uses as well

One long function became a class; the fleet that both tests made for themselves is made in one place. Checks and bounds are as they were.

--- a/packages/router/src/__tests__/choice.spec.ts
+++ b/packages/router/src/__tests__/choice.spec.ts
@@ -1,17 +1,9 @@
-import {
-  buildServerIdentity,
-  type FleetView,
-  type RegisteredServer,
-  type ServerLoads,
-} from '@spoolgate/control'
-import { createManualTimerService, createRandomSource, toServerName } from '@spoolgate/core'
-import { createBackpressure, formatCacheScope, type ServerGroup } from '@spoolgate/routing'
+import type { ServerLoads } from '@spoolgate/control'
+import { createManualTimerService } from '@spoolgate/core'
+import { formatCacheScope } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { rankServers } from '../direct/choice.js'
-import { createPartMemory } from '../direct/partMemory.js'
-import { createServerBoard } from '../direct/serverBoard.js'
-import { createWorkSplit } from '../direct/workSplit.js'
-import { createWorkTimes } from '../direct/workTimes.js'
+import { buildView, createChoiceParts, createEngineServer, GROUP } from './choiceFixtures.js'
 
 const REST_MS = 3_000
 const PROMPT = {
@@ -24,51 +16,23 @@
   maxTokens: 10,
 }
 
-function createServer(id: string): RegisteredServer {
-  return {
-    ...buildServerIdentity(toServerName(id), undefined),
-    group: 'g',
-    address: `${id}:1`,
-    hall: 'h',
-    phase: 'ready',
-    slots: 4,
-    weights: [{ model: 'm', version: 1 }],
-  }
-}
-
 describe('the choice of a server', () => {
-  const servers = ['a', 'b', 'c'].map(createServer)
+  const servers = ['a', 'b', 'c'].map(createEngineServer)
   const [a, b, c] = servers
 
   const createChoice = () => {
     const timers = createManualTimerService()
-    const parts = {
-      board: createServerBoard(timers),
-      backpressure: createBackpressure(),
-      memory: createPartMemory({ findCacheTokens: () => 100_000 }),
-      liveness: { isDead: () => false } as never,
-      random: createRandomSource(1),
-      split: createWorkSplit(timers),
-      times: createWorkTimes(),
-    }
-    const rank = (loads: ServerLoads, prompt?: typeof PROMPT) => {
-      const view = {
-        servers: new Map(servers.map((server) => [server.id, server])),
-        expired: new Set(),
-        silent: new Set(),
-        loading: new Set(),
-        loads,
-        weights: {},
-        weightsSince: {},
-        stores: [],
-        index: { table: { stores: [] } },
-      } as unknown as FleetView
-      const group = { name: 'g' } as ServerGroup
-      const formatScope = () => formatCacheScope(undefined, 1)
-      const excluded = new Set<never>()
-      const now = timers.now()
-      return rankServers(parts, { view, group, prompt, formatScope, excluded, hall: 'h', now })
-    }
+    const parts = createChoiceParts(timers, 1)
+    const rank = (loads: ServerLoads, prompt?: typeof PROMPT) =>
+      rankServers(parts, {
+        view: buildView(servers, loads),
+        group: GROUP,
+        prompt,
+        formatScope: () => formatCacheScope(undefined, 1),
+        excluded: new Set(),
+        hall: 'h',
+        now: timers.now(),
+      })
     const rankIds = (loads: ServerLoads) => rank(loads).map(({ server }) => server.id)
     return { parts, rank, rankIds, timers }
   }
--- a/packages/router/src/__tests__/restPlay.spec.ts
+++ b/packages/router/src/__tests__/restPlay.spec.ts
@@ -15,8 +15,8 @@
   const HALF = { sheddingPart: 0.5, restMs: 3_000, seed: 43 }
 
   for (const routers of [6, 24]) {
-    it(`keeps their rests, and answers its callers: ${routers} routers`, async () => {
-      const played = await runRestPlay({ ...SMALL, ...HALF, routers })
+    it(`keeps their rests, and answers its callers: ${routers} routers`, () => {
+      const played = runRestPlay({ ...SMALL, ...HALF, routers })
       expect(played.rests).to.be.above(0)
       expect(played.mostInRest).to.be.at.most(SENDS_ALLOWED)
       expect(played.answered / played.sent).to.be.at.least(ANSWERED_PART)
@@ -24,15 +24,15 @@
   }
 
   for (const size of LARGE) {
-    it(`keeps their rests: ${size.routers} routers, ${size.servers} servers`, async () => {
-      const { rests, mostInRest } = await runRestPlay({ ...size, ...HALF })
+    it(`keeps their rests: ${size.routers} routers, ${size.servers} servers`, () => {
+      const { rests, mostInRest } = runRestPlay({ ...size, ...HALF })
       expect(rests).to.be.above(0)
       expect(mostInRest).to.be.at.most(SENDS_ALLOWED)
     })
   }
 
-  it('sends a server that has rested long enough no more than its share and half of it', async () => {
-    const { largestShare } = await runRestPlay({
+  it('sends a server that has rested long enough no more than its share and half of it', () => {
+    const { largestShare } = runRestPlay({
       routers: 6,
       servers: 6,
       requestsPerSecond: 650,
@@ -45,8 +45,8 @@
     expect(largestShare).to.be.at.most(1.5)
   })
 
-  it('asks nobody who rests where all do', async () => {
-    const { mostInRest } = await runRestPlay({
+  it('asks nobody who rests where all do', () => {
+    const { mostInRest } = runRestPlay({
       routers: 6,
       servers: 6,
       requestsPerSecond: 65,
--- a/packages/router/src/__tests__/restPlay.ts
+++ b/packages/router/src/__tests__/restPlay.ts
@@ -2,26 +2,12 @@
  * Servers that turn requests away and ask for rest, in virtual time and without a network: the real choice and the real
  * words of routers, on stand-in servers that shed in turn.
  */
-import {
-  buildServerIdentity,
-  createLoadSum,
-  type FleetView,
-  type RegisteredServer,
-} from '@spoolgate/control'
-import {
-  createManualTimerService,
-  createRandomSource,
-  toServerName,
-  type BackendServerId,
-} from '@spoolgate/core'
-import { createBackpressure, type Backpressure, type ServerGroup } from '@spoolgate/routing'
+import { createLoadSum, type FleetView, type RegisteredServer } from '@spoolgate/control'
+import { createManualTimerService, createRandomSource, type BackendServerId } from '@spoolgate/core'
 import { addRests } from '../direct/answerWords.js'
-import { rankServers, type ChoiceParts } from '../direct/choice.js'
-import { createPartMemory } from '../direct/partMemory.js'
+import { rankServers, type Candidate } from '../direct/choice.js'
 import { createRetryShare, type RetryShare } from '../direct/retryShare.js'
-import { createServerBoard } from '../direct/serverBoard.js'
-import { createWorkSplit } from '../direct/workSplit.js'
-import { createWorkTimes } from '../direct/workTimes.js'
+import { buildView, createChoiceParts, createEngineServer, GROUP } from './choiceFixtures.js'
 
 /** What is played. */
 export interface RestPlayOptions {
@@ -60,8 +46,6 @@
 const POLL_MS_PER_ROUTER = 2
 const ROUTER_LIFE_MS = 3_000
 const BOUNDS = { ratio: 0.2, slack: 40, windowMs: 10_000 }
-const GROUP: ServerGroup = { name: 'g' } as ServerGroup
-const WEIGHTS = [{ model: 'm', version: 1 }]
 /** Shares nothing with other requests. */
 const PROMPT = {
   model: 'm',
@@ -70,143 +54,167 @@
   maxTokens: 20,
 }
 
+/** A rest that a server asked of one router. */
+interface PlayedRest {
+  readonly server: BackendServerId
+  readonly from: number
+  readonly until: number
+  /** Requests that the router sent to the server meanwhile, from {@link HEARD_MS} on. */
+  sends: number
+}
+
 interface PlayedRouter {
   readonly name: string
   /** The fleet with what the leader last told of the others. */
   view: FleetView
-  readonly parts: ChoiceParts & {
-    readonly backpressure: Backpressure
-    readonly retries: RetryShare
-  }
-  /** Rests that were asked of it, and requests that it sent in each. */
-  readonly rests: { server: BackendServerId; from: number; until: number; sends: number }[]
+  readonly parts: ReturnType<typeof createChoiceParts>
+  readonly retries: RetryShare
+  readonly rests: PlayedRest[]
 }
 
-function createServer(_: unknown, index: number): RegisteredServer {
-  const name = toServerName(`s${index}`)
-  const facts = { group: 'g', address: `${name}:1`, hall: 'h', slots: 4, weights: WEIGHTS }
-  return { ...buildServerIdentity(name, 1), ...facts, phase: 'ready' }
-}
+class RestPlay {
+  private readonly timers = createManualTimerService()
+  private readonly random
+  private readonly leader
+  private readonly servers: readonly RegisteredServer[]
+  private readonly routers: readonly PlayedRouter[]
+  private readonly sends: { server: BackendServerId; at: number }[] = []
+  private sent = 0
+  private answered = 0
 
-/** Plays a load and tells what became of it. */
-export async function runRestPlay(options: RestPlayOptions): Promise<RestPlayResult> {
-  const { routers: routerCount, servers: serverCount, sheddingPart, restMs, turnMs, seed } = options
-  const timers = createManualTimerService()
-  const random = createRandomSource(seed)
-  const servers = Array.from({ length: serverCount }, createServer)
-  const view = {
-    servers: new Map(servers.map((server) => [server.id, server])),
-    expired: new Set(),
-    silent: new Set(),
-    loading: new Set(),
-    loads: {},
-    weights: {},
-    weightsSince: {},
-    stores: [],
-    index: { table: { stores: [] } },
-  } as unknown as FleetView
-  const leader = createLoadSum({ timers, routerLifeMs: ROUTER_LIFE_MS })
-  const createRouter = (_: unknown, index: number): PlayedRouter => ({
-    name: `r${index}`,
-    view,
-    parts: {
-      board: createServerBoard(timers),
-      backpressure: createBackpressure(),
-      memory: createPartMemory({ findCacheTokens: () => 0 }),
-      liveness: { isDead: () => false } as never,
-      random: createRandomSource(seed + index),
-      split: createWorkSplit(timers),
-      times: createWorkTimes(),
-      retries: createRetryShare({ timers, bounds: BOUNDS, countRouters: () => routerCount }),
-    },
-    rests: [],
-  })
-  const routers = Array.from({ length: routerCount }, createRouter)
-  const shedding = Math.round(serverCount * sheddingPart)
-  const turnAt = (at: number) => Math.floor(at / turnMs)
-  const isShedding = (index: number) => {
-    const turn = turnAt(timers.now())
-    const first = (Math.floor(turn / 2) * shedding) % serverCount
-    return turn % 2 === 1 && (index - first + serverCount) % serverCount < shedding
+  constructor(private readonly options: RestPlayOptions) {
+    const { timers } = this
+    this.random = createRandomSource(options.seed)
+    this.leader = createLoadSum({ timers, routerLifeMs: ROUTER_LIFE_MS })
+    this.servers = Array.from({ length: options.servers }, (_, index) =>
+      createEngineServer(`s${index}`),
+    )
+    this.routers = Array.from({ length: options.routers }, (_, index) => this.createRouter(index))
   }
-  let sent = 0
-  let answered = 0
-  const sends: { server: BackendServerId; at: number }[] = []
 
-  const countSend = ({ rests }: PlayedRouter, server: BackendServerId) => {
-    const now = timers.now()
-    for (const rest of rests) {
-      const isIn = rest.server === server && now >= rest.from + HEARD_MS && now < rest.until
-      if (isIn) rest.sends += 1
+  private createRouter(index: number): PlayedRouter {
+    const { timers, options } = this
+    return {
+      name: `r${index}`,
+      view: buildView(this.servers, {}),
+      parts: createChoiceParts(timers, options.seed + index),
+      retries: createRetryShare({ timers, bounds: BOUNDS, countRouters: () => options.routers }),
+      rests: [],
     }
-    sends.push({ server, at: now })
   }
-  const send = (router: PlayedRouter, turn: number, excluded: Set<BackendServerId>): void => {
-    const { parts } = router
-    const now = timers.now()
+
+  private isShedding(server: RegisteredServer): boolean {
+    const { servers, turnMs, sheddingPart } = this.options
+    const count = Math.round(servers * sheddingPart)
+    const turn = Math.floor(this.timers.now() / turnMs)
+    const first = (Math.floor(turn / 2) * count) % servers
+    const place = (this.servers.indexOf(server) - first + servers) % servers
+    return turn % 2 === 1 && place < count
+  }
+
+  private poll(router: PlayedRouter): void {
+    const { timers, leader, options, random } = this
+    const { board, backpressure } = router.parts
+    leader.record(router.name, addRests(board.listLoads(), backpressure.listResting(timers.now())))
+    router.view = { ...router.view, loads: leader.sumOthers(router.name) }
+    const periodMs = Math.max(POLL_MS, options.routers * POLL_MS_PER_ROUTER)
+    timers.after(periodMs * (0.5 + random.next())).subscribe(() => this.poll(router))
+  }
+
+  private choose({ parts, view }: PlayedRouter, excluded: ReadonlySet<BackendServerId>) {
     const [best] = rankServers(parts, {
-      view: router.view,
+      view,
       group: GROUP,
       prompt: PROMPT,
       formatScope: () => '',
       excluded,
       hall: 'h',
-      now,
+      now: this.timers.now(),
     })
+    return best as Candidate | undefined
+  }
+
+  private countSend({ rests }: PlayedRouter, server: BackendServerId): void {
+    const now = this.timers.now()
+    for (const rest of rests) {
+      const isIn = rest.server === server && now >= rest.from + HEARD_MS && now < rest.until
+      if (isIn) rest.sends += 1
+    }
+    this.sends.push({ server, at: now })
+  }
+
+  /** Sends a request, or sends it again to servers that it was not at yet. */
+  private send(router: PlayedRouter, excluded: Set<BackendServerId>): void {
+    const { timers, random } = this
+    const { parts, retries } = router
+    const best = this.choose(router, excluded)
     if (!best) return
     const { id } = best.server
     const ticket = parts.board.open(id, best.unreadTokens)
-    parts.backpressure.recordSend(id, now)
-    countSend(router, id)
-    if (turn === 0) parts.retries.recordFirst('g')
-    if (!isShedding(servers.indexOf(best.server))) {
-      timers.after(WORK_MS * (0.5 + random.next())).subscribe(() => {
-        ticket.finish('ok')
-        answered += 1
+    parts.backpressure.recordSend(id, timers.now())
+    this.countSend(router, id)
+    if (excluded.size === 0) retries.recordFirst(GROUP.name)
+    if (this.isShedding(best.server)) {
+      timers.after(ANSWER_MS).subscribe(() => {
+        ticket.finish('none')
+        this.turnAway(router, id, excluded)
       })
       return
     }
-    timers.after(ANSWER_MS).subscribe(() => {
-      ticket.finish('none')
-      const from = timers.now()
-      parts.backpressure.recordRest(id, restMs, from)
-      router.rests.push({ server: id, from, until: from + restMs, sends: 0 })
-      excluded.add(id)
-      if (turn + 1 < MAX_SENDS && parts.retries.take('g')) send(router, turn + 1, excluded)
+    timers.after(WORK_MS * (0.5 + random.next())).subscribe(() => {
+      ticket.finish('ok')
+      this.answered += 1
     })
   }
-  const poll = (router: PlayedRouter) => {
-    const { board, backpressure } = router.parts
-    leader.record(router.name, addRests(board.listLoads(), backpressure.listResting(timers.now())))
-    router.view = { ...view, loads: leader.sumOthers(router.name) }
-    const periodMs = Math.max(POLL_MS, routerCount * POLL_MS_PER_ROUTER)
-    timers.after(periodMs * (0.5 + random.next())).subscribe(() => poll(router))
-  }
-  for (const router of routers) poll(router)
-  const endsAt = options.durationMs
-  const perStep = (options.requestsPerSecond * STEP_MS) / 1_000
-  let due = 0
-  for (let now = 0; now < endsAt; now += STEP_MS) {
-    for (due += perStep; due >= 1; due -= 1) {
-      sent += 1
-      send(random.choose(routers), 0, new Set())
-    }
-    timers.advance(STEP_MS)
+
+  private turnAway(
+    router: PlayedRouter,
+    server: BackendServerId,
+    excluded: Set<BackendServerId>,
+  ): void {
+    const { restMs } = this.options
+    const from = this.timers.now()
+    router.parts.backpressure.recordRest(server, restMs, from)
+    router.rests.push({ server, from, until: from + restMs, sends: 0 })
+    excluded.add(server)
+    if (excluded.size < MAX_SENDS && router.retries.take(GROUP.name)) this.send(router, excluded)
   }
-  timers.advance(2 * WORK_MS)
-  const rests = routers.flatMap((router) => router.rests)
-  /** Share of a server in the second after the last rest that it asked for, over the even one. */
-  const findShare = ({ id }: RegisteredServer) => {
-    const endedAt = Math.max(0, ...rests.filter((one) => one.server === id).map((one) => one.until))
-    if (endedAt === 0 || endedAt + 1_000 > endsAt) return 0
-    const inSecond = sends.filter(({ at }) => at >= endedAt && at < endedAt + 1_000)
-    return (inSecond.filter(({ server }) => server === id).length * serverCount) / inSecond.length
+
+  /** Share of a server in the second after the last rest that it asked for, over the even one; 0 without such a second. */
+  private findShare({ id }: RegisteredServer, rests: readonly PlayedRest[]): number {
+    const own = rests.filter(({ server }) => server === id)
+    const endedAt = Math.max(0, ...own.map(({ until }) => until))
+    if (endedAt === 0 || endedAt + 1_000 > this.options.durationMs) return 0
+    const inSecond = this.sends.filter(({ at }) => at >= endedAt && at < endedAt + 1_000)
+    const count = inSecond.filter(({ server }) => server === id).length
+    return (count * this.servers.length) / inSecond.length
   }
-  return {
-    sent,
-    answered,
-    rests: rests.length,
-    mostInRest: Math.max(0, ...rests.map(({ sends }) => sends)),
-    largestShare: Math.max(...servers.map(findShare)),
+
+  run(): RestPlayResult {
+    const { timers, random, routers, options } = this
+    for (const router of routers) this.poll(router)
+    const perStep = (options.requestsPerSecond * STEP_MS) / 1_000
+    let due = 0
+    for (let now = 0; now < options.durationMs; now += STEP_MS) {
+      for (due += perStep; due >= 1; due -= 1) {
+        this.sent += 1
+        this.send(random.choose(routers), new Set())
+      }
+      timers.advance(STEP_MS)
+    }
+    timers.advance(2 * WORK_MS)
+    const rests = routers.flatMap((router) => router.rests)
+    return {
+      sent: this.sent,
+      answered: this.answered,
+      rests: rests.length,
+      mostInRest: Math.max(0, ...rests.map(({ sends }) => sends)),
+      largestShare: Math.max(...this.servers.map((server) => this.findShare(server, rests))),
+    }
   }
 }
+
+/** Plays a load and tells what became of it. */
+export function runRestPlay(options: RestPlayOptions): RestPlayResult {
+  return new RestPlay(options).run()
+}
