--- a/packages/router/src/direct/answerWords.ts
+++ b/packages/router/src/direct/answerWords.ts
@@ -38,10 +38,11 @@
   parts: WordParts,
   call: DirectCall,
   server: RegisteredServer,
-  { rest, isLeaving }: AnswerHead,
+  { rest, limit, isLeaving }: AnswerHead,
 ): void {
   const { backpressure, logger, timers } = parts
   if (rest) recordRest(parts, call, server, rest)
+  if (limit) logger.info('server.limitNamed', { server: server.id, request: call.id, ...limit })
   if (!isLeaving) return
   if (backpressure.judgeSend(server.id, timers.now()).kind === 'leaving') return
   logger.info('server.leaving', { server: server.id, request: call.id, saidBy: 'server' })
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -82,6 +82,12 @@
   | { readonly kind: 'asked'; readonly ms: number }
   | { readonly kind: 'unreadable'; readonly text: string }
 
+/** Rate limit that a server names in an answer. */
+export type LimitSignal =
+  /** Requests a second that it takes from all routers together. */
+  | { readonly kind: 'named'; readonly perSecond: number }
+  | { readonly kind: 'unreadable'; readonly text: string }
+
 /** What the head of a backend server's answer says. */
 export interface AnswerHead {
   /** Whether the server promises that it did not run the request. */
@@ -92,6 +98,8 @@
   readonly isOtherServer: boolean
   /** Undefined where the server does not ask for rest. */
   readonly rest: RestWord | undefined
+  /** Undefined where the server names no limit. */
+  readonly limit: LimitSignal | undefined
   /** Whether the server says that it is about to end. */
   readonly isLeaving: boolean
   /** Weights version of the server; undefined where it does not say. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -14,6 +14,7 @@
   DirectCall,
   DirectSend,
   HeaderList,
+  LimitSignal,
   PromptFacts,
   PromptPart,
   RestWord,
