fix(router): keep the sum of all routers within the rate limit that a server names

What callers and operators saw: two engines named limits of 1.7 and 2.2 requests a second and received 21 and 24 in 4 s from routers that had passed on such answers; 15 and 18 are allowed. Requests were answered all the same.

Cause: no router read the limit.

Change: limits/serverLimits keeps, without clock or socket, what servers named, with its age, and a bucket for this router's part of the rate. Whoever receives a limit sends nothing more until it has a part. Routers report limits with the polls that travel anyway; the leader (registry/limitParts) divides each among ceil(limit / 0.75) routers by rendezvous hashing over those that have work, and passes limits and parts on, once for each change. Parts outlive the leader as long as the router's proof of the table; a new leader assigns none for 1.5 s. Only an answer to a request sent after the newest known limit loosens it, and older news do not; an answer with 5xx or "not run" without the field does not end it. A limit that nobody confirmed for 2 s is probed by whoever has a part, at 0.5 a second at least; a part that nobody uses goes to other routers after 6 s. Limited servers are no home of shared prefixes.

Why it holds: parts of one limit add up to 1, a bucket holds one request or a second of its part, and a router without a part sends nothing; two disjoint sets of routers would stay within the bound for most of the window, and parts change for one poll at most.

--- a/packages/control/src/__tests__/feedHerd.ts
+++ b/packages/control/src/__tests__/feedHerd.ts
@@ -331,6 +331,11 @@
       blame: createBlameRecord(timers),
       onSuspects: () => {},
       onTrial: () => {},
+      limits: {
+        listUnreported: (term) => ({ term, reports: [] }),
+        recordAcknowledged: () => {},
+        applyUpdate: () => {},
+      },
       onKept: (placements) => {
         for (const [, , ...pairs] of placements) keptParts[index] += pairs.length / 2
       },
--- /dev/null
+++ b/packages/control/src/__tests__/limitParts.spec.ts
@@ -0,0 +1,116 @@
+import { createManualTimerService } from '@spoolgate/core'
+import { expect } from 'chai'
+import { createLimitParts } from '../registry/limitParts.js'
+
+const ROUTERS = Array.from({ length: 12 }, (_, index) => `r${index}`)
+const SETTLED_MS = 2_000
+
+function createDivision(routers: readonly string[] = ROUTERS) {
+  const timers = createManualTimerService()
+  const known = { routers: [...routers], servers: new Set(['s1', 's2']) }
+  const parts = createLimitParts({
+    timers,
+    listRouters: () => known.routers,
+    isRegistered: (server) => known.servers.has(server),
+  })
+  const report = (perSecond: number | null, ageMs = 0) =>
+    parts.record([{ server: 's1', perSecond, ageMs }])
+  /** Parts of the first server by router, without those that have none. */
+  const listParts = () => {
+    const all = known.routers.map((router) => [router, parts.buildUpdate(router)] as const)
+    return new Map(
+      all.flatMap(([router, { servers }]) => {
+        const part = servers.find(({ server }) => server === 's1')?.part
+        return part === undefined ? [] : [[router, part] as const]
+      }),
+    )
+  }
+  return { timers, known, parts, report, listParts }
+}
+
+describe('the division of a rate limit among routers', () => {
+  for (const perSecond of [0, 0.2, 1.7, 4, 2_000]) {
+    it(`assigns the whole of ${perSecond} a second, and no more`, () => {
+      const { timers, report, listParts } = createDivision()
+      timers.advance(SETTLED_MS)
+      report(perSecond)
+      const parts = [...listParts().values()]
+      expect(parts.reduce((sum, part) => sum + part, 0)).to.be.closeTo(1, 1e-9)
+      expect(parts.length).to.equal(Math.min(12, Math.max(1, Math.ceil(perSecond / 0.75))))
+    })
+  }
+
+  it('assigns nothing before routers have polled a new leader', () => {
+    const { timers, parts, report } = createDivision()
+    report(2)
+    expect(parts.buildUpdate('r1').hasParts).to.equal(false)
+    const before = parts.revision()
+    timers.advance(SETTLED_MS)
+    expect(parts.revision()).to.be.above(before)
+    expect(parts.buildUpdate('r1').hasParts).to.equal(true)
+  })
+
+  it('moves only the parts of routers that leave', () => {
+    const { timers, known, report, listParts } = createDivision()
+    timers.advance(SETTLED_MS)
+    report(3)
+    const before = listParts()
+    const [gone] = before.keys()
+    known.routers = known.routers.filter((router) => router !== gone)
+    timers.advance(1_000)
+    const after = listParts()
+    expect(after.size).to.equal(before.size)
+    expect([...before.keys()].filter((router) => after.has(router))).to.have.length(before.size - 1)
+  })
+
+  it('goes to other routers where nobody uses it', () => {
+    const { timers, report, listParts } = createDivision()
+    timers.advance(SETTLED_MS)
+    report(0.5)
+    const chosen = new Set(listParts().keys())
+    for (let round = 0; round < 10; round += 1) {
+      timers.advance(7_000)
+      for (const router of listParts().keys()) chosen.add(router)
+    }
+    expect(chosen.size).to.be.above(4)
+  })
+
+  it('stays with the routers that use it', () => {
+    const { timers, report, listParts } = createDivision()
+    timers.advance(SETTLED_MS)
+    report(0.5)
+    const before = [...listParts().keys()]
+    for (let round = 0; round < 10; round += 1) {
+      timers.advance(3_000)
+      report(0.5)
+    }
+    expect([...listParts().keys()]).to.deep.equal(before)
+  })
+
+  it('takes the newest report, in whatever order they arrive', () => {
+    const { timers, parts, report } = createDivision()
+    timers.advance(SETTLED_MS)
+    report(null, 100)
+    report(2, 500)
+    expect(parts.buildUpdate('r1').servers).to.deep.equal([
+      { server: 's1', perSecond: null, ageMs: 100 },
+    ])
+    report(3, 50)
+    expect(parts.buildUpdate('r1').servers[0]).to.include({ perSecond: 3, ageMs: 50 })
+  })
+
+  it('forgets servers that are gone, and limits that were withdrawn long ago', () => {
+    const { timers, known, parts, report } = createDivision()
+    timers.advance(SETTLED_MS)
+    report(2)
+    known.servers.delete('s1')
+    timers.advance(1_000)
+    expect(parts.buildUpdate('r1').servers).to.have.length(0)
+    known.servers.add('s1')
+    report(null)
+    timers.advance(59_000)
+    expect(parts.buildUpdate('r1').servers).to.have.length(1)
+    timers.advance(2_000)
+    expect(parts.buildUpdate('r1').servers).to.have.length(0)
+  })
+})
--- a/packages/control/src/__tests__/tableProof.spec.ts
+++ b/packages/control/src/__tests__/tableProof.spec.ts
@@ -55,6 +55,11 @@
     blame: createBlameRecord(timers),
     onSuspects: () => {},
     onTrial: () => {},
+    limits: {
+      listUnreported: (term) => ({ term, reports: [] }),
+      recordAcknowledged: () => {},
+      applyUpdate: () => {},
+    },
     onKept: () => {},
   })
   const run = async (duration: number) => {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -36,7 +36,13 @@
   LoadOrder,
   OrderOutcome,
 } from './registry/engineOrders.js'
-export { createFeedFollower, type FeedFollower } from './registry/feedFollower.js'
+export {
+  createFeedFollower,
+  type FeedFollower,
+  type LimitRecord,
+  type ObservedLimits,
+} from './registry/feedFollower.js'
+export { createLimitParts, type LimitParts } from './registry/limitParts.js'
 export { createControlMachine, type ControlMachine } from './state/controlMachine.js'
 export { createLoadSum, type LoadSum } from './registry/loadSum.js'
 export { createBlameSource, type BlameSource } from './blame/blameSource.js'
@@ -56,6 +62,9 @@
   ServerLoad,
   ServerLoads,
   StoreLife,
+  LimitNews,
+  LimitReport,
+  LimitsUpdate,
 } from './registry/feed.js'
 export {
   buildServerIdentity,
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -26,6 +26,27 @@
 /** Loads by backend server. */
 export type ServerLoads = Readonly<Record<string, ServerLoad>>
 
+/** Rate limit of a server, as a router observed it. */
+export interface LimitReport {
+  readonly server: string
+  /** Requests a second from all routers together; null once the server names none any more. */
+  readonly perSecond: number | null
+  /** Time since it was observed, in ms. */
+  readonly ageMs: number
+}
+
+/** The same with the part of the rate that a router may use, 0 to 1; missing for none. */
+export interface LimitNews extends LimitReport {
+  readonly part?: number
+}
+
+/** Limits of all servers that named one lately. */
+export interface LimitsUpdate {
+  /** Whether parts are assigned; a router keeps its former ones otherwise. */
+  readonly hasParts: boolean
+  readonly servers: readonly LimitNews[]
+}
+
 /**
  * A prompt that a router sent to an engine: engine, weights version, then hash and tokens of each
  * prefix in turn. A flat list, since many of them travel.
@@ -94,6 +115,10 @@
   readonly blame?: BlameReport
   /** Revision of the suspected requests that this router holds, as this term counts them. */
   readonly suspectsSeen?: number
+  /** Limits that this router observed and no leader of the term has acknowledged. */
+  readonly limits?: readonly LimitReport[]
+  /** Revision of the limits that this router holds, as this term counts them. */
+  readonly limitsSeen?: number
   /** Longest wait for something new, in ms. */
   readonly waitMs: number
 }
@@ -132,4 +157,7 @@
   /** Request in quarantine that this router, and no other, may send once. */
   readonly trial?: RequestFingerprint
   readonly keptPosition: KeptPosition
+  /** Present when the router holds another revision of them. */
+  readonly limits?: LimitsUpdate
+  readonly limitsSeen?: number
 }
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -19,6 +19,8 @@
   type FeedReply,
   type FeedRequest,
   type KeptPlacement,
+  type LimitReport,
+  type LimitsUpdate,
   type Placement,
   type ServerLoads,
 } from './feed.js'
@@ -46,6 +48,8 @@
   readonly onPlacements: (placements: readonly Placement[]) => void
   /** What this router knows of requests under which servers ended. */
   readonly blame: Pick<BlameRecord, 'listUntold' | 'recordTold'>
+  /** Limits of servers that this router observed. */
+  readonly limits: LimitRecord
   /** Called with all requests that are suspected or in quarantine, after each change. */
   readonly onSuspects: (suspects: readonly SuspectedRequest[]) => void
   /** Called with a request in quarantine that this router may send once. */
@@ -54,6 +58,20 @@
   readonly onKept: (placements: readonly KeptPlacement[]) => void
 }
 
+/** Limits that this router observed, until the leader has acknowledged them. */
+export interface LimitRecord {
+  listUnreported(term: number): ObservedLimits
+  recordAcknowledged(observed: ObservedLimits): void
+  /** Called with the limits that the leader knows; `askedAt` is the poll's instant, in ms of the steady clock. */
+  applyUpdate(update: LimitsUpdate, askedAt: number): void
+}
+
+/** Limits that one report holds. */
+export interface ObservedLimits {
+  readonly term: number
+  readonly reports: readonly LimitReport[]
+}
+
 /** A follower of the feed. */
 export interface FeedFollower {
   /** Undefined before the first table was fetched. */
@@ -92,6 +110,9 @@
   readonly told: ReadonlySet<Placement>
   /** What the leader was told of requests. */
   readonly blame: UntoldBlame
+  readonly limits: ObservedLimits
+  /** When it was asked for, in ms of the steady clock. */
+  readonly sentAt: number
 }
 
 /** Word of the leader that a version was the newest. */
@@ -125,10 +146,13 @@
     const placements = untold
     const position = held.position()
     const blame = options.blame.listUntold(position.term)
+    const limits = options.limits.listUnreported(position.term)
+    const sentAt = timers.now()
     const request: FeedRequest = {
       router: options.router,
       ...position,
       blame: blame.report,
+      limits: limits.reports,
       loads: options.listLoads(),
       placements,
       waitMs: findWaitMs(url),
@@ -139,7 +163,7 @@
       json: request,
       signal,
     })
-    return { reply, askedAt, told: new Set(placements), blame }
+    return { reply, askedAt, sentAt, told: new Set(placements), blame, limits }
   }
   const announce = () => {
     const view = held.view()
@@ -169,11 +193,13 @@
     },
     stopping: stopping.signal,
   })
-  const applyAnswer = ({ reply, askedAt, told, blame }: FeedAnswer) => {
+  const applyAnswer = ({ reply, askedAt, sentAt, told, blame, limits }: FeedAnswer) => {
     const isChanged = held.apply(reply)
     options.onPlacements(reply.placements)
     options.onKept(reply.kept)
     options.blame.recordTold(blame, reply.term)
+    if (limits.term === reply.term) options.limits.recordAcknowledged(limits)
+    if (reply.limits) options.limits.applyUpdate(reply.limits, sentAt)
     if (reply.suspects) options.onSuspects(reply.suspects)
     if (reply.trial !== undefined) options.onTrial(reply.trial)
     untold = untold.filter((placement) => !told.has(placement))
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -1,5 +1,11 @@
 /** The leader's side of the feed to routers. */
-import { createTurnQueue, SpoolgateError, type TimerService, type TurnQueue } from '@spoolgate/core'
+import {
+  createTurnQueue,
+  SpoolgateError,
+  type BackendServerId,
+  type TimerService,
+  type TurnQueue,
+} from '@spoolgate/core'
 import { filter, firstValueFrom, fromEvent, merge, race, share, type Observable } from 'rxjs'
 import type { ServerResponse } from 'node:http'
 import type { BlameSource } from '../blame/blameSource.js'
@@ -15,6 +21,7 @@
   type ServerLoads,
 } from './feed.js'
 import type { KeptParts } from './keptParts.js'
+import { createLimitParts } from './limitParts.js'
 import { createLoadSum } from './loadSum.js'
 import { createPlacementLog } from './placementLog.js'
 import { createServerChanges } from './serverChanges.js'
@@ -98,10 +105,15 @@
 export function createFeedSource(options: FeedSourceOptions): FeedSource {
   const { member, machine, timers, blame } = options
   const loads = createLoadSum({ timers, routerLifeMs: ROUTER_LIFE_MS })
+  const limits = createLimitParts({
+    timers,
+    listRouters: loads.listBusyRouters,
+    isRegistered: (server) => machine.servers.find(server as BackendServerId) !== undefined,
+  })
   const placements = createPlacementLog()
   const changesOfKept = createPlacementLog()
   const turns = options.turns ?? createTurnQueue()
-  let placementsTerm: number | undefined
+  let countedTerm: number | undefined
   /** Counts the changes of all that {@link FeedReply} tells by revision. */
   let revision = 0
   const serverChanges = createServerChanges(machine.servers.list)
@@ -149,10 +161,14 @@
   /** Notes what a router tells; returns the request that it may try. */
   const recordRouter = (request: FeedRequest) => {
     const { term } = member.status()
-    if (term !== placementsTerm) placements.reset()
-    placementsTerm = term
+    if (term !== countedTerm) {
+      placements.reset()
+      limits.reset()
+    }
+    countedTerm = term
     placements.add(request.router, request.placements)
     loads.record(request.router, request.loads)
+    limits.record(request.limits ?? [])
     return request.blame && blame.record(request.blame)
   }
   const findTableVersion = () => machine.table.current()?.version ?? NO_TABLE_VERSION
@@ -166,8 +182,12 @@
   const isNewSuspects = (request: FeedRequest) =>
     !isOfTerm(request) ||
     (request.suspectsSeen !== undefined && request.suspectsSeen !== blame.revision())
+  const isNewLimits = (request: FeedRequest) =>
+    !isOfTerm(request) ||
+    (request.limitsSeen !== undefined && request.limitsSeen !== limits.revision())
   const isNews = (request: FeedRequest) => {
-    return isNewTable(request) || isNewSuspects(request) || request.revision !== revision
+    if (isNewTable(request) || isNewSuspects(request) || isNewLimits(request)) return true
+    return request.revision !== revision
   }
   /**
    * Whether the answer holds all servers or a piece of what is kept. All routers wait for these at once, and
@@ -193,6 +213,8 @@
       kept: [...listKeptChanges(request), ...piece.placements],
       keptSeen: changesOfKept.last(),
       keptPosition: piece.position,
+      limits: isNewLimits(request) ? limits.buildUpdate(request.router) : undefined,
+      limitsSeen: limits.revision(),
       suspects: isNewSuspects(request) ? blame.list() : undefined,
       suspectsSeen: blame.revision(),
     }
--- a/packages/control/src/registry/heldFleet.ts
+++ b/packages/control/src/registry/heldFleet.ts
@@ -54,6 +54,7 @@
   | 'keptSeen'
   | 'keptPosition'
   | 'suspectsSeen'
+  | 'limitsSeen'
 >
 
 /** Options of {@link createHeldFleet}. */
@@ -183,7 +184,8 @@
       control = reply.control ?? control
       routers = Math.max(1, reply.routers)
       loads = reply.loads
-      const { term, revision, placementsSeen, keptSeen, keptPosition, suspectsSeen } = reply
+      const { term, revision, placementsSeen, keptSeen, keptPosition, suspectsSeen, limitsSeen } =
+        reply
       position = {
         tableVersion: held?.version ?? NO_TABLE_VERSION,
         tableTold: Math.max(position.tableTold, reply.tableVersion),
@@ -193,6 +195,7 @@
         keptSeen,
         keptPosition,
         suspectsSeen,
+        limitsSeen,
       }
       buildView()
       return isTableNew || reply.servers !== undefined
--- a/packages/control/src/registry/loadSum.ts
+++ b/packages/control/src/registry/loadSum.ts
@@ -9,6 +9,8 @@
 export interface LoadSum {
   /** Replaces what a router has in progress. */
   record(router: string, loads: ServerLoads): void
+  /** Lists the routers that had work lately, or all of them where none had. */
+  listBusyRouters(): readonly string[]
   /** Counts the routers that were heard of lately. */
   countRouters(): number
   /** Sums up what all routers but one have in progress; undefined leaves none out. */
@@ -25,6 +27,8 @@
 interface RouterLoads {
   readonly loads: ServerLoads
   readonly at: number
+  /** When it last had work; -Infinity for never. */
+  readonly busyAt: number
 }
 
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
@@ -70,10 +74,21 @@
   }
   return {
     record: (router, loads) => {
+      const now = timers.now()
+      const isBusy = Object.values(loads).some(({ calls }) => calls > 0)
+      const busyAt = isBusy ? now : (routers.get(router)?.busyAt ?? -Infinity)
       remove(router)
-      routers.set(router, { loads, at: timers.now() })
+      routers.set(router, { loads, at: now, busyAt })
       applyLoads(loads, 1)
     },
+    listBusyRouters: () => {
+      removeSilent()
+      const oldest = timers.now() - routerLifeMs
+      const busy = [...routers].flatMap(([router, { busyAt }]) =>
+        busyAt >= oldest ? [router] : [],
+      )
+      return busy.length > 0 ? busy : [...routers.keys()]
+    },
     countRouters: () => {
       removeSilent()
       return routers.size
--- a/packages/router/src/__tests__/choiceFixtures.ts
+++ b/packages/router/src/__tests__/choiceFixtures.ts
@@ -11,6 +11,7 @@
 import { createServerBoard } from '../direct/serverBoard.js'
 import { createWorkSplit } from '../direct/workSplit.js'
 import { createWorkTimes } from '../direct/workTimes.js'
+import { createServerLimits } from '../limits/serverLimits.js'
 
 /** The group of all servers here. */
 export const GROUP = { name: 'g' } as ServerGroup
@@ -48,6 +49,7 @@
   return {
     board: createServerBoard(timers),
     backpressure: createBackpressure(),
+    limits: createServerLimits(),
     memory: createPartMemory({ findCacheTokens: () => 100_000 }),
     liveness: { isDead: () => false } as never,
     random: createRandomSource(seed),
--- /dev/null
+++ b/packages/router/src/__tests__/serverLimits.spec.ts
@@ -0,0 +1,128 @@
+import type { LimitsUpdate } from '@spoolgate/control'
+import { toBackendServerId } from '@spoolgate/core'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createServerLimits } from '../limits/serverLimits.js'
+
+const S1 = toBackendServerId('s1')
+const TERM = 4
+const MS_PER_S = 1_000
+/** Lowest rate to a limited server, in requests a second. */
+const PROBE_RATE = 0.5
+
+function buildUpdate(perSecond: number | null, part?: number, ageMs = 0): LimitsUpdate {
+  return { hasParts: true, servers: [{ server: S1, perSecond, ageMs, part }] }
+}
+
+/** A router that was answered with a limit at 100 ms, and has a part of it. */
+function createInformed(perSecond: number, part: number) {
+  const limits = createServerLimits()
+  limits.recordAnswer(S1, { perSecond, sentAt: 50 }, 100)
+  limits.applyUpdate(buildUpdate(perSecond, part), 90, 110)
+  return limits
+}
+
+describe('limits that servers name', () => {
+  it('bind whoever receives one at once, without a part of the rate', () => {
+    const limits = createServerLimits()
+    expect(limits.judgeSend(S1, 0).kind).to.equal('open')
+    limits.recordAnswer(S1, { perSecond: 2, sentAt: 50 }, 100)
+    expect(limits.judgeSend(S1, 100).kind).to.equal('limited')
+    expect(limits.judgeSend(S1, 60_000).kind).to.equal('limited')
+  })
+
+  it('bind a router that learns of one from the leader', () => {
+    const limits = createServerLimits()
+    limits.applyUpdate(buildUpdate(2), 0, 10)
+    expect(limits.judgeSend(S1, 20).kind).to.equal('limited')
+    limits.applyUpdate(buildUpdate(null), 30, 40)
+    expect(limits.judgeSend(S1, 50).kind).to.equal('open')
+  })
+
+  it('permit the part of the rate that was assigned, and say when the next request fits', () => {
+    const limits = createInformed(2, 0.5)
+    expect(limits.judgeSend(S1, 110)).to.deep.equal({ kind: 'limited', until: 1_110 })
+    expect(limits.judgeSend(S1, 1_110).kind).to.equal('open')
+    limits.recordSend(S1, 1_110)
+    expect(limits.judgeSend(S1, 1_110)).to.deep.equal({ kind: 'limited', until: 2_110 })
+  })
+
+  it('are not lifted by an answer to a request that was sent before they were received', () => {
+    const limits = createInformed(2, 0.5)
+    limits.recordAnswer(S1, { perSecond: undefined, sentAt: 99 }, 150)
+    expect(limits.isLimited(S1)).to.equal(true)
+    limits.recordAnswer(S1, { perSecond: 50, sentAt: 99 }, 160)
+    expect(limits.judgeSend(S1, 200).kind).to.equal('limited')
+    limits.recordAnswer(S1, { perSecond: undefined, sentAt: 200 }, 210)
+    expect(limits.isLimited(S1)).to.equal(false)
+  })
+
+  it('are not lifted by news that is older than what this router received', () => {
+    const limits = createInformed(2, 0.5)
+    limits.recordAcknowledged(limits.listUnreported(TERM, 120))
+    limits.applyUpdate(buildUpdate(null, undefined, 60), 150, 160)
+    expect(limits.isLimited(S1)).to.equal(true)
+    expect(limits.listUnreported(TERM, 170).reports).to.deep.equal([
+      { server: S1, perSecond: 2, ageMs: 60 },
+    ])
+  })
+
+  it('keep their parts while a new leader has assigned none', () => {
+    const limits = createInformed(2, 0.5)
+    limits.applyUpdate({ hasParts: false, servers: [] }, 200, 210)
+    expect(limits.judgeSend(S1, 1_200).kind).to.equal('open')
+  })
+
+  it('are reported once to each leader, and again once they change', () => {
+    const limits = createInformed(2, 0.5)
+    const first = limits.listUnreported(TERM, 120)
+    expect(first.reports).to.have.length(1)
+    limits.recordAcknowledged(first)
+    expect(limits.listUnreported(TERM, 130).reports).to.have.length(0)
+    expect(limits.listUnreported(TERM + 1, 130).reports).to.have.length(1)
+    limits.recordAnswer(S1, { perSecond: undefined, sentAt: 140 }, 150)
+    expect(limits.listUnreported(TERM, 160).reports).to.deep.equal([
+      { server: S1, perSecond: null, ageMs: 10 },
+    ])
+  })
+
+  it('are probed where no answer has confirmed them for a while', () => {
+    const limits = createInformed(2, 0.5)
+    expect(limits.isProbeDue(S1, 1_200)).to.equal(false)
+    expect(limits.isProbeDue(S1, 2_200)).to.equal(true)
+    limits.recordSend(S1, 2_200)
+    expect(limits.isProbeDue(S1, 2_200)).to.equal(false)
+  })
+
+  it('never permit more than the part of the highest rate, and one request or a second of it', () => {
+    const fact = fc.record({
+      afterMs: fc.nat({ max: 700 }),
+      perSecond: fc.option(fc.double({ min: 0, max: 20, noNaN: true })),
+      part: fc.option(fc.double({ min: 0, max: 1, noNaN: true })),
+      latenessMs: fc.nat({ max: 3_000 }),
+    })
+    fc.assert(
+      fc.property(fc.array(fact, { maxLength: 60 }), (facts) => {
+        const limits = createInformed(20, 1)
+        let now = 110
+        let sends = 0
+        for (const { afterMs, perSecond, part, latenessMs } of facts) {
+          for (let step = 0; step < afterMs; step += 7) {
+            now += 7
+            if (limits.judgeSend(S1, now).kind !== 'open') continue
+            limits.recordSend(S1, now)
+            sends += 1
+          }
+          // Always names a limit, so that none is ever lifted.
+          const observed = { perSecond: perSecond ?? 20, sentAt: now - latenessMs }
+          limits.recordAnswer(S1, observed, now)
+          const update = buildUpdate(20, part ?? 0, latenessMs)
+          limits.applyUpdate(update, now - latenessMs, now)
+        }
+        const highest = Math.max(PROBE_RATE, 20)
+        expect(sends).to.be.at.most(highest + (highest * (now - 110)) / MS_PER_S)
+      }),
+      { seed: 47 },
+    )
+  })
+})
--- a/packages/router/src/direct/answerHead.ts
+++ b/packages/router/src/direct/answerHead.ts
@@ -6,16 +6,22 @@
 import type { DirectParts } from './directParts.js'
 import type { SendEnd } from './sendEnd.js'
 
+/** A head with the instant at which its request was sent, in ms of the monotonic clock. */
+export interface ReceivedHead {
+  readonly message: IncomingMessage
+  readonly sentAt: number
+}
+
 /** Judges a head; undefined where the answer is the server's own and may be passed on. */
 export function judgeHead(
   parts: DirectParts,
   { call }: CallPlan,
   { server }: Candidate,
-  message: IncomingMessage,
+  { message, sentAt }: ReceivedHead,
 ): SendEnd | undefined {
   const { backend, board } = parts
   const head = backend.decodeHead(message, call)
-  recordAnswerWords(parts, call, server, head)
+  recordAnswerWords(parts, call, server, { ...head, sentAt })
   if (head.weightsVersion !== undefined) board.recordVersion(server.id, head.weightsVersion)
   if (head.isNotRun) {
     message.resume()
--- a/packages/router/src/direct/answerWords.ts
+++ b/packages/router/src/direct/answerWords.ts
@@ -2,10 +2,13 @@
 import { MAX_REST_MS } from '@spoolgate/routing'
 import type { RegisteredServer, ServerLoad, ServerLoads } from '@spoolgate/control'
 import type { BackendServerId } from '@spoolgate/core'
-import type { AnswerHead, DirectCall, RestWord } from './dialects.js'
+import type { AnswerHead, DirectCall, LimitSignal, RestWord } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 
-type WordParts = Pick<DirectParts, 'backpressure' | 'putAside' | 'logger' | 'timers'>
+type WordParts = Pick<DirectParts, 'backpressure' | 'limits' | 'putAside' | 'logger' | 'timers'>
+
+/** The head of an answer, with the instant at which its request was sent, in ms. */
+type AnswerSignals = AnswerHead & { readonly sentAt: number }
 
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
@@ -25,6 +28,24 @@
   backpressure.recordRest(id, rest.ms, timers.now())
 }
 
+function recordLimit(
+  { limits, putAside, logger, timers }: WordParts,
+  call: DirectCall,
+  { id }: RegisteredServer,
+  limit: LimitSignal,
+  sentAt: number,
+) {
+  if (limit.kind === 'unreadable') {
+    const reason = 'not a number of requests a second; the limit stays as it was'
+    putAside.record({ source: 'limit', from: id, reason })
+    return
+  }
+  const perSecond = limit.kind === 'named' ? limit.perSecond : undefined
+  if (!limits.recordAnswer(id, { perSecond, sentAt }, timers.now())) return
+  const event = limit.kind === 'named' ? 'server.limitNamed' : 'server.limitWithdrawn'
+  logger.info(event, { server: id, request: call.id, perSecond })
+}
+
 /** Adds the servers that asked for rest to what a router tells the others: they turn requests away there as well. */
 export function addRests(loads: ServerLoads, resting: readonly BackendServerId[]): ServerLoads {
   if (resting.length === 0) return loads
@@ -38,11 +59,11 @@
   parts: WordParts,
   call: DirectCall,
   server: RegisteredServer,
-  { rest, limit, isLeaving }: AnswerHead,
+  { rest, limit, isLeaving, sentAt }: AnswerSignals,
 ): void {
   const { backpressure, logger, timers } = parts
   if (rest) recordRest(parts, call, server, rest)
-  if (limit) logger.info('server.limitNamed', { server: server.id, request: call.id, ...limit })
+  if (limit) recordLimit(parts, call, server, limit, sentAt)
   if (!isLeaving) return
   if (backpressure.judgeSend(server.id, timers.now()).kind === 'leaving') return
   logger.info('server.leaving', { server: server.id, request: call.id, saidBy: 'server' })
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -5,11 +5,12 @@
  */
 import type { FleetView, RegisteredServer, ServerLoad } from '@spoolgate/control'
 import type { BackendServerId, RandomSource } from '@spoolgate/core'
-import type { Backpressure, SendVerdict, ServerGroup } from '@spoolgate/routing'
+import type { ServerGroup } from '@spoolgate/routing'
 import type { PromptFacts } from './dialects.js'
 import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
 import type { ServerBoard } from './serverBoard.js'
+import { isOpenTo, judgeServer, type VerdictParts } from './serverVerdict.js'
 import { LONG_PROMPT_TOKENS, type PromptKind, type WorkSplit } from './workSplit.js'
 import type { WorkTimes } from './workTimes.js'
 import {
@@ -55,9 +56,8 @@
 }
 
 /** Parts that a choice reads. */
-export interface ChoiceParts {
+export interface ChoiceParts extends VerdictParts {
   readonly board: ServerBoard
-  readonly backpressure: Pick<Backpressure, 'judgeSend'>
   readonly memory: PartMemory
   readonly liveness: Liveness
   readonly random: RandomSource
@@ -225,11 +225,6 @@
   return cost
 }
 
-/** Whether a server that was judged so may get a request. */
-function isOpenTo({ kind }: SendVerdict): boolean {
-  return kind === 'open' || kind === 'trial'
-}
-
 /** Moves the candidates that were drawn for this request, or hold its prompt, before the others. */
 function drawCandidates(
   ranked: readonly Candidate[],
@@ -251,11 +246,20 @@
   return [...taken, ...rest]
 }
 
+/** Moves limited servers first that may have no limit any more: only an answer shows it. */
+function rankProbesFirst(
+  ranked: readonly Candidate[],
+  isProbeDue: (id: BackendServerId) => boolean,
+): Candidate[] {
+  const isProbe = ({ server, cost }: Candidate) => cost < LOADING_MS && isProbeDue(server.id)
+  return [...ranked.filter(isProbe), ...ranked.filter((candidate) => !isProbe(candidate))]
+}
+
 /** Ranks the servers of a group that may take the request, the best first. */
 export function rankServers(parts: ChoiceParts, input: ChoiceInput): Candidate[] {
   const { view, group, prompt, excluded, formatScope, now } = input
-  const { board, memory, liveness, backpressure } = parts
-  const isOpen = (id: BackendServerId) => isOpenTo(backpressure.judgeSend(id, now))
+  const { board, memory, liveness, limits } = parts
+  const isOpen = (id: BackendServerId) => isOpenTo(judgeServer(parts, id, now))
   const inGroup = [...view.servers.values()].filter(
     (server) => server.group === group.name && server.phase === 'ready',
   )
@@ -270,7 +274,10 @@
       alive.map(({ id }) => id),
     )
   const { engine } = group
-  const takesParts = (id: BackendServerId) => isOpen(id) && !isShedding(view, id)
+  const isShed = ({ id }: RegisteredServer) =>
+    !isOpenTo(parts.backpressure.judgeSend(id, now)) || isShedding(view, id)
+  const takesParts = (id: BackendServerId) =>
+    isOpen(id) && !isShedding(view, id) && !limits.isLimited(id)
   const shares = {
     view,
     engine,
@@ -283,7 +290,7 @@
   }
   const places = prompt && findPlaces({ ...shares, prompt })
   const tokensPerMs = parts.times.findTokensPerMs(group.name)
-  const isAnyShedding = inGroup.some(({ id }) => !takesParts(id))
+  const isAnyShedding = inGroup.some(isShed)
   const plainWorkMs = parts.times.findPlainMs(group.name)
   const ranked = usable.map((server): Candidate => {
     const load = addUpLoad(board.findLoad(server.id), view.loads[server.id])
@@ -298,5 +305,6 @@
     return { server, ...found, cost }
   })
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
-  return prompt ? drawCandidates(ranked, countSharedTokens(prompt), parts.random) : ranked
+  const drawn = prompt ? drawCandidates(ranked, countSharedTokens(prompt), parts.random) : ranked
+  return rankProbesFirst(drawn, (id) => limits.isProbeDue(id, now))
 }
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -86,6 +86,7 @@
 export type LimitSignal =
   /** Requests a second that it takes from all routers together. */
   | { readonly kind: 'named'; readonly perSecond: number }
+  | { readonly kind: 'none' }
   | { readonly kind: 'unreadable'; readonly text: string }
 
 /** What the head of a backend server's answer says. */
@@ -98,7 +99,7 @@
   readonly isOtherServer: boolean
   /** Undefined where the server does not ask for rest. */
   readonly rest: RestWord | undefined
-  /** Undefined where the server names no limit. */
+  /** Undefined where the answer shows nothing of a limit. */
   readonly limit: LimitSignal | undefined
   /** Whether the server says that it is about to end. */
   readonly isLeaving: boolean
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -12,6 +12,7 @@
 } from '@spoolgate/core'
 import type { Backpressure } from '@spoolgate/routing'
 import type { BackendDialect, CallerDialect } from './dialects.js'
+import type { ServerLimits } from '../limits/serverLimits.js'
 import type { Liveness } from './liveness.js'
 import type { PartMemory } from './partMemory.js'
 import type { PlannedStop } from './plannedStop.js'
@@ -44,6 +45,7 @@
   readonly agent: KeepAliveAgent
   readonly board: ServerBoard
   readonly backpressure: Backpressure
+  readonly limits: ServerLimits
   readonly liveness: Liveness
   readonly memory: PartMemory
   readonly split: WorkSplit
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -4,7 +4,12 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { createBlameRecord, createFeedFollower, type FeedFollower } from '@spoolgate/control'
+import {
+  createBlameRecord,
+  createFeedFollower,
+  type FeedFollower,
+  type LimitsUpdate,
+} from '@spoolgate/control'
 import {
   createHttpClient,
   createKeepAliveAgent,
@@ -30,6 +35,7 @@
 import { createPlannedStop, listStopInputs, type CallInProgress } from './plannedStop.js'
 import { createRequestQuarantine } from './requestQuarantine.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
+import { createServerLimits } from '../limits/serverLimits.js'
 import { addRests } from './answerWords.js'
 import { createServerBoard } from './serverBoard.js'
 import { createServerEnds } from './serverEnds.js'
@@ -96,6 +102,8 @@
 /** Idle time of connections to backend servers, in ms, and the margin before their own limit. */
 const BACKEND_IDLE_MS = 30_000
 const BACKEND_IDLE_MARGIN_MS = 1_200
+/** Servers with a limit in one log line. */
+const MAX_LOGGED_LIMITS = 20
 
 function createInstruments(metrics: ReturnType<typeof createMetrics>): DirectInstruments {
   return {
@@ -109,6 +117,19 @@
   }
 }
 
+/** Formats the limits of servers for the log: requests a second, and the part of them that this router may use. */
+function formatLimits({ servers, hasParts }: LimitsUpdate): Record<string, unknown> {
+  const limited = servers.filter(({ perSecond }) => perSecond !== null)
+  const shown = limited.slice(0, MAX_LOGGED_LIMITS)
+  return {
+    limited: limited.length,
+    hasParts,
+    limits: shown.map(
+      ({ server, perSecond, part = 0 }) => `${server}:${perSecond}:${part.toFixed(2)}`,
+    ),
+  }
+}
+
 /** Starts to listen and returns the port. */
 function startListening(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -129,6 +150,7 @@
   const random = createRandomSource(options.seed ?? Date.now() % 2 ** 31)
   const board = createServerBoard(timers)
   const backpressure = createBackpressure()
+  const limits = createServerLimits()
   const putAside = createPutAside({ logger, timers })
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const liveness = createLiveness({
@@ -158,6 +180,14 @@
     listLoads: () => addRests(board.listLoads(), backpressure.listResting(timers.now())),
     takePlacements: memory.takePlacements,
     blame,
+    limits: {
+      listUnreported: (term) => limits.listUnreported(term, timers.now()),
+      recordAcknowledged: limits.recordAcknowledged,
+      applyUpdate: (update, askedAt) => {
+        limits.applyUpdate(update, askedAt, timers.now())
+        logger.info('limits.updated', formatLimits(update))
+      },
+    },
     onSuspects: quarantine.apply,
     onTrial: quarantine.recordTrial,
     onPlacements: (placements) => {
@@ -187,6 +217,7 @@
     'Backend servers that asked this router for rest',
     () => backpressure.listResting(timers.now()).length,
   )
+  metrics.gauge('limited_servers', 'Backend servers that name a rate limit', limits.countLimited)
   const parts: DirectParts = {
     instance: options.instance,
     hall: options.hall,
@@ -196,6 +227,7 @@
     agent,
     board,
     backpressure,
+    limits,
     liveness,
     memory,
     split: createWorkSplit(timers),
--- a/packages/router/src/direct/sendChoice.ts
+++ b/packages/router/src/direct/sendChoice.ts
@@ -5,6 +5,7 @@
 import type { DirectParts } from './directParts.js'
 import { findComeBackSeconds, drawReturnSeconds } from './refusals.js'
 import { formatChoice } from './sendRecord.js'
+import { judgeServer } from './serverVerdict.js'
 
 /** Sends of one request, whatever became of them; bounds the work of a request nobody takes. */
 const MAX_SENDS = 4
@@ -32,13 +33,13 @@
 export type SendChoice = { readonly kind: 'server'; readonly candidate: Candidate } | NoServer
 
 /** When some server of the group takes requests again; now where one does already. */
-function findOpenAt({ backpressure, timers }: DirectParts, plan: CallPlan): number {
-  const now = timers.now()
+function findOpenAt(parts: DirectParts, plan: CallPlan): number {
+  const now = parts.timers.now()
   const instants = [...plan.view.servers.values()]
     .filter(({ group, phase }) => group === plan.group.name && phase === 'ready')
-    .map(({ id }) => backpressure.judgeSend(id, now))
+    .map(({ id }) => judgeServer(parts, id, now))
     .filter(({ kind }) => kind !== 'leaving')
-    .map((verdict) => (verdict.kind === 'resting' ? verdict.until : now))
+    .map((verdict) => ('until' in verdict ? verdict.until : now))
   return instants.length === 0 ? now : Math.min(...instants)
 }
 
@@ -51,7 +52,8 @@
 function createNoServer(parts: DirectParts, plan: CallPlan, log: CallLog): NoServer {
   const retryAfterSeconds = findReturnSeconds(parts, plan)
   const resting = parts.backpressure.listResting(parts.timers.now()).length
-  log('call.noServer', { group: plan.group.name, resting, retryAfterSeconds })
+  const limited = parts.limits.countLimited()
+  log('call.noServer', { group: plan.group.name, resting, limited, retryAfterSeconds })
   return { kind: 'none', retryAfterSeconds }
 }
 
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -68,6 +68,8 @@
   private ticket: CallTicket | undefined
   /** When the last part of the answer came, in ms of the monotonic clock. */
   private lastSignAt = -Infinity
+  /** When the last send began, in ms of the monotonic clock. */
+  private sentAt = -Infinity
   private readonly times: AnswerTimes
   private readonly fingerprint: RequestFingerprint
   private stopWaiting: () => void = () => {}
@@ -253,7 +255,9 @@
     const { parts, plan } = this
     const { server, unreadTokens } = candidate
     this.ticket = parts.board.open(server.id, unreadTokens)
-    parts.backpressure.recordSend(server.id, parts.timers.now())
+    this.sentAt = parts.timers.now()
+    parts.backpressure.recordSend(server.id, this.sentAt)
+    parts.limits.recordSend(server.id, this.sentAt)
     this.times.recordSend(unreadTokens)
     if (this.sends === 0) parts.retries.recordFirst(plan.group.name)
     this.sends += 1
@@ -311,7 +315,7 @@
     if (result.kind !== 'head') return result
     const { message } = result
     this.ticket?.recordSign()
-    const end = judgeHead(parts, plan, candidate, message)
+    const end = judgeHead(parts, plan, candidate, { message, sentAt: this.sentAt })
     if (end?.kind === 'notRun') this.mayHaveRun = couldHaveRun
     return end ?? this.relayAnswer(message)
   }
--- /dev/null
+++ b/packages/router/src/direct/serverVerdict.ts
@@ -0,0 +1,30 @@
+/** Whether a backend server may get a request now: by its backoff, its shutdown and its rate limit. */
+import type { BackendServerId } from '@spoolgate/core'
+import type { Backpressure, SendVerdict } from '@spoolgate/routing'
+import type { LimitVerdict, ServerLimits } from '../limits/serverLimits.js'
+
+/** Parts that judge a server. */
+export interface VerdictParts {
+  readonly backpressure: Pick<Backpressure, 'judgeSend'>
+  readonly limits: Pick<ServerLimits, 'judgeSend' | 'isLimited' | 'isProbeDue'>
+}
+
+/** What may be sent to a server now. */
+export type ServerVerdict = SendVerdict | LimitVerdict
+
+/** Whether a server that was judged so may get a request. */
+export function isOpenTo({ kind }: ServerVerdict): boolean {
+  return kind === 'open' || kind === 'trial'
+}
+
+/** Judges a server at an instant of the monotonic clock, in ms. */
+export function judgeServer(
+  { backpressure, limits }: VerdictParts,
+  id: BackendServerId,
+  now: number,
+): ServerVerdict {
+  const verdict = backpressure.judgeSend(id, now)
+  if (!isOpenTo(verdict)) return verdict
+  const limit = limits.judgeSend(id, now)
+  return limit.kind === 'limited' ? limit : verdict
+}
