fix(router): read what has arrived before a stopping instance closes idle connections

What callers saw: around a planned stop, eleven requests on kept connections of one router were reset, 0.6 to 1.1 s after they were sent.

Cause: timers run before sockets are read. After the event loop stood still, the timer that ends the serving of a stopping router was due, and closed the connections on which requests lay unread: to Node they were idle. The same in the HTTP server of control instances and sidecars.

What kept the router from running for 1.1 s is not known; the fault needs any such pause at that moment. Ruled out: a kill or an end of the process (it went on and stopped at 12.02 s), and requests that crossed the close (the first were sent 1.1 s before it).

Change: both wait for a turn of the event loop, in which sockets are read, before they close idle connections.

Why it works: a request that is read makes its connection active; the stop answers it and ends the connection after the answer.

--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -16,6 +16,7 @@
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
 import { isSameSecret } from './keys.js'
 import type { Logger } from './logger.js'
+import { createTurnQueue } from './turnQueue.js'
 import { waitFor, type TimerService } from './timers.js'
 
 /** One request with its response. */
@@ -323,6 +324,8 @@
         NetServer.prototype.close.call(server, () => resolve()),
       )
       await waitFor(options.timers, Math.min(drainMs, IDLE_GRACE_MS))
+      // Timers run before sockets are read: what has arrived meanwhile is not idle.
+      await createTurnQueue().take()
       server.closeIdleConnections()
       await waitForIdle(drainMs)
       const abandoned = active.size
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -336,6 +336,8 @@
     close: async (drainMs) => {
       stop.start(drainMs)
       await waitFor(timers, Math.min(SERVE_ON_MS, drainMs))
+      // Timers run before sockets are read: what has arrived meanwhile is not idle.
+      await parts.turns.take()
       server.close()
       server.closeIdleConnections()
       await stop.waitUntilIdle()
