refactor(router): name Retry-After handling by the usual term, backoff

RestWord is BackoffSignal, recordRest is recordBackoff, listResting is listBackingOff, restMs is retryAfterMs; the verdict "resting" is "backingOff". Behaviour is unchanged.

--- a/packages/control/src/__tests__/loadSum.spec.ts
+++ b/packages/control/src/__tests__/loadSum.spec.ts
@@ -23,13 +23,13 @@
 
   it('counts the routers that a server has asked for rest', () => {
     const { sum } = createSum()
-    const resting = { e1: { calls: 0, promptTokens: 0, rests: 1 } }
-    sum.record('r1', resting)
-    sum.record('r2', resting)
+    const backingOff = { e1: { calls: 0, promptTokens: 0, backoffs: 1 } }
+    sum.record('r1', backingOff)
+    sum.record('r2', backingOff)
     sum.record('r3', { e1: { calls: 1, promptTokens: 7 } })
-    expect(sum.sumOthers('r1')).to.deep.equal({ e1: { calls: 1, promptTokens: 7, rests: 1 } })
+    expect(sum.sumOthers('r1')).to.deep.equal({ e1: { calls: 1, promptTokens: 7, backoffs: 1 } })
     sum.record('r2', {})
-    expect(sum.sumOthers('r3')).to.deep.equal(resting)
+    expect(sum.sumOthers('r3')).to.deep.equal(backingOff)
     sum.record('r1', {})
     expect(sum.sumOthers('r3')).to.deep.equal({})
   })
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -20,7 +20,7 @@
   /** Prompt tokens whose first token has not come yet. */
   readonly promptTokens: number
   /** Routers that the server has asked for rest; missing for none. */
-  readonly rests?: number
+  readonly backoffs?: number
 }
 
 /** Loads by backend server. */
--- a/packages/control/src/registry/loadSum.ts
+++ b/packages/control/src/registry/loadSum.ts
@@ -34,16 +34,16 @@
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
 function addLoad(a: ServerLoad, b: ServerLoad, sign: 1 | -1): ServerLoad {
-  const rests = (a.rests ?? 0) + sign * (b.rests ?? 0)
+  const backoffs = (a.backoffs ?? 0) + sign * (b.backoffs ?? 0)
   return {
     calls: a.calls + sign * b.calls,
     promptTokens: a.promptTokens + sign * b.promptTokens,
-    ...(rests === 0 ? {} : { rests }),
+    ...(backoffs === 0 ? {} : { backoffs }),
   }
 }
 
-function isNothing({ calls, promptTokens, rests }: ServerLoad): boolean {
-  return calls === 0 && promptTokens === 0 && rests === undefined
+function isNothing({ calls, promptTokens, backoffs }: ServerLoad): boolean {
+  return calls === 0 && promptTokens === 0 && backoffs === undefined
 }
 
 /** Creates a sum over no routers. */
--- a/packages/router/src/__tests__/choice.spec.ts
+++ b/packages/router/src/__tests__/choice.spec.ts
@@ -41,28 +41,28 @@
   it('goes to who has nothing to do, and where somebody sheds to who is known to take work', () => {
     const { rankIds } = createChoice()
     expect(rankIds({ [b.id]: call })).to.deep.equal([a.id, c.id, b.id])
-    const shedding = { [c.id]: { ...call, rests: 2 } }
+    const shedding = { [c.id]: { ...call, backoffs: 2 } }
     expect(rankIds({ ...shedding, [b.id]: call })).to.deep.equal([b.id, a.id, c.id])
   })
 
   it('leaves out who asked this router for rest, and who leaves, and no others', () => {
     const { parts, rankIds, timers } = createChoice()
-    parts.backpressure.recordRest(a.id, REST_MS, timers.now())
+    parts.backpressure.recordBackoff(a.id, REST_MS, timers.now())
     parts.backpressure.recordLeaving(c.id, timers.now())
     expect(rankIds({})).to.deep.equal([b.id])
     timers.advance(REST_MS)
     expect(rankIds({})).to.have.members([a.id, b.id])
   })
 
-  it('gives shared parts another home while theirs rests, here or at others, and the same again', () => {
+  it('gives shared parts another home while theirs backoffs, here or at others, and the same again', () => {
     const { parts, rank, timers } = createChoice()
     const findHome = (loads: ServerLoads = {}) =>
       rank(loads, PROMPT).find(({ isHome }) => isHome)?.server.id
     const home = findHome()
     if (home === undefined) throw new Error('no home')
-    const second = findHome({ [home]: { ...call, rests: 1 } })
+    const second = findHome({ [home]: { ...call, backoffs: 1 } })
     expect(second).to.be.a('string').and.not.equal(home)
-    parts.backpressure.recordRest(home, REST_MS, timers.now())
+    parts.backpressure.recordBackoff(home, REST_MS, timers.now())
     expect(findHome()).to.equal(second)
     timers.advance(REST_MS)
     expect(findHome()).to.equal(home)
--- a/packages/router/src/__tests__/restPlay.spec.ts
+++ b/packages/router/src/__tests__/restPlay.spec.ts
@@ -12,7 +12,7 @@
     { routers: 70, servers: 82, requestsPerSecond: 1_300, turnMs: 2_000, durationMs: 6_000 },
     { routers: 410, servers: 600, requestsPerSecond: 1_500, turnMs: 700, durationMs: 1_400 },
   ]
-  const HALF = { sheddingPart: 0.5, restMs: 3_000, seed: 43 }
+  const HALF = { sheddingPart: 0.5, retryAfterMs: 3_000, seed: 43 }
 
   for (const routers of [6, 24]) {
     it(`keeps their rests, and answers its callers: ${routers} routers`, () => {
@@ -39,7 +39,7 @@
       turnMs: 4_000,
       durationMs: 16_000,
       sheddingPart: 0.34,
-      restMs: 3_000,
+      retryAfterMs: 3_000,
       seed: 43,
     })
     expect(largestShare).to.be.at.most(1.5)
@@ -53,7 +53,7 @@
       turnMs: 2_000,
       durationMs: 8_000,
       sheddingPart: 1,
-      restMs: 1_700,
+      retryAfterMs: 1_700,
       seed: 43,
     })
     expect(mostInRest).to.be.at.most(SENDS_ALLOWED)
--- a/packages/router/src/__tests__/restPlay.ts
+++ b/packages/router/src/__tests__/restPlay.ts
@@ -4,7 +4,7 @@
  */
 import { createLoadSum, type FleetView, type RegisteredServer } from '@spoolgate/control'
 import { createManualTimerService, createRandomSource, type BackendServerId } from '@spoolgate/core'
-import { addRests } from '../direct/answerWords.js'
+import { addBackoffs } from '../direct/answerWords.js'
 import { rankServers, type Candidate } from '../direct/choice.js'
 import { createRetryShare, type RetryShare } from '../direct/retryShare.js'
 import { buildView, createChoiceParts, createEngineServer, GROUP } from './choiceFixtures.js'
@@ -17,7 +17,7 @@
   /** Part of the servers that shed at a time; then as many others do. */
   readonly sheddingPart: number
   /** How long they ask to be left alone, in ms. */
-  readonly restMs: number
+  readonly retryAfterMs: number
   /** After this time, and so on, a part sheds; in every second turn nobody does. */
   readonly turnMs: number
   readonly durationMs: number
@@ -115,7 +115,10 @@
   private poll(router: PlayedRouter): void {
     const { timers, leader, options, random } = this
     const { board, backpressure } = router.parts
-    leader.record(router.name, addRests(board.listLoads(), backpressure.listResting(timers.now())))
+    leader.record(
+      router.name,
+      addBackoffs(board.listLoads(), backpressure.listBackingOff(timers.now())),
+    )
     router.view = { ...router.view, loads: leader.sumOthers(router.name) }
     const periodMs = Math.max(POLL_MS, options.routers * POLL_MS_PER_ROUTER)
     timers.after(periodMs * (0.5 + random.next())).subscribe(() => this.poll(router))
@@ -172,10 +175,10 @@
     server: BackendServerId,
     excluded: Set<BackendServerId>,
   ): void {
-    const { restMs } = this.options
+    const { retryAfterMs } = this.options
     const from = this.timers.now()
-    router.parts.backpressure.recordRest(server, restMs, from)
-    router.rests.push({ server, from, until: from + restMs, sends: 0 })
+    router.parts.backpressure.recordBackoff(server, retryAfterMs, from)
+    router.rests.push({ server, from, until: from + retryAfterMs, sends: 0 })
     excluded.add(server)
     if (excluded.size < MAX_SENDS && router.retries.take(GROUP.name)) this.send(router, excluded)
   }
--- a/packages/router/src/__tests__/sources.spec.ts
+++ b/packages/router/src/__tests__/sources.spec.ts
@@ -35,7 +35,7 @@
 function findKept(
   kept: Record<string, number>,
   sent: Record<string, number> = {},
-  resting: readonly string[] = [],
+  backingOff: readonly string[] = [],
 ) {
   const timers = createManualTimerService()
   const memory = createPartMemory({ findCacheTokens: () => 100_000 })
@@ -61,7 +61,7 @@
     },
     engine: { slots: 4, cacheTokens: 1, tokenBytes: 18_432, linkMbps: 550_000, models: ['m'] },
     servers,
-    isOpen: (id) => !resting.includes(id),
+    isOpen: (id) => !backingOff.includes(id),
     formatScope: () => SCOPE,
     board: createServerBoard(timers),
     memory,
--- a/packages/router/src/direct/answerHead.ts
+++ b/packages/router/src/direct/answerHead.ts
@@ -26,7 +26,7 @@
   if (head.isNotRun) {
     message.resume()
     const reason = head.isOtherServer ? 'otherServer' : `status${message.statusCode}`
-    return { kind: 'notRun', reason, version: head.weightsVersion, rest: head.rest }
+    return { kind: 'notRun', reason, version: head.weightsVersion, backoff: head.backoff }
   }
   if (head.isGenuine) return undefined
   message.destroy()
--- a/packages/router/src/direct/answerWords.ts
+++ b/packages/router/src/direct/answerWords.ts
@@ -1,8 +1,8 @@
 /** What a backend server says of itself in an answer: that it wants nothing for a while, or is about to end. */
-import { MAX_REST_MS } from '@spoolgate/routing'
+import { MAX_BACKOFF_MS } from '@spoolgate/routing'
 import type { RegisteredServer, ServerLoad, ServerLoads } from '@spoolgate/control'
 import type { BackendServerId } from '@spoolgate/core'
-import type { AnswerHead, DirectCall, LimitSignal, RestWord } from './dialects.js'
+import type { AnswerHead, DirectCall, LimitSignal, BackoffSignal } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 
 type WordParts = Pick<DirectParts, 'backpressure' | 'limits' | 'putAside' | 'logger' | 'timers'>
@@ -13,19 +13,24 @@
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
 /** Names what is wrong with a word; undefined where it is believed as it stands. */
-function findRestProblem(rest: RestWord): string | undefined {
-  if (rest.kind === 'unreadable') return 'not a number of seconds; no rest is presumed'
-  if (rest.ms > MAX_REST_MS) return `longer than the ${MAX_REST_MS} ms that are believed`
+function findBackoffProblem(backoff: BackoffSignal): string | undefined {
+  if (backoff.kind === 'unreadable') return 'not a number of seconds; no backoff is presumed'
+  if (backoff.ms > MAX_BACKOFF_MS) return `longer than the ${MAX_BACKOFF_MS} ms that are believed`
   return undefined
 }
 
-function recordRest(parts: WordParts, call: DirectCall, { id }: RegisteredServer, rest: RestWord) {
+function recordBackoff(
+  parts: WordParts,
+  call: DirectCall,
+  { id }: RegisteredServer,
+  backoff: BackoffSignal,
+) {
   const { backpressure, putAside, logger, timers } = parts
-  const reason = findRestProblem(rest)
-  if (reason) putAside.record({ source: 'rest', from: id, reason })
-  if (rest.kind === 'unreadable') return
-  logger.info('server.restAsked', { server: id, request: call.id, restMs: rest.ms })
-  backpressure.recordRest(id, rest.ms, timers.now())
+  const reason = findBackoffProblem(backoff)
+  if (reason) putAside.record({ source: 'backoff', from: id, reason })
+  if (backoff.kind === 'unreadable') return
+  logger.info('server.backoffRequested', { server: id, request: call.id, retryAfterMs: backoff.ms })
+  backpressure.recordBackoff(id, backoff.ms, timers.now())
 }
 
 function recordLimit(
@@ -47,10 +52,13 @@
 }
 
 /** Adds the servers that asked for rest to what a router tells the others: they turn requests away there as well. */
-export function addRests(loads: ServerLoads, resting: readonly BackendServerId[]): ServerLoads {
-  if (resting.length === 0) return loads
+export function addBackoffs(
+  loads: ServerLoads,
+  backingOff: readonly BackendServerId[],
+): ServerLoads {
+  if (backingOff.length === 0) return loads
   const told: Record<string, ServerLoad> = { ...loads }
-  for (const id of resting) told[id] = { ...(loads[id] ?? NO_LOAD), rests: 1 }
+  for (const id of backingOff) told[id] = { ...(loads[id] ?? NO_LOAD), backoffs: 1 }
   return told
 }
 
@@ -59,10 +67,10 @@
   parts: WordParts,
   call: DirectCall,
   server: RegisteredServer,
-  { rest, limit, isLeaving, sentAt }: AnswerSignals,
+  { backoff, limit, isLeaving, sentAt }: AnswerSignals,
 ): void {
   const { backpressure, logger, timers } = parts
-  if (rest) recordRest(parts, call, server, rest)
+  if (backoff) recordBackoff(parts, call, server, backoff)
   if (limit) recordLimit(parts, call, server, limit, sentAt)
   if (!isLeaving) return
   if (backpressure.judgeSend(server.id, timers.now()).kind === 'leaving') return
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -209,7 +209,7 @@
 }
 
 function isShedding({ loads }: FleetView, id: BackendServerId): boolean {
-  return (loads[id]?.rests ?? 0) > 0
+  return (loads[id]?.backoffs ?? 0) > 0
 }
 
 /** What a server costs whatever the request. */
--- a/packages/router/src/direct/dialects.ts
+++ b/packages/router/src/direct/dialects.ts
@@ -77,7 +77,7 @@
 }
 
 /** What a server that turns a request away says of when it takes some again. */
-export type RestWord =
+export type BackoffSignal =
   /** It wants nothing from this router for so many ms. */
   | { readonly kind: 'asked'; readonly ms: number }
   | { readonly kind: 'unreadable'; readonly text: string }
@@ -98,7 +98,7 @@
   /** Whether another incarnation answered, or one with other weights. */
   readonly isOtherServer: boolean
   /** Undefined where the server does not ask for rest. */
-  readonly rest: RestWord | undefined
+  readonly backoff: BackoffSignal | undefined
   /** Undefined where the answer shows nothing of a limit. */
   readonly limit: LimitSignal | undefined
   /** Whether the server says that it is about to end. */
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -36,7 +36,7 @@
 import { createRequestQuarantine } from './requestQuarantine.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerLimits } from '../limits/serverLimits.js'
-import { addRests } from './answerWords.js'
+import { addBackoffs } from './answerWords.js'
 import { createServerBoard } from './serverBoard.js'
 import { createServerEnds } from './serverEnds.js'
 import { createServerRestarts } from './serverRestarts.js'
@@ -177,7 +177,7 @@
     random,
     logger,
     decodeTable: options.decodeTable,
-    listLoads: () => addRests(board.listLoads(), backpressure.listResting(timers.now())),
+    listLoads: () => addBackoffs(board.listLoads(), backpressure.listBackingOff(timers.now())),
     takePlacements: memory.takePlacements,
     blame,
     limits: {
@@ -213,9 +213,9 @@
     quarantine.countHeld,
   )
   metrics.gauge(
-    'resting_servers',
+    'backing_off_servers',
     'Backend servers that asked this router for rest',
-    () => backpressure.listResting(timers.now()).length,
+    () => backpressure.listBackingOff(timers.now()).length,
   )
   metrics.gauge('limited_servers', 'Backend servers that name a rate limit', limits.countLimited)
   const parts: DirectParts = {
--- a/packages/router/src/direct/refusals.ts
+++ b/packages/router/src/direct/refusals.ts
@@ -24,10 +24,10 @@
  * Draws after how many seconds a caller should come back that no server takes for so many ms. All would come back
  * together at the end of a rest otherwise.
  */
-export function drawReturnSeconds(restMs: number, random: RandomSource): number {
-  if (restMs <= 0) return RETRY_AFTER_REFUSALS_S
-  const spreadMs = Math.max(RETRY_AFTER_REFUSALS_S * MS_PER_S, restMs * RETURN_SPREAD)
-  return Math.ceil(restMs + random.next() * spreadMs) / MS_PER_S
+export function drawReturnSeconds(retryAfterMs: number, random: RandomSource): number {
+  if (retryAfterMs <= 0) return RETRY_AFTER_REFUSALS_S
+  const spreadMs = Math.max(RETRY_AFTER_REFUSALS_S * MS_PER_S, retryAfterMs * RETURN_SPREAD)
+  return Math.ceil(retryAfterMs + random.next() * spreadMs) / MS_PER_S
 }
 
 /** Creates the answer for a request whose outcome nobody knows. */
--- a/packages/router/src/direct/sendChoice.ts
+++ b/packages/router/src/direct/sendChoice.ts
@@ -45,15 +45,15 @@
 
 /** Finds after how many seconds it is worth coming back for a caller that no server takes now. */
 export function findReturnSeconds(parts: DirectParts, plan: CallPlan): number {
-  const restMs = findOpenAt(parts, plan) - parts.timers.now()
-  return drawReturnSeconds(restMs, parts.random)
+  const retryAfterMs = findOpenAt(parts, plan) - parts.timers.now()
+  return drawReturnSeconds(retryAfterMs, parts.random)
 }
 
 function createNoServer(parts: DirectParts, plan: CallPlan, log: CallLog): NoServer {
   const retryAfterSeconds = findReturnSeconds(parts, plan)
-  const resting = parts.backpressure.listResting(parts.timers.now()).length
+  const backingOff = parts.backpressure.listBackingOff(parts.timers.now()).length
   const limited = parts.limits.countLimited()
-  log('call.noServer', { group: plan.group.name, resting, limited, retryAfterSeconds })
+  log('call.noServer', { group: plan.group.name, backingOff, limited, retryAfterSeconds })
   return { kind: 'none', retryAfterSeconds }
 }
 
--- a/packages/router/src/direct/sendEnd.ts
+++ b/packages/router/src/direct/sendEnd.ts
@@ -1,7 +1,7 @@
 /** How one send to a backend server ends, and reading its answer to that end. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { readAnswerBody, sendWholeAnswer, type StreamRelay } from './answerRelay.js'
-import type { HeaderList, RestWord } from './dialects.js'
+import type { HeaderList, BackoffSignal } from './dialects.js'
 import type { CallOutcome } from './serverBoard.js'
 
 /** A send that was given up on because its server seems to be dead; it may have run. */
@@ -16,7 +16,7 @@
   readonly reason: string
   /** Weights version that the server named. */
   readonly version: number | undefined
-  readonly rest: RestWord | undefined
+  readonly backoff: BackoffSignal | undefined
 }
 
 /** The server ran the request and failed; its own answer may be passed on. */
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -331,8 +331,8 @@
     this.ticket?.finish(CALL_OUTCOMES[end.kind])
     if (end.kind !== 'answered') {
       const { kind, reason } = end
-      const rest = kind === 'notRun' ? end.rest : undefined
-      this.log('call.sendEnded', { server: candidate.server.id, end: kind, reason, rest })
+      const backoff = kind === 'notRun' ? end.backoff : undefined
+      this.log('call.sendEnded', { server: candidate.server.id, end: kind, reason, backoff })
     }
     switch (end.kind) {
       case 'answered':
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -17,5 +17,5 @@
   LimitSignal,
   PromptFacts,
   PromptPart,
-  RestWord,
+  BackoffSignal,
 } from './direct/dialects.js'
--- a/packages/routing/src/backpressure.ts
+++ b/packages/routing/src/backpressure.ts
@@ -12,25 +12,25 @@
   /** One request, which shows whether the rest is over. */
   | { readonly kind: 'trial' }
   /** Nothing until then, an instant of the clock that the facts were dated by, in ms. */
-  | { readonly kind: 'resting'; readonly until: number }
+  | { readonly kind: 'backingOff'; readonly until: number }
   /** Nothing any more, but for a look after a long time. */
   | { readonly kind: 'leaving' }
 
 /** Servers that hold back; see {@link createBackpressure}. Instants are in ms of one monotonic clock. */
 export interface Backpressure {
   /** Notes that a server asked for rest. */
-  recordRest(server: BackendServerId, restMs: number, now: number): void
+  recordBackoff(server: BackendServerId, retryAfterMs: number, now: number): void
   /** Notes that a server said that it is about to end. */
   recordLeaving(server: BackendServerId, now: number): void
   /** Notes that a request is sent. */
   recordSend(server: BackendServerId, now: number): void
   judgeSend(server: BackendServerId, now: number): SendVerdict
   /** Lists the servers that rest now. */
-  listResting(now: number): readonly BackendServerId[]
+  listBackingOff(now: number): readonly BackendServerId[]
 }
 
 /** Longest rest that is believed, in ms: a mistaken word must not take a server out for good. */
-export const MAX_REST_MS = 600_000
+export const MAX_BACKOFF_MS = 600_000
 /** Time after which a server that said that it is about to end is asked once more, in ms; most have ended long before. */
 const LEAVING_MS = 600_000
 /**
@@ -41,7 +41,7 @@
 /** Incarnations that are remembered: several times those of a large fleet. */
 const MAX_SERVERS = 5_000
 
-interface Rest {
+interface Backoff {
   until: number
   /** Whether a request was sent since the rest ended. */
   isTried: boolean
@@ -53,31 +53,31 @@
 
 /** Creates a record in which all servers are open. */
 export function createBackpressure(): Backpressure {
-  const rests = new LRUCache<BackendServerId, Rest>({ max: MAX_SERVERS })
+  const backoffs = new LRUCache<BackendServerId, Backoff>({ max: MAX_SERVERS })
   const leavingUntil = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
 
   return {
-    recordRest: (server, restMs, now) => {
-      const asked = now + Math.min(restMs, MAX_REST_MS)
+    recordBackoff: (server, retryAfterMs, now) => {
+      const asked = now + Math.min(retryAfterMs, MAX_BACKOFF_MS)
       // Answers overtake one another: the shorter of two words does not take back the longer one.
-      const until = Math.max(asked, rests.get(server)?.until ?? asked)
-      rests.set(server, { until, isTried: false })
+      const until = Math.max(asked, backoffs.get(server)?.until ?? asked)
+      backoffs.set(server, { until, isTried: false })
     },
     recordLeaving: (server, now) => void leavingUntil.set(server, now + LEAVING_MS),
     recordSend: (server, now) => {
-      const rest = rests.get(server)
-      if (!rest || now < rest.until) return
-      if (rest.isTried) rests.delete(server)
-      else rests.set(server, { until: now + TRIAL_MS, isTried: true })
+      const backoff = backoffs.get(server)
+      if (!backoff || now < backoff.until) return
+      if (backoff.isTried) backoffs.delete(server)
+      else backoffs.set(server, { until: now + TRIAL_MS, isTried: true })
     },
     judgeSend: (server, now) => {
       if (now < (leavingUntil.get(server) ?? -Infinity)) return LEAVING
-      const rest = rests.get(server)
-      if (!rest) return OPEN
-      if (now < rest.until) return { kind: 'resting', until: rest.until }
-      return rest.isTried ? OPEN : TRIAL
+      const backoff = backoffs.get(server)
+      if (!backoff) return OPEN
+      if (now < backoff.until) return { kind: 'backingOff', until: backoff.until }
+      return backoff.isTried ? OPEN : TRIAL
     },
-    listResting: (now) =>
-      [...rests].flatMap(([server, { until }]) => (now < until ? [server] : [])),
+    listBackingOff: (now) =>
+      [...backoffs].flatMap(([server, { until }]) => (now < until ? [server] : [])),
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -31,7 +31,7 @@
 export { createRetryBudget, type RetryBudget } from './retryBudget.js'
 export {
   createBackpressure,
-  MAX_REST_MS,
+  MAX_BACKOFF_MS,
   TRIAL_MS,
   type Backpressure,
   type SendVerdict,
