refactor(core): rename putAside to rejectedInputs

Inputs that cannot be used are rejected: createRejectedInputs, RejectedInput; log event input.rejected, metric rejected_inputs. Behaviour is unchanged.

--- a/packages/control/src/__tests__/lateHeartbeat.spec.ts
+++ b/packages/control/src/__tests__/lateHeartbeat.spec.ts
@@ -1,7 +1,7 @@
 import {
   createManualTimerService,
   createQuietLogger,
-  createPutAside,
+  createRejectedInputs,
   toServerName,
   type HttpClient,
 } from '@spoolgate/core'
@@ -33,7 +33,7 @@
     logger: createQuietLogger(),
     silentAfterMs: SILENT_AFTER_MS,
     isKnownGroup: () => true,
-    putAside: createPutAside({ logger: createQuietLogger(), timers }),
+    rejectedInputs: createRejectedInputs({ logger: createQuietLogger(), timers }),
   })
   const beat = (name: string, change: Partial<RegisteredServer> = {}) =>
     operator.run('observeServer', {
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -7,7 +7,7 @@
   type BackendServerId,
   type HttpClient,
   type Logger,
-  type PutAside,
+  type RejectedInputs,
   type ServerName,
   type TimerService,
 } from '@spoolgate/core'
@@ -80,7 +80,7 @@
   readonly silentAfterMs: number
   /** Whether a group is in the routing table, as far as there is one. */
   readonly isKnownGroup: (name: string) => boolean
-  readonly putAside: PutAside
+  readonly rejectedInputs: RejectedInputs
 }
 
 /** Runs operations; see {@link createFleetOperator}. */
@@ -141,7 +141,11 @@
   const observe: Handlers['observeServer'] = async ({ server, count }) => {
     const { id, name, group } = server
     if (!isUsable(server)) {
-      options.putAside.record({ source: 'heartbeat', from: name, reason: `unknown group ${group}` })
+      options.rejectedInputs.record({
+        source: 'heartbeat',
+        from: name,
+        reason: `unknown group ${group}`,
+      })
       return { phase: server.phase }
     }
     const known = machine.servers.find(id)
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -15,7 +15,7 @@
   type CloseReport,
   type HttpExchange,
   type Logger,
-  type PutAside,
+  type RejectedInputs,
   type Route,
   type TimerService,
 } from '@spoolgate/core'
@@ -69,7 +69,7 @@
   /** Age of a newer version after which nothing may begin on older weights, in ms. */
   readonly weightsExpireMs: number
   /** Notes what comes from outside and cannot be used. */
-  readonly putAside: PutAside
+  readonly rejectedInputs: RejectedInputs
   readonly logger: Logger
   readonly timers: TimerService
   /** @default 800, well above a pause of the processor and below the bound on changes */
@@ -173,8 +173,11 @@
     decodeTable: options.decodeTable,
     logger,
   })
-  const putAside = metrics.counter('put_aside', 'Entries from outside that could not be used')
-  options.putAside.entries.subscribe(({ source }) => putAside.add(1, { source }))
+  const rejectedInputs = metrics.counter(
+    'rejected_inputs',
+    'Entries from outside that could not be used',
+  )
+  options.rejectedInputs.entries.subscribe(({ source }) => rejectedInputs.add(1, { source }))
   const operator = createFleetOperator({
     member,
     machine,
@@ -183,7 +186,7 @@
     logger,
     silentAfterMs: options.silentAfterMs,
     isKnownGroup: table.isKnownGroup,
-    putAside: options.putAside,
+    rejectedInputs: options.rejectedInputs,
   })
   const rollout = createWeightsRollout({
     member,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,7 +29,7 @@
 } from './logger.js'
 export { removeOldest } from './removeOldest.js'
 export { createTurnQueue, type TurnQueue } from './turnQueue.js'
-export { createPutAside, type PutAside, type PutAsideEntry } from './putAside.js'
+export { createRejectedInputs, type RejectedInputs, type RejectedInput } from './rejectedInputs.js'
 export { createLineBudget, type LineBudgetOptions } from './lineBudget.js'
 export { createMetrics, type Counter, type Histogram, type Metrics } from './metrics.js'
 export {
--- a/packages/core/src/putAside.ts
+++ b/packages/core/src/rejectedInputs.ts
@@ -7,7 +7,7 @@
 import type { TimerService } from './timers.js'
 
 /** One entry that cannot be used. */
-export interface PutAsideEntry {
+export interface RejectedInput {
   /** Kind of thing it came as, such as `heartbeat`. */
   readonly source: string
   /** Who sent it, or where it was read. */
@@ -16,15 +16,15 @@
   readonly reason: string
 }
 
-/** Takes note of such entries; see {@link createPutAside}. */
-export interface PutAside {
-  record(entry: PutAsideEntry): void
+/** Takes note of such entries; see {@link createRejectedInputs}. */
+export interface RejectedInputs {
+  record(entry: RejectedInput): void
   /** Emits each entry, for counters. */
-  readonly entries: Observable<PutAsideEntry>
+  readonly entries: Observable<RejectedInput>
 }
 
-/** Options of {@link createPutAside}. */
-export interface PutAsideOptions {
+/** Options of {@link createRejectedInputs}. */
+export interface RejectedInputsOptions {
   readonly logger: Logger
   readonly timers: TimerService
 }
@@ -39,9 +39,9 @@
 }
 
 /** Creates a record without entries. */
-export function createPutAside({ logger, timers }: PutAsideOptions): PutAside {
+export function createRejectedInputs({ logger, timers }: RejectedInputsOptions): RejectedInputs {
   const reports = new Map<string, SourceReport>()
-  const entries = new Subject<PutAsideEntry>()
+  const entries = new Subject<RejectedInput>()
   return {
     entries,
     record: (entry) => {
@@ -49,7 +49,7 @@
       entries.next(entry)
       const { reportedAt, count } = reports.get(source) ?? { reportedAt: -Infinity, count: 0 }
       const isDue = timers.now() - reportedAt >= REPORT_PERIOD_MS
-      if (isDue) logger.warn('entry.putAside', { ...entry, count: count + 1 })
+      if (isDue) logger.warn('input.rejected', { ...entry, count: count + 1 })
       reports.set(source, {
         reportedAt: isDue ? timers.now() : reportedAt,
         count: isDue ? 0 : count + 1,
--- a/packages/router/src/direct/answerWords.ts
+++ b/packages/router/src/direct/answerWords.ts
@@ -5,7 +5,10 @@
 import type { AnswerHead, DirectCall, LimitSignal, BackoffSignal } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 
-type WordParts = Pick<DirectParts, 'backpressure' | 'limits' | 'putAside' | 'logger' | 'timers'>
+type WordParts = Pick<
+  DirectParts,
+  'backpressure' | 'limits' | 'rejectedInputs' | 'logger' | 'timers'
+>
 
 /** The head of an answer, with the instant at which its request was sent, in ms. */
 type AnswerSignals = AnswerHead & { readonly sentAt: number }
@@ -25,16 +28,16 @@
   { id }: RegisteredServer,
   backoff: BackoffSignal,
 ) {
-  const { backpressure, putAside, logger, timers } = parts
+  const { backpressure, rejectedInputs, logger, timers } = parts
   const reason = findBackoffProblem(backoff)
-  if (reason) putAside.record({ source: 'backoff', from: id, reason })
+  if (reason) rejectedInputs.record({ source: 'backoff', from: id, reason })
   if (backoff.kind === 'unreadable') return
   logger.info('server.backoffRequested', { server: id, request: call.id, retryAfterMs: backoff.ms })
   backpressure.recordBackoff(id, backoff.ms, timers.now())
 }
 
 function recordLimit(
-  { limits, putAside, logger, timers }: WordParts,
+  { limits, rejectedInputs, logger, timers }: WordParts,
   call: DirectCall,
   { id }: RegisteredServer,
   limit: LimitSignal,
@@ -42,7 +45,7 @@
 ) {
   if (limit.kind === 'unreadable') {
     const reason = 'not a number of requests a second; the limit stays as it was'
-    putAside.record({ source: 'limit', from: id, reason })
+    rejectedInputs.record({ source: 'limit', from: id, reason })
     return
   }
   const perSecond = limit.kind === 'named' ? limit.perSecond : undefined
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -5,7 +5,7 @@
   Histogram,
   KeepAliveAgent,
   Logger,
-  PutAside,
+  RejectedInputs,
   RandomSource,
   TimerService,
   TurnQueue,
@@ -59,7 +59,7 @@
   readonly turns: TurnQueue
   readonly random: RandomSource
   readonly logger: Logger
-  readonly putAside: Pick<PutAside, 'record'>
+  readonly rejectedInputs: Pick<RejectedInputs, 'record'>
   readonly instruments: DirectInstruments
   readonly stop: Pick<PlannedStop, 'findRefusal'>
   /** Age of the proof of the newest table beyond which keys are not trusted, in ms. */
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -14,7 +14,7 @@
   createHttpClient,
   createKeepAliveAgent,
   createMetrics,
-  createPutAside,
+  createRejectedInputs,
   createRandomSource,
   createTurnQueue,
   readBody,
@@ -151,7 +151,7 @@
   const board = createServerBoard(timers)
   const backpressure = createBackpressure()
   const limits = createServerLimits()
-  const putAside = createPutAside({ logger, timers })
+  const rejectedInputs = createRejectedInputs({ logger, timers })
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const liveness = createLiveness({
     timers,
@@ -244,7 +244,7 @@
     turns: createTurnQueue(),
     random,
     logger,
-    putAside,
+    rejectedInputs,
     instruments,
     stop,
     maxProofAgeMs: options.maxProofAgeMs,
