--- a/packages/control/src/__tests__/serverWords.spec.ts
+++ b/packages/control/src/__tests__/serverSignals.spec.ts
@@ -1,6 +1,6 @@
 import { createManualTimerService, createQuietLogger, toServerName } from '@spoolgate/core'
 import { expect } from 'chai'
-import { createServerWords } from '../registry/serverWords.js'
+import { createServerSignals } from '../registry/serverSignals.js'
 import {
   buildServerIdentity,
   createServerState,
@@ -32,7 +32,7 @@
   function createLeader() {
     const timers = createManualTimerService()
     const servers = createServerState()
-    const words = createServerWords({
+    const signals = createServerSignals({
       servers,
       timers,
       logger: createQuietLogger(),
@@ -40,11 +40,11 @@
       findSilenceMs: () => 0,
     })
     const beat = (server: RegisteredServer, count?: number) => {
-      if (!words.isCurrent(server, count)) return 'late'
+      if (!signals.isCurrent(server, count)) return 'late'
       return servers.observe({ kind: 'server.observe', server }).phase
     }
     const leave = (name: string, startedAt?: number) => {
-      const leaving = words.findLeaving(toServerName(name), startedAt)
+      const leaving = signals.findLeaving(toServerName(name), startedAt)
       if (leaving) servers.retire({ kind: 'server.retire', id: leaving.id, phase: 'gone' })
     }
     const list = () => servers.list().map(({ id, address }) => `${id} ${address}`)
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -22,7 +22,7 @@
 } from '../state/serverState.js'
 import type { PutTableResult } from '../state/tableState.js'
 import { applyTableUpdate, buildTableUpdate, type TableUpdate } from '../table/tableUpdate.js'
-import { createServerWords } from './serverWords.js'
+import { createServerSignals } from './serverSignals.js'
 import { createTablePuts } from './tablePuts.js'
 import type { NameWeights, NameWeightsResult } from '../state/weightsState.js'
 
@@ -127,7 +127,7 @@
 
   const findSilenceMs = (id: BackendServerId) =>
     timers.now() - Math.max(heardAt.get(id) ?? -Infinity, findLeadingSince())
-  const words = createServerWords({
+  const signals = createServerSignals({
     servers: machine.servers,
     timers,
     logger,
@@ -149,7 +149,7 @@
       return { phase: server.phase }
     }
     const known = machine.servers.find(id)
-    if (!words.isCurrent(server, count)) return { phase: known?.phase ?? 'gone' }
+    if (!signals.isCurrent(server, count)) return { phase: known?.phase ?? 'gone' }
     heardAt.set(id, timers.now())
     if (known && isSameServer(known, mergeServer(known, server))) return { phase: known.phase }
     logger.info('server.observed', {
@@ -182,7 +182,7 @@
     },
     observeServer: observe,
     retireServer: async ({ name, startedAt }) => {
-      const leaving = words.findLeaving(name, startedAt)
+      const leaving = signals.findLeaving(name, startedAt)
       if (!leaving) return { phase: machine.servers.findByName(name)?.phase ?? 'gone' }
       const { id } = leaving
       const command = { kind: 'server.retire', id, phase: 'gone' } as const
--- a/packages/control/src/registry/serverWords.ts
+++ b/packages/control/src/registry/serverSignals.ts
@@ -13,8 +13,8 @@
   type ServerState,
 } from '../state/serverState.js'
 
-/** Options of {@link createServerWords}. */
-export interface ServerWordsOptions {
+/** Options of {@link createServerSignals}. */
+export interface ServerSignalsOptions {
   readonly servers: Pick<ServerState, 'find' | 'findByName' | 'list' | 'isOver'>
   readonly timers: TimerService
   readonly logger: Logger
@@ -24,8 +24,8 @@
   readonly findSilenceMs: (id: BackendServerId) => number
 }
 
-/** See {@link createServerWords}. */
-export interface ServerWords {
+/** See {@link createServerSignals}. */
+export interface ServerSignals {
   /**
    * Judges a heartbeat, and takes note of it where it counts. False for a late one, which changes nothing.
    * @param count number of the heartbeat, which rises with each; undefined where there is none
@@ -44,7 +44,7 @@
 const LATE_LEAVE_MS = 5_000
 
 /** Creates a judge that has heard nothing. */
-export function createServerWords(options: ServerWordsOptions): ServerWords {
+export function createServerSignals(options: ServerSignalsOptions): ServerSignals {
   const { servers, timers, logger, findSilenceMs } = options
   /** Incarnations whose address another one took over while this instance led. */
   const displaced = new LRUCache<BackendServerId, true>({ max: MAX_INCARNATIONS })
--- a/packages/router/src/__tests__/restPlay.ts
+++ b/packages/router/src/__tests__/restPlay.ts
@@ -4,7 +4,7 @@
  */
 import { createLoadSum, type FleetView, type RegisteredServer } from '@spoolgate/control'
 import { createManualTimerService, createRandomSource, type BackendServerId } from '@spoolgate/core'
-import { addBackoffs } from '../direct/answerWords.js'
+import { addBackoffs } from '../direct/answerSignals.js'
 import { rankServers, type Candidate } from '../direct/choice.js'
 import { createRetryShare, type RetryShare } from '../direct/retryShare.js'
 import { buildView, createChoiceParts, createEngineServer, GROUP } from './choiceFixtures.js'
--- a/packages/router/src/direct/answerHead.ts
+++ b/packages/router/src/direct/answerHead.ts
@@ -1,6 +1,6 @@
 /** What the head of an answer says of a send, before anything of it is passed on. */
 import type { IncomingMessage } from 'node:http'
-import { recordAnswerWords } from './answerWords.js'
+import { recordAnswerSignals } from './answerSignals.js'
 import type { CallPlan } from './callPlan.js'
 import type { Candidate } from './choice.js'
 import type { DirectParts } from './directParts.js'
@@ -21,7 +21,7 @@
 ): SendEnd | undefined {
   const { backend, board } = parts
   const head = backend.decodeHead(message, call)
-  recordAnswerWords(parts, call, server, { ...head, sentAt })
+  recordAnswerSignals(parts, call, server, { ...head, sentAt })
   if (head.weightsVersion !== undefined) board.recordVersion(server.id, head.weightsVersion)
   if (head.isNotRun) {
     message.resume()
--- a/packages/router/src/direct/answerWords.ts
+++ b/packages/router/src/direct/answerSignals.ts
@@ -5,7 +5,7 @@
 import type { AnswerHead, DirectCall, LimitSignal, BackoffSignal } from './dialects.js'
 import type { DirectParts } from './directParts.js'
 
-type WordParts = Pick<
+type SignalParts = Pick<
   DirectParts,
   'backpressure' | 'limits' | 'rejectedInputs' | 'logger' | 'timers'
 >
@@ -23,7 +23,7 @@
 }
 
 function recordBackoff(
-  parts: WordParts,
+  parts: SignalParts,
   call: DirectCall,
   { id }: RegisteredServer,
   backoff: BackoffSignal,
@@ -37,7 +37,7 @@
 }
 
 function recordLimit(
-  { limits, rejectedInputs, logger, timers }: WordParts,
+  { limits, rejectedInputs, logger, timers }: SignalParts,
   call: DirectCall,
   { id }: RegisteredServer,
   limit: LimitSignal,
@@ -66,8 +66,8 @@
 }
 
 /** Takes note of what the head of an answer says of its server, before the next choice is made. */
-export function recordAnswerWords(
-  parts: WordParts,
+export function recordAnswerSignals(
+  parts: SignalParts,
   call: DirectCall,
   server: RegisteredServer,
   { backoff, limit, isLeaving, sentAt }: AnswerSignals,
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -36,7 +36,7 @@
 import { createRequestQuarantine } from './requestQuarantine.js'
 import { createRetryShare, type RetryBounds } from './retryShare.js'
 import { createServerLimits } from '../limits/serverLimits.js'
-import { addBackoffs } from './answerWords.js'
+import { addBackoffs } from './answerSignals.js'
 import { createServerBoard } from './serverBoard.js'
 import { createServerEnds } from './serverEnds.js'
 import { createServerRestarts } from './serverRestarts.js'
