refactor: say reported and received of messages between processes

listUntold is listUnreported, recordTold is recordReported, tableTold (a field of polls) is tableReported, heardAt is receivedAt, with their types.

--- a/packages/control/src/__tests__/cacheWatch.spec.ts
+++ b/packages/control/src/__tests__/cacheWatch.spec.ts
@@ -31,13 +31,13 @@
 describe('the index of kept parts', () => {
   it('tells of each part what is left in the end, and lists it', () => {
     const kept = createKeptParts()
-    const told = kept.apply(ENGINE, [
+    const reported = kept.apply(ENGINE, [
       createPart(V1, 'a', 60),
       createPart(V1, 'b', 30),
       createPart(V1, 'a', 0),
     ])
     const [a, b] = [hashPart(V1, 'a'), hashPart(V1, 'b')]
-    expect(told).to.deep.equal([['e1', 1, a, 0, b, 30]])
+    expect(reported).to.deep.equal([['e1', 1, a, 0, b, 30]])
     expect(kept.list()).to.deep.equal([['e1', 1, b, 30]])
   })
 
@@ -57,9 +57,9 @@
   it('tells what is missing in a full list', () => {
     const kept = createKeptParts()
     kept.apply(STORE, [createPart(V1, 'a', 60), createPart(V1, 'b', 30)])
-    const told = kept.replace(STORE, [createPart(V1, 'b', 30)])
+    const reported = kept.replace(STORE, [createPart(V1, 'b', 30)])
     const name = formatStoreId('s:1', 7, 1)
-    expect(told).to.deep.equal([
+    expect(reported).to.deep.equal([
       [name, 1, hashPart(V1, 'a'), 0],
       [name, 1, hashPart(V1, 'b'), 30],
     ])
@@ -72,14 +72,14 @@
       const parts = [createPart(V1, 'a', 60), createPart(V1, 'b', 30)]
       kept.apply({ kind: 'engine', id, address: id }, parts)
     }
-    const told: string[][] = []
+    const reported: string[][] = []
     let position = { after: 'e1', left: Number.MAX_SAFE_INTEGER }
     while (position.left > 0) {
       const piece = kept.takePiece(position, 4)
-      told.push(piece.placements.map(([place]) => place))
+      reported.push(piece.placements.map(([place]) => place))
       position = piece.position
     }
-    expect(told).to.deep.equal([['e2', 'e3'], ['e1']])
+    expect(reported).to.deep.equal([['e2', 'e3'], ['e1']])
     expect(kept.takePiece(position, 4).placements).to.deep.equal([])
   })
 
@@ -117,10 +117,10 @@
     calls: CacheCalls
     machine: ControlMachine
     timers: TimerService
-    told: KeptPlacement[]
+    reported: KeptPlacement[]
     elected?: Observable<number>
   }) {
-    const { calls, machine, timers, told, elected = NEVER } = parts
+    const { calls, machine, timers, reported, elected = NEVER } = parts
     return createCacheWatch({
       member: { status: () => ({ role: 'leader' }), elected } as unknown as RaftMember,
       machine,
@@ -128,7 +128,7 @@
       table: { current: () => undefined, isKnownGroup: () => true },
       timers,
       logger: createQuietLogger(),
-      onKept: (placements) => told.push(...placements),
+      onKept: (placements) => reported.push(...placements),
     })
   }
 
@@ -139,7 +139,7 @@
     const timers = createManualTimerService()
     const machine = createControlMachine()
     machine.apply({ kind: 'server.observe', server }, 1)
-    const told: KeptPlacement[] = []
+    const reported: KeptPlacement[] = []
     const asked: number[] = []
     let lists = 0
     const calls: CacheCalls = {
@@ -152,7 +152,7 @@
         return { epoch: 1, next: 5, parts: list(lists) }
       },
     }
-    const watch = createWatch({ calls, machine, timers, told })
+    const watch = createWatch({ calls, machine, timers, reported })
     for (let turn = 0; turn < 4; turn += 1) {
       await settle()
       timers.advance(400)
@@ -160,11 +160,11 @@
     await settle()
     void watch.close()
     timers.advance(10_000)
-    return { told, asked, lists }
+    return { reported, asked, lists }
   }
 
   it('begins with the whole list, and goes on after the last change it was told of', async () => {
-    const { told, asked, lists } = await watchNews(
+    const { reported, asked, lists } = await watchNews(
       (call) => ({
         epoch: 1,
         next: call * 10,
@@ -175,19 +175,19 @@
     )
     expect(lists).to.equal(1)
     expect(asked.slice(0, 3)).to.deep.equal([5, 10, 20])
-    expect(told).to.deep.equal([
+    expect(reported).to.deep.equal([
       ['e1', 1, hashPart(V1, 'b'), 30],
       ['e1', 1, hashPart(V1, 'a'), 60],
     ])
   })
 
   it('asks for the whole list again where events are missing', async () => {
-    const { told, asked } = await watchNews(
+    const { reported, asked } = await watchNews(
       (call) => ({ epoch: 1, next: 9, hasGap: call === 1, changes: [] }),
       (call) => (call === 1 ? [createPart(V1, 'a', 60)] : [createPart(V1, 'b', 30)]),
     )
     expect(asked.slice(0, 2)).to.deep.equal([5, 5])
-    expect(told).to.deep.equal([
+    expect(reported).to.deep.equal([
       ['e1', 1, hashPart(V1, 'a'), 60],
       ['e1', 1, hashPart(V1, 'a'), 0],
       ['e1', 1, hashPart(V1, 'b'), 30],
@@ -222,7 +222,7 @@
         })
       },
     }
-    const watch = createWatch({ calls, machine, timers, told: [] })
+    const watch = createWatch({ calls, machine, timers, reported: [] })
     const releaseAll = async () => {
       for (const release of releases.splice(0)) release()
       await settle()
@@ -251,17 +251,17 @@
     function watchSlowEngine() {
       const timers = createManualTimerService()
       const machine = createControlMachine()
-      const told: KeptPlacement[] = []
+      const reported: KeptPlacement[] = []
       let release: (list: CacheList) => void = () => {}
       const calls: CacheCalls = {
         waitForChanges: () => new Promise(() => {}),
         listParts: () => new Promise((resolve) => (release = resolve)),
       }
-      const watch = createWatch({ calls, machine, timers, told })
+      const watch = createWatch({ calls, machine, timers, reported })
       // The engine is known only once the leader has applied its log.
       machine.apply({ kind: 'server.observe', server }, 1)
-      let isTold = false
-      void watch.waitForFirstAnswers().then(() => (isTold = true))
+      let isReported = false
+      void watch.waitForFirstAnswers().then(() => (isReported = true))
       const finish = async () => {
         const closing = watch.close()
         release(answer)
@@ -269,17 +269,23 @@
         await settle()
         await closing
       }
-      return { timers, told, isTold: () => isTold, release: () => release(answer), finish }
+      return {
+        timers,
+        reported,
+        isReported: () => isReported,
+        release: () => release(answer),
+        finish,
+      }
     }
 
     it('asks at once, and has everybody wait until the places have answered', async () => {
       const engine = watchSlowEngine()
       await settle()
-      expect(engine.isTold()).to.equal(false)
+      expect(engine.isReported()).to.equal(false)
       engine.release()
       await settle()
-      expect(engine.isTold()).to.equal(true)
-      expect(engine.told).to.deep.equal([['e1', 1, hashPart(V1, 'a'), 9]])
+      expect(engine.isReported()).to.equal(true)
+      expect(engine.reported).to.deep.equal([['e1', 1, hashPart(V1, 'a'), 9]])
       await engine.finish()
     })
 
@@ -287,10 +293,10 @@
       const engine = watchSlowEngine()
       engine.timers.advance(99)
       await settle()
-      expect(engine.isTold()).to.equal(false)
+      expect(engine.isReported()).to.equal(false)
       engine.timers.advance(1)
       await settle()
-      expect(engine.isTold()).to.equal(true)
+      expect(engine.isReported()).to.equal(true)
       await engine.finish()
     })
   })
--- a/packages/control/src/__tests__/feedSource.spec.ts
+++ b/packages/control/src/__tests__/feedSource.spec.ts
@@ -53,7 +53,7 @@
   return {
     router: 'r1',
     tableVersion: -1,
-    tableTold: -1,
+    tableReported: -1,
     term: -1,
     revision: -1,
     loads: {},
--- a/packages/control/src/__tests__/groupSteps.ts
+++ b/packages/control/src/__tests__/groupSteps.ts
@@ -39,9 +39,9 @@
       findView: (name) => {
         if (name === leader.name) return { silentMs: 0, isCaughtUp: true }
         const found = leader.member.listFollowers().find((follower) => follower.name === name)
-        const heardAt = Math.max(found?.confirmedAt ?? -Infinity, since)
+        const receivedAt = Math.max(found?.confirmedAt ?? -Infinity, since)
         const isCaughtUp = (found?.matchIndex ?? 0) >= commitIndex
-        return { silentMs: leader.timers.now() - heardAt, isCaughtUp }
+        return { silentMs: leader.timers.now() - receivedAt, isCaughtUp }
       },
     }
   }
--- a/packages/control/src/__tests__/requestBlame.spec.ts
+++ b/packages/control/src/__tests__/requestBlame.spec.ts
@@ -44,8 +44,8 @@
   const { quarantine } = machine
   const source = createBlameSource({ member, quarantine, timers, logger: createQuietLogger() })
   const settle = () => new Promise((resolve) => setImmediate(resolve))
-  const record = async (told: BlameReport) => {
-    const trial = source.record(told)
+  const record = async (reported: BlameReport) => {
+    const trial = source.record(reported)
     await settle()
     return trial
   }
@@ -213,37 +213,37 @@
     const { timers, record } = create()
     record.addEnd(server('a'), send)
     const ended = [{ server: server('a'), sends: [send] }]
-    expect(record.listUntold(1).report.ended).to.deep.equal(ended)
-    record.recordTold(record.listUntold(1), 1)
-    expect(record.listUntold(1).report.ended).to.deep.equal([])
-    expect(record.listUntold(2).report.ended).to.deep.equal(ended)
+    expect(record.listUnreported(1).report.ended).to.deep.equal(ended)
+    record.recordReported(record.listUnreported(1), 1)
+    expect(record.listUnreported(1).report.ended).to.deep.equal([])
+    expect(record.listUnreported(2).report.ended).to.deep.equal(ended)
     timers.advance(60_000)
-    expect(record.listUntold(2).report.ended).to.deep.equal([])
+    expect(record.listUnreported(2).report.ended).to.deep.equal([])
   })
 
   it('is told with the next poll where a poll was lost', () => {
     const { record } = create()
     record.addEnd(server('a'), send)
-    record.listUntold(1)
-    expect(record.listUntold(1).report.ended).to.have.length(1)
+    record.listUnreported(1)
+    expect(record.listUnreported(1).report.ended).to.have.length(1)
   })
 
   it('counts by itself only while no leader was told', () => {
     const { record } = create()
     for (const name of ['a', 'b', 'b', 'c']) record.addEnd(server(name), send)
-    expect(record.countUntoldEnds(R)).to.equal(3)
-    record.recordTold(record.listUntold(1), 1)
-    expect(record.countUntoldEnds(R)).to.equal(0)
+    expect(record.countUnreportedEnds(R)).to.equal(3)
+    record.recordReported(record.listUnreported(1), 1)
+    expect(record.countUnreportedEnds(R)).to.equal(0)
   })
 
   it('is forgotten once the request was answered, which is told once', () => {
     const { record } = create()
     record.addEnd(server('a'), send)
     record.addAnswered(R)
-    const untold = record.listUntold(1)
-    expect(untold.report).to.deep.equal(buildReport({ answered: [R] }))
-    record.recordTold(untold, 1)
-    expect(record.listUntold(2).report).to.deep.equal(buildReport({}))
+    const unreported = record.listUnreported(1)
+    expect(unreported.report).to.deep.equal(buildReport({ answered: [R] }))
+    record.recordReported(unreported, 1)
+    expect(record.listUnreported(2).report).to.deep.equal(buildReport({}))
   })
 
   it('stays bounded, and names the most refused request first', () => {
@@ -253,7 +253,7 @@
       record.addAsked(toRequestFingerprint(`c.${index % 100}`))
     }
     record.addAsked(toRequestFingerprint('c.7'))
-    const { ended, asked } = record.listUntold(1).report
+    const { ended, asked } = record.listUnreported(1).report
     expect(ended.length).to.be.at.most(1_000)
     expect(asked.length).to.be.at.most(64)
     expect(asked[0]).to.equal('c.7')
--- a/packages/control/src/blame/blameRecord.ts
+++ b/packages/control/src/blame/blameRecord.ts
@@ -6,7 +6,7 @@
 import type { BlamedSend, BlameReport, EndedServer } from './requestBlame.js'
 
 /** A report with what it was built from. */
-export interface UntoldBlame {
+export interface UnreportedBlame {
   readonly report: BlameReport
   readonly facts: readonly BlameFact[]
 }
@@ -23,18 +23,18 @@
   /** Forgets what speaks against a request that control no longer suspects. */
   removeEnds(request: RequestFingerprint): void
   /** Counts the servers that ended under a request, as far as no leader was told of them yet. */
-  countUntoldEnds(request: RequestFingerprint): number
+  countUnreportedEnds(request: RequestFingerprint): number
   /** Lists what the leader of a term was not told. */
-  listUntold(term: number): UntoldBlame
+  listUnreported(term: number): UnreportedBlame
   /** Notes that the leader of a term was told. */
-  recordTold(untold: UntoldBlame, term: number): void
+  recordReported(unreported: UnreportedBlame, term: number): void
 }
 
 interface FactBase {
   readonly request: RequestFingerprint
   readonly at: number
   /** Term whose leader was told; undefined before. */
-  toldTerm: number | undefined
+  reportedTerm: number | undefined
 }
 
 /** One thing that a router knows. */
@@ -54,7 +54,7 @@
 /** Requests that were refused and are told in one report: as many as a caller may have in quarantine. */
 const MAX_ASKED = 64
 
-const NO_FACTS: UntoldBlame = {
+const NO_FACTS: UnreportedBlame = {
   report: { ended: [], answered: [], asked: [], untried: [] },
   facts: [],
 }
@@ -99,7 +99,7 @@
   const build = (request: RequestFingerprint) => ({
     request,
     at: timers.now(),
-    toldTerm: undefined,
+    reportedTerm: undefined,
   })
   return {
     addEnd: (server, send) => add({ kind: 'ended', ...build(send.request), server, send }),
@@ -113,28 +113,28 @@
     },
     removeEnds,
     addUntried: (request) => void untried.add(request),
-    countUntoldEnds: (request) => {
+    countUnreportedEnds: (request) => {
       const servers = new Set<BackendServerId>()
       for (const fact of facts) {
-        const isUntold = fact.kind === 'ended' && fact.toldTerm === undefined
-        if (isUntold && fact.request === request) servers.add(fact.server)
+        const isUnreported = fact.kind === 'ended' && fact.reportedTerm === undefined
+        if (isUnreported && fact.request === request) servers.add(fact.server)
       }
       return servers.size
     },
-    listUntold: (term) => {
+    listUnreported: (term) => {
       if (facts.length + asked.size + untried.size === 0) return NO_FACTS
       removeOld()
-      const untold = facts.filter(({ toldTerm }) => toldTerm !== term)
-      const report = buildReport(untold, asked, untried)
+      const unreported = facts.filter(({ reportedTerm }) => reportedTerm !== term)
+      const report = buildReport(unreported, asked, untried)
       // Where this report is lost, whoever asks again is told with the next.
       asked.clear()
       untried.clear()
-      return { report, facts: untold }
+      return { report, facts: unreported }
     },
-    recordTold: ({ facts: told }, term) => {
-      for (const fact of told) fact.toldTerm = term
+    recordReported: ({ facts: reported }, term) => {
+      for (const fact of reported) fact.reportedTerm = term
       // That a request was answered is told once: a later end would be forgotten with it.
-      facts = facts.filter((fact) => fact.kind !== 'answered' || fact.toldTerm === undefined)
+      facts = facts.filter((fact) => fact.kind !== 'answered' || fact.reportedTerm === undefined)
     },
   }
 }
--- a/packages/control/src/group/groupKeeper.ts
+++ b/packages/control/src/group/groupKeeper.ts
@@ -69,9 +69,9 @@
     if (name === options.name) return { silentMs: 0, isCaughtUp: true }
     const found = member.listFollowers().find((follower) => follower.name === name)
     // A new leader counts silence from its own start: it has not heard anybody yet.
-    const heardAt = Math.max(found?.confirmedAt ?? -Infinity, leadingSince)
+    const receivedAt = Math.max(found?.confirmedAt ?? -Infinity, leadingSince)
     const isCaughtUp = (found?.matchIndex ?? 0) >= commitIndex
-    return { silentMs: timers.now() - heardAt, isCaughtUp }
+    return { silentMs: timers.now() - receivedAt, isCaughtUp }
   }
   const lead = async () => {
     const { term, hasLease, members } = member.status()
--- a/packages/control/src/raft/leasePromise.ts
+++ b/packages/control/src/raft/leasePromise.ts
@@ -46,17 +46,17 @@
 /** Creates the promise of a process that has heard no leader. */
 export function createLeasePromise(options: LeasePromiseOptions): LeasePromise {
   const { timers, random, electionMs, startedAt } = options
-  let heardAt: number | undefined
+  let receivedAt: number | undefined
 
   const isStarting = () =>
-    heardAt === undefined && timers.now() - startedAt < electionMs * FIRST_TRIES_TIMEOUTS
+    receivedAt === undefined && timers.now() - startedAt < electionMs * FIRST_TRIES_TIMEOUTS
   return {
     recordContact: () => {
-      heardAt = timers.now()
+      receivedAt = timers.now()
     },
-    isLeaderAlive: () => heardAt !== undefined && timers.now() - heardAt < electionMs,
+    isLeaderAlive: () => receivedAt !== undefined && timers.now() - receivedAt < electionMs,
     findHolder: ({ leaseHolder, term }, endedTerms) => {
-      const isOver = heardAt !== undefined || timers.now() - startedAt >= electionMs
+      const isOver = receivedAt !== undefined || timers.now() - startedAt >= electionMs
       // Without any term this member has never followed anybody.
       if (isOver || term === 0) return undefined
       const holder = leaseHolder ?? UNKNOWN_HOLDER
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -98,7 +98,7 @@
   /** Version of the table that the router holds; -1 for none. */
   readonly tableVersion: number
   /** Newest version of the table that the router was told of, and may be fetching; -1 for none. */
-  readonly tableTold: number
+  readonly tableReported: number
   /** Revision of the rest that the router holds, with the term that counted it. */
   readonly term: number
   readonly revision: number
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -12,7 +12,7 @@
 } from '@spoolgate/core'
 import type { RoutingTable } from '@spoolgate/routing'
 import { Subject, type Observable } from 'rxjs'
-import type { BlameRecord, UntoldBlame } from '../blame/blameRecord.js'
+import type { BlameRecord, UnreportedBlame } from '../blame/blameRecord.js'
 import type { SuspectedRequest } from '../blame/requestBlame.js'
 import {
   FEED_PATH,
@@ -47,7 +47,7 @@
   /** Called with what other routers placed. */
   readonly onPlacements: (placements: readonly Placement[]) => void
   /** What this router knows of requests under which servers ended. */
-  readonly blame: Pick<BlameRecord, 'listUntold' | 'recordTold'>
+  readonly blame: Pick<BlameRecord, 'listUnreported' | 'recordReported'>
   /** Limits of servers that this router observed. */
   readonly limits: LimitRecord
   /** Called with all requests that are suspected or in quarantine, after each change. */
@@ -99,7 +99,7 @@
 /** Pause after an answer that cannot be read, in ms: the next will most likely be like it. */
 const UNREADABLE_PAUSE_MS = 500
 /** Placements that are kept until a leader has taken them; more than one poll brings. */
-const MAX_UNTOLD = 200
+const MAX_UNREPORTED = 200
 
 /** A reply with the facts of its ask. */
 interface FeedAnswer {
@@ -107,9 +107,9 @@
   /** When it was asked for, in ms of the monotonic clock. */
   readonly askedAt: number
   /** Placements that the leader was told with it. */
-  readonly told: ReadonlySet<Placement>
+  readonly reported: ReadonlySet<Placement>
   /** What the leader was told of requests. */
-  readonly blame: UntoldBlame
+  readonly blame: UnreportedBlame
   readonly limits: ObservedLimits
   /** When it was asked for, in ms of the steady clock. */
   readonly sentAt: number
@@ -128,7 +128,7 @@
   const stopping = new AbortController()
   const changes = new Subject<FleetView>()
   const held = createHeldFleet(options)
-  let untold: readonly Placement[] = []
+  let unreported: readonly Placement[] = []
   let provenAt = -Infinity
   /** What proves the version that the router is fetching, once it holds that. */
   let comingProof: TableProof | undefined
@@ -142,10 +142,10 @@
   }
   const askInstance = async (url: string, signal: AbortSignal): Promise<FeedAnswer> => {
     const askedAt = timers.promiseNow()
-    untold = [...untold, ...options.takePlacements()].slice(-MAX_UNTOLD)
-    const placements = untold
+    unreported = [...unreported, ...options.takePlacements()].slice(-MAX_UNREPORTED)
+    const placements = unreported
     const position = held.position()
-    const blame = options.blame.listUntold(position.term)
+    const blame = options.blame.listUnreported(position.term)
     const limits = options.limits.listUnreported(position.term)
     const sentAt = timers.now()
     const request: FeedRequest = {
@@ -163,7 +163,7 @@
       json: request,
       signal,
     })
-    return { reply, askedAt, sentAt, told: new Set(placements), blame, limits }
+    return { reply, askedAt, sentAt, reported: new Set(placements), blame, limits }
   }
   const announce = () => {
     const view = held.view()
@@ -193,16 +193,16 @@
     },
     stopping: stopping.signal,
   })
-  const applyAnswer = ({ reply, askedAt, sentAt, told, blame, limits }: FeedAnswer) => {
+  const applyAnswer = ({ reply, askedAt, sentAt, reported, blame, limits }: FeedAnswer) => {
     const isChanged = held.apply(reply)
     options.onPlacements(reply.placements)
     options.onKept(reply.kept)
-    options.blame.recordTold(blame, reply.term)
+    options.blame.recordReported(blame, reply.term)
     if (limits.term === reply.term) options.limits.recordAcknowledged(limits)
     if (reply.limits) options.limits.applyUpdate(reply.limits, sentAt)
     if (reply.suspects) options.onSuspects(reply.suspects)
     if (reply.trial !== undefined) options.onTrial(reply.trial)
-    untold = untold.filter((placement) => !told.has(placement))
+    unreported = unreported.filter((placement) => !reported.has(placement))
     recordProof({ version: reply.tableVersion, askedAt })
     tables.want(reply.tableVersion)
     if (isChanged) announce()
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -172,7 +172,7 @@
     return request.blame && blame.record(request.blame)
   }
   const findTableVersion = () => machine.table.current()?.version ?? NO_TABLE_VERSION
-  const isNewTable = (request: FeedRequest) => findTableVersion() > request.tableTold
+  const isNewTable = (request: FeedRequest) => findTableVersion() > request.tableReported
   /** Routers that were told of a version before have it, or are fetching it. */
   const findTableUpdate = (request: FeedRequest) => {
     if (!isNewTable(request)) return undefined
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -113,7 +113,7 @@
 /** Creates the operator of one instance. */
 export function createFleetOperator(options: FleetOperatorOptions): FleetOperator {
   const { member, machine, client, timers, logger } = options
-  const heardAt = new LRUCache<BackendServerId, number>({ max: MAX_HEARD })
+  const receivedAt = new LRUCache<BackendServerId, number>({ max: MAX_HEARD })
   let leadingTerm: number | undefined
   let leadingSince = timers.now()
   /** Heartbeats went to the leader before, so silence counts from the start of this leadership. */
@@ -126,7 +126,7 @@
   }
 
   const findSilenceMs = (id: BackendServerId) =>
-    timers.now() - Math.max(heardAt.get(id) ?? -Infinity, findLeadingSince())
+    timers.now() - Math.max(receivedAt.get(id) ?? -Infinity, findLeadingSince())
   const signals = createServerSignals({
     servers: machine.servers,
     timers,
@@ -150,7 +150,7 @@
     }
     const known = machine.servers.find(id)
     if (!signals.isCurrent(server, count)) return { phase: known?.phase ?? 'gone' }
-    heardAt.set(id, timers.now())
+    receivedAt.set(id, timers.now())
     if (known && isSameServer(known, mergeServer(known, server))) return { phase: known.phase }
     logger.info('server.observed', {
       server: id,
--- a/packages/control/src/registry/heldFleet.ts
+++ b/packages/control/src/registry/heldFleet.ts
@@ -47,7 +47,7 @@
 export type FeedPosition = Pick<
   FeedRequest,
   | 'tableVersion'
-  | 'tableTold'
+  | 'tableReported'
   | 'term'
   | 'revision'
   | 'placementsSeen'
@@ -121,7 +121,7 @@
   let view: FleetView | undefined
   let position: FeedPosition = {
     tableVersion: NO_TABLE_VERSION,
-    tableTold: NO_TABLE_VERSION,
+    tableReported: NO_TABLE_VERSION,
     term: NO_VERSION,
     revision: NO_VERSION,
     placementsSeen: 0,
@@ -188,7 +188,7 @@
         reply
       position = {
         tableVersion: held?.version ?? NO_TABLE_VERSION,
-        tableTold: Math.max(position.tableTold, reply.tableVersion),
+        tableReported: Math.max(position.tableReported, reply.tableVersion),
         term,
         revision: isServersKnown ? revision : NO_VERSION,
         placementsSeen,
--- a/packages/control/src/registry/keptParts.ts
+++ b/packages/control/src/registry/keptParts.ts
@@ -92,7 +92,7 @@
     return Math.max(...openVersions(place).keys(), 0) > version
   }
   const apply: KeptParts['apply'] = (place, changes) => {
-    const told = new Map<number, Map<number, number>>()
+    const reported = new Map<number, Map<number, number>>()
     for (const { scope, id, tokens } of changes) {
       const version = parseScopeVersion(scope)
       if (version === undefined || isOutdated(place, version)) continue
@@ -100,9 +100,9 @@
       const parts = openParts(place, version).tokens
       if (tokens > 0) parts.set(hash, tokens)
       else parts.delete(hash)
-      told.set(version, (told.get(version) ?? new Map<number, number>()).set(hash, tokens))
+      reported.set(version, (reported.get(version) ?? new Map<number, number>()).set(hash, tokens))
     }
-    return [...told].map(([version, last]) => {
+    return [...reported].map(([version, last]) => {
       return [formatPlaceId(place, version), version, ...[...last].flat()]
     })
   }
@@ -113,9 +113,9 @@
   const takePiece: KeptParts['takePiece'] = ({ after, left }, maxParts) => {
     if (left <= 0) return { placements: [], position: { after, left: 0 } }
     const ordered = listVersions().sort((a, b) => (a.place < b.place ? -1 : 1))
-    const told = ordered.filter(({ place }) => place <= after)
+    const reported = ordered.filter(({ place }) => place <= after)
     // Behind the last name comes the first again.
-    const coming = [...ordered.slice(told.length), ...told].slice(0, left)
+    const coming = [...ordered.slice(reported.length), ...reported].slice(0, left)
     let parts = 0
     const end = coming.findIndex(({ tokens }, index) => {
       parts += tokens.size
--- a/packages/control/src/registry/serverSignals.ts
+++ b/packages/control/src/registry/serverSignals.ts
@@ -49,7 +49,7 @@
   /** Incarnations whose address another one took over while this instance led. */
   const displaced = new LRUCache<BackendServerId, true>({ max: MAX_INCARNATIONS })
   const counts = new LRUCache<BackendServerId, number>({ max: MAX_INCARNATIONS })
-  const firstHeardAt = new LRUCache<BackendServerId, number>({ max: MAX_INCARNATIONS })
+  const firstReceivedAt = new LRUCache<BackendServerId, number>({ max: MAX_INCARNATIONS })
 
   const findOtherAt = ({ name, address }: RegisteredServer) =>
     servers.list().find((other) => other.address === address && other.name !== name)
@@ -99,7 +99,7 @@
       if (holder) displace(server, holder)
       reportRestart(server)
       if (count !== undefined) counts.set(id, count)
-      if (!firstHeardAt.has(id)) firstHeardAt.set(id, timers.now())
+      if (!firstReceivedAt.has(id)) firstReceivedAt.set(id, timers.now())
       return true
     },
     findLeaving: (name, startedAt) => {
@@ -107,7 +107,7 @@
       // A server that tells no start in its heartbeats is the one that is known, whatever its leave tells.
       if (known && !isStartKnown(known)) return known
       if (startedAt !== undefined || !known) return buildServerIdentity(name, startedAt)
-      const isNew = timers.now() - (firstHeardAt.get(known.id) ?? -Infinity) < LATE_LEAVE_MS
+      const isNew = timers.now() - (firstReceivedAt.get(known.id) ?? -Infinity) < LATE_LEAVE_MS
       if (isNew) logger.warn('server.leaveWithoutStart', { server: known.id })
       return isNew ? undefined : known
     },
--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -24,7 +24,7 @@
   /** Connections of which an answer, or their own end, has told that nothing follows. */
   const ending = new WeakSet<Socket>()
   /** Connections of which a request that came too late was told: one line each. */
-  const told = new WeakSet<Socket>()
+  const reported = new WeakSet<Socket>()
   let isStopping = false
 
   const openUnderWay = (socket: Socket) => {
@@ -37,8 +37,8 @@
     return answers
   }
   const recordLate = ({ socket, headers, url }: IncomingMessage) => {
-    if (told.has(socket)) return
-    told.add(socket)
+    if (reported.has(socket)) return
+    reported.add(socket)
     logger.info('call.onEndedConnection', { host: headers.host, target: url?.split('?', 1)[0] })
   }
   return {
--- a/packages/router/src/__tests__/harmPlay.ts
+++ b/packages/router/src/__tests__/harmPlay.ts
@@ -142,9 +142,9 @@
   const popular: KindCount = { sent: 0, answered: 0 }
 
   const askLeader = (router: PlayedRouter) => {
-    const untold = router.record.listUntold(router.term)
-    const trial = leader.record(untold.report)
-    router.record.recordTold(untold, term)
+    const unreported = router.record.listUnreported(router.term)
+    const trial = leader.record(unreported.report)
+    router.record.recordReported(unreported, term)
     if (router.term !== term || router.suspectsSeen !== leader.revision()) {
       router.quarantine.apply(JSON.parse(JSON.stringify(leader.list())) as SuspectedRequest[])
     }
--- a/packages/router/src/__tests__/restPlay.ts
+++ b/packages/router/src/__tests__/restPlay.ts
@@ -30,14 +30,14 @@
   readonly answered: number
   /** Rests that were asked of one router each. */
   readonly rests: number
-  /** Most requests of one router within one rest, from {@link HEARD_MS} on. */
+  /** Most requests of one router within one rest, from {@link INFORMED_MS} on. */
   readonly mostInRest: number
   /** Largest share that a server got of the requests of the second after its last rest, over the even one. */
   readonly largestShare: number
 }
 
 /** Time within which a router must have heard a word, in ms. */
-const HEARD_MS = 500
+const INFORMED_MS = 500
 const ANSWER_MS = 5
 const WORK_MS = 100
 const STEP_MS = 5
@@ -59,7 +59,7 @@
   readonly server: BackendServerId
   readonly from: number
   readonly until: number
-  /** Requests that the router sent to the server meanwhile, from {@link HEARD_MS} on. */
+  /** Requests that the router sent to the server meanwhile, from {@link INFORMED_MS} on. */
   sends: number
 }
 
@@ -140,7 +140,7 @@
   private countSend({ rests }: PlayedRouter, server: BackendServerId): void {
     const now = this.timers.now()
     for (const rest of rests) {
-      const isIn = rest.server === server && now >= rest.from + HEARD_MS && now < rest.until
+      const isIn = rest.server === server && now >= rest.from + INFORMED_MS && now < rest.until
       if (isIn) rest.sends += 1
     }
     this.sends.push({ server, at: now })
--- a/packages/router/src/direct/answerSignals.ts
+++ b/packages/router/src/direct/answerSignals.ts
@@ -60,9 +60,9 @@
   backingOff: readonly BackendServerId[],
 ): ServerLoads {
   if (backingOff.length === 0) return loads
-  const told: Record<string, ServerLoad> = { ...loads }
-  for (const id of backingOff) told[id] = { ...(loads[id] ?? NO_LOAD), backoffs: 1 }
-  return told
+  const reported: Record<string, ServerLoad> = { ...loads }
+  for (const id of backingOff) reported[id] = { ...(loads[id] ?? NO_LOAD), backoffs: 1 }
+  return reported
 }
 
 /** Takes note of what the head of an answer says of its server, before the next choice is made. */
