fix(router): keep a backoff that the next start of a server requested before routers knew of it

What servers saw: plain-1 asked router-4 for 3 s without requests and received 25 within them.

Cause: a server that starts again under its id answers before its first heartbeat has reached the routers. What it says is attributed to the start before; once the new start is known, under another id, nothing is known of it. The class: what an answer says is kept under the identity that the router presumes, not under that of the sender. A rate limit had the same fault.

Ruled out: requests in flight, since they were chosen after the answer.

Change: when a router learns of the next start, it keeps a backoff or a limit of the start before that is at most 5 s old. Neither an announced shutdown nor a part of a limit is kept.

--- a/packages/router/src/__tests__/serverLimits.spec.ts
+++ b/packages/router/src/__tests__/serverLimits.spec.ts
@@ -86,6 +86,17 @@
     ])
   })
 
+  it('bind the next start of a server that may have named them, and not a later one', () => {
+    const limits = createInformed(2, 0.5)
+    const next = toBackendServerId('s1@2')
+    const later = toBackendServerId('s1@3')
+    limits.carryOver(S1, next, 1_000)
+    limits.carryOver(S1, later, 60_000)
+    expect(limits.judgeSend(next, 1_000).kind).to.equal('limited')
+    expect(limits.judgeSend(later, 60_000).kind).to.equal('open')
+    expect(limits.listUnreported(TERM, 1_000).reports.map(({ server }) => server)).to.include(next)
+  })
+
   it('are probed where no answer has confirmed them for a while', () => {
     const limits = createInformed(2, 0.5)
     expect(limits.isProbeDue(S1, 1_200)).to.equal(false)
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -199,7 +199,15 @@
   })
   const instruments = createInstruments(metrics)
   const stop = createPlannedStop({ timers, logger, cutOff: instruments.cutOff })
-  const restarts = createServerRestarts({ views: feed.changes, agent, logger })
+  const restarts = createServerRestarts({
+    views: feed.changes,
+    agent,
+    logger,
+    onRestart: (before, after) => {
+      backpressure.carryOver(before, after, timers.now())
+      limits.carryOver(before, after, timers.now())
+    },
+  })
   const ends = createServerEnds({
     liveness,
     views: feed.changes,
--- a/packages/router/src/direct/serverRestarts.ts
+++ b/packages/router/src/direct/serverRestarts.ts
@@ -18,6 +18,8 @@
   readonly views: Observable<Pick<FleetView, 'servers'>>
   readonly agent: Pick<KeepAliveAgent, 'closeIdle'>
   readonly logger: Logger
+  /** Called with the start before and the new one, before anything is sent to that. */
+  readonly onRestart?: (before: BackendServerId, after: BackendServerId) => void
 }
 
 /** See {@link createServerRestarts}. */
@@ -79,6 +81,7 @@
       address: server.address,
       addressBefore: before.address,
     })
+    options.onRestart?.(before.id, server.id)
     agent.closeIdle(before.address)
     ended.next(before.id)
   }
--- a/packages/router/src/limits/serverLimits.ts
+++ b/packages/router/src/limits/serverLimits.ts
@@ -4,6 +4,7 @@
  */
 import type { LimitNews, LimitReport, LimitsUpdate, ObservedLimits } from '@spoolgate/control'
 import type { BackendServerId } from '@spoolgate/core'
+import { CARRY_OVER_MS } from '@spoolgate/routing'
 import { LRUCache } from 'lru-cache'
 
 /** Whether a limit permits a request now. */
@@ -28,6 +29,8 @@
   applyUpdate(update: LimitsUpdate, askedAt: number, now: number): void
   recordSend(server: BackendServerId, now: number): void
   judgeSend(server: BackendServerId, now: number): LimitVerdict
+  /** Keeps a recent limit for the next start of a server, which may have been the one that named it. */
+  carryOver(before: BackendServerId, after: BackendServerId, now: number): void
   isLimited(server: BackendServerId): boolean
   /** Whether a limit that permits a request was not confirmed lately. */
   isProbeDue(server: BackendServerId, now: number): boolean
@@ -182,6 +185,11 @@
       const waitMs = ratePerMs === 0 ? NO_PART_RETRY_MS : (1 - state.tokens) / ratePerMs
       return { kind: 'limited', until: now + waitMs }
     },
+    carryOver: (before, after, now) => {
+      const state = states.get(before)
+      if (!state || now - state.at > CARRY_OVER_MS || states.has(after)) return
+      states.set(after, { ...state, acknowledged: undefined, part: 0, tokens: 0 })
+    },
     isLimited: (server) => states.get(server)?.perSecond !== undefined,
     isProbeDue: (server, now) => {
       const state = states.get(server)
--- a/packages/routing/src/backpressure.ts
+++ b/packages/routing/src/backpressure.ts
@@ -25,6 +25,8 @@
   /** Notes that a request is sent. */
   recordSend(server: BackendServerId, now: number): void
   judgeSend(server: BackendServerId, now: number): SendVerdict
+  /** Keeps a recent backoff for the next start of a server, which may have been the one that requested it. */
+  carryOver(before: BackendServerId, after: BackendServerId, now: number): void
   /** Lists the servers that rest now. */
   listBackingOff(now: number): readonly BackendServerId[]
 }
@@ -38,10 +40,14 @@
  * without this, all that waited would be turned away together.
  */
 export const TRIAL_MS = 200
+/** Age up to which a signal may be of the next start: a start answers before its first heartbeat has reached routers. */
+export const CARRY_OVER_MS = 5_000
 /** Incarnations that are remembered: several times those of a large fleet. */
 const MAX_SERVERS = 5_000
 
 interface Backoff {
+  /** When it was requested. */
+  readonly at: number
   until: number
   /** Whether a request was sent since the rest ended. */
   isTried: boolean
@@ -61,14 +67,14 @@
       const asked = now + Math.min(retryAfterMs, MAX_BACKOFF_MS)
       // Answers overtake one another: the shorter of two words does not take back the longer one.
       const until = Math.max(asked, backoffs.get(server)?.until ?? asked)
-      backoffs.set(server, { until, isTried: false })
+      backoffs.set(server, { at: now, until, isTried: false })
     },
     recordLeaving: (server, now) => void leavingUntil.set(server, now + LEAVING_MS),
     recordSend: (server, now) => {
       const backoff = backoffs.get(server)
       if (!backoff || now < backoff.until) return
       if (backoff.isTried) backoffs.delete(server)
-      else backoffs.set(server, { until: now + TRIAL_MS, isTried: true })
+      else backoffs.set(server, { at: backoff.at, until: now + TRIAL_MS, isTried: true })
     },
     judgeSend: (server, now) => {
       if (now < (leavingUntil.get(server) ?? -Infinity)) return LEAVING
@@ -77,6 +83,11 @@
       if (now < backoff.until) return { kind: 'backingOff', until: backoff.until }
       return backoff.isTried ? OPEN : TRIAL
     },
+    carryOver: (before, after, now) => {
+      const backoff = backoffs.get(before)
+      if (!backoff || now - backoff.at > CARRY_OVER_MS || backoffs.has(after)) return
+      backoffs.set(after, { ...backoff })
+    },
     listBackingOff: (now) =>
       [...backoffs].flatMap(([server, { until }]) => (now < until ? [server] : [])),
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -31,6 +31,7 @@
 export { createRetryBudget, type RetryBudget } from './retryBudget.js'
 export {
   createBackpressure,
+  CARRY_OVER_MS,
   MAX_BACKOFF_MS,
   TRIAL_MS,
   type Backpressure,
