--- a/packages/control/src/__tests__/requestBlame.spec.ts
+++ b/packages/control/src/__tests__/requestBlame.spec.ts
@@ -231,9 +231,9 @@
   it('counts by itself only while no leader was told', () => {
     const { record } = create()
     for (const name of ['a', 'b', 'b', 'c']) record.addEnd(server(name), send)
-    expect(record.countUnreportedEnds(R)).to.equal(3)
+    expect(record.countUnreportedExits(R)).to.equal(3)
     record.recordReported(record.listUnreported(1), 1)
-    expect(record.countUnreportedEnds(R)).to.equal(0)
+    expect(record.countUnreportedExits(R)).to.equal(0)
   })
 
   it('is forgotten once the request was answered, which is told once', () => {
--- a/packages/control/src/blame/blameRecord.ts
+++ b/packages/control/src/blame/blameRecord.ts
@@ -3,7 +3,7 @@
  * is new is told all of it again.
  */
 import type { BackendServerId, RequestFingerprint, TimerService } from '@spoolgate/core'
-import type { BlamedSend, BlameReport, EndedServer } from './requestBlame.js'
+import type { BlamedSend, BlameReport, ExitedServer } from './requestBlame.js'
 
 /** A report with what it was built from. */
 export interface UnreportedBlame {
@@ -23,7 +23,7 @@
   /** Forgets what speaks against a request that control no longer suspects. */
   removeEnds(request: RequestFingerprint): void
   /** Counts the servers that ended under a request, as far as no leader was told of them yet. */
-  countUnreportedEnds(request: RequestFingerprint): number
+  countUnreportedExits(request: RequestFingerprint): number
   /** Lists what the leader of a term was not told. */
   listUnreported(term: number): UnreportedBlame
   /** Notes that the leader of a term was told. */
@@ -71,7 +71,7 @@
   }
   const answered = facts.filter(({ kind }) => kind === 'answered').map(({ request }) => request)
   return {
-    ended: [...ended].map(([server, sends]): EndedServer => ({ server, sends })),
+    ended: [...ended].map(([server, sends]): ExitedServer => ({ server, sends })),
     answered,
     untried: [...untried],
     asked: [...asked].sort(([, a], [, b]) => b - a).map(([request]) => request),
@@ -113,7 +113,7 @@
     },
     removeEnds,
     addUntried: (request) => void untried.add(request),
-    countUnreportedEnds: (request) => {
+    countUnreportedExits: (request) => {
       const servers = new Set<BackendServerId>()
       for (const fact of facts) {
         const isUnreported = fact.kind === 'ended' && fact.reportedTerm === undefined
--- a/packages/control/src/blame/requestBlame.ts
+++ b/packages/control/src/blame/requestBlame.ts
@@ -13,14 +13,14 @@
 }
 
 /** A server that ended, and what a router had sent it without getting a whole answer. */
-export interface EndedServer {
+export interface ExitedServer {
   readonly server: BackendServerId
   readonly sends: readonly BlamedSend[]
 }
 
 /** What a router tells control of requests. */
 export interface BlameReport {
-  readonly ended: readonly EndedServer[]
+  readonly ended: readonly ExitedServer[]
   /** Requests that were answered whole after the router was told to suspect them. */
   readonly answered: readonly RequestFingerprint[]
   /** Requests in quarantine that were refused since the last report, the most often refused first. */
--- a/packages/router/src/__tests__/serverEnds.spec.ts
+++ b/packages/router/src/__tests__/serverExits.spec.ts
@@ -8,7 +8,7 @@
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import { Subject } from 'rxjs'
-import { createServerEnds } from '../direct/serverEnds.js'
+import { createServerExits } from '../direct/serverExits.js'
 
 const SEND = { request: toRequestFingerprint('c.1'), round: 0 }
 const SERVER = { id: toBackendServerId('s@1'), address: '10.0.0.1:80' }
@@ -20,7 +20,7 @@
   const views = new Subject<{ servers: ReadonlyMap<BackendServerId, RegisteredServer> }>()
   const ended: BackendServerId[] = []
   let looks = 0
-  const ends = createServerEnds({
+  const exits = createServerExits({
     liveness: {
       checkAlive: async () => {
         looks += 1
@@ -39,22 +39,22 @@
   const end = () => {
     isAlive = false
   }
-  return { timers, ends, ended, tell, end, looks: () => looks }
+  return { timers, exits, ended, tell, end, looks: () => looks }
 }
 
 describe('sends that break off', () => {
   it('show the end of a server that accepts no connections, with one look for all of them', async () => {
-    const { ends, ended, looks } = createEnds(false)
-    for (let send = 0; send < 3; send += 1) ends.recordLost(SERVER, SEND)
+    const { exits, ended, looks } = createEnds(false)
+    for (let send = 0; send < 3; send += 1) exits.recordLost(SERVER, SEND)
     await settle()
-    ends.recordLost(SERVER, SEND)
+    exits.recordLost(SERVER, SEND)
     expect(ended).to.deep.equal([SERVER.id, SERVER.id, SERVER.id, SERVER.id])
     expect(looks()).to.equal(1)
   })
 
   it('show nothing of a server that accepts connections', async () => {
-    const { ends, ended, timers, tell } = createEnds(true)
-    ends.recordLost(SERVER, SEND)
+    const { exits, ended, timers, tell } = createEnds(true)
+    exits.recordLost(SERVER, SEND)
     await settle()
     tell('s@1', SERVER.address)
     expect(ended).to.deep.equal([])
@@ -64,26 +64,26 @@
   })
 
   it('show the end of a server that was alive when an earlier one broke off', async () => {
-    const { ends, ended, end } = createEnds(true)
-    ends.recordLost(SERVER, SEND)
+    const { exits, ended, end } = createEnds(true)
+    exits.recordLost(SERVER, SEND)
     await settle()
     end()
-    ends.recordLost(SERVER, SEND)
+    exits.recordLost(SERVER, SEND)
     await settle()
     expect(ended).to.deep.equal([SERVER.id])
   })
 
   it('show the end of a server whose later start is heard of', async () => {
-    const { ends, ended, tell } = createEnds(true)
-    ends.recordLost(SERVER, SEND)
+    const { exits, ended, tell } = createEnds(true)
+    exits.recordLost(SERVER, SEND)
     await settle()
     tell('s@2', SERVER.address)
     expect(ended).to.deep.equal([SERVER.id])
   })
 
   it('show nothing of a server that has left', async () => {
-    const { ends, ended, tell } = createEnds(true)
-    ends.recordLost(SERVER, SEND)
+    const { exits, ended, tell } = createEnds(true)
+    exits.recordLost(SERVER, SEND)
     await settle()
     tell('t@1', '10.0.0.2:80')
     expect(ended).to.deep.equal([])
--- a/packages/router/src/direct/directParts.ts
+++ b/packages/router/src/direct/directParts.ts
@@ -18,7 +18,7 @@
 import type { PlannedStop } from './plannedStop.js'
 import type { RetryShare } from './retryShare.js'
 import type { RequestQuarantine } from './requestQuarantine.js'
-import type { ServerEnds } from './serverEnds.js'
+import type { ServerExits } from './serverExits.js'
 import type { ServerRestarts } from './serverRestarts.js'
 import type { ServerBoard } from './serverBoard.js'
 import type { WorkSplit } from './workSplit.js'
@@ -52,7 +52,7 @@
   readonly times: WorkTimes
   readonly retries: RetryShare
   readonly restarts: Pick<ServerRestarts, 'watch'>
-  readonly ends: Pick<ServerEnds, 'recordLost'>
+  readonly exits: Pick<ServerExits, 'recordLost'>
   readonly quarantine: Pick<RequestQuarantine, 'admit' | 'recordAnswered'>
   readonly timers: TimerService
   /** Turns in which requests are sent. */
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -38,7 +38,7 @@
 import { createServerLimits } from '../limits/serverLimits.js'
 import { addBackoffs } from './answerSignals.js'
 import { createServerBoard } from './serverBoard.js'
-import { createServerEnds } from './serverEnds.js'
+import { createServerExits } from './serverExits.js'
 import { createServerRestarts } from './serverRestarts.js'
 import { serveCall } from './serveCall.js'
 import { createWorkSplit } from './workSplit.js'
@@ -208,7 +208,7 @@
       limits.carryOver(before, after, timers.now())
     },
   })
-  const ends = createServerEnds({
+  const exits = createServerExits({
     liveness,
     views: feed.changes,
     timers,
@@ -246,7 +246,7 @@
       countRouters: () => feed.current()?.routers ?? 1,
     }),
     restarts,
-    ends,
+    exits,
     quarantine,
     timers,
     turns: createTurnQueue(),
@@ -353,7 +353,7 @@
       for (const socket of sockets) socket.destroy()
       boundsWatch.unsubscribe()
       restarts.close()
-      ends.close()
+      exits.close()
       liveness.close()
       await feed.close()
       agent.destroy()
--- a/packages/router/src/direct/requestQuarantine.ts
+++ b/packages/router/src/direct/requestQuarantine.ts
@@ -99,7 +99,7 @@
         return refuse(round)
       }
       // While no leader is there, nobody else decides; one that was told knows better.
-      return record.countUnreportedEnds(request) >= ENDS_TO_QUARANTINE ? refuse(round) : ADMITTED
+      return record.countUnreportedExits(request) >= ENDS_TO_QUARANTINE ? refuse(round) : ADMITTED
     },
     recordAnswered: (request) => {
       if (rounds.has(request)) record.addAnswered(request)
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -192,10 +192,10 @@
 
   /** Sends, and tells the quarantine what it shows of the request. */
   private async sendAdmitted(candidate: Candidate, admission: Admission): Promise<SendEnd> {
-    const { quarantine, ends } = this.parts
+    const { quarantine, exits } = this.parts
     const { server } = candidate
     this.recordLost = () =>
-      ends.recordLost(server, { request: this.fingerprint, round: admission.round })
+      exits.recordLost(server, { request: this.fingerprint, round: admission.round })
     const end = await this.sendTo(candidate)
     const isLost = end.kind === 'lost' || end.kind === 'abandoned'
     // What this router broke off itself shows nothing.
--- a/packages/router/src/direct/serverEnds.ts
+++ b/packages/router/src/direct/serverExits.ts
@@ -8,8 +8,8 @@
 import type { Observable } from 'rxjs'
 import type { Liveness, ProbedServer } from './liveness.js'
 
-/** Options of {@link createServerEnds}. */
-export interface ServerEndsOptions {
+/** Options of {@link createServerExits}. */
+export interface ServerExitsOptions {
   readonly liveness: Pick<Liveness, 'checkAlive'>
   /** What the router knows of the fleet, after each change. */
   readonly views: Observable<Pick<FleetView, 'servers'>>
@@ -19,8 +19,8 @@
   readonly onEnd: (server: BackendServerId, send: BlamedSend) => void
 }
 
-/** See {@link createServerEnds}. */
-export interface ServerEnds {
+/** See {@link createServerExits}. */
+export interface ServerExits {
   /** Notes a send that broke off. */
   recordLost(server: ProbedServer, send: BlamedSend): void
   close(): void
@@ -45,7 +45,7 @@
 const MAX_ENDED = 2_000
 
 /** Creates the watch. */
-export function createServerEnds(options: ServerEndsOptions): ServerEnds {
+export function createServerExits(options: ServerExitsOptions): ServerExits {
   const { liveness, timers, logger, onEnd } = options
   const ended = new LRUCache<BackendServerId, true>({ max: MAX_ENDED })
   const doubts = new Map<BackendServerId, Doubt>()
