--- a/packages/router/src/__tests__/restPlay.spec.ts
+++ b/packages/router/src/__tests__/backoffSimulation.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { runRestPlay } from './restPlay.js'
+import { runBackoffSimulation } from './backoffSimulation.js'
 
 /** Requests that a server may get from one router during a rest, by the users' bound. */
 const SENDS_ALLOWED = 2
@@ -16,23 +16,23 @@
 
   for (const routers of [6, 24]) {
     it(`keeps their rests, and answers its callers: ${routers} routers`, () => {
-      const played = runRestPlay({ ...SMALL, ...HALF, routers })
-      expect(played.rests).to.be.above(0)
-      expect(played.mostInRest).to.be.at.most(SENDS_ALLOWED)
-      expect(played.answered / played.sent).to.be.at.least(ANSWERED_PART)
+      const shown = runBackoffSimulation({ ...SMALL, ...HALF, routers })
+      expect(shown.backoffs).to.be.above(0)
+      expect(shown.mostInBackoff).to.be.at.most(SENDS_ALLOWED)
+      expect(shown.answered / shown.sent).to.be.at.least(ANSWERED_PART)
     })
   }
 
   for (const size of LARGE) {
     it(`keeps their rests: ${size.routers} routers, ${size.servers} servers`, () => {
-      const { rests, mostInRest } = runRestPlay({ ...size, ...HALF })
-      expect(rests).to.be.above(0)
-      expect(mostInRest).to.be.at.most(SENDS_ALLOWED)
+      const { backoffs, mostInBackoff } = runBackoffSimulation({ ...size, ...HALF })
+      expect(backoffs).to.be.above(0)
+      expect(mostInBackoff).to.be.at.most(SENDS_ALLOWED)
     })
   }
 
   it('sends a server that has rested long enough no more than its share and half of it', () => {
-    const { largestShare } = runRestPlay({
+    const { largestShare } = runBackoffSimulation({
       routers: 6,
       servers: 6,
       requestsPerSecond: 650,
@@ -46,7 +46,7 @@
   })
 
   it('asks nobody who rests where all do', () => {
-    const { mostInRest } = runRestPlay({
+    const { mostInBackoff } = runBackoffSimulation({
       routers: 6,
       servers: 6,
       requestsPerSecond: 65,
@@ -56,6 +56,6 @@
       retryAfterMs: 1_700,
       seed: 43,
     })
-    expect(mostInRest).to.be.at.most(SENDS_ALLOWED)
+    expect(mostInBackoff).to.be.at.most(SENDS_ALLOWED)
   })
 })
--- a/packages/router/src/__tests__/restPlay.ts
+++ b/packages/router/src/__tests__/backoffSimulation.ts
@@ -9,8 +9,8 @@
 import { createRetryShare, type RetryShare } from '../direct/retryShare.js'
 import { buildView, createChoiceParts, createEngineServer, GROUP } from './choiceFixtures.js'
 
-/** What is played. */
-export interface RestPlayOptions {
+/** What is shown. */
+export interface BackoffSimulationOptions {
   readonly routers: number
   readonly servers: number
   readonly requestsPerSecond: number
@@ -25,13 +25,13 @@
 }
 
 /** What a play showed. */
-export interface RestPlayResult {
+export interface BackoffSimulationResult {
   readonly sent: number
   readonly answered: number
   /** Rests that were asked of one router each. */
-  readonly rests: number
+  readonly backoffs: number
   /** Most requests of one router within one rest, from {@link INFORMED_MS} on. */
-  readonly mostInRest: number
+  readonly mostInBackoff: number
   /** Largest share that a server got of the requests of the second after its last rest, over the even one. */
   readonly largestShare: number
 }
@@ -55,7 +55,7 @@
 }
 
 /** A rest that a server asked of one router. */
-interface PlayedRest {
+interface SimulatedBackoff {
   readonly server: BackendServerId
   readonly from: number
   readonly until: number
@@ -63,26 +63,26 @@
   sends: number
 }
 
-interface PlayedRouter {
+interface SimulatedRouter {
   readonly name: string
   /** The fleet with what the leader last told of the others. */
   view: FleetView
   readonly parts: ReturnType<typeof createChoiceParts>
   readonly retries: RetryShare
-  readonly rests: PlayedRest[]
+  readonly backoffs: SimulatedBackoff[]
 }
 
-class RestPlay {
+class BackoffSimulation {
   private readonly timers = createManualTimerService()
   private readonly random
   private readonly leader
   private readonly servers: readonly RegisteredServer[]
-  private readonly routers: readonly PlayedRouter[]
+  private readonly routers: readonly SimulatedRouter[]
   private readonly sends: { server: BackendServerId; at: number }[] = []
   private sent = 0
   private answered = 0
 
-  constructor(private readonly options: RestPlayOptions) {
+  constructor(private readonly options: BackoffSimulationOptions) {
     const { timers } = this
     this.random = createRandomSource(options.seed)
     this.leader = createLoadSum({ timers, routerLifeMs: ROUTER_LIFE_MS })
@@ -92,14 +92,14 @@
     this.routers = Array.from({ length: options.routers }, (_, index) => this.createRouter(index))
   }
 
-  private createRouter(index: number): PlayedRouter {
+  private createRouter(index: number): SimulatedRouter {
     const { timers, options } = this
     return {
       name: `r${index}`,
       view: buildView(this.servers, {}),
       parts: createChoiceParts(timers, options.seed + index),
       retries: createRetryShare({ timers, bounds: BOUNDS, countRouters: () => options.routers }),
-      rests: [],
+      backoffs: [],
     }
   }
 
@@ -112,7 +112,7 @@
     return turn % 2 === 1 && place < count
   }
 
-  private poll(router: PlayedRouter): void {
+  private poll(router: SimulatedRouter): void {
     const { timers, leader, options, random } = this
     const { board, backpressure } = router.parts
     leader.record(
@@ -124,7 +124,7 @@
     timers.after(periodMs * (0.5 + random.next())).subscribe(() => this.poll(router))
   }
 
-  private choose({ parts, view }: PlayedRouter, excluded: ReadonlySet<BackendServerId>) {
+  private choose({ parts, view }: SimulatedRouter, excluded: ReadonlySet<BackendServerId>) {
     const [best] = rankServers(parts, {
       view,
       group: GROUP,
@@ -137,17 +137,18 @@
     return best as Candidate | undefined
   }
 
-  private countSend({ rests }: PlayedRouter, server: BackendServerId): void {
+  private countSend({ backoffs }: SimulatedRouter, server: BackendServerId): void {
     const now = this.timers.now()
-    for (const rest of rests) {
-      const isIn = rest.server === server && now >= rest.from + INFORMED_MS && now < rest.until
-      if (isIn) rest.sends += 1
+    for (const backoff of backoffs) {
+      const isIn =
+        backoff.server === server && now >= backoff.from + INFORMED_MS && now < backoff.until
+      if (isIn) backoff.sends += 1
     }
     this.sends.push({ server, at: now })
   }
 
   /** Sends a request, or sends it again to servers that it was not at yet. */
-  private send(router: PlayedRouter, excluded: Set<BackendServerId>): void {
+  private send(router: SimulatedRouter, excluded: Set<BackendServerId>): void {
     const { timers, random } = this
     const { parts, retries } = router
     const best = this.choose(router, excluded)
@@ -171,21 +172,21 @@
   }
 
   private turnAway(
-    router: PlayedRouter,
+    router: SimulatedRouter,
     server: BackendServerId,
     excluded: Set<BackendServerId>,
   ): void {
     const { retryAfterMs } = this.options
     const from = this.timers.now()
     router.parts.backpressure.recordBackoff(server, retryAfterMs, from)
-    router.rests.push({ server, from, until: from + retryAfterMs, sends: 0 })
+    router.backoffs.push({ server, from, until: from + retryAfterMs, sends: 0 })
     excluded.add(server)
     if (excluded.size < MAX_SENDS && router.retries.take(GROUP.name)) this.send(router, excluded)
   }
 
   /** Share of a server in the second after the last rest that it asked for, over the even one; 0 without such a second. */
-  private findShare({ id }: RegisteredServer, rests: readonly PlayedRest[]): number {
-    const own = rests.filter(({ server }) => server === id)
+  private findShare({ id }: RegisteredServer, backoffs: readonly SimulatedBackoff[]): number {
+    const own = backoffs.filter(({ server }) => server === id)
     const endedAt = Math.max(0, ...own.map(({ until }) => until))
     if (endedAt === 0 || endedAt + 1_000 > this.options.durationMs) return 0
     const inSecond = this.sends.filter(({ at }) => at >= endedAt && at < endedAt + 1_000)
@@ -193,7 +194,7 @@
     return (count * this.servers.length) / inSecond.length
   }
 
-  run(): RestPlayResult {
+  run(): BackoffSimulationResult {
     const { timers, random, routers, options } = this
     for (const router of routers) this.poll(router)
     const perStep = (options.requestsPerSecond * STEP_MS) / 1_000
@@ -206,18 +207,18 @@
       timers.advance(STEP_MS)
     }
     timers.advance(2 * WORK_MS)
-    const rests = routers.flatMap((router) => router.rests)
+    const backoffs = routers.flatMap((router) => router.backoffs)
     return {
       sent: this.sent,
       answered: this.answered,
-      rests: rests.length,
-      mostInRest: Math.max(0, ...rests.map(({ sends }) => sends)),
-      largestShare: Math.max(...this.servers.map((server) => this.findShare(server, rests))),
+      backoffs: backoffs.length,
+      mostInBackoff: Math.max(0, ...backoffs.map(({ sends }) => sends)),
+      largestShare: Math.max(...this.servers.map((server) => this.findShare(server, backoffs))),
     }
   }
 }
 
 /** Plays a load and tells what became of it. */
-export function runRestPlay(options: RestPlayOptions): RestPlayResult {
-  return new RestPlay(options).run()
+export function runBackoffSimulation(options: BackoffSimulationOptions): BackoffSimulationResult {
+  return new BackoffSimulation(options).run()
 }
--- a/packages/router/src/__tests__/harmPlay.ts
+++ b/packages/router/src/__tests__/blameSimulation.ts
@@ -19,8 +19,8 @@
 } from '@spoolgate/core'
 import { createRequestQuarantine, type RequestQuarantine } from '../direct/requestQuarantine.js'
 
-/** What is played. */
-export interface HarmPlayOptions {
+/** What is shown. */
+export interface BlameSimulationOptions {
   readonly routers: number
   readonly servers: number
   /** Harmful requests, each sent again every 250 ms. */
@@ -50,12 +50,12 @@
 }
 
 /** What a play showed. */
-export interface HarmPlayResult {
+export interface BlameSimulationResult {
   /** Ends of servers under harmful requests. */
   readonly ends: number
   /** By harmful request, sends later than the allowed time after the third end under it. */
   readonly lateSends: readonly number[]
-  /** Counts of requests that were sent from {@link HarmPlayOptions.countedFrom} on, but for the last ones. */
+  /** Counts of requests that were sent from {@link BlameSimulationOptions.countedFrom} on, but for the last ones. */
   readonly ordinary: KindCount
   readonly popular: KindCount
   /** Harmless requests in quarantine at the end. */
@@ -84,7 +84,7 @@
 const MAX_SENDS = 2
 const POPULAR = toRequestFingerprint('popular.0')
 
-interface PlayedRequest {
+interface SimulatedRequest {
   readonly fingerprint: RequestFingerprint
   readonly router: number
   readonly isHarmful: boolean
@@ -92,7 +92,7 @@
   sends: number
 }
 
-interface PlayedServer {
+interface SimulatedServer {
   id: BackendServerId
   starts: number
   isUp: boolean
@@ -100,7 +100,7 @@
   readonly running: Set<() => void>
 }
 
-interface PlayedRouter {
+interface SimulatedRouter {
   quarantine: RequestQuarantine
   record: ReturnType<typeof createBlameRecord>
   term: number
@@ -108,7 +108,9 @@
 }
 
 /** Plays a load and tells what became of it. */
-export async function runHarmPlay(options: HarmPlayOptions): Promise<HarmPlayResult> {
+export async function runBlameSimulation(
+  options: BlameSimulationOptions,
+): Promise<BlameSimulationResult> {
   const timers = createManualTimerService()
   const random = createRandomSource(options.seed)
   const logger = createQuietLogger()
@@ -126,13 +128,13 @@
   const createLeader = () =>
     createBlameSource({ member, quarantine: machine.quarantine, timers, logger })
   let leader = createLeader()
-  const createRouter = (): PlayedRouter => {
+  const createRouter = (): SimulatedRouter => {
     const record = createBlameRecord(timers)
     const quarantine = createRequestQuarantine({ record, timers, logger })
     return { quarantine, record, term: 0, suspectsSeen: undefined }
   }
   const routers = Array.from({ length: options.routers }, createRouter)
-  const servers = Array.from({ length: options.servers }, (_, index): PlayedServer => {
+  const servers = Array.from({ length: options.servers }, (_, index): SimulatedServer => {
     return { id: toBackendServerId(`s${index}@1`), starts: 1, isUp: true, running: new Set() }
   })
   const thirdEndAt: (number | undefined)[] = []
@@ -141,7 +143,7 @@
   const ordinary: KindCount = { sent: 0, answered: 0 }
   const popular: KindCount = { sent: 0, answered: 0 }
 
-  const askLeader = (router: PlayedRouter) => {
+  const askLeader = (router: SimulatedRouter) => {
     const unreported = router.record.listUnreported(router.term)
     const trial = leader.record(unreported.report)
     router.record.recordReported(unreported, term)
@@ -162,7 +164,7 @@
     routers[index] = createRouter()
     askLeader(routers[index])
   }
-  const endServer = (server: PlayedServer) => {
+  const endServer = (server: SimulatedServer) => {
     if (!server.isUp) return
     server.isUp = false
     const lost = [...server.running]
@@ -179,13 +181,13 @@
     endsUnder[harm] = (endsUnder[harm] ?? 0) + 1
     if (endsUnder[harm] === ENDS_BORNE) thirdEndAt[harm] = timers.now()
   }
-  const findHarm = ({ fingerprint }: PlayedRequest) => Number(fingerprint.split('.')[1])
-  const countSend = (request: PlayedRequest) => {
+  const findHarm = ({ fingerprint }: SimulatedRequest) => Number(fingerprint.split('.')[1])
+  const countSend = (request: SimulatedRequest) => {
     if (!request.isHarmful) return
     const thirdAt = thirdEndAt[findHarm(request)] ?? Infinity
     if (timers.now() > thirdAt + CONTACT_MS) lateSends[findHarm(request)] += 1
   }
-  const send = (request: PlayedRequest): void => {
+  const send = (request: SimulatedRequest): void => {
     const router = routers[request.router]
     const { fingerprint } = request
     const admission = router.quarantine.admit(fingerprint)
--- a/packages/router/src/__tests__/choice.spec.ts
+++ b/packages/router/src/__tests__/choice.spec.ts
@@ -54,7 +54,7 @@
     expect(rankIds({})).to.have.members([a.id, b.id])
   })
 
-  it('gives shared parts another home while theirs backoffs, here or at others, and the same again', () => {
+  it('gives shared parts another home while theirs rests, here or at others, and the same again', () => {
     const { parts, rank, timers } = createChoice()
     const findHome = (loads: ServerLoads = {}) =>
       rank(loads, PROMPT).find(({ isHome }) => isHome)?.server.id
