--- a/packages/control/src/blame/requestBlame.ts
+++ b/packages/control/src/blame/requestBlame.ts
@@ -42,18 +42,11 @@
  */
 export const ENDS_TO_QUARANTINE = 3
 /**
- * Ends from which on all routers are told, so that those that know better can say so before the third end. Ends of one server
- * alone concern all that it was running, 64 requests on the users' engines, and are told to nobody.
+ * Crashes from which on a request is reported to all routers, so that those that had it answered can say so. A single crash
+ * concerns all that its server was running.
  */
 export const ENDS_TO_SUSPECT = 2
-/**
- * How long a request is refused in each round before one send of it is tried, in ms. A request that only ran beside a
- * harmful one has earned the first round just as that one: without a trial of it, 14 of 100 or fewer requests of a body
- * that many send were answered in 8 of 18 plays in virtual time. The first trial comes within the 3 s in which the users let
- * routers learn of the third end, the next two within the three sends that they allow; what ends a server then as
- * well is left to the operators. With 15 s in place of 5, 23 of 100 were answered in one of three plays of two harmful
- * requests on four servers, and all but 2 of 1,000 with 5.
- */
+/** Quarantine period before each probe, in ms. */
 const HOLD_MS = [1_000, 5_000, 600_000, 30 * 24 * 3_600_000]
 
 /** Finds how long a request is refused in a round before it is tried, in ms. */
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -83,16 +83,9 @@
   close(): Promise<void>
 }
 
-/**
- * Wait that a poll asks for, in ms: what routers know of each other's calls is about this old. With
- * 400 ms they sent ten requests at once to the engine that looked free, on a quiet day.
- */
+/** Wait that a poll asks for, in ms: the age of what routers know of each other's calls. */
 const WAIT_MS = 100
-/**
- * Added for each router, in ms, so that the leader answers 500 polls a second at most: an eighth of a core. At 12 ms,
- * 70 routers heard each 0.84 s of 100 placements, while 600 prompts were placed, and had shared parts read again that
- * were kept: 45.9 M tokens on a day with trouble of 82 engines, 36.2 M at 2 ms.
- */
+/** Wait added for each router, in ms: it bounds the polls that the leader answers. */
 const WAIT_PER_ROUTER_MS = 2
 /** Silence beyond the wait after which other instances are asked as well, in ms. */
 const ANSWER_MS = 500
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -70,18 +70,13 @@
 /** Longest wait that a router may ask for, in ms. */
 const MAX_WAIT_MS = 1_000
 /**
- * Time for which a router is held that asks while no leader is known, in ms. Held, 70 routers ask 280
- * times a second; refused at once, each asked some sixty times a second while it had no table. Below
- * the silence after which a router asks another instance as well.
+ * Time for which a poll is held while no leader is known, in ms: it bounds the polls, and is below the silence after
+ * which a router asks another instance as well.
  */
 const HOLD_MS = 250
 /** Time between two looks whether a leader is known, while somebody waits for it, in ms. */
 const LEADER_LOOK_MS = 25
-/**
- * Parts in one piece of the list of all that is kept: at 20 bytes each, 20 KB, as much as a routing
- * table. With the whole list of 82 engines, of 190 KB, the first answers to 70 routers took a link of
- * 100 Mbit/s for 1.5 s; with this piece they take it for 0.4 s. Six engines fit into one piece.
- */
+/** Entries in one piece of the list of all cached prefixes: at 20 bytes each, as much as a routing table. */
 const MAX_KEPT_PARTS_PER_REPLY = 1_000
 /**
  * Largest update of the table that an answer carries, in bytes: the whole table of the users' sites at their
@@ -190,9 +185,8 @@
     return request.revision !== revision
   }
   /**
-   * Whether the answer holds all servers or a piece of what is kept. All routers wait for these at once, and
-   * who has no table yet does not wait for the lists of those that asked later. Other answers are below
-   * 1 KB as a rule; in turns, a change reached the last of 410 routers after 0.30 s in place of 0.13 s (tableHerd.spec).
+   * Whether the answer holds all servers or a piece of what is kept. Such answers take turns, so that a router without
+   * a table does not wait for the lists of those that asked later; small ones do not need to.
    */
   const isLarge = (request: FeedRequest) => !isOfTerm(request) || request.keptPosition.left > 0
   const buildReply = (request: FeedRequest): FeedReply => {
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -65,10 +65,7 @@
 const SILENT_MS = 2_400
 /** Pause before a server whose load failed is tried again, in ms. */
 const FAILED_PAUSE_MS = 1_000
-/**
- * Part of the live engines of a group that load at once: loads slow each other down beyond 2 of 6,
- * 8 of 31 and 10 of 35 on the deployments known, and the others carry the traffic meanwhile.
- */
+/** Part of the live engines of a group that load at once: more slow each other down, and the others carry the traffic. */
 const LOADING_RATIO = 0.3
 /** Orders that one leadership can number before it reaches the numbers of the next. */
 const ORDERS_PER_TERM = 1_000_000
--- a/packages/router/src/direct/answerRelay.ts
+++ b/packages/router/src/direct/answerRelay.ts
@@ -134,7 +134,7 @@
   }
 }
 
-/** Whether the caller's end of the connection is closed; the response is told some turns later. */
+/** Whether the caller's end of the connection is closed; the response learns of it some turns later. */
 export function isCallerGone(response: ServerResponse): boolean {
   return response.destroyed || response.socket?.readableEnded === true
 }
--- a/packages/router/src/direct/answerSignals.ts
+++ b/packages/router/src/direct/answerSignals.ts
@@ -15,7 +15,7 @@
 
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
-/** Names what is wrong with a word; undefined where it is believed as it stands. */
+/** Names what is wrong with a Retry-After; undefined where it is used as it stands. */
 function findBackoffProblem(backoff: BackoffSignal): string | undefined {
   if (backoff.kind === 'unreadable') return 'not a number of seconds; no backoff is presumed'
   if (backoff.ms > MAX_BACKOFF_MS) return `longer than the ${MAX_BACKOFF_MS} ms that are believed`
@@ -54,7 +54,7 @@
   logger.info(event, { server: id, request: call.id, perSecond })
 }
 
-/** Adds the servers that asked for rest to what a router tells the others: they turn requests away there as well. */
+/** Adds the servers that asked for a backoff to the loads that a router reports. */
 export function addBackoffs(
   loads: ServerLoads,
   backingOff: readonly BackendServerId[],
--- a/packages/router/src/direct/choice.ts
+++ b/packages/router/src/direct/choice.ts
@@ -72,11 +72,7 @@
  * each: long prompts then gather where few answers are being generated.
  */
 const DISTURBANCE_RATIO = 0.1
-/**
- * Way to another data hall and back, and the price of the bytes, in ms. A long prompt is 20 KB, which
- * is dear between halls: with 6 in place of 30 days with trouble were worth 0.420 and not 0.441 (means
- * of the same nine runs), and the bytes between halls cost 0.042 and not 0.039.
- */
+/** Cost of a server in another data hall, in ms: the round trip and the price of the bytes. */
 const OTHER_HALL_MS = 30
 /** Cost of weights that are older than the wanted ones: a fifth of what the answer is worth. */
 const OLD_WEIGHTS_MS = 100
@@ -85,13 +81,13 @@
 /** Cost of a server that loads weights, and least cost of one that cannot serve now. */
 export const LOADING_MS = 5_000
 /**
- * Cost of a server that asked other routers for rest, in ms. Nobody is bound by what others were asked, but it probably
- * turns away here as well, and that spends the budget of repeated sends.
+ * Cost of a server that asked other routers to back off, in ms. It binds only those routers, but a rejection here would
+ * spend the retry budget.
  */
 const SHEDDING_MS = 1_000
 /**
- * Least cost of a server that nobody is known to have a call at, in ms, while others of its group turn requests away: it
- * may do so too, and who works on something does not. Up to twice that is drawn, so that not all try the same one.
+ * Lower bound on the cost of an idle server while others of its group shed load, in ms: a server with calls in flight is
+ * known to accept work. Up to twice that is drawn, so that routers do not all try the same one.
  */
 const UNPROVEN_MS = 100
 /** Cost of a server that accepts no connections: it is used when there is no other. */
--- a/packages/router/src/direct/plannedStop.ts
+++ b/packages/router/src/direct/plannedStop.ts
@@ -28,7 +28,7 @@
   isStopping(): boolean
   /**
    * Time within which a body must be there so that its request can still get an answer, in ms;
-   * Infinity while no stop is under way.
+   * Infinity while no stop is in progress.
    */
   findBodyMs(): number
   /**
@@ -45,7 +45,7 @@
   start(drainMs: number): void
   /** Waits until nothing is in progress, or until the stop is over. */
   waitUntilIdle(): Promise<void>
-  /** Tells what is cut off, which the caller does right after, and returns its count. */
+  /** Logs what the caller is about to cut off, and returns its count. */
   reportCutOff(): number
 }
 
@@ -63,13 +63,13 @@
 const FINAL_ANSWER_MS = 5 * POLL_IDLE_MS
 /** Seconds after which a caller that a stopping router refused may turn to another one. */
 const TURN_ELSEWHERE_S = 0.05
-/** Requests that are told one by one: half of the lines that a process may log in a second. */
+/** Requests with a log line of their own: half of the lines that a process may log in a second. */
 const MAX_CUT_OFF_LINES = 100
 
 interface Tracked {
   readonly response: ServerResponse
   readonly arrivedAt: number
-  /** Whether the stop was under way when it arrived. */
+  /** Whether it arrived during the stop. */
   readonly isLate: boolean
   call: DirectCall | undefined
   plan: CallPlan | undefined
--- a/packages/router/src/direct/refusals.ts
+++ b/packages/router/src/direct/refusals.ts
@@ -3,9 +3,9 @@
 
 /** Seconds after which a caller may try again when every server refused. */
 export const RETRY_AFTER_REFUSALS_S = 0.15
-/** Longest time after which a refused caller is told to come back, in ms. */
+/** Upper bound on the Retry-After of a request that cannot be served in time, in ms. */
 const LONGEST_COME_BACK_MS = 1_000
-/** Part of a rest over which the returns of callers are spread after it. */
+/** Jitter of a Retry-After, as a part of it. */
 const RETURN_SPREAD = 0.25
 const MS_PER_S = 1_000
 
--- a/packages/router/src/direct/requestQuarantine.ts
+++ b/packages/router/src/direct/requestQuarantine.ts
@@ -1,8 +1,6 @@
 /**
- * What a router does with requests under which backend servers end: it refuses those that control has put into
- * quarantine, and tells control what it saw of them. It answers a request that its caller sends again and again, which takes a whole
- * service from everybody: two of them, repeated each 0.25 and 0.4 s, left 3 of 100 other requests of a stand-in fleet of
- * four engines and two plain servers answered.
+ * Rejects requests under which backend servers crash and which control has quarantined, and reports to control what
+ * became of them: one such request, retried by its caller, can take a whole service down.
  */
 import {
   ENDS_TO_QUARANTINE,
@@ -62,8 +60,8 @@
 /** Time for which a trial waits until the request comes again, in ms; then another router may have it. */
 const TRIAL_MS = 2_000
 /**
- * Least time after which the caller of such a request is told to ask again, in ms. Most of them are harmful, and
- * who is not will be tried with what others send.
+ * Lower bound on the Retry-After of a quarantined request, in ms. A harmless one is probed with what other callers
+ * send.
  */
 const MIN_COME_BACK_MS = 60_000
 
@@ -72,7 +70,7 @@
 /** Creates a quarantine without requests. */
 export function createRequestQuarantine(options: RequestQuarantineOptions): RequestQuarantine {
   const { record, timers, logger } = options
-  /** Rounds of the requests that control told of. */
+  /** Rounds of the requests that control has quarantined. */
   let rounds: ReadonlyMap<RequestFingerprint, number> = new Map()
   let trial: Trial | undefined
 
@@ -98,7 +96,7 @@
         record.addAsked(request)
         return refuse(round)
       }
-      // While no leader is there, nobody else decides; one that was told knows better.
+      // Without a leader nobody else decides; one that has the report knows better.
       return record.countUnreportedExits(request) >= ENDS_TO_QUARANTINE ? refuse(round) : ADMITTED
     },
     recordAnswered: (request) => {
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -27,7 +27,7 @@
   }
 }
 
-/** Builds what a send tells its server of the choice that led to it. */
+/** Builds the fields of a send that follow from the choice. */
 export function buildSend(
   { call, team }: CallPlan,
   { server, version, fetchFrom, saveTo }: Candidate,
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -63,7 +63,7 @@
   private current: Send | undefined
   private timeout: Subscription | undefined
   sends = 0
-  /** Seconds after which the caller is told to try again. */
+  /** Retry-After of the final answer, in seconds. */
   private retryAfterSeconds = RETRY_AFTER_REFUSALS_S
   private ticket: CallTicket | undefined
   /** When the last part of the answer came, in ms of the monotonic clock. */
@@ -73,7 +73,7 @@
   private readonly times: AnswerTimes
   private readonly fingerprint: RequestFingerprint
   private stopWaiting: () => void = () => {}
-  /** Notes that the send under way broke off. */
+  /** Records that the send in flight broke off. */
   private recordLost: () => void = () => {}
 
   constructor(
@@ -143,7 +143,7 @@
 
   private giveUpAtDeadline(): void {
     if (this.isOver) return
-    // A server that ended without a word shows by that it accepts no connections; one that is slow does.
+    // A crashed server accepts no connections; a slow one does.
     if (this.ticket?.isUnanswered()) this.recordLost()
     if (this.relay.hasBegun()) {
       this.stop('timedOutInStream')
@@ -190,7 +190,7 @@
     this.refuse(createQuarantineError(leftMs))
   }
 
-  /** Sends, and tells the quarantine what it shows of the request. */
+  /** Sends, and records in the quarantine what became of the request. */
   private async sendAdmitted(candidate: Candidate, admission: Admission): Promise<SendEnd> {
     const { quarantine, exits } = this.parts
     const { server } = candidate
--- a/packages/router/src/direct/serverExits.ts
+++ b/packages/router/src/direct/serverExits.ts
@@ -37,8 +37,8 @@
 }
 
 /**
- * Time for which a server that accepts connections may turn out to have started again, in ms: it tells control with its
- * first heartbeat, within 2 s on the users' deployments.
+ * Time for which a server that accepts connections may turn out to have restarted, in ms: routers learn of it after the
+ * first heartbeat.
  */
 const DOUBT_MS = 3_000
 /** Servers that ended and are remembered: some for each of a large fleet. */
@@ -57,7 +57,7 @@
     logger.warn('server.ended', { server: id, address, shownBy, sends: sends.length })
     for (const send of sends) onEnd(id, send)
   }
-  /** Keeps what broke off for a while, in case that a later start is heard of. */
+  /** Keeps what broke off for a while, in case that a restart is reported. */
   const addOlder = (doubt: Doubt, sends: readonly BlamedSend[]) => {
     doubt.older = [...doubt.older, ...sends]
     timers.after(DOUBT_MS).subscribe(() => {
--- a/packages/router/src/direct/serverRestarts.ts
+++ b/packages/router/src/direct/serverRestarts.ts
@@ -45,7 +45,7 @@
 /**
  * Silence after which a call to a server that has started again is presumed to be one of the earlier start, in ms:
  * more than the pauses that streams are allowed, 400 to 500 on the users' deployments. Not at once, since a call may
- * be at the later start already: a router hears of that one only from control.
+ * be at the later start already: a router learns of that one only from control.
  */
 const SILENT_MS = 1_000
 
--- a/packages/router/src/direct/sources.ts
+++ b/packages/router/src/direct/sources.ts
@@ -1,7 +1,6 @@
 /**
  * Where the shared parts of a prompt are: at engines and stores that are known to keep them, or else
- * at the engine where every router sends them first, which all work out alike without a word between
- * them.
+ * at the engine where every router sends them first, which all compute alike without communication.
  */
 import type { FleetView, RegisteredServer, StoreLife } from '@spoolgate/control'
 import { toBackendServerId, type BackendServerId } from '@spoolgate/core'
@@ -120,9 +119,8 @@
 }
 
 /**
- * Finds the store for the shared parts of a prompt. Where there are several, each takes its part of all
- * prompts, so that together they hold more: with three stores and 36 engines, on a day with trouble, 2.6
- * million tokens of shared parts were read again, and 6.7 million with one of the three (one run each).
+ * Finds the store for the shared prefixes of a prompt. Where there are several, each takes its share of all
+ * prompts, so that together they hold more.
  */
 function findStoreLife(
   stores: readonly StoreLife[],
--- a/packages/router/src/direct/workSplit.ts
+++ b/packages/router/src/direct/workSplit.ts
@@ -2,7 +2,7 @@
  * Which engines take long prompts and which take short ones. An engine reads prompts in pieces
  * between the tokens that it generates: beside long prompts every token of an answer waits for a
  * piece of 70 ms. So the engines of a group are divided by the work of both kinds; all routers draw
- * the same line without a word between them, since all see the same mix.
+ * the same line without communication, since all see the same mix.
  */
 import type { BackendServerId, TimerService } from '@spoolgate/core'
 import { hashText } from '@spoolgate/routing'
--- a/packages/router/src/direct/workTimes.ts
+++ b/packages/router/src/direct/workTimes.ts
@@ -1,5 +1,5 @@
 /**
- * How long backend servers take for their work, as the calls of this router tell it: tokens that the
+ * How long backend servers take for their work, as the calls of this router show: tokens that the
  * engines of a group read in a ms, and the time of a request to a plain service. Choices reckon with
  * these; what a deployment's servers can do is written nowhere.
  */
--- a/packages/routing/src/backpressure.ts
+++ b/packages/routing/src/backpressure.ts
@@ -1,7 +1,6 @@
 /**
- * Which backend servers want nothing more from this process, by their own word: some ask for rest, some are about to end.
- * Facts in, verdicts out; no clock and no socket. A word binds the one that it was said to, and lasts as long as the
- * incarnation that said it: the next one has another id.
+ * Tracks servers that asked this process to back off or announced their shutdown. Facts in, verdicts out; no clock and no
+ * socket. A signal binds its receiver, for the incarnation that sent it.
  */
 import type { BackendServerId } from '@spoolgate/core'
 import { LRUCache } from 'lru-cache'
@@ -9,36 +8,33 @@
 /** What may be sent to a server now. */
 export type SendVerdict =
   | { readonly kind: 'open' }
-  /** One request, which shows whether the rest is over. */
+  /** One request, which shows whether the server accepts work again. */
   | { readonly kind: 'trial' }
   /** Nothing until then, an instant of the clock that the facts were dated by, in ms. */
   | { readonly kind: 'backingOff'; readonly until: number }
   /** Nothing any more, but for a look after a long time. */
   | { readonly kind: 'leaving' }
 
-/** Servers that hold back; see {@link createBackpressure}. Instants are in ms of one monotonic clock. */
+/** Servers that back off or leave; see {@link createBackpressure}. Instants are in ms of one monotonic clock. */
 export interface Backpressure {
-  /** Notes that a server asked for rest. */
+  /** Records a Retry-After of a server. */
   recordBackoff(server: BackendServerId, retryAfterMs: number, now: number): void
-  /** Notes that a server said that it is about to end. */
+  /** Records that a server announced its shutdown. */
   recordLeaving(server: BackendServerId, now: number): void
-  /** Notes that a request is sent. */
+  /** Records that a request is sent. */
   recordSend(server: BackendServerId, now: number): void
   judgeSend(server: BackendServerId, now: number): SendVerdict
   /** Keeps a recent backoff for the next start of a server, which may have been the one that requested it. */
   carryOver(before: BackendServerId, after: BackendServerId, now: number): void
-  /** Lists the servers that rest now. */
+  /** Lists the servers that back off now. */
   listBackingOff(now: number): readonly BackendServerId[]
 }
 
-/** Longest rest that is believed, in ms: a mistaken word must not take a server out for good. */
+/** Upper bound on a server's Retry-After, in ms. */
 export const MAX_BACKOFF_MS = 600_000
-/** Time after which a server that said that it is about to end is asked once more, in ms; most have ended long before. */
+/** Time after which a server that announced its shutdown is tried again, in ms. */
 const LEAVING_MS = 600_000
-/**
- * Time from the first request after a rest to the next, in ms. A server that still has too much to do says so at once;
- * without this, all that waited would be turned away together.
- */
+/** Time between the first request after a backoff and the next, in ms: an overloaded server rejects the first at once. */
 export const TRIAL_MS = 200
 /** Age up to which a signal may be of the next start: a start answers before its first heartbeat has reached routers. */
 export const CARRY_OVER_MS = 5_000
@@ -49,7 +45,7 @@
   /** When it was requested. */
   readonly at: number
   until: number
-  /** Whether a request was sent since the rest ended. */
+  /** Whether a request was sent since the backoff ended. */
   isTried: boolean
 }
 
@@ -65,7 +61,7 @@
   return {
     recordBackoff: (server, retryAfterMs, now) => {
       const asked = now + Math.min(retryAfterMs, MAX_BACKOFF_MS)
-      // Answers overtake one another: the shorter of two words does not take back the longer one.
+      // Responses can arrive out of order: never shorten a backoff.
       const until = Math.max(asked, backoffs.get(server)?.until ?? asked)
       backoffs.set(server, { at: now, until, isTried: false })
     },
--- a/packages/routing/src/callHeader.ts
+++ b/packages/routing/src/callHeader.ts
@@ -22,7 +22,7 @@
   readonly incarnation: Incarnation
 }
 
-/** What a router tells a sidecar about a call, next to the caller's own body. */
+/** What a router sends to a sidecar about a call, next to the caller's own body. */
 export interface CallHeader {
   readonly request: RequestId
   readonly attempt: AttemptNumber
--- a/packages/routing/src/policies/baselines.ts
+++ b/packages/routing/src/policies/baselines.ts
@@ -22,7 +22,7 @@
   },
 }
 
-/** Takes the backend server with the fewest calls, as far as hints tell. */
+/** Takes the backend server with the fewest calls, as far as hints show. */
 export const leastLoaded: Policy = {
   probes: 0,
   rank: (input) => {
--- a/packages/routing/src/policies/expectedFirstToken.ts
+++ b/packages/routing/src/policies/expectedFirstToken.ts
@@ -11,7 +11,7 @@
 const OUTER_LEVEL = 2
 /** Level, from 1, of the trader or household. */
 const INNER_LEVEL = 3
-/** Assumed speed of a server that was never heard of, in prompt tokens a millisecond. */
+/** Assumed speed of a server without hints, in prompt tokens a millisecond. */
 const DEFAULT_RATE = 10
 /** Chance that a server of the subset holds the outer levels though this router has not seen it. */
 const OUTER_PRIOR = 0.7
--- a/packages/routing/src/prefixChain.ts
+++ b/packages/routing/src/prefixChain.ts
@@ -3,8 +3,8 @@
  * prompt, and is seeded with the scope: team or shared, model, adapter and weights version. Two
  * teams, or two versions of the weights, can therefore never meet in the cache.
  *
- * A running digest is taken at the wanted places only. Hashing each block by itself was measured
- * at 20 times the cost for a prompt of 32,000 tokens (docs/design/routing.md).
+ * A running digest is taken at the wanted places only, which is cheaper than hashing each block by itself
+ * (docs/design/routing.md).
  */
 import { toPrefixHash, type PrefixHash, type WeightsVersion } from '@spoolgate/core'
 import createXxhash from 'xxhash-wasm'
--- a/packages/routing/src/rendezvous.ts
+++ b/packages/routing/src/rendezvous.ts
@@ -1,6 +1,6 @@
 /**
  * Weighted rendezvous hashing: every router ranks the backend servers of a key in the same order
- * without a word between them, and the loss of one moves only its own keys.
+ * without communication, and the loss of one moves only its own keys.
  */
 import type { BackendServer } from '@spoolgate/config'
 import { LRUCache } from 'lru-cache'
