--- a/packages/config/src/problems.ts
+++ b/packages/config/src/problems.ts
@@ -18,7 +18,7 @@
   readonly line: number
   /** Column, from 1. */
   readonly column: number
-  /** What is wrong and how to mend it. */
+  /** What is wrong and how to fix it. */
   readonly message: string
 }
 
--- a/packages/control/src/__tests__/feedHerd.ts
+++ b/packages/control/src/__tests__/feedHerd.ts
@@ -53,7 +53,7 @@
   readonly timers: ManualTimerService
   /** By router, ms from the election to its first table; undefined for none yet. */
   readonly tableMs: readonly (number | undefined)[]
-  /** By router, parts that it was told of. */
+  /** By router, parts that were reported to it. */
   readonly keptParts: readonly number[]
   /** What the routers have logged. */
   readonly lines: readonly string[]
--- a/packages/control/src/__tests__/groupModel.spec.ts
+++ b/packages/control/src/__tests__/groupModel.spec.ts
@@ -6,7 +6,7 @@
  * two lost disks of five left no majority.
  */
 const FAILED_SEEDS = [643]
-/** Seeds that are always played. */
+/** Seeds that are always run. */
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, ...FAILED_SEEDS]
 /** Further seeds by hand, as `from-to`: GROUP_MODEL_SEEDS=100-400 npx mocha ... */
 const FURTHER = process.env.GROUP_MODEL_SEEDS
--- a/packages/control/src/__tests__/groupModel.ts
+++ b/packages/control/src/__tests__/groupModel.ts
@@ -338,7 +338,7 @@
   }
 }
 
-/** Plays the life of one seed; throws with its actions where something does not hold. */
+/** Runs the life of one seed; throws with its actions where something does not hold. */
 export async function runModel(seed: number): Promise<ModelReport> {
   const random = createRandomSource(seed)
   const founders = 2 + random.nextInt(6)
--- a/packages/control/src/__tests__/lateHeartbeat.spec.ts
+++ b/packages/control/src/__tests__/lateHeartbeat.spec.ts
@@ -13,7 +13,7 @@
 
 const SILENT_AFTER_MS = 2_600
 
-/** A leader that hears heartbeats of incarnations at one address. */
+/** A leader that receives heartbeats of incarnations at one address. */
 function createLeader() {
   const timers = createManualTimerService()
   const machine = createControlMachine()
--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -29,7 +29,7 @@
     for (let seed = 1; seed <= 8; seed += 1) {
       group = await createTestGroup(NAMES, seed)
       await group.findLeader()
-      // Nobody can have heard a leader for as long as the processes have run: they began just now.
+      // Nobody can have received from a leader for as long as the processes have run: they began just now.
       await group.restart(NAMES, 0)
       let steps = 0
       await group.runUntil(() => {
--- a/packages/control/src/blame/blameRecord.ts
+++ b/packages/control/src/blame/blameRecord.ts
@@ -1,6 +1,6 @@
 /**
  * What a router knows of requests under which servers ended, until control has taken it, and for a while beyond: a leader that
- * is new is told all of it again.
+ * is new receives all of it again.
  */
 import type { BackendServerId, RequestFingerprint, TimerService } from '@spoolgate/core'
 import type { BlamedSend, BlameReport, ExitedServer } from './requestBlame.js'
@@ -22,18 +22,18 @@
   addUntried(request: RequestFingerprint): void
   /** Forgets what speaks against a request that control no longer suspects. */
   removeEnds(request: RequestFingerprint): void
-  /** Counts the servers that ended under a request, as far as no leader was told of them yet. */
+  /** Counts the servers that ended under a request, as far as they were not reported to a leader yet. */
   countUnreportedExits(request: RequestFingerprint): number
-  /** Lists what the leader of a term was not told. */
+  /** Lists what was not reported to the leader of a term. */
   listUnreported(term: number): UnreportedBlame
-  /** Notes that the leader of a term was told. */
+  /** Records that it was reported to the leader of a term. */
   recordReported(unreported: UnreportedBlame, term: number): void
 }
 
 interface FactBase {
   readonly request: RequestFingerprint
   readonly at: number
-  /** Term whose leader was told; undefined before. */
+  /** Term whose leader has the report; undefined before. */
   reportedTerm: number | undefined
 }
 
@@ -46,12 +46,12 @@
     })
   | (FactBase & { readonly kind: 'answered' })
 
-/** Time for which a new leader is told again, in ms: an election takes a second, a majority that is away some more. */
+/** Time for which it is reported to a new leader again, in ms: an election takes a second, a majority that is away some more. */
 const KEEP_MS = 60_000
 /** Facts that are kept, the newest: a router of the users has 75 requests under way when all engines end at once. */
 const MAX_FACTS = 1_000
 
-/** Requests that were refused and are told in one report: as many as a caller may have in quarantine. */
+/** Rejected requests in one report: as many as a caller may have in quarantine. */
 const MAX_ASKED = 64
 
 const NO_FACTS: UnreportedBlame = {
@@ -126,14 +126,14 @@
       removeOld()
       const unreported = facts.filter(({ reportedTerm }) => reportedTerm !== term)
       const report = buildReport(unreported, asked, untried)
-      // Where this report is lost, whoever asks again is told with the next.
+      // A lost report is retransmitted with the next one.
       asked.clear()
       untried.clear()
       return { report, facts: unreported }
     },
     recordReported: ({ facts: reported }, term) => {
       for (const fact of reported) fact.reportedTerm = term
-      // That a request was answered is told once: a later end would be forgotten with it.
+      // That a request was answered is reported once: a later end would be forgotten with it.
       facts = facts.filter((fact) => fact.kind !== 'answered' || fact.reportedTerm === undefined)
     },
   }
--- a/packages/control/src/blame/blameSource.ts
+++ b/packages/control/src/blame/blameSource.ts
@@ -39,7 +39,7 @@
   list(): readonly SuspectedRequest[]
   /** Rises with each change of that list. */
   revision(): number
-  /** Emits when a router changed the list; changes of the replicated state are told there. */
+  /** Emits when a router changed the list; changes of the replicated state are emitted there. */
   readonly changes: Observable<void>
 }
 
--- a/packages/control/src/blame/blameTrials.ts
+++ b/packages/control/src/blame/blameTrials.ts
@@ -36,7 +36,7 @@
 
 /** Time for which nothing else is tried, in ms: twice as long as a router keeps a trial that nobody asks for. */
 const TRIAL_MS = 4_000
-/** Time after which a trial of which nothing was heard is made again, in ms: above the deadlines of the users' callers. */
+/** Time after which a trial without a result is made again, in ms: above the deadlines of the users' callers. */
 const RETRY_MS = 20_000
 
 /** Creates trials, none of them under way. */
--- a/packages/control/src/blame/requestBlame.ts
+++ b/packages/control/src/blame/requestBlame.ts
@@ -21,7 +21,7 @@
 /** What a router tells control of requests. */
 export interface BlameReport {
   readonly ended: readonly ExitedServer[]
-  /** Requests that were answered whole after the router was told to suspect them. */
+  /** Requests that were answered whole after they were reported as suspected to the router. */
   readonly answered: readonly RequestFingerprint[]
   /** Requests in quarantine that were refused since the last report, the most often refused first. */
   readonly asked: readonly RequestFingerprint[]
--- a/packages/control/src/client/controlClient.ts
+++ b/packages/control/src/client/controlClient.ts
@@ -47,7 +47,7 @@
     const index = urls.indexOf(failed)
     return urls[(index + 1) % urls.length]
   }
-  /** Decides where to try next; rethrows what another try cannot mend. */
+  /** Decides where to try next; rethrows what another try cannot fix. */
   const handleFailure = (cause: unknown, tried: string) => {
     if (cause instanceof ConnectionError) {
       preferred = findNextUrl(tried)
--- a/packages/control/src/group/groupKeeper.ts
+++ b/packages/control/src/group/groupKeeper.ts
@@ -68,7 +68,7 @@
     const { commitIndex } = member.status()
     if (name === options.name) return { silentMs: 0, isCaughtUp: true }
     const found = member.listFollowers().find((follower) => follower.name === name)
-    // A new leader counts silence from its own start: it has not heard anybody yet.
+    // A new leader counts silence from its own start: it has received nothing yet.
     const receivedAt = Math.max(found?.confirmedAt ?? -Infinity, leadingSince)
     const isCaughtUp = (found?.matchIndex ?? 0) >= commitIndex
     return { silentMs: timers.now() - receivedAt, isCaughtUp }
--- a/packages/control/src/raft/leasePromise.ts
+++ b/packages/control/src/raft/leasePromise.ts
@@ -22,9 +22,9 @@
 
 /** The promise; see {@link createLeasePromise}. */
 export interface LeasePromise {
-  /** Notes that a leader was heard. */
+  /** Records a message of a leader. */
   recordContact(): void
-  /** Whether a leader was heard in this life so lately that it counts as alive. */
+  /** Whether a leader's message came in this life so lately that it counts as alive. */
   isLeaderAlive(): boolean
   /** Finds the leader of an earlier life whose lease may still rest on this member. */
   findHolder(ballot: Ballot, endedTerms: EndedTerms): LeaseHolder | undefined
@@ -43,7 +43,7 @@
 /** Holder in place of one that an older version of this program did not write down. */
 const UNKNOWN_HOLDER: LeaseHolder = { name: '', term: Number.MAX_SAFE_INTEGER }
 
-/** Creates the promise of a process that has heard no leader. */
+/** Creates the promise of a process that knows no leader. */
 export function createLeasePromise(options: LeasePromiseOptions): LeasePromise {
   const { timers, random, electionMs, startedAt } = options
   let receivedAt: number | undefined
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -230,7 +230,7 @@
   }
 
   const findRefusal = (request: VoteRequest): VoteRefusal | undefined => {
-    // A member that still hears its leader does not help to depose it; the lease rests on this.
+    // A member that still receives from its leader does not help to depose it; the lease rests on this.
     if (hasLiveLeader()) return 'leaderAlive'
     if (!store.ballot().mayVote) return 'mayNotVote'
     if (request.term < term()) return 'oldTerm'
--- a/packages/control/src/raft/messages.ts
+++ b/packages/control/src/raft/messages.ts
@@ -29,7 +29,7 @@
 
 /** Why a vote is not granted. */
 export type VoteRefusal =
-  /** A leader was heard so lately that it counts as alive. */
+  /** A leader's message came so lately that it counts as alive. */
   | 'leaderAlive'
   /** An earlier leader's lease may still hold; see {@link VoteReply.heldBackBy}. */
   | 'heldBack'
--- a/packages/control/src/raft/types.ts
+++ b/packages/control/src/raft/types.ts
@@ -48,7 +48,7 @@
   /** Entries between snapshots. */
   readonly snapshotEvery: number
   /**
-   * When this process began, in ms of the monotonic clock: no leader can have heard this member
+   * When this process began, in ms of the monotonic clock: no leader can have received from this member
    * since without the member knowing.
    * @default now
    */
--- a/packages/control/src/registry/cacheWatch.ts
+++ b/packages/control/src/registry/cacheWatch.ts
@@ -1,6 +1,6 @@
 /**
  * What engines and stores of KV cache keep, and which stores answer in which life. The leader keeps
- * one waiting call open to each; routers are told through the feed.
+ * one waiting call open to each; the feed reports it to routers.
  */
 import { toSpoolgateError, waitFor, type Logger, type TimerService } from '@spoolgate/core'
 import {
@@ -61,7 +61,7 @@
   readonly table: KnownTable
   readonly timers: TimerService
   readonly logger: Logger
-  /** Called with what routers are to be told. */
+  /** Called with what is to be reported to routers. */
   readonly onKept: (placements: readonly Placement[]) => void
 }
 
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -63,13 +63,13 @@
 export const MAX_PLACEMENTS_PER_REPLY = 100
 
 /**
- * Where a router stands in the list of all that engines and stores keep. The list is told place by
+ * Where a router stands in the list of all that engines and stores keep. The list is sent place by
  * place in the order of their names, over several replies; the last name is followed by the first.
  */
 export interface KeptPosition {
-  /** Place that was told last; empty before the first. */
+  /** Place that was sent last; empty before the first. */
   readonly after: string
-  /** Places that are still to be told; 0 once the router knows the list. */
+  /** Places that are still to be sent; 0 once the router knows the list. */
   readonly left: number
 }
 
@@ -97,7 +97,7 @@
   readonly router: string
   /** Version of the table that the router holds; -1 for none. */
   readonly tableVersion: number
-  /** Newest version of the table that the router was told of, and may be fetching; -1 for none. */
+  /** Newest version of the table that was reported to the router, and may be fetching; -1 for none. */
   readonly tableReported: number
   /** Revision of the rest that the router holds, with the term that counted it. */
   readonly term: number
@@ -105,9 +105,9 @@
   readonly loads: ServerLoads
   /** Prompts that this router sent to engines since it last asked. */
   readonly placements: readonly Placement[]
-  /** Number of the last placement that this router was told of, as this term counts them. */
+  /** Number of the last placement that was reported to this router, as this term counts them. */
   readonly placementsSeen: number
-  /** Number of the last change of what is kept that this router was told of, in the same way. */
+  /** Number of the last change of what is kept that was reported to this router, in the same way. */
   readonly keptSeen: number
   /** Where this router stands in the list of all that is kept. */
   readonly keptPosition: KeptPosition
@@ -140,7 +140,7 @@
   readonly conditions?: ServerConditions
   /** URLs of the control instances. */
   readonly control?: readonly string[]
-  /** Routers that were heard of lately. */
+  /** Routers that polled lately. */
   readonly routers: number
   /** What all other routers have in progress. */
   readonly loads: ServerLoads
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -1,6 +1,6 @@
 /**
  * A router's side of the feed: one task that polls the leader, finds it again when it changes, and
- * keeps what it is told. It knows how old the proof is that it holds the newest.
+ * keeps what it receives. It knows how old the proof is that it holds the newest.
  */
 import {
   waitFor,
@@ -76,7 +76,7 @@
 export interface FeedFollower {
   /** Undefined before the first table was fetched. */
   current(): FleetView | undefined
-  /** Ms since this router last asked and was told that it holds the newest; Infinity for never. */
+  /** Ms since this router last polled and had confirmed that it holds the newest; Infinity for never. */
   proofAgeMs(): number
   /** Emits after each change of the table, the weights or the servers. */
   readonly changes: Observable<FleetView>
@@ -99,9 +99,9 @@
   readonly reply: FeedReply
   /** When it was asked for, in ms of the monotonic clock. */
   readonly askedAt: number
-  /** Placements that the leader was told with it. */
+  /** Placements that were reported with it. */
   readonly reported: ReadonlySet<Placement>
-  /** What the leader was told of requests. */
+  /** What was reported of requests. */
   readonly blame: UnreportedBlame
   readonly limits: ObservedLimits
   /** When it was asked for, in ms of the steady clock. */
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -132,7 +132,7 @@
     }
     member.checkCurrent()
   }
-  /** Whether a router that asks here can be told the table, or whom to ask. */
+  /** Whether a router that asks here can get the table, or the leader's address. */
   const isLeaderKnown = () => {
     const { role, leader } = member.status()
     return role === 'leader' ? member.isCurrent() : leader !== undefined
@@ -143,12 +143,12 @@
     await firstValueFrom(isOver, { defaultValue: undefined })
   }
 
-  /** A router that heard another leader last has heard nothing of this one's numbers. */
+  /** A router that polled another leader last has none of this one's numbers. */
   const isOfTerm = (request: FeedRequest) => request.term === member.status().term
   const findKeptPosition = (request: FeedRequest): KeptPosition => {
     if (!isOfTerm(request)) return WHOLE_LIST
     const isTooMuch = changesOfKept.last() - request.keptSeen > MAX_PLACEMENTS_PER_REPLY
-    // The list goes on where it stood, once around, so that what was told of it is not told for nothing.
+    // The list goes on where it stood, once around, so that no piece is sent in vain.
     return isTooMuch ? { ...WHOLE_LIST, after: request.keptPosition.after } : request.keptPosition
   }
   const listKeptChanges = (request: FeedRequest) =>
@@ -168,7 +168,7 @@
   }
   const findTableVersion = () => machine.table.current()?.version ?? NO_TABLE_VERSION
   const isNewTable = (request: FeedRequest) => findTableVersion() > request.tableReported
-  /** Routers that were told of a version before have it, or are fetching it. */
+  /** Routers that a version was reported to before have it, or are fetching it. */
   const findTableUpdate = (request: FeedRequest) => {
     if (!isNewTable(request)) return undefined
     const update = options.tables.findUpdate(request.tableVersion)
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -95,7 +95,7 @@
   ): Promise<FleetOperations[Name]['output']>
   /** Runs an operation here; for the leader only. */
   runHere(name: string, input: unknown): Promise<unknown>
-  /** Ms since a server was last heard by this leader, or since it leads. */
+  /** Ms since this leader last received a heartbeat of a server, or since it leads. */
   findSilenceMs(id: BackendServerId): number
 }
 
@@ -135,7 +135,7 @@
     findSilenceMs,
   })
   const puts = createTablePuts({ member, table: machine.table, logger })
-  /** An unknown group names no server to use; one that is registered goes on being heard. */
+  /** An unknown group names no server to use; one that is registered stays registered. */
   const isUsable = ({ id, group }: RegisteredServer) =>
     options.isKnownGroup(group) || machine.servers.find(id) !== undefined
   const observe: Handlers['observeServer'] = async ({ server, count }) => {
--- a/packages/control/src/registry/heldFleet.ts
+++ b/packages/control/src/registry/heldFleet.ts
@@ -1,5 +1,5 @@
 /**
- * What a router holds of the fleet, as the feed told it: routing table, weights, servers and their
+ * What a router holds of the fleet, as the feed reported it: routing table, weights, servers and their
  * conditions, and where the router stands in the feed. A table never goes back to an older version.
  */
 import type { BackendServerId, Logger, TimerService } from '@spoolgate/core'
@@ -37,7 +37,7 @@
   readonly silent: ReadonlySet<BackendServerId>
   /** Stores of KV cache that answer. */
   readonly stores: readonly StoreLife[]
-  /** Routers that control heard of lately, this one included. */
+  /** Routers that polled control lately, this one included. */
   readonly routers: number
   /** What the other routers have in progress, as of the last poll. */
   readonly loads: ServerLoads
@@ -72,7 +72,7 @@
   position(): FeedPosition
   /** URLs of the control instances; none before the first reply. */
   listControl(): readonly string[]
-  /** Routers that control heard of lately, this one included. */
+  /** Routers that polled control lately, this one included. */
   countRouters(): number
   /**
    * Takes over a reply; true when table, weights or servers came with it.
@@ -156,7 +156,7 @@
   }
   const applyWeights = (next: Readonly<Record<string, number>>) => {
     const changed = Object.keys(next).filter((model) => next[model] !== weights[model])
-    // Nobody knows for how long the first ones that a router hears of have been wanted.
+    // Nobody knows for how long the first ones that a router learns of have been wanted.
     const isFirst = Object.keys(weights).length === 0
     const at = isFirst ? -Infinity : timers.now()
     weightsSince = { ...weightsSince, ...Object.fromEntries(changed.map((model) => [model, at])) }
--- a/packages/control/src/registry/keptParts.ts
+++ b/packages/control/src/registry/keptParts.ts
@@ -1,6 +1,6 @@
 /**
  * Which prompt parts each engine and store keeps, as the leader learns it from their cache events,
- * in the form in which routers are told: placements whose parts have 0 tokens are gone.
+ * in the form in which routers receive it: placements whose parts have 0 tokens are gone.
  */
 import { formatStoreId, hashPart, parseScopeVersion } from '@spoolgate/routing'
 import type { KeptPosition, Placement } from './feed.js'
@@ -22,7 +22,7 @@
 /** The index; see {@link createKeptParts}. */
 export interface KeptParts {
   /**
-   * Applies changes at a place, in order; returns what routers are to be told, each part once with
+   * Applies changes at a place, in order; returns what is to be reported to routers, each part once with
    * the tokens that are left of it in the end.
    */
   apply(place: CachePlace, changes: readonly KeptPart[]): Placement[]
--- a/packages/control/src/registry/loadSum.ts
+++ b/packages/control/src/registry/loadSum.ts
@@ -11,7 +11,7 @@
   record(router: string, loads: ServerLoads): void
   /** Lists the routers that had work lately, or all of them where none had. */
   listBusyRouters(): readonly string[]
-  /** Counts the routers that were heard of lately. */
+  /** Counts the routers that polled lately. */
   countRouters(): number
   /** Sums up what all routers but one have in progress; undefined leaves none out. */
   sumOthers(router: string | undefined): ServerLoads
@@ -20,7 +20,7 @@
 /** Options of {@link createLoadSum}. */
 export interface LoadSumOptions {
   readonly timers: TimerService
-  /** Time after which a router that is not heard of no longer counts, in ms. */
+  /** Time after which a router that does not poll no longer counts, in ms. */
   readonly routerLifeMs: number
 }
 
@@ -48,7 +48,7 @@
 
 /** Creates a sum over no routers. */
 export function createLoadSum({ timers, routerLifeMs }: LoadSumOptions): LoadSum {
-  /** In the order in which they were last heard of. */
+  /** In the order of their last polls. */
   const routers = new Map<string, RouterLoads>()
   const total = new Map<string, ServerLoad>()
 
--- a/packages/control/src/registry/placementLog.ts
+++ b/packages/control/src/registry/placementLog.ts
@@ -1,4 +1,4 @@
-/** The last placements of all routers, numbered, for those that have not heard of them. */
+/** The last placements of all routers, numbered, for those that have not received them. */
 import { MAX_PLACEMENTS_PER_REPLY, type Placement } from './feed.js'
 
 /** The log; see {@link createPlacementLog}. */
--- a/packages/control/src/registry/serverChanges.ts
+++ b/packages/control/src/registry/serverChanges.ts
@@ -1,14 +1,14 @@
 /**
- * Which backend servers changed since a router was last told, so that it is told of these and not of all.
+ * Which backend servers changed since a router last polled, so that it receives these and not all.
  * A list of 600 servers is 100 KB; told to 410 routers with each change of one server, it took a leader on a
  * whole core 0.6 s in the stand-in fleet of tableHerd.spec.
  */
 import type { BackendServerId } from '@spoolgate/core'
 import type { RegisteredServer } from '../state/serverState.js'
 
-/** What a router is told of servers. */
+/** What a router receives of servers. */
 export interface ServerNews {
-  /** Revision that it is applied to; null where all servers are told. */
+  /** Revision that it is applied to; null where all servers are sent. */
   readonly since: number | null
   /** Servers that are new or changed. */
   readonly changed: readonly RegisteredServer[]
@@ -36,7 +36,7 @@
   const changedAt = new Map<BackendServerId, number>()
   /** Servers that left, in the order of their leaving. */
   const goneAt = new Map<BackendServerId, number>()
-  /** Revisions below this one are told of all servers. */
+  /** Revisions below this one receive all servers. */
   let knownFrom = 0
 
   const removeServer = (id: BackendServerId, revision: number) => {
--- a/packages/control/src/registry/serverSignals.ts
+++ b/packages/control/src/registry/serverSignals.ts
@@ -20,7 +20,7 @@
   readonly logger: Logger
   /** Silence after which a backend server counts as silent, in ms. */
   readonly silentAfterMs: number
-  /** Ms since a server was last heard by this leader, or since it leads. */
+  /** Ms since this leader last received a heartbeat of a server, or since it leads. */
   readonly findSilenceMs: (id: BackendServerId) => number
 }
 
@@ -38,12 +38,12 @@
 /** Incarnations that are remembered: those of minutes in a large fleet. */
 const MAX_INCARNATIONS = 5_000
 /**
- * Time after a start was first heard of within which a leave that names no start is taken for a late word of
+ * Time after the first signal of a start within which a leave that names no start is taken for a late signal of
  * the start before, in ms: what is sent on the way of a cut comes seconds late.
  */
 const LATE_LEAVE_MS = 5_000
 
-/** Creates a judge that has heard nothing. */
+/** Creates a judge without signals. */
 export function createServerSignals(options: ServerSignalsOptions): ServerSignals {
   const { servers, timers, logger, findSilenceMs } = options
   /** Incarnations whose address another one took over while this instance led. */
@@ -61,7 +61,7 @@
     holder !== undefined && displaced.has(id) && findSilenceMs(holder.id) < options.silentAfterMs
   const findLateness = (server: RegisteredServer, count: number | undefined) => {
     if (servers.isOver(server)) return 'over'
-    // Where no start is told, a lower number may be that of another one.
+    // Where no start is named, a lower number may be that of another one.
     const isLower = count !== undefined && count < (counts.get(server.id) ?? count)
     if (isLower && isStartKnown(server)) return 'count'
     return isDisplaced(server, findOtherAt(server)) ? 'displaced' : undefined
--- a/packages/control/src/registry/serverWatch.ts
+++ b/packages/control/src/registry/serverWatch.ts
@@ -11,7 +11,7 @@
 export interface ServerWatchOptions {
   readonly machine: ControlMachine
   readonly timers: TimerService
-  /** Ms since a server was last heard. */
+  /** Ms since the last heartbeat of a server. */
   readonly findSilenceMs: (id: BackendServerId) => number
   /** Silence after which a server counts as silent, in ms. */
   readonly silentAfterMs: number
--- a/packages/control/src/registry/tablePuts.ts
+++ b/packages/control/src/registry/tablePuts.ts
@@ -52,7 +52,7 @@
     put: (next) => {
       const put = last.then(() => putNow(next))
       last = put.catch(() => {
-        // Told to whoever sent it; the next change does not depend on it.
+        // Reported to whoever sent it; the next change does not depend on it.
       })
       return put
     },
--- a/packages/control/src/registry/tableSource.ts
+++ b/packages/control/src/registry/tableSource.ts
@@ -10,7 +10,7 @@
 export interface TableRequest {
   /** Version that it holds; -1 for none. */
   readonly heldVersion: number
-  /** Version that it was told of; a newer one serves as well. */
+  /** Version that was reported to it; a newer one serves as well. */
   readonly wantedVersion: number
 }
 
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -30,7 +30,7 @@
   /** Time for which the orders of an earlier leader may still count, in ms. */
   readonly orderLeaseMs: number
   readonly sumLoads: () => ServerLoads
-  /** Ms since a server was last heard. */
+  /** Ms since the last heartbeat of a server. */
   readonly findSilenceMs: (id: BackendServerId) => number
 }
 
--- a/packages/control/src/state/orderState.ts
+++ b/packages/control/src/state/orderState.ts
@@ -4,7 +4,7 @@
  */
 import type { BackendServerId } from '@spoolgate/core'
 
-/** What a backend server can be told to do. */
+/** What a backend server can be ordered to do. */
 export type OrderAction = 'loadWeights' | 'loadAdapter' | 'changeRole'
 
 /** Issues an order. */
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -1,6 +1,6 @@
 /**
  * The part of the replicated state that holds the backend servers which registered themselves. Only
- * what a router must know survives here; when a server was last heard is soft state of the leader.
+ * what a router must know survives here; the time of a server's last heartbeat is soft state of the leader.
  */
 import {
   removeOldest,
@@ -93,7 +93,7 @@
 
 const PHASE_ORDER: Record<ServerPhase, number> = { ready: 0, draining: 1, gone: 2 }
 
-/** Builds the identity of one start of a server; `startedAt` is undefined where it is not told. */
+/** Builds the identity of one start of a server; `startedAt` is undefined where it is not named. */
 export function buildServerIdentity(
   name: ServerName,
   startedAt: number | undefined,
--- a/packages/control/src/table/tableUpdate.ts
+++ b/packages/control/src/table/tableUpdate.ts
@@ -80,7 +80,7 @@
       typeof content === 'string' ? content : applyTextPatch(held?.document ?? '', content)
     return hashDocument(document) === digest ? { version, document } : undefined
   } catch {
-    // Not an error here: whoever holds the update cannot mend it, and asks for the whole table.
+    // Not an error here: whoever holds the update cannot fix it, and asks for the whole table.
     return undefined
   }
 }
--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -21,16 +21,16 @@
 export function createConnectionEnds(logger: Logger): ConnectionEnds {
   /** What ends each of the answers under way on a connection. */
   const underWay = new WeakMap<Socket, Set<() => void>>()
-  /** Connections of which an answer, or their own end, has told that nothing follows. */
+  /** Connections of which an answer, or their own end, has said that nothing follows. */
   const ending = new WeakSet<Socket>()
-  /** Connections of which a request that came too late was told: one line each. */
+  /** Connections whose late request was logged: one line each. */
   const reported = new WeakSet<Socket>()
   let isStopping = false
 
   const openUnderWay = (socket: Socket) => {
     const answers = new Set<() => void>()
     underWay.set(socket, answers)
-    // An answer that waits behind another one is never told by Node that its connection closed.
+    // An answer that waits behind another one gets no event from Node when its connection closes.
     socket.once('close', () => {
       for (const end of [...answers]) end()
     })
--- a/packages/core/src/rejectedInputs.ts
+++ b/packages/core/src/rejectedInputs.ts
@@ -1,5 +1,5 @@
 /**
- * What comes from outside and cannot be used: put aside by itself, counted, and told in the log at a bounded
+ * What comes from outside and cannot be used: rejected by itself, counted, and logged at a bounded
  * rate. Nothing else is thrown away for it.
  */
 import { Subject, type Observable } from 'rxjs'
--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -24,7 +24,7 @@
   every(period: number): Observable<void>
 }
 
-/** A timer service whose time moves only when told. */
+/** A timer service whose time moves only on demand. */
 export interface ManualTimerService extends TimerService {
   /** Moves time forward and runs what falls due, in order of due time. */
   advance(duration: number): void
--- a/packages/router/src/__tests__/backoffSimulation.ts
+++ b/packages/router/src/__tests__/backoffSimulation.ts
@@ -36,7 +36,7 @@
   readonly largestShare: number
 }
 
-/** Time within which a router must have heard a word, in ms. */
+/** Time within which a router must have received a signal, in ms. */
 const INFORMED_MS = 500
 const ANSWER_MS = 5
 const WORK_MS = 100
@@ -65,7 +65,7 @@
 
 interface SimulatedRouter {
   readonly name: string
-  /** The fleet with what the leader last told of the others. */
+  /** The fleet with what the leader last reported of the others. */
   view: FleetView
   readonly parts: ReturnType<typeof createChoiceParts>
   readonly retries: RetryShare
@@ -218,7 +218,7 @@
   }
 }
 
-/** Plays a load and tells what became of it. */
+/** Simulates a load and reports what became of it. */
 export function runBackoffSimulation(options: BackoffSimulationOptions): BackoffSimulationResult {
   return new BackoffSimulation(options).run()
 }
--- a/packages/router/src/__tests__/blameSimulation.ts
+++ b/packages/router/src/__tests__/blameSimulation.ts
@@ -107,7 +107,7 @@
   suspectsSeen: number | undefined
 }
 
-/** Plays a load and tells what became of it. */
+/** Simulates a load and reports what became of it. */
 export async function runBlameSimulation(
   options: BlameSimulationOptions,
 ): Promise<BlameSimulationResult> {
--- a/packages/router/src/direct/callPlan.ts
+++ b/packages/router/src/direct/callPlan.ts
@@ -35,7 +35,7 @@
 
 /** Least urgent rank that engines know. */
 const MAX_PRIORITY = 9
-/** Ranks of routes that are told apart within one rank of teams. */
+/** Ranks of routes that are distinguished within one rank of teams. */
 const ROUTE_RANKS = 3
 
 /** Whether this router may still trust what it holds of keys and routes. */
--- a/packages/router/src/relay/followDispatch.ts
+++ b/packages/router/src/relay/followDispatch.ts
@@ -11,7 +11,7 @@
 const ASK_TIMEOUT_MS = 1_000
 const ASK_TRIES = 5
 const ASK_DELAY_MS = 100
-/** Times that an answer is read on before the caller is told to ask again. */
+/** Times that an answer is read on before the caller should ask again. */
 const RESOLVE_TRIES = 3
 
 /** Asks a sidecar what became of a dispatch; undefined when it does not answer. */
--- a/packages/routing/src/promptText.ts
+++ b/packages/routing/src/promptText.ts
@@ -5,7 +5,7 @@
  */
 import { SpoolgateError } from '@spoolgate/core'
 
-/** Largest number of levels that are told apart; longer chats keep the outermost and the last. */
+/** Largest number of levels that are distinguished; longer chats keep the outermost and the last. */
 export const MAX_LEVELS = 8
 
 /** A prompt as bytes. */
--- a/packages/spoolgate/src/node/bench/threadRoles.ts
+++ b/packages/spoolgate/src/node/bench/threadRoles.ts
@@ -1,4 +1,4 @@
-/** Parts of a fleet that run in threads of their own, so that the time each takes can be told apart. */
+/** Parts of a fleet that run in threads of their own, so that the time of each can be measured. */
 import { createQuietLogger, createTimerService } from '@spoolgate/core'
 import { createRouter, type RouterOptions } from '@spoolgate/router'
 import { createSidecar, type SidecarOptions } from '@spoolgate/sidecar'
--- a/packages/spoolgate/src/node/cli/daemonCommands.ts
+++ b/packages/spoolgate/src/node/cli/daemonCommands.ts
@@ -1,4 +1,4 @@
-/** Commands that run one daemon until it is told to stop. */
+/** Commands that run one daemon until it is stopped. */
 import { createControl } from '@spoolgate/control'
 import { createRouter } from '@spoolgate/router'
 import { createSidecar } from '@spoolgate/sidecar'
--- a/packages/spoolgate/src/node/load/workload.ts
+++ b/packages/spoolgate/src/node/load/workload.ts
@@ -67,7 +67,7 @@
   readonly team: string
   readonly messages: readonly ChatMessage[]
   readonly answerTokens: number
-  /** Name of the innermost shared level, by which the first necessary computation is told. */
+  /** Name of the innermost shared level, by which the first necessary computation is recognized. */
   readonly record: string
 }
 
--- a/packages/spoolgate/src/node/soak/receipts.ts
+++ b/packages/spoolgate/src/node/soak/receipts.ts
@@ -1,4 +1,4 @@
-/** A caller of unrepeatable requests, and the judge of what it was told. */
+/** A caller of unrepeatable requests, and the judge of its answers. */
 import { ConnectionError, waitFor, type RandomSource } from '@spoolgate/core'
 import { LOCAL_SERVICE, type LocalFleet } from '../local/localFleet.js'
 
