build(lint): terms that the project does not use are errors, with the term to use instead

The list holds what this landing has cleared in comments and names: told, heard, mend, put aside, ...Word, Played..., ...Play.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,6 +79,34 @@
 const PLATFORM_NAMES =
   /x-(response-seal|not-executed|prompt-prefix|expect-instance|expect-version|weight-versions|token-count|cache-salt|tenant|instance-id|kv-)|\/spoolgate\/(configuration|instances|version-put|order|report|readiness)|HeartbeatAddress|FencingToken|KvCache|PathPrefix|TrafficSplit|SPOOLGATE_SETTINGS/i
 
+/** Terms that the project does not use in comments and names, with those that it uses. */
+const TERMS = [
+  [/\b(un)?told\b|[a-z]Told\b/, 'reported, sent or acknowledged'],
+  [/\bheard\b|\bheardAt\b/, 'received'],
+  [/\bmend(ed|s)?\b/, 'fix'],
+  [/\bput aside\b|putAside/i, 'rejected'],
+  [/\b(Rest|[A-Z]\w+)Word\b/, 'signal'],
+  [/\bPlayed[A-Z]|[a-z]Play\b/, 'simulated, simulation'],
+]
+
+/** Reports terms that the project does not use. */
+const termsRule = {
+  create: ({ sourceCode, report }) => {
+    const checkText = (node, text) => {
+      for (const [pattern, term] of TERMS) {
+        const found = pattern.exec(text)
+        if (found) report({ node, message: `"${found[0]}": the project says ${term}` })
+      }
+    }
+    return {
+      Program: () => {
+        for (const comment of sourceCode.getAllComments()) checkText(comment, comment.value)
+      },
+      Identifier: (node) => checkText(node, node.name),
+    }
+  },
+}
+
 /** What holds for all code; rules that need types are added for TypeScript. */
 const HOUSE_RULES = {
   '@typescript-eslint/naming-convention': [
@@ -103,7 +131,9 @@
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
+    plugins: { house: { rules: { terms: termsRule } } },
     rules: {
+      'house/terms': 'error',
       ...HOUSE_RULES,
       '@typescript-eslint/no-floating-promises': 'error',
     },
--- a/packages/control/src/raft/leasePromise.ts
+++ b/packages/control/src/raft/leasePromise.ts
@@ -1,7 +1,7 @@
 /**
- * What a member has promised to the leader that it follows: for an election timeout after it heard
+ * What a member has promised to the leader that it follows: for an election timeout after it received
  * from it, it helps nobody to depose it. Leases rest on this. A process that restarted does not know
- * when it was heard last and counts from its own start, unless the leader that it followed says that
+ * when that was and counts from its own start, unless the leader that it followed says that
  * it no longer leads: after a loss of all instances the first leader is then elected as soon as a
  * majority listens, and not an election timeout later.
  */
@@ -33,7 +33,7 @@
 }
 
 /**
- * Least and most parts of the election timeout between two tries of a member that has heard no
+ * Least and most parts of the election timeout between two tries of a member that knows no
  * leader in this life. Its pre-votes raise no term and depose nobody, so that it can ask again while
  * the others are still starting.
  */
--- a/packages/control/src/raft/replicator.ts
+++ b/packages/control/src/raft/replicator.ts
@@ -177,8 +177,8 @@
   }
   const watch: Subscription = timers.every(options.heartbeatMs).subscribe(() => {
     startPeers()
-    const heard = Math.max(confirmedAt(), startedAt)
-    if (timers.now() - heard > options.lostAfterMs) options.onLost()
+    const lastReceivedAt = Math.max(confirmedAt(), startedAt)
+    if (timers.now() - lastReceivedAt > options.lostAfterMs) options.onLost()
   })
   startPeers()
 
--- a/packages/control/src/registry/feedFollower.ts
+++ b/packages/control/src/registry/feedFollower.ts
@@ -108,7 +108,7 @@
   readonly sentAt: number
 }
 
-/** Word of the leader that a version was the newest. */
+/** Statement of the leader that a version was the newest. */
 interface TableProof {
   readonly version: number
   /** When the router asked, in ms of the clock for promises. */
--- a/packages/control/src/registry/serverChanges.ts
+++ b/packages/control/src/registry/serverChanges.ts
@@ -1,7 +1,5 @@
 /**
  * Which backend servers changed since a router last polled, so that it receives these and not all.
- * A list of 600 servers is 100 KB; told to 410 routers with each change of one server, it took a leader on a
- * whole core 0.6 s in the stand-in fleet of tableHerd.spec.
  */
 import type { BackendServerId } from '@spoolgate/core'
 import type { RegisteredServer } from '../state/serverState.js'
@@ -26,7 +24,7 @@
 
 /**
  * Servers that left and are remembered: several times those of a large fleet. A router that is further behind
- * is told of all.
+ * receives all.
  */
 const MAX_GONE = 2_000
 
--- a/packages/control/src/registry/serverSignals.ts
+++ b/packages/control/src/registry/serverSignals.ts
@@ -1,6 +1,6 @@
 /**
- * Which words of a backend server count at the leader: those of its last start, in the order of their
- * numbers, and no late word of an earlier incarnation. Soft state; after a change of the leader late words are
+ * Which signals of a backend server count at the leader: those of its last start, in the order of their
+ * numbers, and no late one of an earlier incarnation. Soft state; after a change of the leader late signals are
  * known by their start alone, and change nothing back (mergeServer).
  */
 import type { BackendServerId, Logger, ServerName, TimerService } from '@spoolgate/core'
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -136,8 +136,8 @@
 }
 
 /**
- * Whether two words of one incarnation say the same. Compared field by field: by their text they differed in the
- * order of fields, and each heartbeat of each server made an entry in the log and news for all routers.
+ * Whether two heartbeats of one incarnation say the same. Compared field by field, since their texts may differ in the
+ * order of fields.
  */
 export function isSameServer(a: RegisteredServer, b: RegisteredServer): boolean {
   return (
@@ -191,7 +191,7 @@
       if (isOver(server)) return { phase: 'gone' }
       revision += 1
       recordStart(server)
-      // One address belongs to one server. The other is not gone for good: this may be a late word
+      // One address belongs to one server. The other is not gone for good: this may be a late signal
       // of the one that had the address before, and the next heartbeat then puts it right.
       removeReplaced(server)
       const merged = mergeServer(servers.get(server.id), server)
--- a/packages/router/src/__tests__/backoffSimulation.ts
+++ b/packages/router/src/__tests__/backoffSimulation.ts
@@ -1,6 +1,6 @@
 /**
  * Servers that turn requests away and ask for rest, in virtual time and without a network: the real choice and the real
- * words of routers, on stand-in servers that shed in turn.
+ * signals of routers, on stand-in servers that shed in turn.
  */
 import { createLoadSum, type FleetView, type RegisteredServer } from '@spoolgate/control'
 import { createManualTimerService, createRandomSource, type BackendServerId } from '@spoolgate/core'
--- a/packages/router/src/server/callerRequest.ts
+++ b/packages/router/src/server/callerRequest.ts
@@ -110,7 +110,7 @@
   return path.startsWith(pattern.slice(0, -1))
 }
 
-/** Whether a call to a plain service runs at most once, by its route or by the caller's word. */
+/** Whether a call to a plain service runs at most once, by its route or by the caller's header. */
 export function isUnrepeatable(
   request: IncomingMessage,
   service: ServiceRoute | undefined,
