--- a/packages/control/src/__tests__/groupSteps.ts
+++ b/packages/control/src/__tests__/groupSteps.ts
@@ -54,7 +54,7 @@
       const since = known?.term === term ? known.since : leader.timers.now()
       led.set(leader.name, { term, since })
       const step = findGroupStep(buildInput(leader, since))
-      // Refused while another change is under way, and not known when leadership is lost.
+      // Refused while another change is in progress, and not known when leadership is lost.
       if (step) leader.member.changeMembers(step.members).catch(() => {})
     },
   }
--- a/packages/control/src/__tests__/suspendedMachine.spec.ts
+++ b/packages/control/src/__tests__/suspendedMachine.spec.ts
@@ -1,6 +1,6 @@
 /**
  * What users would see: a machine is suspended for seconds, and goes on as if no time had passed. A leader that was deposed
- * meanwhile still believes its lease, and tells an older configuration as the newest. Cause: every instant was read from
+ * meanwhile still believes its lease, and reports an older configuration as the newest. Cause: every instant was read from
  * the steady clock, which stands still meanwhile. Evidence: after the time in which another leader was elected and
  * confirmed, the clock by which the lease is judged has not moved.
  */
--- a/packages/control/src/__tests__/tableProof.spec.ts
+++ b/packages/control/src/__tests__/tableProof.spec.ts
@@ -15,7 +15,7 @@
 const POLL_MS = 100
 const table = (version: number) => ({ version, document: JSON.stringify({ version }) })
 
-/** A router that asks a leader, which answers with the newest table or tells of it. */
+/** A router that asks a leader, which answers with the newest table or reports its version. */
 function startFollower() {
   const timers = createManualTimerService()
   const leader = { newest: 1, isFetchable: false }
--- a/packages/control/src/blame/blameRecord.ts
+++ b/packages/control/src/blame/blameRecord.ts
@@ -48,7 +48,7 @@
 
 /** Time for which it is reported to a new leader again, in ms: an election takes a second, a majority that is away some more. */
 const KEEP_MS = 60_000
-/** Facts that are kept, the newest: a router of the users has 75 requests under way when all engines end at once. */
+/** Facts that are kept, the newest: a router of the users has 75 requests in flight when all engines end at once. */
 const MAX_FACTS = 1_000
 
 /** Rejected requests in one report: as many as a caller may have in quarantine. */
--- a/packages/control/src/blame/blameSource.ts
+++ b/packages/control/src/blame/blameSource.ts
@@ -1,5 +1,5 @@
 /**
- * The leader's judgement of requests under which servers end: it sums up what routers tell, puts requests into quarantine in
+ * The leader's judgement of requests under which servers end: it sums up what routers report, puts requests into quarantine in
  * the replicated state, and says what routers should know. One place counts for all, since each router alone would let
  * as many servers end.
  */
@@ -32,7 +32,7 @@
 /** See {@link createBlameSource}. */
 export interface BlameSource {
   /**
-   * Takes what a router tells, and says which request in quarantine it may send once; for the leader only.
+   * Takes what a router reports, and says which request in quarantine it may send once; for the leader only.
    */
   record(report: BlameReport): RequestFingerprint | undefined
   /** Lists what routers should know: requests in quarantine and suspects. */
@@ -56,7 +56,7 @@
   const proposing = new Set<BlameCommand>()
   let knownTerm: number | undefined
 
-  /** Routers tell a new leader all that they know. */
+  /** Routers report all that they know to a new leader. */
   const resetForTerm = () => {
     const { term } = member.status()
     if (term !== knownTerm) {
@@ -72,7 +72,7 @@
     try {
       await member.propose(command)
       if (wanted.get(request) === command) wanted.delete(request)
-      // From here on only an end of the next round counts, which the replicated state tells.
+      // From here on only an end of the next round counts, which the replicated state reports.
       tally.remove(request)
       changes.next()
     } catch (cause) {
--- a/packages/control/src/blame/blameTally.ts
+++ b/packages/control/src/blame/blameTally.ts
@@ -1,6 +1,6 @@
 /**
- * Counts the servers that ended under each request, as routers tell them. It holds what does not suffice for a quarantine yet; after a
- * change of the leader routers tell theirs again.
+ * Counts the servers that ended under each request, as routers report them. It holds what does not suffice for a quarantine yet; after a
+ * change of the leader routers report theirs again.
  */
 import type { BackendServerId, RequestFingerprint, TimerService } from '@spoolgate/core'
 import { createFingerprintMap } from './fingerprintMap.js'
--- a/packages/control/src/blame/blameTrials.ts
+++ b/packages/control/src/blame/blameTrials.ts
@@ -39,7 +39,7 @@
 /** Time after which a trial without a result is made again, in ms: above the deadlines of the users' callers. */
 const RETRY_MS = 20_000
 
-/** Creates trials, none of them under way. */
+/** Creates trials, none of them in progress. */
 export function createBlameTrials({ quarantine, timers }: BlameTrialsOptions): BlameTrials {
   const rounds = createFingerprintMap<Round>(QUARANTINE_BOUNDS)
   let current: { readonly request: RequestFingerprint; readonly state: Round } | undefined
--- a/packages/control/src/blame/requestBlame.ts
+++ b/packages/control/src/blame/requestBlame.ts
@@ -18,7 +18,7 @@
   readonly sends: readonly BlamedSend[]
 }
 
-/** What a router tells control of requests. */
+/** What a router reports to control of requests. */
 export interface BlameReport {
   readonly ended: readonly ExitedServer[]
   /** Requests that were answered whole after they were reported as suspected to the router. */
@@ -29,7 +29,7 @@
   readonly untried: readonly RequestFingerprint[]
 }
 
-/** A request that control tells routers to suspect, or to refuse. */
+/** A request that control reports to routers as suspected, or as quarantined. */
 export interface SuspectedRequest {
   readonly request: RequestFingerprint
   /** Counts the quarantines of the request from 1; 0 while it is suspected only. */
--- a/packages/control/src/raft/electionReport.ts
+++ b/packages/control/src/raft/electionReport.ts
@@ -1,5 +1,5 @@
 /**
- * What one member tells of elections that found no leader: too few voters answer, a lease or a log
+ * What one member reports of elections that found no leader: too few voters answer, a lease or a log
  * holds them back, a voter's disk is lost, or nobody listens. Bounded lines, and the time without a
  * leader as a metric.
  */
--- a/packages/control/src/raft/membership.ts
+++ b/packages/control/src/raft/membership.ts
@@ -33,7 +33,7 @@
   isVoter(): boolean
   /**
    * Groups of which each must hold a majority before an entry counts as committed or a lease as held.
-   * While a change of the group is under way that is the one before as well: whoever is elected by
+   * While a change of the group is in progress that is the one before as well: whoever is elected by
    * half of it (see {@link countGrants}) then finds the change.
    */
   listDeciding(commitIndex: number): readonly MemberMap[]
--- a/packages/control/src/raft/votes.ts
+++ b/packages/control/src/raft/votes.ts
@@ -45,7 +45,7 @@
 /**
  * Asks all other members at once; won as soon as a majority, with the candidate in it, has granted
  * its vote. In a pre-vote, a member that only waits for a lease counts once its holder has answered
- * that the lease is over: the real vote tells the member so.
+ * that the lease is over: the real vote informs the member.
  *
  * Four voters bear the loss of two, though two are no majority: an instance that answers under another
  * name than the voter at its address has lost the disk of that voter, which can neither vote nor
--- a/packages/control/src/registry/engineOrders.ts
+++ b/packages/control/src/registry/engineOrders.ts
@@ -5,7 +5,7 @@
 export interface EngineReport {
   /** Version that it holds of the model asked for; undefined when it does not hold the model. */
   readonly version: number | undefined
-  /** Whether an order is under way. */
+  /** Whether an order is in flight. */
   readonly isBusy: boolean
   /** Requests that have not begun; an order would refuse them. */
   readonly waiting: number
@@ -35,7 +35,7 @@
   | 'taken'
   /** The engine holds the version already. */
   | 'held'
-  /** Another order is under way, or others were taken since. */
+  /** Another order is in flight, or others were taken since. */
   | 'conflict'
   /** The number is lower than one seen before. */
   | 'fenced'
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -109,7 +109,7 @@
   const changesOfKept = createPlacementLog()
   const turns = options.turns ?? createTurnQueue()
   let countedTerm: number | undefined
-  /** Counts the changes of all that {@link FeedReply} tells by revision. */
+  /** Counts the changes of all that {@link FeedReply} reports by revision. */
   let revision = 0
   const serverChanges = createServerChanges(machine.servers.list)
   let knownWeights = machine.weights.list()
@@ -153,7 +153,7 @@
   }
   const listKeptChanges = (request: FeedRequest) =>
     isOfTerm(request) ? changesOfKept.listSince(NOBODY, request.keptSeen) : []
-  /** Notes what a router tells; returns the request that it may try. */
+  /** Records what a router reports; returns the request that it may try. */
   const recordRouter = (request: FeedRequest) => {
     const { term } = member.status()
     if (term !== countedTerm) {
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -39,7 +39,7 @@
 /** Says that a server has left. */
 export interface ServerLeave {
   readonly name: ServerName
-  /** Start that has left; undefined where the server does not tell. */
+  /** Start that has left; undefined where the server does not name it. */
   readonly startedAt?: number
 }
 
--- a/packages/control/src/registry/instanceSearch.ts
+++ b/packages/control/src/registry/instanceSearch.ts
@@ -77,7 +77,7 @@
   | { readonly kind: 'answered'; readonly url: string; readonly answer: Answer }
   | { readonly kind: 'failed'; readonly url: string; readonly cause: unknown }
 
-/** An ask under way. */
+/** An ask in flight. */
 interface OpenAsk<Answer> {
   readonly url: string
   readonly startedAt: number
@@ -90,7 +90,7 @@
   options: InstanceSearchOptions<Answer>,
 ): InstanceSearch<Answer> {
   const { timers, random, logger, stopping } = options
-  /** Asks under way, the oldest first. */
+  /** Asks in flight, the oldest first. */
   const open = new Set<OpenAsk<Answer>>()
   /** Why each instance has not answered. */
   const reasons = new Map<string, string>()
--- a/packages/control/src/registry/loadSum.ts
+++ b/packages/control/src/registry/loadSum.ts
@@ -1,5 +1,5 @@
 /**
- * What routers have in progress, summed up as they tell it: an answer to one of 400 routers costs one
+ * What routers have in progress, summed up as they report it: an answer to one of 400 routers costs one
  * pass over the servers, and not one over the servers of each router.
  */
 import type { TimerService } from '@spoolgate/core'
--- a/packages/control/src/registry/serverSignals.ts
+++ b/packages/control/src/registry/serverSignals.ts
@@ -104,7 +104,7 @@
     },
     findLeaving: (name, startedAt) => {
       const known = servers.findByName(name)
-      // A server that tells no start in its heartbeats is the one that is known, whatever its leave tells.
+      // A server that names no start in its heartbeats is the one that is known, whatever its leave names.
       if (known && !isStartKnown(known)) return known
       if (startedAt !== undefined || !known) return buildServerIdentity(name, startedAt)
       const isNew = timers.now() - (firstReceivedAt.get(known.id) ?? -Infinity) < LATE_LEAVE_MS
--- a/packages/control/src/registry/serverWatch.ts
+++ b/packages/control/src/registry/serverWatch.ts
@@ -1,5 +1,5 @@
 /**
- * What the leader alone can tell of servers: which are silent, and which hold weights so old that
+ * What the leader alone knows of servers: which are silent, and which hold weights so old that
  * nothing may begin on them. Looks at regular times and says when something changed.
  */
 import type { BackendServerId, TimerService } from '@spoolgate/core'
--- a/packages/control/src/server/groupRoutes.ts
+++ b/packages/control/src/server/groupRoutes.ts
@@ -84,7 +84,7 @@
     throw new SpoolgateError('conflict', `${to} is not here; this is ${name}`)
   }
   const handlers: Record<string, (message: unknown, to: string | null) => Promise<unknown>> = {
-    // Whoever is at the address answers a vote under its own name: that tells the candidate that the
+    // Whoever is at the address answers a vote under its own name: that shows the candidate that the
     // disk of the voter is lost.
     vote: (message) => {
       checkLink((message as VoteRequest).candidate)
--- a/packages/control/src/server/raftTransport.ts
+++ b/packages/control/src/server/raftTransport.ts
@@ -30,7 +30,7 @@
       if (isCut?.(to)) throw new ConnectionError('link is cut', true, false)
       return client.sendJson<RaftMessages[Name]['reply']>({
         method: 'POST',
-        // The name tells a member from another that took over its address with an empty disk.
+        // The name distinguishes a member from another that took over its address with an empty disk.
         url: `${url}${RAFT_PATH}/${name}?to=${encodeURIComponent(to)}`,
         json: request,
         timeoutMs,
--- a/packages/control/src/state/loadState.ts
+++ b/packages/control/src/state/loadState.ts
@@ -2,7 +2,7 @@
  * The part of the replicated state that says where loads of weights were begun and ended. A leader
  * notes the beginning before its first order to an engine, so that the next leader knows which
  * engines the one before may still be giving orders to. A mark outlives a restart of its engine: an order
- * that is under way reaches whichever start is there when it arrives.
+ * that is in flight reaches whichever start is there when it arrives.
  */
 import { removeOldest, type ServerName } from '@spoolgate/core'
 import { Subject, type Observable } from 'rxjs'
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -24,7 +24,7 @@
   readonly id: BackendServerId
   /** The same after a restart. */
   readonly name: ServerName
-  /** When it started, in ms since the Unix epoch by its own clock; 0 where it does not tell. */
+  /** When it started, in ms since the Unix epoch by its own clock; 0 where it does not name it. */
   readonly startedAt: number
 }
 
@@ -84,7 +84,7 @@
   load(saved: SavedServers): void
 }
 
-/** Start of a server that does not tell when it started. */
+/** Start of a server that does not name its start. */
 const UNKNOWN_START = 0
 /** Incarnations that left, kept so that a late heartbeat does not bring one back. */
 const MAX_RETIRED = 2_000
--- a/packages/control/src/table/tableHistory.ts
+++ b/packages/control/src/table/tableHistory.ts
@@ -24,7 +24,7 @@
 
 /**
  * Earlier versions that are remembered. Routers poll several times a second and operators keep eight changes
- * under way, so that a router that is in touch lags behind by fewer.
+ * in flight, so that a router that is in touch lags behind by fewer.
  */
 const MAX_VERSIONS = 16
 /** Characters of all documents that are remembered: 16 of 5,000 routes, 1.3 MB each, or four of 4 MiB. */
--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -1,5 +1,5 @@
 /**
- * The ends of kept connections in a planned stop. A connection ends after the answers under way on
+ * The ends of kept connections in a planned stop. A connection ends after the answers in flight on
  * it, and nothing that comes later is taken from it, since nothing could carry its answer.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -13,13 +13,13 @@
    * @param onEnd called once its answer is closed, or its connection is.
    */
   take(request: IncomingMessage, response: ServerResponse, onEnd: () => void): boolean
-  /** From now on each connection ends after the answers under way on it. */
+  /** From now on each connection ends after the answers in flight on it. */
   start(): void
 }
 
 /** Creates the ends of a server that runs. */
 export function createConnectionEnds(logger: Logger): ConnectionEnds {
-  /** What ends each of the answers under way on a connection. */
+  /** What ends each of the answers in flight on a connection. */
   const underWay = new WeakMap<Socket, Set<() => void>>()
   /** Connections of which an answer, or their own end, has said that nothing follows. */
   const ending = new WeakSet<Socket>()
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -100,7 +100,7 @@
   readonly port: number
   /** Exchanges in progress. */
   inProgress(): number
-  /** Whether a planned stop is under way, or over. */
+  /** Whether a planned stop is in progress, or over. */
   isClosing(): boolean
   /** Bytes over all connections so far. */
   traffic(): TrafficCount
--- a/packages/core/src/lineBudget.ts
+++ b/packages/core/src/lineBudget.ts
@@ -11,7 +11,7 @@
   readonly linesPerSecond: number
   /** Writes a line; must not block. */
   readonly write: (line: string) => void
-  /** Formats the line that tells how many were dropped. */
+  /** Formats the line that reports how many were dropped. */
   readonly formatDropped: (count: number) => string
 }
 
--- a/packages/router/src/__tests__/blameSimulation.spec.ts
+++ b/packages/router/src/__tests__/blameSimulation.spec.ts
@@ -40,7 +40,7 @@
     it(`reach three servers more at most: ${size.routers} routers, ${size.servers} servers`, async () => {
       const { lateSends, ordinary, popular, harmlessHeld } = await runBlameSimulation(size)
       expect(Math.max(...lateSends)).to.be.at.most(SENDS_ALLOWED)
-      // The last ones are under way when the play ends.
+      // The last ones are in flight when the simulation ends.
       const isLate = ({ sent, answered }: KindCount) => sent - answered
       expect(measureShare(ordinary), `${isLate(ordinary)} unanswered`).to.be.at.least(
         SHARE_ANSWERED,
--- a/packages/router/src/__tests__/blameSimulation.ts
+++ b/packages/router/src/__tests__/blameSimulation.ts
@@ -66,7 +66,7 @@
 export const CONTACT_MS = 3_000
 /** Time after which harmless requests should be answered beside harmful ones, in ms. */
 export const SETTLED_MS = 9_000
-/** Before the end, what is sent is not counted: it may be under way when the play ends. */
+/** Before the end, what is sent is not counted: it may be in flight when the simulation ends. */
 const UNCOUNTED_MS = 2_500
 const ENDS_BORNE = 3
 const STEP_MS = 10
--- a/packages/router/src/direct/requestFingerprint.ts
+++ b/packages/router/src/direct/requestFingerprint.ts
@@ -6,7 +6,7 @@
 import { toRequestFingerprint, type RequestFingerprint } from '@spoolgate/core'
 import type { CallPlan } from './callPlan.js'
 
-/** Characters of 6 bits: 36 bits tell thousands of callers apart, 96 bits any number of requests. */
+/** Characters of 6 bits: 36 bits distinguish thousands of callers, 96 bits any number of requests. */
 const CALLER_CHARACTERS = 6
 const CONTENT_CHARACTERS = 16
 /** Keeps the end of one hashed text apart from the start of the next. */
--- a/packages/router/src/relay/frameReader.ts
+++ b/packages/router/src/relay/frameReader.ts
@@ -46,7 +46,7 @@
   else if (event.event === FRAME_EVENTS.end) cursor.end = JSON.parse(event.data) as EndFrame
 }
 
-/** Reads frames until the connection ends; `cursor.end` tells whether the answer did. */
+/** Reads frames until the connection ends; `cursor.end` says whether the answer did. */
 export async function readFrames(
   message: IncomingMessage,
   cursor: FrameCursor,
--- a/packages/routing/src/cacheScope.ts
+++ b/packages/routing/src/cacheScope.ts
@@ -1,6 +1,6 @@
 /**
  * What cached prompt parts of the direct path must share, and the short numbers by which instances
- * tell each other of parts.
+ * report parts to each other.
  */
 import type { TeamId } from '@spoolgate/core'
 import { hashText } from './prefixChain.js'
