fix(router): a stopping router does not say of a resent request that it never ran

What callers saw: a request with an idempotency key, sent again after its connection had broken, was refused as not run by a router that was being stopped, though its earlier send had run. One that believes it may send it under another key, and it runs twice.

Cause: the refusal of a stopping router came before the one place that knows that an earlier send of the caller's key may have run (relayOnce), and promised "not run" for the key, where it is only true of this send.

Change: such a refusal says not_run only where the caller gave no key.

Figures: path.spec, "does not say that a resent request never ran": not_run true before, false now.

--- a/packages/router/src/server/callerRoutes.ts
+++ b/packages/router/src/server/callerRoutes.ts
@@ -109,6 +109,7 @@
     }
   }
   const relay = async (context: CallContext, exchange: HttpExchange, isOnce: boolean) => {
+    const given = isOnce ? readIdempotencyKey(exchange.request) : undefined
     const release = await parts.limits.admit(context.team, context.parameters, context.tokens)
     try {
       // A caller's deadline bounds only the first token here, so that nothing says of a request
@@ -119,11 +120,12 @@
           'this instance stops; send it to another one',
           {
             retryAfterSeconds: RETRY_WHILE_STOPPING_S,
+            // An earlier send with the caller's key may have run.
+            notRun: given === undefined,
           },
         )
       }
       if (!isOnce) return await relayRepeatable(parts, context)
-      const given = readIdempotencyKey(exchange.request)
       const key = { key: given ?? createUniqueId('auto'), isCallers: given !== undefined }
       return await relayOnce(parts, context, key)
     } finally {
--- a/packages/spoolgate/src/__tests__/path.spec.ts
+++ b/packages/spoolgate/src/__tests__/path.spec.ts
@@ -3,7 +3,7 @@
 import { json } from 'node:stream/consumers'
 import { expect } from 'chai'
 import OpenAI from 'openai'
-import { LOCAL_MODEL, type LocalFleet } from '../index.js'
+import { LOCAL_MODEL, LOCAL_SERVICE, type LocalFleet } from '../index.js'
 import {
   createCuttableLink,
   createMessages,
@@ -226,6 +226,27 @@
     expect((await closed)?.abandoned).to.equal(0)
   })
 
+  it('does not say that a resent request never ran, once its stop began', async () => {
+    fleet = await createTestFleet({ engines: 1 })
+    const call = startRequest(`${fleet.routerUrls[0]}/${LOCAL_SERVICE}/receipts`, {
+      method: 'POST',
+      agent: false,
+      headers: {
+        authorization: `Bearer ${fleet.callerKeys['team-0']}`,
+        'idempotency-key': 'resent',
+        expect: '100-continue',
+      },
+    })
+    call.flushHeaders()
+    await once(call, 'continue')
+    const closed = fleet.routers[0]?.close(20_000)
+    call.end('receipt')
+    const [answer] = (await once(call, 'response')) as [IncomingMessage]
+    const { error } = (await json(answer)) as { error: Record<string, unknown> }
+    expect(error).to.include({ code: 'instanceStopping', not_run: false })
+    await closed
+  })
+
   it('serves the first request of a router that was killed and restarted', async () => {
     fleet = await createTestFleet({ engines: 2 })
     const messages = createMessages('restart')
