--- a/packages/config/src/fleetConfig.ts
+++ b/packages/config/src/fleetConfig.ts
@@ -66,7 +66,7 @@
   readonly bytesPerToken: number
 }
 
-/** A backend server and where it stands. */
+/** A backend server and its location. */
 export interface BackendServer {
   readonly id: BackendServerId
   readonly kind: 'engine' | 'service'
--- a/packages/core/src/httpClient.ts
+++ b/packages/core/src/httpClient.ts
@@ -72,7 +72,7 @@
   close(): void
 }
 
-/** Errors of the socket that can only come up before a connection stands. */
+/** Socket errors that can only occur before a connection is established. */
 const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
 function toConnectionError(cause: NodeJS.ErrnoException, timedOut: boolean): ConnectionError {
--- a/packages/core/src/turnQueue.ts
+++ b/packages/core/src/turnQueue.ts
@@ -46,7 +46,7 @@
     isScheduled = false
     turn += 1
     const most = Math.min(MAX_PER_TURN, Math.ceil(waiting.length / DRAIN_TURNS))
-    // Sockets are looked at between two turns: what was queued in the first goes on in the second.
+    // Sockets are polled between two turns, so a task queued in one turn resumes in the next.
     const held = waiting.findIndex((entry) => entry.turn >= turn - 1)
     const ready = held === -1 ? waiting.length : held
     for (const { resume } of waiting.splice(0, Math.min(most, ready))) resume()
--- a/packages/sidecar/src/server/sidecarServer.ts
+++ b/packages/sidecar/src/server/sidecarServer.ts
@@ -79,7 +79,7 @@
   backend(): BackendState
   /** What a reply would say now. */
   hints(): ReplyHints
-  /** Declines new work from now on; work in progress goes on. */
+  /** Declines new work from now on; work in progress continues. */
   leave(): void
   /** Planned stop: leaves, waits up to `drainMs` for calls in progress, then closes. */
   close(drainMs?: number): Promise<SidecarCloseReport>
--- a/packages/spoolgate/src/node/bench/routingBench.ts
+++ b/packages/spoolgate/src/node/bench/routingBench.ts
@@ -142,7 +142,7 @@
     .map(({ report }) => report.firstTokenMs ?? 0)
 }
 
-/** Finds when the p95 of single seconds was back within bounds for good. */
+/** Finds when the p95 of single seconds was permanently back within bounds. */
 function findRecovery(reports: readonly TimedReport[], fault: number, end: number, before: number) {
   let lastBad = fault
   for (let second = fault; second < end - 1; second += 1) {
--- a/packages/standins/src/engine/answers.ts
+++ b/packages/standins/src/engine/answers.ts
@@ -43,7 +43,7 @@
 const MULTIPLIER = 0x9e3779b1
 const INDEX_SHIFT = 27
 
-/** Number that stands for a prompt. */
+/** Number that identifies a prompt. */
 export function hashPromptText(prompt: Buffer): number {
   return hashText(prompt.toString('latin1'))
 }
