feat(router): log the age of the weights on which a request is sent

Cause: the logs could not tell whether a request on old weights was sent late or waited at its engine: neither the age of the weights at the choice nor the expected start was logged, and a router knew only since when it has had the newest version, not since when the version of an engine is superseded. Change: the tracked versions move from serverMonitor to weightsHistory; the leader states their ages in the feed (weightAges), a router keeps the earliest time that it learned of. call.choice has expectedMs and weightsAgeMs. No choice changes.

--- a/packages/control/src/__tests__/feedSimulation.ts
+++ b/packages/control/src/__tests__/feedSimulation.ts
@@ -224,6 +224,7 @@
   })
   const createSource = (url: string, host: Host): FeedSource =>
     createFeedSource({
+      listVersionAges: () => ({}),
       member: createMember(url),
       quarantine: createQuarantineCoordinator({
         member: createMember(url),
--- a/packages/control/src/__tests__/feedSource.spec.ts
+++ b/packages/control/src/__tests__/feedSource.spec.ts
@@ -32,6 +32,7 @@
   const timers = createManualTimerService()
   const { quarantine } = machine
   const source = createFeedSource({
+    listVersionAges: () => ({}),
     member,
     machine,
     timers,
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -8,6 +8,7 @@
 import type { LoadsCursor, LoadsUpdate } from './loadsUpdate.js'
 import type { ServersUpdate } from './serverChanges.js'
 import type { TableUpdate } from '../table/tableUpdate.js'
+import type { VersionAges } from './weightsHistory.js'
 import type { QueueReport } from './queueBoard.js'
 import type { QuotaGrants, QuotaReport } from './quotaProtocol.js'
 
@@ -171,6 +172,8 @@
   readonly tableUpdate?: TableUpdate
   /** This and the following fields are present if the router's revision differs. */
   readonly weights?: Readonly<Record<string, number>>
+  /** Ages of the target weights and of those before them; absent before version 0.8. */
+  readonly weightAges?: VersionAges
   readonly servers?: ServersUpdate
   readonly conditions?: ServerConditions
   /** URLs of the control instances. */
--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -247,7 +247,7 @@
   })
   const applyAnswer = (answer: FeedAnswer) => {
     const { reply, askedAt, sentAt, reported, blame, limits, loads } = answer
-    const isChanged = replica.apply(reply, loads)
+    const isChanged = replica.apply(reply, loads, sentAt)
     options.onPlacements(reply.placements)
     options.onCacheChanges(reply.kept)
     options.blame.recordReported(blame, reply.term)
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -30,6 +30,7 @@
 import { createSpeedAggregator } from './speedAggregator.js'
 import type { QuotaBuckets } from './quotaBuckets.js'
 import type { QuotaGrants, QuotaReport, QuotaStatus } from './quotaProtocol.js'
+import type { VersionAges } from './weightsHistory.js'
 import { listServerStatus, type ServerStatus } from './serverStatus.js'
 import { createServerChanges } from './serverChanges.js'
 import type { TableHistory } from '../table/tableHistory.js'
@@ -41,6 +42,7 @@
   readonly machine: ControlStateMachine
   readonly timers: TimerService
   readonly findConditions: () => ServerConditions
+  readonly listVersionAges: () => VersionAges
   /** Emits when the conditions change. */
   readonly conditionChanges: Observable<void>
   readonly tables: TableHistory
@@ -330,6 +332,7 @@
     return {
       ...common,
       weights: machine.weights.list(),
+      weightAges: options.listVersionAges(),
       servers: serverChanges.listSince(isCurrentTerm(request) ? request.revision : undefined),
       conditions: options.findConditions(),
       control: Object.values(members).map(({ url }) => url),
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -14,6 +14,7 @@
 import type { RegisteredServer } from '../state/serverState.js'
 import { createLoadsReplica, NO_LOADS } from './loadsUpdate.js'
 import type { ServersUpdate } from './serverChanges.js'
+import { createWeightsHistory, type VersionTimes } from './weightsHistory.js'
 import type {
   FeedReply,
   FeedRequest,
@@ -29,6 +30,8 @@
   readonly weights: Readonly<Record<string, number>>
   /** When this router received each model's target weights, in ms of its monotonic clock. */
   readonly weightsSince: Readonly<Record<string, number>>
+  /** When each version of the weights became the target, in ms of the same clock; never later than it did. */
+  readonly versionTimes: VersionTimes
   readonly servers: ReadonlyMap<BackendServerId, RegisteredServer>
   /** Servers that are loading weights or about to load them. */
   readonly loading: ReadonlySet<BackendServerId>
@@ -80,9 +83,10 @@
   /**
    * Applies a reply; true if it contained a new table, weights or servers.
    * @param sentLoads loads of this router in the poll of the reply
+   * @param sentAt when that poll was sent, in ms of `TimerService.now`
    * @throws what `decodeTable` throws; the reply is then not applied at all.
    */
-  apply(reply: FeedReply, sentLoads: ServerLoads): boolean
+  apply(reply: FeedReply, sentLoads: ServerLoads, sentAt: number): boolean
   /**
    * Applies a table update; true if it installed a newer version, false if it does not apply.
    * @throws what `decodeTable` throws; the table is then unchanged.
@@ -127,6 +131,7 @@
   let routers = 1
   let loads: ServerLoads = {}
   const loadsReplica = createLoadsReplica()
+  const weightsHistory = createWeightsHistory(timers)
   let view: FleetView | undefined
   let position: FeedPosition = {
     tableVersion: NO_TABLE_VERSION,
@@ -164,16 +169,23 @@
     servers = next
     return true
   }
-  const applyWeights = (next: Readonly<Record<string, number>>) => {
+  const applyWeights = ({ weights: next, weightAges = {} }: FeedReply, sentAt: number) => {
+    if (!next) return
     const changed = Object.keys(next).filter((model) => next[model] !== weights[model])
     // For the first weights that a router receives, the time since they became the target is unknown.
     const isFirst = Object.keys(weights).length === 0
     const at = isFirst ? -Infinity : timers.now()
     weightsSince = { ...weightsSince, ...Object.fromEntries(changed.map((model) => [model, at])) }
     weights = next
+    weightsHistory.record(weights, timers.now())
+    // The leader stated the ages after the poll was sent; a delayed reply must not make versions seem newer.
+    weightsHistory.recordAges(weightAges, sentAt)
   }
   const buildView = () => {
-    if (index) view = { index, weights, weightsSince, servers, ...conditions, routers, loads }
+    if (!index) return
+    const versionTimes = weightsHistory.times()
+    const known = { index, weights, weightsSince, versionTimes, servers }
+    view = { ...known, ...conditions, routers, loads }
   }
   return {
     view: () => view,
@@ -186,11 +198,11 @@
       buildView()
       return true
     },
-    apply: (reply, sentLoads) => {
+    apply: (reply, sentLoads, sentAt) => {
       const isTableNew = reply.tableUpdate !== undefined && installTable(reply.tableUpdate)
       const isServersKnown = !reply.servers || applyServers(reply.servers)
       if (reply.conditions) conditions = toSets(reply.conditions)
-      applyWeights(reply.weights ?? weights)
+      applyWeights(reply, sentAt)
       control = reply.control ?? control
       routers = Math.max(1, reply.routers)
       const { loadsUpdate } = reply
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -284,6 +284,7 @@
       silent: monitor.listSilent(),
       stores: caches.listReachableStores(),
     }),
+    listVersionAges: monitor.listVersionAges,
     conditionChanges: merge(rollout.loadingChanges, monitor.changes, caches.changes),
     cacheDirectory: caches.directory,
     waitForCacheDirectory: caches.waitForFirstAnswers,
--- a/packages/control/src/registry/serverMonitor.ts
+++ b/packages/control/src/registry/serverMonitor.ts
@@ -6,6 +6,7 @@
 import { Subject, type Observable } from 'rxjs'
 import type { ControlStateMachine } from '../state/controlMachine.js'
 import type { RegisteredServer } from '../state/serverState.js'
+import { createWeightsHistory, findSupersededAt, type VersionAges } from './weightsHistory.js'
 
 /** Options of {@link createServerMonitor}. */
 export interface ServerMonitorOptions {
@@ -23,6 +24,8 @@
 export interface ServerMonitor {
   listSilent(): readonly BackendServerId[]
   listExpired(): readonly BackendServerId[]
+  /** Lists the ages of the tracked weights versions. */
+  listVersionAges(): VersionAges
   /** Emits when either list changes. */
   readonly changes: Observable<void>
   close(): void
@@ -30,14 +33,6 @@
 
 /** Interval between checks, in ms: small compared with the limits on silence and on the age of weights. */
 const CHECK_PERIOD_MS = 100
-/** Maximum number of versions tracked per model; older ones have expired by then. */
-const MAX_TRACKED_VERSIONS = 32
-
-interface TrackedVersion {
-  readonly version: number
-  /** When this instance learned of the version, in ms of the monotonic clock. */
-  readonly learnedAt: number
-}
 
 interface ScanResult {
   readonly ids: readonly BackendServerId[]
@@ -69,9 +64,9 @@
 /** Creates the monitor and starts its periodic check. */
 export function createServerMonitor(options: ServerMonitorOptions): ServerMonitor {
   const { machine, timers } = options
-  const versions = new Map<string, TrackedVersion[]>()
+  const history = createWeightsHistory(timers)
   const changes = new Subject<void>()
-  /** Counts the entries added to `versions`. */
+  /** Counts the changes of the history. */
   let versionsRevision = 0
   const silent = createCachedList(timers)
   const expired = createCachedList(timers)
@@ -79,20 +74,12 @@
   let lastExpired = expired.current()
 
   const recordVersions = () => {
-    for (const [model, version] of Object.entries(machine.weights.list())) {
-      const known = versions.get(model) ?? []
-      if (known.some((entry) => entry.version === version)) continue
-      versionsRevision += 1
-      versions.set(
-        model,
-        [...known, { version, learnedAt: timers.now() }].slice(-MAX_TRACKED_VERSIONS),
-      )
-    }
+    if (history.record(machine.weights.list(), timers.now())) versionsRevision += 1
   }
   const isExpired = ({ weights }: RegisteredServer) =>
     weights.some(({ model, version }) => {
-      const newer = (versions.get(model) ?? []).find((entry) => entry.version > version)
-      return newer !== undefined && timers.now() - newer.learnedAt > options.weightsExpireMs
+      const supersededAt = findSupersededAt(history.times(), model, version)
+      return supersededAt !== undefined && timers.now() - supersededAt > options.weightsExpireMs
     })
   const isSilent = (id: BackendServerId) => options.findHeartbeatAgeMs(id) > options.silentAfterMs
   const findSilent = (): ScanResult => {
@@ -107,9 +94,9 @@
     return { ids, validUntil }
   }
   const findExpired = (): ScanResult => {
-    const ends = [...versions.values()]
+    const ends = Object.values(history.times())
       .flat()
-      .map((entry) => entry.learnedAt + options.weightsExpireMs)
+      .map(({ at }) => at + options.weightsExpireMs)
     const ids = machine.servers.list().filter(isExpired)
     return {
       ids: ids.map(({ id }) => id),
@@ -136,6 +123,7 @@
   return {
     listSilent,
     listExpired,
+    listVersionAges: history.listAges,
     changes,
     close: () => {
       fleetSubscription.unsubscribe()
--- /dev/null
+++ b/packages/control/src/registry/weightsHistory.ts
@@ -0,0 +1,85 @@
+/** Tracks when each weights version became the target of its model, and so since when older versions are superseded. */
+import type { TimerService } from '@spoolgate/core'
+
+/** When a version became the target, in ms of the monotonic clock of this instance. */
+export interface VersionTime {
+  readonly version: number
+  readonly at: number
+}
+
+/** Times of the tracked versions by model. */
+export type VersionTimes = Readonly<Record<string, readonly VersionTime[]>>
+
+/** Ages of the tracked versions by model, in ms; unlike times they are valid on other instances. */
+export type VersionAges = Readonly<
+  Record<string, readonly (readonly [version: number, ageMs: number])[]>
+>
+
+/** See {@link createWeightsHistory}. */
+export interface WeightsHistory {
+  /**
+   * Records target versions that became known at time `at`; a version that is already tracked keeps its earlier time.
+   * @returns whether a time changed
+   */
+  record(weights: Readonly<Record<string, number>>, at: number): boolean
+  /** Records the ages that another instance stated at time `at`. */
+  recordAges(ages: VersionAges, at: number): boolean
+  times(): VersionTimes
+  listAges(): VersionAges
+}
+
+/** Maximum number of versions tracked per model. */
+const MAX_TRACKED_VERSIONS = 32
+/** Age after which only the newest of the versions is kept, in ms: longer than any limit on the age of weights. */
+const RETENTION_MS = 600_000
+
+/** Finds since when a version of a model is superseded; undefined while it is the newest. */
+export function findSupersededAt(
+  times: VersionTimes,
+  model: string,
+  version: number,
+): number | undefined {
+  const newer = (times[model] ?? []).filter((entry) => entry.version > version)
+  return newer.length === 0 ? undefined : Math.min(...newer.map(({ at }) => at))
+}
+
+/** Drops old versions except the newest of them, which supersedes all before it. */
+function removeOldVersions(tracked: readonly VersionTime[], now: number): VersionTime[] {
+  const firstKept = tracked.findLastIndex(({ at }) => now - at > RETENTION_MS)
+  return tracked.slice(Math.max(0, firstKept)).slice(-MAX_TRACKED_VERSIONS)
+}
+
+/** Creates a history without versions. */
+export function createWeightsHistory(timers: Pick<TimerService, 'now'>): WeightsHistory {
+  let times: VersionTimes = {}
+
+  const addVersion = (model: string, version: number, at: number): boolean => {
+    const tracked = times[model] ?? []
+    const known = tracked.find((entry) => entry.version === version)
+    if (known && known.at <= at) return false
+    const others = tracked.filter((entry) => entry !== known)
+    const sorted = [...others, { version, at }].sort((a, b) => a.version - b.version)
+    times = { ...times, [model]: removeOldVersions(sorted, timers.now()) }
+    return true
+  }
+  return {
+    record: (weights, at) =>
+      Object.entries(weights)
+        .map(([model, version]) => addVersion(model, version, at))
+        .includes(true),
+    recordAges: (ages, at) =>
+      Object.entries(ages)
+        .flatMap(([model, entries]) =>
+          entries.map(([version, ageMs]) => addVersion(model, version, at - ageMs)),
+        )
+        .includes(true),
+    times: () => times,
+    listAges: () =>
+      Object.fromEntries(
+        Object.entries(times).map(([model, tracked]) => [
+          model,
+          tracked.map(({ version, at }) => [version, Math.round(timers.now() - at)] as const),
+        ]),
+      ),
+  }
+}
--- a/packages/router/src/__tests__/rankingFixtures.ts
+++ b/packages/router/src/__tests__/rankingFixtures.ts
@@ -39,6 +39,7 @@
     loads,
     weights: {},
     weightsSince: {},
+    versionTimes: {},
     stores: [],
     index: { table: { stores: [] } },
   } as unknown as FleetView
--- a/packages/router/src/direct/engineCost.ts
+++ b/packages/router/src/direct/engineCost.ts
@@ -1,5 +1,5 @@
 /** Estimates the cost of sending a prompt to an engine: its expected start, and what the choice costs other requests. */
-import type { RegisteredServer, ServerLoad } from '@spoolgate/control'
+import { findSupersededAt, type RegisteredServer, type ServerLoad } from '@spoolgate/control'
 import type { BackendServerId } from '@spoolgate/core'
 import type { PromptInfo } from './protocols.js'
 import { LONG_PROMPT_TOKENS, type PromptLength } from './enginePartition.js'
@@ -48,6 +48,7 @@
   matchedTokens: 0,
   uncachedTokens: 0,
   version: undefined,
+  supersededAt: undefined,
   fetchFrom: undefined,
   saveTo: undefined,
   isPreferred: false,
@@ -223,6 +224,7 @@
     matchedTokens,
     uncachedTokens,
     version,
+    supersededAt: findSupersededAt(input.view.versionTimes, prompt.model, version),
     fetchFrom,
     saveTo,
     isPreferred,
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -6,20 +6,23 @@
 import type { DirectContext } from './directContext.js'
 import { buildPlacement } from './prefixCacheIndex.js'
 
-/** Builds the log fields of a server choice: the figures that decided it and the second-best server. */
+/** Builds the log fields of a server choice at time `now`: the figures that decided it and the second-best server. */
 export function formatServerChoice(
   plan: CallPlan,
   best: Candidate,
   second: Candidate | undefined,
+  now: number,
 ): Record<string, unknown> {
   const { prompt } = plan.call
   return {
     server: best.server.id,
     cost: best.cost,
+    expectedMs: Math.round(best.expectedMs),
     matchedTokens: best.matchedTokens,
     unreadTokens: best.uncachedTokens,
     promptTokens: prompt?.promptTokens,
     version: best.version,
+    weightsAgeMs: best.supersededAt && Math.round(now - best.supersededAt),
     team: plan.team?.id,
     shared: prompt?.parts.slice(0, -1).map(({ id, tokens }) => `${id}:${tokens}`),
     fetchFrom: best.fetchFrom,
--- a/packages/router/src/direct/serverRanking.ts
+++ b/packages/router/src/direct/serverRanking.ts
@@ -60,6 +60,8 @@
   readonly saveTo: StoreTarget | undefined
   /** Weights version that it serves; undefined for plain services. */
   readonly version: number | undefined
+  /** When a newer version became the target, in ms of the monotonic clock; undefined for none. */
+  readonly supersededAt: number | undefined
   /** Whether all routers prefer it for prompt parts that are not known to be cached anywhere. */
   readonly isPreferred: boolean
   /** Part of the expected time that does not depend on the prefill rate, in ms; 0 without estimated server speeds. */
@@ -203,6 +205,7 @@
     fetchFrom: estimate.fetchFrom,
     saveTo: estimate.saveTo,
     version: estimate.version,
+    supersededAt: estimate.supersededAt,
     isPreferred: estimate.isPreferred,
     overheadMs: estimate.overheadMs,
     aheadTokens: estimate.aheadTokens,
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -112,6 +112,6 @@
     ? findDeadlineRefusal(context, plan, best, log)
     : undefined
   if (deadlineRefusal) return deadlineRefusal
-  log('call.choice', formatServerChoice(plan, best, allowed.at(1)))
+  log('call.choice', formatServerChoice(plan, best, allowed.at(1), context.timers.now()))
   return { kind: 'server', candidate: best }
 }
--- a/packages/spoolgate/src/node/bench/rankingBench.ts
+++ b/packages/spoolgate/src/node/bench/rankingBench.ts
@@ -68,6 +68,7 @@
     loads: Object.fromEntries(loads),
     weights: {},
     weightsSince: {},
+    versionTimes: {},
     stores: [],
     routers: 1,
   }
