--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -18,13 +18,11 @@
   waitFor,
   type BackendServerId,
   type CloseReport,
-  type Logger,
-  type TimerService,
 } from '@spoolgate/core'
-import { createBackpressure, type RoutingTable, type ServerGroup } from '@spoolgate/routing'
+import { createBackpressure } from '@spoolgate/routing'
 import { firstValueFrom, race } from 'rxjs'
 import { resolveCall } from './callPlan.js'
-import type { BackendProtocol, CallerProtocol, DirectCall } from './protocols.js'
+import type { DirectCall } from './protocols.js'
 import type { DirectContext } from './directContext.js'
 import { createInstruments } from './instruments.js'
 import { createLivenessMonitor, checkConnection } from './livenessMonitor.js'
@@ -35,7 +33,7 @@
   type TrackedRequest,
 } from './gracefulShutdown.js'
 import { createRequestQuarantine } from './requestQuarantine.js'
-import { createRetryBudget, type RetryBounds } from './retryBudget.js'
+import { createRetryBudget } from './retryBudget.js'
 import { createQuotaAdmission } from '../limits/quotaAdmission.js'
 import { createQuotaCredits } from '../limits/quotaCredits.js'
 import { formatLimits } from '../limits/limitsLog.js'
@@ -44,51 +42,13 @@
 import { createServerStats } from './serverStats.js'
 import { createCrashDetector } from './crashDetector.js'
 import { createRestartDetector } from './restartDetector.js'
+import type { DirectRouterOptions } from './directRouterOptions.js'
 import { serveCall } from './serveCall.js'
-import { createEngineAdmission, type DirectAdmissionOptions } from './engineAdmission.js'
+import { createEngineAdmission } from './engineAdmission.js'
 import { createEnginePartition } from './enginePartition.js'
 import { createServiceTimes } from './serviceTimes.js'
 import { createSpeedSetup } from '../speeds/speedSetup.js'
 
-/** Options of {@link createDirectRouter}. */
-export interface DirectRouterOptions {
-  readonly instance: string
-  readonly hall: string
-  readonly host: string
-  /** Port for callers; 0 lets the operating system choose. */
-  readonly port: number
-  /** URLs of the control instances to contact first; called each time they are needed. */
-  readonly seeds: () => readonly string[]
-  readonly caller: CallerProtocol
-  readonly backend: BackendProtocol
-  readonly decodeTable: (document: string) => RoutingTable
-  readonly retryBounds: RetryBounds
-  /** Maximum age of the proof that the routing table is current, in ms; beyond it, its keys are not trusted. */
-  readonly maxProofAgeMs: number
-  readonly logger: Logger
-  readonly timers: TimerService
-  /**
-   * Maximum time that a request waits for the first routing table, in ms.
-   * @default 1500, since a leader is elected within a second after all instances have started together
-   */
-  readonly tableWaitMs?: number
-  /**
-   * Seed of the random choices.
-   * @default derived from the clock
-   */
-  readonly seed?: number
-  /**
-   * Admission of generation requests by the capacity of the engines.
-   * @default undefined: requests are sent to engines without regard to their capacity
-   */
-  readonly admission?: DirectAdmissionOptions
-  /**
-   * Whether the speed of each backend server is estimated, and servers are ranked by it; a function decides by group.
-   * @default false, all servers of a group count as equally fast
-   */
-  readonly serverSpeeds?: boolean | ((group: ServerGroup) => boolean)
-}
-
 /** A running router. */
 export interface DirectRouter {
   readonly port: number
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,11 +2,8 @@
 export { CALLER_HEADERS } from './server/callerRequest.js'
 export { REQUEST_ID_HEADER } from './server/callerRoutes.js'
 export type { RequestRecord } from './decide/decisionLog.js'
-export {
-  createDirectRouter,
-  type DirectRouter,
-  type DirectRouterOptions,
-} from './direct/directRouter.js'
+export { createDirectRouter, type DirectRouter } from './direct/directRouter.js'
+export type { DirectRouterOptions } from './direct/directRouterOptions.js'
 export type { DirectAdmissionOptions } from './direct/engineAdmission.js'
 export type {
   ResponseHead,
