fix(router): withdraw requests from engines whose weights expire before they begin

What callers saw: answers computed on weights that had been replaced more than 10 s before. Cause: the limit on old weights was applied when a request was sent. Engines with expired weights got no new requests after 0.7 of the limit, and nothing bounded the wait of those already sent; a wait of more than 3 s passed the limit. Change: weightsExpiry holds the limit at the time at which a request begins. An engine is no candidate where the request is expected to begin too late; a request without a response head shortly before the limit is withdrawn: repeatable ones go to another engine within the retry budget, others get an error that does not promise that they were not run. A response that has begun is left alone. Metric withdrawals, call.sendEnded end=withdrawn, field expired of call.noServer. Why this works: the router knows which requests have no response, and the time at which a version was superseded, from its own clock and the ages that the leader states, never later than it was.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -97,7 +97,7 @@
   type SuspectedRequest,
 } from './quarantine/crashReport.js'
 export type { FleetView } from './registry/fleetReplica.js'
-export { findSupersededAt, type VersionTimes } from './registry/weightsHistory.js'
+export { findSupersededAt, LAST_SEND_RATIO, type VersionTimes } from './registry/weightsHistory.js'
 export type { CacheClient, CacheEvents } from './registry/cacheWatch.js'
 export type { CacheEntry } from './registry/cacheDirectory.js'
 export type {
--- a/packages/control/src/registry/weightsHistory.ts
+++ b/packages/control/src/registry/weightsHistory.ts
@@ -28,6 +28,11 @@
   listAges(): VersionAges
 }
 
+/**
+ * Part of the maximum age of weights after which no request is sent to engines that have them; the rest of the time is
+ * left to requests that wait there.
+ */
+export const LAST_SEND_RATIO = 0.7
 /** Maximum number of versions tracked per model. */
 const MAX_TRACKED_VERSIONS = 32
 /** Age after which only the newest of the versions is kept, in ms: longer than any limit on the age of weights. */
--- a/packages/router/src/__tests__/rankingFixtures.ts
+++ b/packages/router/src/__tests__/rankingFixtures.ts
@@ -10,6 +10,7 @@
 import { createPrefixCacheIndex } from '../direct/prefixCacheIndex.js'
 import { createServerStats } from '../direct/serverStats.js'
 import { createEnginePartition } from '../direct/enginePartition.js'
+import { createWeightsExpiry } from '../direct/weightsExpiry.js'
 import { createServiceTimes } from '../direct/serviceTimes.js'
 import { createServerLimits } from '../limits/serverLimits.js'
 
@@ -46,9 +47,16 @@
 }
 
 /** Creates the ranking context of a router that has not sent any request. */
-export function createRankingContext(timers: TimerService, seed: number) {
+export function createRankingContext(timers: TimerService, seed: number, maxAgeMs = Infinity) {
+  const serverStats = createServerStats(timers)
   return {
-    serverStats: createServerStats(timers),
+    serverStats,
+    weightsExpiry: createWeightsExpiry({
+      maxAgeMs,
+      findView: () => undefined,
+      serverStats,
+      timers,
+    }),
     backpressure: createBackpressure(),
     limits: createServerLimits(),
     prefixCache: createPrefixCacheIndex({ findCacheTokens: () => 100_000 }),
--- /dev/null
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -0,0 +1,68 @@
+import type { FleetView, ServerLoads } from '@spoolgate/control'
+import { createManualTimerService } from '@spoolgate/core'
+import { formatCacheScope } from '@spoolgate/routing'
+import { expect } from 'chai'
+import { rankServers } from '../direct/serverRanking.js'
+import { createServerStats } from '../direct/serverStats.js'
+import { createWeightsExpiry } from '../direct/weightsExpiry.js'
+import { buildView, createRankingContext, createEngineServer, GROUP } from './rankingFixtures.js'
+
+const MAX_AGE_MS = 10_000
+const PROMPT = { model: 'm', parts: [{ id: 'own', tokens: 100 }], promptTokens: 100, maxTokens: 10 }
+const TOKENS_PER_MS = 50
+
+/** View in which version 2 became the target at time 0. */
+function buildOutdatedView(names: readonly string[], loads: ServerLoads): FleetView {
+  const versionTimes = { m: [{ version: 2, at: 0 }] }
+  return { ...buildView(names.map(createEngineServer), loads), weights: { m: 2 }, versionTimes }
+}
+
+describe('the maximum age of weights', () => {
+  it('keeps requests from engines where they would begin after it', () => {
+    const timers = createManualTimerService()
+    const context = createRankingContext(timers, 1, MAX_AGE_MS)
+    const queued = { calls: 1, promptTokens: 3_000 * TOKENS_PER_MS }
+    const { id: idle } = createEngineServer('idle')
+    const { id: busy } = createEngineServer('busy')
+    const rankIds = () =>
+      rankServers(context, {
+        view: buildOutdatedView(['idle', 'busy'], { [busy]: queued }),
+        group: GROUP,
+        prompt: PROMPT,
+        formatScope: () => formatCacheScope(undefined, 1),
+        excluded: new Set(),
+        hall: 'h',
+        now: timers.now(),
+      }).map(({ server }) => server.id)
+    timers.advance(2_000)
+    expect(rankIds()).to.have.members([idle, busy])
+    timers.advance(4_500)
+    expect(rankIds()).to.deep.equal([idle])
+    timers.advance(1_000)
+    expect(rankIds()).to.deep.equal([])
+  })
+
+  it('withdraws each waiting request once, before it is reached, unless its engine has newer weights', () => {
+    const timers = createManualTimerService()
+    const view = buildOutdatedView(['old', 'updated'], {})
+    const serverStats = createServerStats(timers)
+    const findView = () => view
+    const expiry = createWeightsExpiry({ maxAgeMs: MAX_AGE_MS, findView, serverStats, timers })
+    const withdrawn: string[] = []
+    const watch = (name: string) =>
+      expiry.watch({
+        server: createEngineServer(name).id,
+        model: 'm',
+        onExpired: () => withdrawn.push(name),
+      })
+    for (const name of ['old', 'updated', 'old']) watch(name)
+    watch('old').unsubscribe()
+    timers.advance(9_000)
+    expect(withdrawn).to.deep.equal([])
+    serverStats.recordVersion(createEngineServer('updated').id, 2)
+    timers.advance(999)
+    expect(withdrawn).to.deep.equal(['old', 'old'])
+    timers.advance(5_000)
+    expect(withdrawn).to.have.length(2)
+  })
+})
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -36,6 +36,10 @@
   | { readonly kind: 'answered'; readonly status: number }
   /** The server received nothing: no connection was established. */
   | { readonly kind: 'notSent'; readonly reason: string }
+  /** The weights of the server expired before a byte was sent. */
+  | { readonly kind: 'withheld'; readonly reason: string }
+  /** The weights of the server expired before its response began; the request may have run. */
+  | { readonly kind: 'withdrawn'; readonly reason: string }
   /** No byte was sent: the deadline has passed, the caller has disconnected, or the routing table is too old. */
   | { readonly kind: 'forbidden'; readonly reason: string }
   /** It is unknown whether the request ran, or its stream broke off. */
@@ -46,12 +50,22 @@
   answered: 'ok',
   notSent: 'none',
   forbidden: 'none',
+  withheld: 'none',
+  withdrawn: 'none',
   notRun: 'none',
   failed: 'failed',
   lost: 'failed',
   abandoned: 'none',
 }
 
+/** Outcomes of attempts that no server has started to process. */
+export const NOT_STARTED_OUTCOMES: ReadonlySet<AttemptOutcome['kind']> = new Set([
+  'notSent',
+  'forbidden',
+  'withheld',
+  'notRun',
+])
+
 /** Statuses that tell callers that the request was not run; forwarded only when the server itself guarantees that. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const MIN_CLIENT_ERROR_STATUS = 400
--- a/packages/router/src/direct/directContext.ts
+++ b/packages/router/src/direct/directContext.ts
@@ -24,6 +24,7 @@
 import type { ServiceTimes } from './serviceTimes.js'
 import type { EngineAdmission } from './engineAdmission.js'
 import type { DirectInstruments } from './instruments.js'
+import type { WeightsExpiry } from './weightsExpiry.js'
 import type { ServerSpeeds } from '../speeds/serverSpeeds.js'
 
 /** Context shared by all requests of a direct router. */
@@ -42,6 +43,7 @@
   readonly prefixCache: PrefixCacheIndex
   readonly enginePartition: EnginePartition
   readonly serviceTimes: ServiceTimes
+  readonly weightsExpiry: WeightsExpiry
   /** Finds the speeds of the servers of a group; undefined if they are not estimated. */
   readonly findServerSpeeds: (group: ServerGroup) => ServerSpeeds | undefined
   readonly retryBudget: RetryBudget
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -47,6 +47,7 @@
 import { createEngineAdmission } from './engineAdmission.js'
 import { createEnginePartition } from './enginePartition.js'
 import { createServiceTimes } from './serviceTimes.js'
+import { createWeightsExpiry } from './weightsExpiry.js'
 import { createSpeedSetup } from '../speeds/speedSetup.js'
 
 /** A running router. */
@@ -230,6 +231,12 @@
     prefixCache,
     enginePartition: createEnginePartition(timers),
     serviceTimes,
+    weightsExpiry: createWeightsExpiry({
+      maxAgeMs: options.maxWeightsAgeMs ?? Infinity,
+      findView: feed.current,
+      serverStats,
+      timers,
+    }),
     findServerSpeeds: serverSpeeds.findServerSpeeds,
     retryBudget: createRetryBudget({
       timers,
--- a/packages/router/src/direct/instruments.ts
+++ b/packages/router/src/direct/instruments.ts
@@ -7,6 +7,7 @@
   readonly refusals: Counter
   readonly cutOff: Counter
   readonly sends: Counter
+  readonly withdrawals: Counter
   readonly quotaRefusals: Counter
   readonly firstPartMs: Histogram
   readonly promptTokens: Counter
@@ -24,6 +25,10 @@
     refusals: metrics.counter('refusals', 'Requests that this router refused, by kind'),
     cutOff: metrics.counter('cut_off', 'Requests that a planned stop of this router cut off'),
     sends: metrics.counter('sends', 'Sends to backend servers, by group'),
+    withdrawals: metrics.counter(
+      'withdrawals',
+      'Requests withdrawn from engines whose weights expired before they began',
+    ),
     quotaRefusals: metrics.counter(
       'quota_refusals',
       'Requests beyond a limit of their team, by team',
--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -34,6 +34,10 @@
   | { readonly kind: 'notSent'; readonly reason: string }
   /** The final check before sending failed; no byte was sent. */
   | { readonly kind: 'forbidden'; readonly reason: string }
+  /** The request was withdrawn before a byte was sent. */
+  | { readonly kind: 'withheld'; readonly reason: string }
+  /** The request was withdrawn from the server, which has sent nothing; it may have run. */
+  | { readonly kind: 'withdrawn'; readonly reason: string }
   /** The server may have run the request. */
   | { readonly kind: 'lost'; readonly reason: string }
 
@@ -44,6 +48,8 @@
   wasWritten(): boolean
   /** Enables TCP keep-alive probes, so that a connection that the peer no longer knows is reset while it is idle. */
   enableKeepAliveProbes(): void
+  /** Cancels the attempt and closes its connection; returns false if the response has begun. */
+  withdraw(reason: string): boolean
   /** Cancels the attempt and closes its connection. */
   cancel(): void
 }
@@ -56,6 +62,8 @@
   const [host, port] = options.address.split(':')
   let isWritten = false
   let isCancelled = false
+  let hasResponse = false
+  let withdraw: (reason: string) => boolean = () => false
   let outgoing: ClientRequest | undefined
 
   const result = new Promise<AttemptResult>((resolve) => {
@@ -94,7 +102,17 @@
       if (socket.connecting) socket.once('connect', write)
       else write()
     })
-    clientRequest.on('response', (message) => resolve({ kind: 'head', message }))
+    withdraw = (reason) => {
+      if (hasResponse) return false
+      resolve({ kind: isWritten ? 'withdrawn' : 'withheld', reason })
+      isCancelled = true
+      clientRequest.destroy()
+      return true
+    }
+    clientRequest.on('response', (message) => {
+      hasResponse = true
+      resolve({ kind: 'head', message })
+    })
     clientRequest.on('error', (cause) => {
       connectTimer.unsubscribe()
       resolveFailure(cause.message)
@@ -106,6 +124,7 @@
     wasWritten: () => isWritten,
     enableKeepAliveProbes: () =>
       void outgoing?.socket?.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY_MS),
+    withdraw: (reason) => withdraw(reason),
     cancel: () => {
       isCancelled = true
       outgoing?.destroy()
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -24,6 +24,7 @@
 import {
   SERVER_OUTCOMES,
   NOT_RUN_STATUSES,
+  NOT_STARTED_OUTCOMES,
   relayResponse,
   type FailedOutcome,
   type NotRunOutcome,
@@ -35,16 +36,9 @@
 import { countKvTokens } from './engineLoads.js'
 import { buildSendFields, recordSentPrompt } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
-import { watchStall } from './restartDetector.js'
+import { watchAttempt } from './attemptWatch.js'
 import type { TrackedCall } from './serverStats.js'
 
-/** Outcomes of attempts that no server has started to process. */
-const NOT_STARTED_OUTCOMES: ReadonlySet<AttemptOutcome['kind']> = new Set([
-  'notSent',
-  'forbidden',
-  'notRun',
-])
-
 /** Serves one planned request; resolves once its final response has been sent. */
 export async function serveCall(
   context: DirectContext,
@@ -207,7 +201,7 @@
     const { server } = candidate
     this.recordConnectionLoss = () =>
       crashDetector.recordInterrupted(server, { request: this.fingerprint, round })
-    const outcome = await this.sendWithStallWatch(candidate)
+    const outcome = await this.sendWithWatch(candidate)
     const isConnectionLost = outcome.kind === 'lost' || outcome.kind === 'abandoned'
     // A connection that this router closed itself says nothing about the server.
     if (isConnectionLost && !this.isFinished) this.recordConnectionLoss()
@@ -268,24 +262,20 @@
     recordSentPrompt(context, plan, candidate)
   }
 
-  private async sendWithStallWatch(candidate: Candidate): Promise<AttemptOutcome> {
-    const stallWatch = watchStall({
-      restarts: this.context.restartDetector,
-      timers: this.context.timers,
-      server: candidate.server.id,
+  private async sendWithWatch(candidate: Candidate): Promise<AttemptOutcome> {
+    const watch = watchAttempt({
+      context: this.context,
+      plan: this.plan,
+      candidate,
       lastDataAt: () => this.lastChunkAt,
-      onRestart: () => {
-        this.log('call.serverRestarted', { server: candidate.server.id })
-        this.currentAttempt?.enableKeepAliveProbes()
-      },
-      onStall: () => {
-        if (!this.isFinished && this.isRetryable()) this.currentAttempt?.cancel()
-      },
+      findAttempt: () => this.currentAttempt,
+      isRetryable: () => !this.isFinished && this.isRetryable(),
+      log: (event, fields) => this.log(event, fields),
     })
     try {
       return await this.sendToServer(candidate)
     } finally {
-      stallWatch.unsubscribe()
+      watch.unsubscribe()
     }
   }
 
@@ -314,9 +304,10 @@
       isUnanswered: () => !this.isFinished && this.trackedCall?.hasNoServerActivity() === true,
       takeRetry: () => this.takeRetry(),
     })
-    if (result.kind === 'notSent' || result.kind === 'forbidden')
-      this.mayHaveRun = previousMayHaveRun
-    if (result.kind !== 'head') return result
+    if (result.kind !== 'head') {
+      if (NOT_STARTED_OUTCOMES.has(result.kind)) this.mayHaveRun = previousMayHaveRun
+      return result
+    }
     const { message } = result
     this.trackedCall?.recordActivity()
     const outcome = checkResponseHead(context, plan, candidate, { message, sentAt: this.sentAt })
@@ -330,14 +321,17 @@
     return relayResponse({ message, headers, response, relay, isFinished: () => this.isFinished })
   }
 
+  private logSendEnd({ server }: Candidate, outcome: AttemptOutcome): void {
+    if (outcome.kind === 'answered') return
+    const { kind, reason } = outcome
+    const backoff = kind === 'notRun' ? outcome.backoff : undefined
+    this.log('call.sendEnded', { server: server.id, end: kind, reason, backoff })
+  }
+
   /** Handles the outcome of an attempt; returns true once the request has its final response. */
   private async handleOutcome(candidate: Candidate, outcome: AttemptOutcome): Promise<boolean> {
     this.trackedCall?.finish(SERVER_OUTCOMES[outcome.kind])
-    if (outcome.kind !== 'answered') {
-      const { kind, reason } = outcome
-      const backoff = kind === 'notRun' ? outcome.backoff : undefined
-      this.log('call.sendEnded', { server: candidate.server.id, end: kind, reason, backoff })
-    }
+    this.logSendEnd(candidate, outcome)
     switch (outcome.kind) {
       case 'answered':
         this.timings.recordPlainResponse()
@@ -347,6 +341,7 @@
         this.context.liveness.recordUnreachable(candidate.server)
         this.excluded.add(candidate.server.id)
         return false
+      case 'withheld':
       case 'abandoned':
         this.excluded.add(candidate.server.id)
         return false
@@ -357,6 +352,7 @@
         return this.handleNotRun(candidate, outcome)
       case 'failed':
         return this.handleFailed(candidate, outcome)
+      case 'withdrawn':
       case 'lost':
         return this.handleLost(candidate, outcome.reason)
     }
--- a/packages/router/src/direct/serverRanking.ts
+++ b/packages/router/src/direct/serverRanking.ts
@@ -24,6 +24,7 @@
   resolvePrefillRates,
   UNREACHABLE_MS,
 } from './engineCost.js'
+import type { WeightsExpiry } from './weightsExpiry.js'
 import type { ServerSpeeds } from '../speeds/serverSpeeds.js'
 
 /** Input of {@link rankServers}. */
@@ -78,6 +79,7 @@
   readonly random: RandomSource
   readonly enginePartition: EnginePartition
   readonly serviceTimes: ServiceTimes
+  readonly weightsExpiry: Pick<WeightsExpiry, 'isStartInTime'>
 }
 
 /** Cost of a server in another data hall, in ms: the round trip and the cost of the traffic. */
@@ -252,7 +254,7 @@
   const rates = resolvePrefillRates(context, input)
   const isAnyShedding = inGroup.some(isSheddingHereOrElsewhere)
   const estimatePlainCost = createPlainEstimate(context, input)
-  const ranked = usable.map((server): Candidate => {
+  const estimated = usable.map((server): Candidate => {
     const load = addLoad(serverStats.findLoad(server.id), view.loads[server.id])
     const estimate =
       prompt && locations
@@ -265,6 +267,7 @@
     const cost = estimate.cost + estimateServerPenalty(context, input, server) + idlePenaltyMs
     return buildCandidate(server, estimate, cost)
   })
+  const ranked = estimated.filter(context.weightsExpiry.isStartInTime)
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
   const sampledRatio = serverSpeeds ? SAMPLED_RATIO_WITH_SPEEDS : SAMPLED_RATIO
   const sampled = prompt
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -54,7 +54,8 @@
   const retryAfterSeconds = findGroupRetryAfterSeconds(context, plan)
   const backingOff = context.backpressure.listBackingOff(context.timers.now()).length
   const limited = context.limits.countLimited()
-  log('call.noServer', { group: plan.group.name, backingOff, limited, retryAfterSeconds })
+  const expired = (context.feed.current() ?? plan.view).expired.size
+  log('call.noServer', { group: plan.group.name, backingOff, limited, expired, retryAfterSeconds })
   return { kind: 'none', retryAfterSeconds }
 }
 
--- /dev/null
+++ b/packages/router/src/direct/weightsExpiry.ts
@@ -0,0 +1,85 @@
+/**
+ * Enforces the maximum age of weights at the time a request begins. A request is not sent to an engine where it would
+ * begin too late, and a request that still waits at an engine when its weights expire is withdrawn.
+ */
+import { findSupersededAt, LAST_SEND_RATIO, type FleetView } from '@spoolgate/control'
+import type { BackendServerId, TimerService } from '@spoolgate/core'
+import { Subscription } from 'rxjs'
+import { findVersion } from './prefixLocations.js'
+import type { Candidate } from './serverRanking.js'
+import type { ServerStats } from './serverStats.js'
+
+/** Options of {@link createWeightsExpiry}. */
+export interface WeightsExpiryOptions {
+  /** Maximum time in ms after a newer version became the target for which a request may begin; Infinity for no limit. */
+  readonly maxAgeMs: number
+  readonly findView: () => FleetView | undefined
+  readonly serverStats: ServerStats
+  readonly timers: TimerService
+}
+
+/** A request that was sent to an engine and has not begun there, as far as the router knows. */
+export interface WaitingRequest {
+  readonly server: BackendServerId
+  readonly model: string
+  /** Called once when the weights of the engine expire. */
+  readonly onExpired: () => void
+}
+
+/** See {@link createWeightsExpiry}. */
+export interface WeightsExpiry {
+  /** Whether a request that is sent now would begin before the weights of the candidate expire. */
+  isStartInTime(candidate: Pick<Candidate, 'supersededAt' | 'expectedMs'>): boolean
+  /** Watches a request until it is unsubscribed. */
+  watch(request: WaitingRequest): Subscription
+}
+
+/** Interval between checks of the waiting requests, in ms. */
+const CHECK_PERIOD_MS = 50
+/** Time before the limit at which requests are withdrawn, in ms: the engine has to receive the withdrawal. */
+const WITHDRAWAL_MARGIN_MS = 250
+/** Factor on the expected start: half as much again for the calls of other routers that this one does not know of. */
+const START_SAFETY_FACTOR = 1.5
+
+/** Creates the enforcement for one router. */
+export function createWeightsExpiry(options: WeightsExpiryOptions): WeightsExpiry {
+  const { maxAgeMs, findView, serverStats, timers } = options
+  const waiting = new Set<WaitingRequest>()
+  let checks: Subscription | undefined
+
+  const isExpired = ({ server: id, model }: WaitingRequest): boolean => {
+    const view = findView()
+    const server = view?.servers.get(id)
+    const version = server && findVersion(server, model, serverStats)
+    if (!view || version === undefined) return false
+    const supersededAt = findSupersededAt(view.versionTimes, model, version) ?? Infinity
+    return timers.now() >= supersededAt + maxAgeMs - WITHDRAWAL_MARGIN_MS
+  }
+  const checkWaiting = () => {
+    for (const request of [...waiting].filter(isExpired)) {
+      waiting.delete(request)
+      request.onExpired()
+    }
+  }
+  const removeRequest = (request: WaitingRequest) => {
+    waiting.delete(request)
+    if (waiting.size > 0) return
+    checks?.unsubscribe()
+    checks = undefined
+  }
+  return {
+    isStartInTime: ({ supersededAt, expectedMs }) => {
+      if (supersededAt === undefined) return true
+      const now = timers.now()
+      if (now > supersededAt + maxAgeMs * LAST_SEND_RATIO) return false
+      const latestStartAt = supersededAt + maxAgeMs - WITHDRAWAL_MARGIN_MS
+      return now + expectedMs * START_SAFETY_FACTOR <= latestStartAt
+    },
+    watch: (request) => {
+      if (maxAgeMs === Infinity) return Subscription.EMPTY
+      waiting.add(request)
+      checks ??= timers.every(CHECK_PERIOD_MS).subscribe(checkWaiting)
+      return new Subscription(() => removeRequest(request))
+    },
+  }
+}
