--- a/packages/router/src/direct/serverRanking.ts
+++ b/packages/router/src/direct/serverRanking.ts
@@ -24,6 +24,7 @@
   resolvePrefillRates,
   UNREACHABLE_MS,
 } from './engineCost.js'
+import type { WeightsExpiry } from './weightsExpiry.js'
 import type { ServerSpeeds } from '../speeds/serverSpeeds.js'
 
 /** Input of {@link rankServers}. */
@@ -60,6 +61,8 @@
   readonly saveTo: StoreTarget | undefined
   /** Weights version that it serves; undefined for plain services. */
   readonly version: number | undefined
+  /** When a newer version became the target, in ms of the monotonic clock; undefined for none. */
+  readonly supersededAt: number | undefined
   /** Whether all routers prefer it for prompt parts that are not known to be cached anywhere. */
   readonly isPreferred: boolean
   /** Part of the expected time that does not depend on the prefill rate, in ms; 0 without estimated server speeds. */
@@ -76,6 +79,7 @@
   readonly random: RandomSource
   readonly enginePartition: EnginePartition
   readonly serviceTimes: ServiceTimes
+  readonly weightsExpiry: Pick<WeightsExpiry, 'isStartInTime'>
 }
 
 /** Cost of a server in another data hall, in ms: the round trip and the cost of the traffic. */
@@ -203,6 +207,7 @@
     fetchFrom: estimate.fetchFrom,
     saveTo: estimate.saveTo,
     version: estimate.version,
+    supersededAt: estimate.supersededAt,
     isPreferred: estimate.isPreferred,
     overheadMs: estimate.overheadMs,
     aheadTokens: estimate.aheadTokens,
@@ -249,7 +254,7 @@
   const rates = resolvePrefillRates(context, input)
   const isAnyShedding = inGroup.some(isSheddingHereOrElsewhere)
   const estimatePlainCost = createPlainEstimate(context, input)
-  const ranked = usable.map((server): Candidate => {
+  const estimated = usable.map((server): Candidate => {
     const load = addLoad(serverStats.findLoad(server.id), view.loads[server.id])
     const estimate =
       prompt && locations
@@ -262,6 +267,7 @@
     const cost = estimate.cost + estimateServerPenalty(context, input, server) + idlePenaltyMs
     return buildCandidate(server, estimate, cost)
   })
+  const ranked = estimated.filter(context.weightsExpiry.isStartInTime)
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
   const sampledRatio = serverSpeeds ? SAMPLED_RATIO_WITH_SPEEDS : SAMPLED_RATIO
   const sampled = prompt
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -54,7 +54,8 @@
   const retryAfterSeconds = findGroupRetryAfterSeconds(context, plan)
   const backingOff = context.backpressure.listBackingOff(context.timers.now()).length
   const limited = context.limits.countLimited()
-  log('call.noServer', { group: plan.group.name, backingOff, limited, retryAfterSeconds })
+  const expired = (context.feed.current() ?? plan.view).expired.size
+  log('call.noServer', { group: plan.group.name, backingOff, limited, expired, retryAfterSeconds })
   return { kind: 'none', retryAfterSeconds }
 }
 
@@ -112,6 +113,6 @@
     ? findDeadlineRefusal(context, plan, best, log)
     : undefined
   if (deadlineRefusal) return deadlineRefusal
-  log('call.choice', formatServerChoice(plan, best, allowed.at(1)))
+  log('call.choice', formatServerChoice(plan, best, allowed.at(1), context.timers.now()))
   return { kind: 'server', candidate: best }
 }
--- a/packages/spoolgate/src/node/bench/rankingBench.ts
+++ b/packages/spoolgate/src/node/bench/rankingBench.ts
@@ -68,6 +68,7 @@
     loads: Object.fromEntries(loads),
     weights: {},
     weightsSince: {},
+    versionTimes: {},
     stores: [],
     routers: 1,
   }
@@ -102,6 +103,7 @@
     random,
     enginePartition: createEnginePartition(timers),
     serviceTimes: createServiceTimes(),
+    weightsExpiry: { isStartInTime: () => true },
   }
   const buildInput = (turn: number, speeds: ServerSpeeds | undefined): RankingInput => ({
     view,
