feat(control): log how long engines load weights and when weights expire

Cause: the log of control has the orders to load weights, but neither how long an engine holds a place in the rollout nor when the weights of an engine expire, so the two could be told apart only by guesswork. Change: log events `weights.loadStarted`, `weights.loadEnded` (version held, version wanted, ms, orders sent, outcome) and `weights.expired` (age of the newer version at this instance); metrics of control `weight_orders` by outcome, `loading_engines` and `expired_engines`. A line per decision, none per poll. No change of logic; the options of the rollout in weightsRollout.spec have one more field (`countOrder`).

--- a/packages/control/src/__tests__/weightsRollout.spec.ts
+++ b/packages/control/src/__tests__/weightsRollout.spec.ts
@@ -64,6 +64,7 @@
       orderLeaseMs: ORDER_LEASE_MS,
       sumLoads: () => ({}),
       findHeartbeatAgeMs: () => 0,
+      countOrder: () => undefined,
     })
   }
 
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -50,6 +50,7 @@
 import { createServerMonitor } from './serverMonitor.js'
 import { createTableAccess, type TableAccess } from './tableAccess.js'
 import { createTableSource, type TableRequest } from './tableSource.js'
+import { createOrderCounter, startWeightsReport } from './weightsReport.js'
 import { createWeightsRollout } from './weightsRollout.js'
 import { createTableHistory } from '../table/tableHistory.js'
 
@@ -232,6 +233,7 @@
     orderLeaseMs: options.orderLeaseMs,
     sumLoads: () => feed.sumLoads(),
     findHeartbeatAgeMs: operations.findHeartbeatAgeMs,
+    countOrder: createOrderCounter(metrics),
   })
   const monitor = createServerMonitor({
     machine,
@@ -240,6 +242,7 @@
     silentAfterMs: options.silentAfterMs,
     weightsExpireMs: options.weightsExpireMs,
   })
+  startWeightsReport({ servers: machine.servers, monitor, rollout, logger, metrics })
   const caches = createCacheWatch({
     member,
     machine,
--- a/packages/control/src/registry/serverMonitor.ts
+++ b/packages/control/src/registry/serverMonitor.ts
@@ -5,7 +5,7 @@
 import type { BackendServerId, TimerService } from '@spoolgate/core'
 import { Subject, type Observable } from 'rxjs'
 import type { ControlStateMachine } from '../state/controlMachine.js'
-import type { RegisteredServer } from '../state/serverState.js'
+import type { LoadedWeights, RegisteredServer } from '../state/serverState.js'
 
 /** Options of {@link createServerMonitor}. */
 export interface ServerMonitorOptions {
@@ -23,6 +23,8 @@
 export interface ServerMonitor {
   listSilent(): readonly BackendServerId[]
   listExpired(): readonly BackendServerId[]
+  /** Finds the time since this instance learned of a newer version, in ms; undefined while there is none. */
+  findNewerAgeMs(weights: LoadedWeights): number | undefined
   /** Emits when either list changes. */
   readonly changes: Observable<void>
   close(): void
@@ -89,11 +91,12 @@
       )
     }
   }
+  const findNewerAgeMs = ({ model, version }: LoadedWeights) => {
+    const newer = (versions.get(model) ?? []).find((entry) => entry.version > version)
+    return newer && timers.now() - newer.learnedAt
+  }
   const isExpired = ({ weights }: RegisteredServer) =>
-    weights.some(({ model, version }) => {
-      const newer = (versions.get(model) ?? []).find((entry) => entry.version > version)
-      return newer !== undefined && timers.now() - newer.learnedAt > options.weightsExpireMs
-    })
+    weights.some((held) => (findNewerAgeMs(held) ?? 0) > options.weightsExpireMs)
   const isSilent = (id: BackendServerId) => options.findHeartbeatAgeMs(id) > options.silentAfterMs
   const findSilent = (): ScanResult => {
     const now = timers.now()
@@ -136,6 +139,7 @@
   return {
     listSilent,
     listExpired,
+    findNewerAgeMs,
     changes,
     close: () => {
       fleetSubscription.unsubscribe()
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -32,6 +32,8 @@
   readonly sumLoads: () => ServerLoads
   /** Returns the time since the last heartbeat of a server, in ms. */
   readonly findHeartbeatAgeMs: (id: BackendServerId) => number
+  /** Counts the outcome of an order. */
+  readonly countOrder: (outcome: OrderOutcome) => void
 }
 
 /** See {@link createWeightsRollout}. */
@@ -78,8 +80,13 @@
   readonly model: string
   /** Version held by the server when the task was created. */
   readonly heldVersion: number
+  /** Number of orders sent so far. */
+  orderCount: number
 }
 
+/** How a load ended, for the log. */
+type LoadOutcome = 'loaded' | 'notLoaded' | 'failed'
+
 /** Whether an engine is idle enough to be ordered to load, given how long it has had no new work. */
 function isIdleEnough({ waiting, running }: EngineReport, waitedMs: number): boolean {
   if (waitedMs > MAX_IDLE_WAIT_MS) return true
@@ -143,7 +150,7 @@
       const outdated = findOutdatedWeights(server)
       const isFree = !loading.has(server.id) && (backoffUntil.get(server.id) ?? 0) <= now
       if (!outdated || !isFree || !isLive(server) || !leases.isAvailable(server.name)) return []
-      return [{ server, model: outdated.model, heldVersion: outdated.version }]
+      return [{ server, model: outdated.model, heldVersion: outdated.version, orderCount: 0 }]
     })
     // Sums the loads of the whole fleet, so only if there is something to order by them.
     const loads = tasks.length > 1 ? options.sumLoads() : {}
@@ -165,7 +172,9 @@
       keepsRunningRequests: report.running > 0,
       expectedOrders: report.ordersTaken,
     }
+    task.orderCount += 1
     const outcome = await engineClient.sendLoad(task.server, order)
+    options.countOrder(outcome)
     if (outcome === 'unknown') unanswered.add(task.server.id)
     const { model, fencing } = order
     const { waiting, running } = report
@@ -204,14 +213,21 @@
     await member.propose({ kind: 'load.begin', server })
     leases.acquire(server)
   }
+  const describeTask = ({ server, model, heldVersion }: LoadTask) => {
+    const wanted = machine.weights.find(model)
+    return { server: server.id, model, version: heldVersion, wanted }
+  }
   const runTask = async (task: LoadTask, term: number) => {
     const { id, name } = task.server
+    const startedAt = timers.now()
+    let outcome: LoadOutcome = 'failed'
     loading.add(id)
     loadingChanges.next()
+    logger.info('weights.loadStarted', { ...describeTask(task), loading: loading.size })
     try {
       await Promise.all([waitFor(timers, ANNOUNCE_MS), startLoad(name)])
-      if (!(await loadWantedVersion(task, term)))
-        backoffUntil.set(id, timers.now() + FAILURE_BACKOFF_MS)
+      outcome = (await loadWantedVersion(task, term)) ? 'loaded' : 'notLoaded'
+      if (outcome !== 'loaded') backoffUntil.set(id, timers.now() + FAILURE_BACKOFF_MS)
       if (!unanswered.delete(id)) await member.propose({ kind: 'load.end', server: name })
     } catch (cause) {
       backoffUntil.set(id, timers.now() + FAILURE_BACKOFF_MS)
@@ -219,6 +235,13 @@
     }
     loading.delete(id)
     loadingChanges.next()
+    const ms = Math.round(timers.now() - startedAt)
+    logger.info('weights.loadEnded', {
+      ...describeTask(task),
+      ms,
+      orders: task.orderCount,
+      outcome,
+    })
   }
   const startTasks = () => {
     const { role, term, hasLease } = member.status()
