fix(control): free an engine's place in the rollout when its order has no response

Cause: an engine counted as loading from the start of its task until it had the newest version. An order without a response held one of the places (0.3 of the live engines) for up to 15 s, the wanted version moved on meanwhile, and the other engines got no order until their weights had expired. Routers kept such an engine out of service all along. Change: a place is held from the announcement until the order is answered, and then only while the engine loads. After an order without a response, the rollout looks at the engine until a report must show the effect (0.5 s after the order); without one, the engine goes back into service and is remembered as having an unconfirmed order for 12 s. Such engines are polled at a bounded rate (160/s over all engines), and one that is busy takes a place again. A task ends with any newer version. Order of the queue: engines that were not yet given the wanted version, those with an older unconfirmed order last among them; then retries in turn. Engines with expired weights are ordered without announcement or wait.

--- a/packages/control/src/__tests__/weightsRolloutLeader.ts
+++ b/packages/control/src/__tests__/weightsRolloutLeader.ts
@@ -19,8 +19,10 @@
 /** Simulated engine. */
 export interface TestEngine extends EngineReport {
   version: number
+  isBusy: boolean
   waiting: number
   running: number
+  ordersTaken: number
 }
 
 /** A leader with simulated engines and a manual clock. */
@@ -37,6 +39,10 @@
   readonly unresponsive = new Set<BackendServerId>()
   /** Engines that neither execute orders nor respond to them. */
   readonly losesOrders = new Set<BackendServerId>()
+  /** Whether orders are accepted and leave the engine busy instead of taking effect at once. */
+  acceptsOrders = false
+  expired: readonly BackendServerId[] = []
+  readonly proposed: string[] = []
   status = { role: 'leader', term: 1, hasLease: true } as RaftStatus
   maxLoading = 0
   readonly rollout: WeightsRollout
@@ -44,7 +50,10 @@
   constructor() {
     const member = {
       status: () => this.status,
-      propose: async (command: unknown) => this.machine.apply(command, 1),
+      propose: async (command: { kind: string }) => {
+        this.proposed.push(command.kind)
+        return this.machine.apply(command, 1)
+      },
     } as unknown as RaftMember
     this.rollout = createWeightsRollout({
       member,
@@ -55,6 +64,10 @@
           const mark = this.machine.weightLoads.find(name)
           this.orders.push({ ...order, server: id, at: this.timers.now(), mark })
           if (this.losesOrders.has(id)) return 'unknown'
+          if (this.acceptsOrders) {
+            Object.assign(this.engines.get(id) as TestEngine, { isBusy: true })
+            return 'taken'
+          }
           ;(this.engines.get(id) as TestEngine).version = order.version
           return this.unresponsive.has(id) ? 'unknown' : 'taken'
         },
@@ -65,6 +78,7 @@
       orderLeaseMs: ORDER_LEASE_MS,
       sumLoads: () => ({}),
       findHeartbeatAgeMs: () => 0,
+      listExpired: () => this.expired,
       countOrder: () => undefined,
     })
   }
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -233,6 +233,7 @@
     orderLeaseMs: options.orderLeaseMs,
     sumLoads: () => feed.sumLoads(),
     findHeartbeatAgeMs: operations.findHeartbeatAgeMs,
+    listExpired: () => monitor.listExpired(),
     countOrder: createOrderCounter(metrics),
   })
   const monitor = createServerMonitor({
