--- a/packages/control/src/registry/serverMonitor.ts
+++ b/packages/control/src/registry/serverMonitor.ts
@@ -5,7 +5,7 @@
 import type { BackendServerId, TimerService } from '@spoolgate/core'
 import { Subject, type Observable } from 'rxjs'
 import type { ControlStateMachine } from '../state/controlMachine.js'
-import type { RegisteredServer } from '../state/serverState.js'
+import type { LoadedWeights, RegisteredServer } from '../state/serverState.js'
 import { createWeightsHistory, findSupersededAt, type VersionAges } from './weightsHistory.js'
 
 /** Options of {@link createServerMonitor}. */
@@ -26,6 +26,8 @@
   listExpired(): readonly BackendServerId[]
   /** Lists the ages of the tracked weights versions. */
   listVersionAges(): VersionAges
+  /** Finds the time since this instance learned of a newer version, in ms; undefined while there is none. */
+  findNewerAgeMs(weights: LoadedWeights): number | undefined
   /** Emits when either list changes. */
   readonly changes: Observable<void>
   close(): void
@@ -76,11 +78,12 @@
   const recordVersions = () => {
     if (history.record(machine.weights.list(), timers.now())) versionsRevision += 1
   }
+  const findNewerAgeMs = ({ model, version }: LoadedWeights) => {
+    const supersededAt = findSupersededAt(history.times(), model, version)
+    return supersededAt === undefined ? undefined : timers.now() - supersededAt
+  }
   const isExpired = ({ weights }: RegisteredServer) =>
-    weights.some(({ model, version }) => {
-      const supersededAt = findSupersededAt(history.times(), model, version)
-      return supersededAt !== undefined && timers.now() - supersededAt > options.weightsExpireMs
-    })
+    weights.some((held) => (findNewerAgeMs(held) ?? 0) > options.weightsExpireMs)
   const isSilent = (id: BackendServerId) => options.findHeartbeatAgeMs(id) > options.silentAfterMs
   const findSilent = (): ScanResult => {
     const now = timers.now()
@@ -124,6 +127,7 @@
     listSilent,
     listExpired,
     listVersionAges: history.listAges,
+    findNewerAgeMs,
     changes,
     close: () => {
       fleetSubscription.unsubscribe()
