fix(router): withdraw requests from engines that left the fleet with old weights

Cause: the version of the engine was read from the fleet only; an engine that left serves what waits there, and had no version any more. Change: the version at the time of the send counts where the fleet has none. Measured: weightsExpiry.spec with a request at an engine that is not in the fleet: [old, old] before, [old, old, gone] after; 4 passing with oldWeights.spec.

--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -42,7 +42,7 @@
     expect(rankIds()).to.deep.equal([])
   })
 
-  it('withdraws each waiting request once, before it is reached, unless its engine has newer weights', () => {
+  it('withdraws each waiting request once, before it is reached, also at an engine that left, unless it has newer weights', () => {
     const timers = createManualTimerService()
     const view = buildOutdatedView(['old', 'updated'], {})
     const serverStats = createServerStats(timers)
@@ -53,16 +53,17 @@
       expiry.watch({
         server: createEngineServer(name).id,
         model: 'm',
+        version: 1,
         onExpired: () => withdrawn.push(name),
       })
-    for (const name of ['old', 'updated', 'old']) watch(name)
+    for (const name of ['old', 'updated', 'old', 'gone']) watch(name)
     watch('old').unsubscribe()
     timers.advance(9_000)
     expect(withdrawn).to.deep.equal([])
     serverStats.recordVersion(createEngineServer('updated').id, 2)
     timers.advance(999)
-    expect(withdrawn).to.deep.equal(['old', 'old'])
+    expect(withdrawn).to.deep.equal(['old', 'old', 'gone'])
     timers.advance(5_000)
-    expect(withdrawn).to.have.length(2)
+    expect(withdrawn).to.have.length(3)
   })
 })
--- a/packages/router/src/direct/attemptWatch.ts
+++ b/packages/router/src/direct/attemptWatch.ts
@@ -47,6 +47,8 @@
     const isWithdrawn = findAttempt()?.withdraw(EXPIRED_REASON)
     if (isWithdrawn) context.instruments.withdrawals.add(1, { group: plan.group.name })
   }
-  subscription.add(context.weightsExpiry.watch({ server: id, model: prompt.model, onExpired }))
+  const { version } = candidate
+  const request = { server: id, model: prompt.model, version, onExpired }
+  subscription.add(context.weightsExpiry.watch(request))
   return subscription
 }
--- a/packages/router/src/direct/weightsExpiry.ts
+++ b/packages/router/src/direct/weightsExpiry.ts
@@ -22,6 +22,8 @@
 export interface WaitingRequest {
   readonly server: BackendServerId
   readonly model: string
+  /** Weights version of the engine when the request was sent; undefined if the model is not loaded there. */
+  readonly version: number | undefined
   /** Called once when the weights of the engine expire. */
   readonly onExpired: () => void
 }
@@ -47,12 +49,16 @@
   const waiting = new Set<WaitingRequest>()
   let checks: Subscription | undefined
 
-  const isExpired = ({ server: id, model }: WaitingRequest): boolean => {
+  /** Finds the version that the engine has now; one that left the fleet keeps what it had. */
+  const findCurrentVersion = (view: FleetView, { server: id, model, version }: WaitingRequest) => {
+    const server = view.servers.get(id)
+    return (server && findVersion(server, model, serverStats)) ?? version
+  }
+  const isExpired = (request: WaitingRequest): boolean => {
     const view = findView()
-    const server = view?.servers.get(id)
-    const version = server && findVersion(server, model, serverStats)
+    const version = view && findCurrentVersion(view, request)
     if (!view || version === undefined) return false
-    const supersededAt = findSupersededAt(view.versionTimes, model, version) ?? Infinity
+    const supersededAt = findSupersededAt(view.versionTimes, request.model, version) ?? Infinity
     return timers.now() >= supersededAt + maxAgeMs - WITHDRAWAL_MARGIN_MS
   }
   const checkWaiting = () => {
