fix(router): have callers return after a load when all engines have to load first

What callers saw: a 503 with Retry-After 0.15 s while the weights of all engines had expired; the retry came before any engine could have loaded and was refused as well. Cause: only backoffs and rate limits had a time at which a server accepts requests again. Change: an engine with outdated weights counts as open after a typical load, 1 s. The fleet's current view decides, not the one at the arrival of the request.

--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -3,6 +3,7 @@
 import { formatCacheScope } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { rankServers } from '../direct/serverRanking.js'
+import { createNoServer } from '../direct/serverSelection.js'
 import { createServerStats } from '../direct/serverStats.js'
 import { createWeightsExpiry } from '../direct/weightsExpiry.js'
 import { buildView, createRankingContext, createEngineServer, GROUP } from './rankingFixtures.js'
@@ -42,6 +43,17 @@
     expect(rankIds()).to.deep.equal([])
   })
 
+  it('does not have callers return at once when all engines have to load first', () => {
+    const timers = createManualTimerService()
+    const view = buildOutdatedView(['a', 'b'], {})
+    const feed = { current: () => view }
+    const context = { ...createRankingContext(timers, 1, MAX_AGE_MS), timers, feed }
+    const plan = { view, group: GROUP }
+    timers.advance(8_000)
+    const refusal = createNoServer(context as never, plan as never, () => undefined)
+    expect(refusal.retryAfterSeconds).to.be.within(1, 1.25)
+  })
+
   it('withdraws each waiting request once, before it is reached, also at an engine that left, unless it has newer weights', () => {
     const timers = createManualTimerService()
     const view = buildOutdatedView(['old', 'updated'], {})
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -1,4 +1,5 @@
 /** Selects the backend server for the next send of a request, or finds that none can take it. */
+import { findSupersededAt, type FleetView, type RegisteredServer } from '@spoolgate/control'
 import type { BackendServerId } from '@spoolgate/core'
 import { formatCallScope, type CallPlan } from './callPlan.js'
 import { LOADING_MS, rankServers, type Candidate } from './serverRanking.js'
@@ -10,6 +11,9 @@
 /** Maximum number of sends of one request, whatever their outcome; bounds the work for one that no server accepts. */
 const MAX_SENDS = 4
 
+/** Typical duration of a load of weights, in ms: the time after which callers return if all engines have to load first. */
+const LOAD_MS = 1_000
+
 /** Sends of a request so far. */
 export interface SendHistory {
   /** Sends that were started. */
@@ -32,14 +36,25 @@
 /** Result of {@link chooseServer}. */
 export type ServerSelection = { readonly kind: 'server'; readonly candidate: Candidate } | NoServer
 
+/** Whether a server has weights that are no longer the newest. */
+function isOutdated({ versionTimes }: FleetView, { weights }: RegisteredServer): boolean {
+  return weights.some(
+    ({ model, version }) => findSupersededAt(versionTimes, model, version) !== undefined,
+  )
+}
+
 /** Finds the earliest time at which a server of the group accepts requests again; now if one already does. */
 function findNextOpenAt(context: DirectContext, plan: CallPlan): number {
   const now = context.timers.now()
-  const openTimes = [...plan.view.servers.values()]
+  const view = context.feed.current() ?? plan.view
+  const openTimes = [...view.servers.values()]
     .filter(({ group, phase }) => group === plan.group.name && phase === 'ready')
-    .map(({ id }) => checkServerAvailability(context, id, now))
-    .filter(({ kind }) => kind !== 'leaving')
-    .map((verdict) => ('until' in verdict ? verdict.until : now))
+    .map((server) => ({ server, verdict: checkServerAvailability(context, server.id, now) }))
+    .filter(({ verdict }) => verdict.kind !== 'leaving')
+    .map(({ server, verdict }) => {
+      if ('until' in verdict) return verdict.until
+      return isOutdated(view, server) ? now + LOAD_MS : now
+    })
   return openTimes.length === 0 ? now : Math.min(...openTimes)
 }
 
