fix(control): no warning of Node with more than ten loads of weights at a time

Cause: each wait of a load listens to the signal that stops the rollout; Node warns (`MaxListenersExceededWarning`, to standard error) at the eleventh. Change: no limit on the listeners of this signal, as in the cache watch.

--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -12,6 +12,7 @@
   type Logger,
   type TimerService,
 } from '@spoolgate/core'
+import { setMaxListeners } from 'node:events'
 import type { Observable } from 'rxjs'
 import type { RaftMember } from '../raft/types.js'
 import type { ControlStateMachine } from '../state/controlMachine.js'
@@ -80,6 +81,8 @@
 export function createWeightsRollout(options: WeightsRolloutOptions): WeightsRollout {
   const { member, machine, engineClient, timers, logger } = options
   const stopping = new AbortController()
+  // Each wait of a load adds a listener; Node warns about more than ten by default.
+  setMaxListeners(0, stopping.signal)
   /** Engines with a task, which may outlast its place. */
   const active = new Set<BackendServerId>()
   const retryAt = new Map<BackendServerId, number>()
