fix(sidecar): check weights, readiness and scope of a call again when its turn comes

Cause: the sidecar checked these when it claimed a call; what waited in the queue was then started unchecked. A call claimed for w1 that waited while the engine loaded w2 ran on w2 with the salt and cache scope of w1. While the engine loaded, it was sent there too, answered 503 and reported as a failure that may have run. A call of a team removed meanwhile still ran. Change: the three conditions are checked at the start. What no longer holds ends as not run, with the decline and the hints of that moment in its last frame; the router treats that like a decline: another server, no ejection, no retry spent. A planned stop still runs what was claimed.

--- a/packages/router/src/relay/attempt.ts
+++ b/packages/router/src/relay/attempt.ts
@@ -90,6 +90,7 @@
   const { end } = cursor
   if (!end) return undefined
   if (end.outcome === 'finished') return { kind: 'finished' }
+  if (end.declined) return { kind: 'declined', ...end.declined }
   return { kind: 'failed', reason: end.reason ?? 'unknown', notRun: end.notRun ?? false }
 }
 
--- a/packages/routing/src/callHeader.ts
+++ b/packages/routing/src/callHeader.ts
@@ -7,6 +7,7 @@
   TeamId,
   WeightsVersion,
 } from '@spoolgate/core'
+import type { ReplyHints } from './hints.js'
 
 /** Request header that contains the {@link CallHeader}. */
 export const CALL_HEADER = 'x-spoolgate-call'
@@ -93,6 +94,8 @@
   readonly reason?: string
   /** Whether no byte of the call reached the backend server. */
   readonly notRun?: boolean
+  /** Set if the sidecar declined the call when its turn came, with the hints of that moment. */
+  readonly declined?: { readonly decline: Decline; readonly hints: ReplyHints }
 }
 
 /** State of one dispatch, as the sidecar reports it on request. */
--- a/packages/sidecar/src/calls/admission.ts
+++ b/packages/sidecar/src/calls/admission.ts
@@ -61,14 +61,38 @@
   ],
 ]
 
+/** Conditions that can change while a claimed call waits in the queue. */
+const START_REASONS: ReadonlySet<DeclineReason> = new Set([
+  'notReady',
+  'wrongWeights',
+  'wrongScope',
+])
+const START_CHECKS = CHECKS.filter(([reason]) => START_REASONS.has(reason))
+
 /** Reasons for which waiting helps. */
 const PASSING_REASONS: ReadonlySet<DeclineReason> = new Set(['queueFull', 'deadlineUnreachable'])
 
-/** Finds out why a call must be declined; undefined when it is claimed. */
-export function findDecline(call: CallHeader, facts: AdmissionFacts): Decline | undefined {
-  const failed = CHECKS.find(([, check]) => check(call, facts))
+function findFirstDecline(
+  checks: typeof CHECKS,
+  call: CallHeader,
+  facts: AdmissionFacts,
+): Decline | undefined {
+  const failed = checks.find(([, check]) => check(call, facts))
   if (!failed) return undefined
   const [declined] = failed
   if (!PASSING_REASONS.has(declined)) return { declined }
   return { declined, retryAfterMs: Math.ceil(facts.firstTokenMs) }
 }
+
+/** Finds out why a call must be declined; undefined when it is claimed. */
+export function findDecline(call: CallHeader, facts: AdmissionFacts): Decline | undefined {
+  return findFirstDecline(CHECKS, call, facts)
+}
+
+/**
+ * Finds out why a claimed call must not start when its turn comes; undefined when it starts. A planned stop is no
+ * reason: claimed calls are still run.
+ */
+export function findStartDecline(call: CallHeader, facts: AdmissionFacts): Decline | undefined {
+  return findFirstDecline(START_CHECKS, call, facts)
+}
--- a/packages/sidecar/src/calls/callHandler.ts
+++ b/packages/sidecar/src/calls/callHandler.ts
@@ -33,7 +33,7 @@
 import type { BackendAdapter, PreparedCall } from '../backend/adapters.js'
 import type { BackendWatcher } from '../backend/backendWatcher.js'
 import type { CacheIndex } from '../backend/cacheIndex.js'
-import { findDecline } from './admission.js'
+import { findDecline, findStartDecline, type AdmissionFacts } from './admission.js'
 import { createCall, type Call } from './call.js'
 import { runCall } from './callRunner.js'
 import type { CallTable } from './callTable.js'
@@ -126,10 +126,10 @@
     }
     return buildPrefixChain(scope, prompt, model)
   }
-  const findDeclineNow = (header: CallHeader, missingTokens: number) => {
+  const findFacts = (header: CallHeader, missingTokens: number): AdmissionFacts => {
     const fleet = config.current()
     const queueMs = estimate.queueMs(queue.waiting(), options.slots)
-    return findDecline(header, {
+    return {
       isLeaving: options.isLeaving(),
       incarnation: options.incarnation,
       fleet,
@@ -140,7 +140,11 @@
       waiting: queue.waiting(),
       queueLimit: options.queueLimit,
       firstTokenMs: queueMs + missingTokens / estimate.prefillTokensPerMs(),
-    })
+    }
+  }
+  const recordDecline = ({ request }: CallHeader, decline: Decline, waitedMs: number) => {
+    options.declines.add(1, { reason: decline.declined })
+    logger.info('call.declined', { request, reason: decline.declined, waitedMs })
   }
 
   /** What must hold at the instant of a claim, whatever the checks before it were. */
@@ -168,20 +172,34 @@
     const finish = () => {
       progress.recordEnd()
       queue.finish()
-      if (call.outcome()?.outcome === 'failed') void watcher.refresh()
     }
     const engineIncarnation = watcher.state().incarnation
     const onFirstToken = () => {
       progress.recordFirstToken()
       if (index.incarnation() === engineIncarnation) index.recordComputed(chain, timers.now())
     }
-    const run = () => {
+    const claimedAt = timers.now()
+    const run = async () => {
       const { url, client } = options
       const { body } = prepared
-      void runCall({ call, adapter, url, body, client, onFirstToken }).then(finish)
+      const decline = findStartDecline(header, findFacts(header, missing))
+      if (decline) {
+        recordDecline(header, decline, timers.now() - claimedAt)
+        const declined = { decline, hints: buildHints(index.match(chain, timers.now())) }
+        call.finish({ outcome: 'failed', reason: decline.declined, notRun: true, declined })
+        return
+      }
+      await runCall({ call, adapter, url, body, client, onFirstToken })
+      if (call.outcome()?.outcome === 'failed') void watcher.refresh()
     }
     const { team, priority, share } = header
-    const remove = queue.add({ team, priority, share, cost: missing + 1, run })
+    const remove = queue.add({
+      team,
+      priority,
+      share,
+      cost: missing + 1,
+      run: () => void run().then(finish),
+    })
     call.signal.addEventListener('abort', () => {
       if (!remove()) return
       progress.recordEnd()
@@ -214,10 +232,9 @@
     const chain = buildChain(header, prepared.prompt, config.current())
     const matched = index.match(chain, timers.now())
     const missing = chain.totalTokens - matched
-    const decline = findDeclineNow(header, missing)
+    const decline = findDecline(header, findFacts(header, missing))
     if (decline) {
-      options.declines.add(1, { reason: decline.declined })
-      logger.info('call.declined', { request: header.request, reason: decline.declined })
+      recordDecline(header, decline, 0)
       return sendDecline(exchange, decline, buildHints(matched))
     }
     assertClaimable(header, chain)
