fix(control): free the slot of an order whose sidecar stopped responding

Cause: an order to a sidecar that froze, or whose machine was gone, on an open connection held one of two slots until its limit of 600 s. Two such orders stopped every load. Change: while an order is open its sidecar is asked for its status each period. After five queries in a row without a response (10 s at the default period) the order is recorded as failed and its slot is free; the engine gets a new order, with a higher number, once its sidecar answers again. A load that takes long keeps its slot: its sidecar answers.

--- a/packages/control/src/server/orderRunner.ts
+++ b/packages/control/src/server/orderRunner.ts
@@ -5,6 +5,7 @@
  */
 import type { BackendServer, Fleet } from '@spoolgate/config'
 import {
+  ConnectionError,
   type BackendServerId,
   type HttpClient,
   type Logger,
@@ -49,6 +50,8 @@
 const DEFAULT_PERIOD_MS = 1_000
 const STATUS_TIMEOUT_MS = 1_000
 const ORDER_TIMEOUT_MS = 600_000
+/** Consecutive status queries without a response after which the outcome of a sidecar's open order counts as unknown. */
+const MAX_UNANSWERED_QUERIES = 5
 const INITIAL_BACKOFF_MS = 2_000
 const MAX_BACKOFF_MS = 120_000
 /** Sidecars queried per period. */
@@ -59,6 +62,7 @@
 /** Starts the repair task of a control instance; it is idle while the instance is not the leader. */
 export function createOrderRunner(options: OrderRunnerOptions): OrderRunner {
   const { member, machine, client, timers, logger } = options
+  const periodMs = options.periodMs ?? DEFAULT_PERIOD_MS
   const stopping = new AbortController()
   const backoffs = new Map<BackendServerId, Backoff>()
   /** Orders in progress on this instance, by fencing number. */
@@ -79,12 +83,49 @@
     backoff.failures += 1
     backoffs.set(server, backoff)
   }
+  const querySidecar = (server: BackendServer, signal?: AbortSignal) =>
+    client.sendJson<SidecarStatus>({
+      method: 'GET',
+      url: `${server.sidecarUrl}/status`,
+      timeoutMs: STATUS_TIMEOUT_MS,
+      signal,
+    })
+  /** Whether a sidecar responds at all; an error response is one too. */
+  const isResponding = (server: BackendServer, signal: AbortSignal): Promise<boolean> =>
+    querySidecar(server, signal).then(
+      () => true,
+      (cause) => !(cause instanceof ConnectionError),
+    )
+  /** Watches the sidecar of an open order; aborts the order once the sidecar has stopped responding. */
+  const watchSidecar = async (order: Order, server: BackendServer, open: AbortController) => {
+    const signal = AbortSignal.any([open.signal, stopping.signal])
+    let unanswered = 0
+    while (unanswered < MAX_UNANSWERED_QUERIES) {
+      await waitFor(timers, periodMs, signal)
+      const hasResponded = signal.aborted || (await isResponding(server, signal))
+      if (signal.aborted) return
+      unanswered = hasResponded ? 0 : unanswered + 1
+    }
+    logger.warn('order.abandoned', { server: server.id, fencing: order.fencing, unanswered })
+    open.abort()
+  }
+  const sendOrder = async (order: Order, server: BackendServer) => {
+    const open = new AbortController()
+    const url = `${server.sidecarUrl}/orders`
+    const request = { method: 'POST', url, json: order, timeoutMs: ORDER_TIMEOUT_MS }
+    const watch = watchSidecar(order, server, open)
+    try {
+      await client.sendJson({ ...request, signal: open.signal })
+    } finally {
+      open.abort()
+      await watch
+    }
+  }
   const runOrder = async (order: Order, server: BackendServer) => {
     const { fencing, action, value } = order
     let outcome: 'done' | 'failed' = 'done'
     try {
-      const url = `${server.sidecarUrl}/orders`
-      await client.sendJson({ method: 'POST', url, json: order, timeoutMs: ORDER_TIMEOUT_MS })
+      await sendOrder(order, server)
       backoffs.delete(server.id)
       statuses.delete(server.id)
     } catch (cause) {
@@ -112,12 +153,7 @@
   }
   const fetchStatus = async (server: BackendServer): Promise<SidecarStatus | undefined> => {
     try {
-      const url = `${server.sidecarUrl}/status`
-      return await client.sendJson<SidecarStatus>({
-        method: 'GET',
-        url,
-        timeoutMs: STATUS_TIMEOUT_MS,
-      })
+      return await querySidecar(server)
     } catch {
       return undefined
     }
@@ -197,7 +233,7 @@
   }
   const runRepairs = async () => {
     while (!stopping.signal.aborted) {
-      await waitFor(timers, options.periodMs ?? DEFAULT_PERIOD_MS, stopping.signal)
+      await waitFor(timers, periodMs, stopping.signal)
       if (stopping.signal.aborted) return
       await repairFleet().catch((cause) =>
         logger.debug('repair.interrupted', { reason: String(cause) }),
