fix(control): finish open orders to backend servers that were removed

Cause: an order that was open when its leader was lost is resumed by the next leader, unless its backend server is no longer in the configuration; then nobody finished it. Two such orders held both slots for good, also over restarts. Change: such an order is recorded as failed. One that runs on this leader keeps its slot until it ends. Measured: orderRunner.spec, two open orders to removed engines, manual clock.

--- a/packages/control/src/__tests__/orderRunner.spec.ts
+++ b/packages/control/src/__tests__/orderRunner.spec.ts
@@ -169,4 +169,23 @@
     const [first, second] = sidecars[0].orders
     expect(second.fencing).to.be.greaterThan(first.fencing)
   })
+
+  it('of engines that were removed from the configuration do not hold slots forever', async () => {
+    for (const server of ['gone0', 'gone1']) {
+      await propose({ kind: 'order.issue', server, action: 'loadWeights', value: 'w2', at: 0 })
+    }
+    expect(machine.orders.open()).to.have.length(MAX_CONCURRENT_WEIGHT_LOADS)
+    await advance(OBSERVED_MS)
+    expect(listUpdated()).to.have.length(ENGINES)
+  })
+
+  it('in progress at an engine that is removed keep their slots until they end', async () => {
+    for (const sidecar of sidecars) sidecar.loadMs = OBSERVED_MS
+    await advance(10_000)
+    fleet = buildFleet(0)
+    await advance(10_000)
+    expect(machine.orders.open()).to.have.length(MAX_CONCURRENT_WEIGHT_LOADS)
+    await advance(OBSERVED_MS)
+    expect(machine.orders.open()).to.deep.equal([])
+  })
 })
--- a/packages/control/src/server/orderRunner.ts
+++ b/packages/control/src/server/orderRunner.ts
@@ -121,8 +121,17 @@
       await watch
     }
   }
-  const runOrder = async (order: Order, server: BackendServer) => {
-    const { fencing, action, value } = order
+  const finishOrder = async (order: Order, outcome: 'done' | 'failed') => {
+    const { server, fencing, action, value } = order
+    logger.info('order.finished', { server, action, value, fencing, outcome })
+    const at = timers.wallNow()
+    await member
+      .propose({ kind: 'order.finish', server, fencing, outcome, at })
+      .catch(() => logger.warn('order.unrecorded', { server, fencing }))
+  }
+  const runOrder = async (order: Order, server: BackendServer | undefined) => {
+    if (!server) return finishOrder(order, 'failed')
+    const { fencing } = order
     let outcome: 'done' | 'failed' = 'done'
     try {
       await sendOrder(order, server)
@@ -133,23 +142,17 @@
       recordFailure(server.id)
       logger.warn('order.failed', { server: server.id, fencing, reason: String(cause) })
     }
-    logger.info('order.finished', { server: server.id, action, value, fencing, outcome })
-    const at = timers.wallNow()
-    await member
-      .propose({ kind: 'order.finish', server: server.id, fencing, outcome, at })
-      .catch(() => logger.warn('order.unrecorded', { server: server.id, fencing }))
+    await finishOrder(order, outcome)
   }
-  const startOrder = (order: Order, server: BackendServer) => {
+  const startOrder = (order: Order, server: BackendServer | undefined) => {
     if (running.has(order.fencing)) return
     const work = runOrder(order, server).finally(() => running.delete(order.fencing))
     running.set(order.fencing, work)
   }
-  /** Resumes orders that were issued by an earlier leader and are still open. */
+  /** Resumes open orders of an earlier leader; those to backend servers that were removed are finished as failed. */
   const resumeOpenOrders = (fleet: Fleet) => {
-    for (const order of machine.orders.open()) {
-      const server = fleet.backendServers.get(order.server)
-      if (server) startOrder(order, server)
-    }
+    for (const order of machine.orders.open())
+      startOrder(order, fleet.backendServers.get(order.server))
   }
   const fetchStatus = async (server: BackendServer): Promise<SidecarStatus | undefined> => {
     try {
