fix(control): orders to engines with expired weights hold no place while unanswered

With several such engines, the others waited: of 24 engines, some were ordered only once they had expired. Change: such an order counts as unanswered after 0.15 s and frees the place; an answer that comes later takes a place again.

--- a/packages/control/src/__tests__/weightsRolloutSimulation.spec.ts
+++ b/packages/control/src/__tests__/weightsRolloutSimulation.spec.ts
@@ -34,6 +34,7 @@
 
   for (const [engines, seeds] of [
     [6, [1, 2, 3, 4, 5, 6]],
+    [24, [1, 7]],
     [82, [1, 2]],
     [600, [1]],
   ] as const) {
--- a/packages/control/src/registry/loadPlaces.ts
+++ b/packages/control/src/registry/loadPlaces.ts
@@ -33,6 +33,7 @@
     void counts.set(group, (counts.get(group) ?? 0) + 1)
   return {
     take: (id) => {
+      if (taken.has(id)) return
       taken.add(id)
       changes.next()
     },
--- a/packages/control/src/registry/weightsLoad.ts
+++ b/packages/control/src/registry/weightsLoad.ts
@@ -12,6 +12,7 @@
 import type { RegisteredServer } from '../state/serverState.js'
 import type { EngineClient, EngineReport, OrderOutcome } from './engineClient.js'
 import type { LoadOrders } from './loadOrders.js'
+import type { LoadPlaces } from './loadPlaces.js'
 import type { LoadOutcome, LoadTask } from './loadTask.js'
 import type { UnconfirmedOrders } from './unconfirmedOrders.js'
 
@@ -19,6 +20,7 @@
 export interface WeightsLoadOptions {
   readonly engineClient: EngineClient
   readonly orders: LoadOrders
+  readonly places: LoadPlaces
   readonly unconfirmed: UnconfirmedOrders
   readonly timers: TimerService
   readonly logger: Logger
@@ -52,6 +54,8 @@
 const ORDER_TIMEOUT_MS = 4_000
 /** Interval between status polls of a loading engine, in ms; each poll costs the engine a request. */
 const POLL_PERIOD_MS = 80
+/** Time after which an order to an engine that gets no traffic anyway counts as unanswered, in ms. */
+const PROMPT_ANSWER_MS = 150
 /** Age that a report may have, in ms. */
 const REPORT_AGE_MS = 500
 /** Timeout of a load that the engine has accepted, in ms. */
@@ -78,7 +82,8 @@
 
 /** Creates the loads of a rollout. */
 export function createWeightsLoad(options: WeightsLoadOptions): WeightsLoad {
-  const { engineClient, orders, unconfirmed, timers, logger, isLeading, stopSignal } = options
+  const { engineClient, orders, places, unconfirmed, timers, logger, isLeading, stopSignal } =
+    options
 
   const waitForPoll = () => waitFor(timers, POLL_PERIOD_MS, stopSignal)
   const fetchReport = async ({ server, model }: LoadTask) => {
@@ -128,6 +133,16 @@
     }
     return 'stopped'
   }
+  /** Sends an order; while it is unanswered, it holds no place at an engine with expired weights. */
+  const sendOrder = async (task: LoadTask, term: number, report: EngineReport) => {
+    const { id } = task.server
+    if (!options.isExpired(id)) return orders.send(task, term, report)
+    const release = timers.after(PROMPT_ANSWER_MS).subscribe(() => places.release(id))
+    const outcome = await orders.send(task, term, report)
+    release.unsubscribe()
+    if (outcome !== 'unknown' || !options.isExpired(id)) places.take(id)
+    return outcome
+  }
   /** Sends an order and follows its effect; resolves to undefined when it has to be sent again. */
   const orderLoad = async (
     task: LoadTask,
@@ -135,7 +150,7 @@
     report: EngineReport,
   ): Promise<LoadOutcome | undefined> => {
     const sentAt = timers.now()
-    const step = NEXT_STEPS[await orders.send(task, term, report)]
+    const step = NEXT_STEPS[await sendOrder(task, term, report)]
     if (step === 'follow') return follow(task, term)
     if (step === 'confirm') return confirm(task, term, sentAt)
     return step === 'rejected' ? step : undefined
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -62,6 +62,8 @@
 const SILENT_MS = 2_400
 /** Delay before an engine that has no newer weights is ordered again, in ms. */
 const RETRY_DELAY_MS = 1_000
+/** The same for engines with expired weights, in ms: they have no capacity to lose. */
+const EXPIRED_RETRY_DELAY_MS = 400
 /** Maximum number of engines whose delay is remembered. */
 const MAX_TRACKED_SERVERS = 2_000
 
@@ -124,6 +126,7 @@
   const load = createWeightsLoad({
     ...options,
     orders,
+    places,
     unconfirmed,
     isLeading,
     isLive,
@@ -138,7 +141,8 @@
   }
   const delayRetry = (id: BackendServerId) => {
     retryAt.delete(id)
-    retryAt.set(id, timers.now() + RETRY_DELAY_MS)
+    const delayMs = isExpired(id) ? EXPIRED_RETRY_DELAY_MS : RETRY_DELAY_MS
+    retryAt.set(id, timers.now() + delayMs)
     removeOldest(retryAt, MAX_TRACKED_SERVERS)
   }
   const logFailure = ({ server }: LoadTask, cause: unknown) => {
