fix(control): free the place of an engine that stops reporting after it accepted an order

A load whose engine left status polls unanswered while its heartbeats went on held its place for 15 s, also when a heartbeat had shown the newer version. Two such engines of six let the weights of the others expire. Change: a load ends with a newer version in the replicated state, and after 1 s without a report. Measured: unansweredOrders.spec, two new tests. Before: no other engine loaded within 7 s ([] instead of a, b, c, d), and the engine with the newer version still listed as loading. After: all pass.

--- a/packages/control/src/__tests__/unansweredOrders.spec.ts
+++ b/packages/control/src/__tests__/unansweredOrders.spec.ts
@@ -27,6 +27,31 @@
     expect([...ordered].sort()).to.deep.equal([...names].sort())
   })
 
+  it('does not let weights expire because engines accept an order and then leave polls unanswered', async () => {
+    const names = ['mute-1', 'mute-2', 'a', 'b', 'c', 'd']
+    for (const name of names) leader.addEngine(name)
+    for (const name of names.slice(0, 2)) leader.losesReports.add(toBackendServerId(name))
+    leader.nameWeights(2)
+    await leader.run(EXPIRE_MS)
+    const loaded = names.filter(
+      (name) => leader.engines.get(toBackendServerId(name))?.version === 2,
+    )
+    expect(loaded).to.deep.equal(['a', 'b', 'c', 'd'])
+  })
+
+  it('does not hold a place once a heartbeat has shown the newer version', async () => {
+    leader.addEngine('a')
+    leader.acceptsOrders = true
+    leader.nameWeights(2)
+    await leader.run(500)
+    expect(leader.rollout.listLoading()).to.deep.equal(['a'])
+    const server = leader.machine.servers.find(toBackendServerId('a'))
+    const weights = [{ model: 'm', version: 2 }]
+    leader.machine.apply({ kind: 'server.observe', server: { ...server, weights } }, 1)
+    await leader.run(200)
+    expect(leader.rollout.listLoading()).to.deep.equal([])
+  })
+
   it('does not keep an engine out of service when its order has no effect', async () => {
     leader.addEngine('a')
     leader.losesOrders.add(toBackendServerId('a'))
--- a/packages/control/src/__tests__/weightsRolloutLeader.ts
+++ b/packages/control/src/__tests__/weightsRolloutLeader.ts
@@ -39,6 +39,8 @@
   readonly unresponsive = new Set<BackendServerId>()
   /** Engines that neither execute orders nor respond to them. */
   readonly losesOrders = new Set<BackendServerId>()
+  /** Engines that leave status polls unanswered once they have accepted an order. */
+  readonly losesReports = new Set<BackendServerId>()
   /** Whether orders are accepted and leave the engine busy instead of taking effect at once. */
   acceptsOrders = false
   expired: readonly BackendServerId[] = []
@@ -59,12 +61,16 @@
       member,
       machine: this.machine,
       engineClient: {
-        fetchReport: async ({ id }) => ({ ...(this.engines.get(id) as TestEngine) }),
+        fetchReport: async ({ id }) => {
+          const report = { ...(this.engines.get(id) as TestEngine) }
+          if (this.losesReports.has(id) && report.isBusy) throw new Error('no response')
+          return report
+        },
         sendLoad: async ({ id, name }, order) => {
           const mark = this.machine.weightLoads.find(name)
           this.orders.push({ ...order, server: id, at: this.timers.now(), mark })
           if (this.losesOrders.has(id)) return 'unknown'
-          if (this.acceptsOrders) {
+          if (this.acceptsOrders || this.losesReports.has(id)) {
             Object.assign(this.engines.get(id) as TestEngine, { isBusy: true })
             return 'taken'
           }
--- a/packages/control/src/registry/weightsLoad.ts
+++ b/packages/control/src/registry/weightsLoad.ts
@@ -27,6 +27,8 @@
   readonly isLeading: (term: number) => boolean
   readonly isLive: (server: RegisteredServer) => boolean
   readonly isExpired: (id: BackendServerId) => boolean
+  /** Whether the replicated state has a newer version of the engine than its task, from a heartbeat. */
+  readonly hasNewerVersion: (task: LoadTask) => boolean
   /** Records a newer version in the replicated state. */
   readonly recordVersion: (task: LoadTask, version: number) => Promise<void>
   readonly stopSignal: AbortSignal
@@ -63,6 +65,9 @@
 /** Time after which an engine that reports no order in flight no longer counts as loading, in ms. */
 const NOT_BUSY_MS = 1_000
 
+/** Time without a report after which a load no longer holds its place, in ms: two unanswered polls. */
+const SILENT_MS = 1_000
+
 /** Next step of a load, by the outcome of its order. */
 const NEXT_STEPS: Readonly<Record<OrderOutcome, 'follow' | 'confirm' | 'retry' | 'rejected'>> = {
   taken: 'follow',
@@ -110,12 +115,17 @@
   const follow = async (task: LoadTask, term: number): Promise<LoadOutcome> => {
     const deadline = timers.now() + LOAD_TIMEOUT_MS
     let busyAt = timers.now()
+    let reportedAt = timers.now()
     while (isLeading(term)) {
       const report = await tryReport(task)
       if (report && (await observeVersion(task, report))) return 'loaded'
-      if (!report || report.isBusy) busyAt = timers.now()
-      if (timers.now() - busyAt >= NOT_BUSY_MS) return 'notLoaded'
-      if (timers.now() >= deadline || !options.isLive(task.server)) return 'timedOut'
+      if (options.hasNewerVersion(task)) return 'loaded'
+      const now = timers.now()
+      if (!report || report.isBusy) busyAt = now
+      if (report) reportedAt = now
+      if (now - busyAt >= NOT_BUSY_MS) return 'notLoaded'
+      if (now >= deadline || now - reportedAt >= SILENT_MS) return 'timedOut'
+      if (!options.isLive(task.server)) return 'timedOut'
       await waitForPoll()
     }
     return 'stopped'
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -98,6 +98,10 @@
   const isLive = ({ id, phase }: RegisteredServer) =>
     phase === 'ready' && options.findHeartbeatAgeMs(id) < SILENT_MS
   const isExpired = createListCheck(options.listExpired)
+  const hasNewerVersion = ({ server: { id }, model, heldVersion }: LoadTask) => {
+    const weights = machine.servers.find(id)?.weights ?? []
+    return weights.some((held) => held.model === model && held.version > heldVersion)
+  }
   const recordVersion = async ({ server: { id }, model }: LoadTask, version: number) => {
     const server = machine.servers.find(id)
     if (!server?.weights.some((held) => held.model === model && held.version < version)) return
@@ -131,6 +135,7 @@
     isLeading,
     isLive,
     isExpired,
+    hasNewerVersion,
     recordVersion,
     stopSignal: stopping.signal,
   })
