fix(control): queue engines for a load by the version that they were last ordered to load

Cause: engines that had just loaded an older version by a late order went ahead of engines that had waited longer for their order, and engines with an order in transit were made idle for up to 1.5 s for another one that was mostly lost as well. With nine of ten orders unanswered, an engine's first order for a version came after its weights had expired. Change: one key for all: the newest version that an engine holds or was ordered to load, then the time of the last order. An engine with an order in transit may load at any time and is ordered without a wait for idleness.

--- a/packages/control/src/registry/loadQueue.ts
+++ b/packages/control/src/registry/loadQueue.ts
@@ -4,16 +4,13 @@
 import type { RegisteredServer } from '../state/serverState.js'
 import type { ServerLoads } from './feed.js'
 import type { LoadTask } from './loadTask.js'
-import type { UnconfirmedOrders } from './unconfirmedOrders.js'
 
 /** Options of {@link createLoadQueue}. */
 export interface LoadQueueOptions {
   readonly machine: ControlStateMachine
   readonly timers: TimerService
-  readonly unconfirmed: UnconfirmedOrders
   /** Whether an engine may begin to load now. */
   readonly isAvailable: (server: RegisteredServer) => boolean
-  readonly isExpired: (id: BackendServerId) => boolean
   readonly sumLoads: () => ServerLoads
 }
 
@@ -30,9 +27,6 @@
 /** Maximum number of engines whose last attempt is remembered. */
 const MAX_TRACKED_SERVERS = 2_000
 
-/** Classes of tasks, first to last. */
-const RANKS = { new: 0, unconfirmed: 1, attempted: 2 } as const
-
 interface Attempt {
   readonly at: number
   readonly wantedVersion: number
@@ -41,52 +35,37 @@
 
 interface RankedTask {
   readonly task: LoadTask
-  readonly rank: number
-  /** Version held, or 0 where the time of the last attempt decides. */
-  readonly version: number
+  /** Newest version that the engine holds or was ordered to load. */
+  readonly orderedVersion: number
   readonly attemptedAt: number
   readonly calls: number
 }
 
+/** Orders tasks by how long an engine has been owed an order: each new version is owed to all engines from then on. */
 function compareTasks(a: RankedTask, b: RankedTask): number {
-  return (
-    a.rank - b.rank || a.version - b.version || a.attemptedAt - b.attemptedAt || a.calls - b.calls
-  )
+  return a.orderedVersion - b.orderedVersion || a.attemptedAt - b.attemptedAt || a.calls - b.calls
 }
 
 /** Creates a queue without attempts. */
 export function createLoadQueue(options: LoadQueueOptions): LoadQueue {
-  const { machine, timers, unconfirmed } = options
+  const { machine, timers } = options
   const attempts = new Map<BackendServerId, Attempt>()
 
   const findWanted = (model: string) => machine.weights.find(model) ?? 0
   const findOutdated = ({ weights }: RegisteredServer) =>
     weights.find(({ model, version }) => version < findWanted(model))
-  /** Whether the engine was already given the wanted version and has no newer weights since. */
-  const isAttempted = ({ server, model, heldVersion }: LoadTask) => {
+  /** A late load of an older version voids the last order: it was conditional on the orders accepted before. */
+  const findOrderedVersion = ({ server, heldVersion }: LoadTask) => {
     const attempt = attempts.get(server.id)
-    if (!attempt || timers.now() - attempt.at > ATTEMPT_MS) return false
-    return attempt.wantedVersion >= findWanted(model) && attempt.heldVersion === heldVersion
-  }
-  const findRank = (task: LoadTask) => {
-    if (isAttempted(task)) return RANKS.attempted
-    // An attempt at an engine with expired weights takes no capacity from the traffic.
-    const mayWait = unconfirmed.find(task.server) && !options.isExpired(task.server.id)
-    return mayWait ? RANKS.unconfirmed : RANKS.new
-  }
-  const rankTask = (task: LoadTask, loads: ServerLoads): RankedTask => {
-    const { id } = task.server
-    const rank = findRank(task)
-    return {
-      task,
-      rank,
-      // Oldest weights first: with versions in quick succession, other orders would starve some engines. Retries take
-      // turns instead, so that engines whose orders are lost do not starve others.
-      version: rank === RANKS.attempted ? 0 : task.heldVersion,
-      attemptedAt: attempts.get(id)?.at ?? -Infinity,
-      calls: loads[id]?.calls ?? 0,
-    }
+    const isVoid = attempt?.heldVersion !== heldVersion || timers.now() - attempt.at > ATTEMPT_MS
+    return isVoid ? heldVersion : attempt.wantedVersion
   }
+  const rankTask = (task: LoadTask, loads: ServerLoads): RankedTask => ({
+    task,
+    orderedVersion: findOrderedVersion(task),
+    attemptedAt: attempts.get(task.server.id)?.at ?? -Infinity,
+    calls: loads[task.server.id]?.calls ?? 0,
+  })
   return {
     list: () => {
       const tasks = machine.servers.list().flatMap((server): LoadTask[] => {
--- a/packages/control/src/registry/weightsLoad.ts
+++ b/packages/control/src/registry/weightsLoad.ts
@@ -165,6 +165,9 @@
     if (step === 'confirm') return confirm(task, term, sentAt)
     return step === 'rejected' ? step : undefined
   }
+  /** An engine that may load at any time, or that gets no traffic, gains nothing from a wait for idleness. */
+  const needsIdle = ({ id, name }: RegisteredServer) =>
+    !options.isExpired(id) && !unconfirmed.isInTransit(name)
   /** Waits until the engine is idle enough and orders the load. */
   const prepare = async (task: LoadTask, term: number): Promise<LoadOutcome> => {
     const startedAt = timers.now()
@@ -174,7 +177,7 @@
       const report = await fetchReport(task)
       if (await observeVersion(task, report)) return 'loaded'
       if (report.isBusy) return follow(task, term)
-      const mayOrder = options.isExpired(task.server.id) || isIdleEnough(report, waitedMs)
+      const mayOrder = !needsIdle(task.server) || isIdleEnough(report, waitedMs)
       const outcome = mayOrder && isLeading(term) ? await orderLoad(task, term, report) : undefined
       if (outcome) return outcome
       await waitForPoll()
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -119,8 +119,6 @@
   const orders = createLoadOrders({ ...options, leases, unconfirmed, isLeading })
   const queue = createLoadQueue({
     ...options,
-    unconfirmed,
-    isExpired,
     isAvailable: (server) =>
       !active.has(server.id) &&
       (retryAt.get(server.id) ?? 0) <= timers.now() &&
