fix(sidecar): take no calls while an order to load weights is in progress

Cause: the sidecar judged calls by the engine's last report, up to 500 ms old, also right after it had itself passed on an order to load weights. Such calls were claimed, sent to the loading engine and reported as failures that may have run; one that started between the engine's switch and the next report would run on weights it was not claimed for. Change: from the passing of an order to load weights until its end, and until the state was read again after it, the engine counts as not ready. The latest order counts; one without a response ends after 600 s, as at control.

--- a/packages/sidecar/src/__tests__/queuedCalls.spec.ts
+++ b/packages/sidecar/src/__tests__/queuedCalls.spec.ts
@@ -121,6 +121,7 @@
       watcher: {
         state: () => backend,
         refresh: () => Promise.resolve(),
+        runChange: async (change) => void (await change()),
         close: () => Promise.resolve(),
       },
       index: createCacheIndex(),
--- a/packages/sidecar/src/backend/backendWatcher.ts
+++ b/packages/sidecar/src/backend/backendWatcher.ts
@@ -38,6 +38,11 @@
   state(): BackendState
   /** Looks again at once, as after a failed call. */
   refresh(): Promise<void>
+  /**
+   * Runs a change of the backend server. Until the latest change has ended and the state was read again, the backend
+   * server counts as not ready: its own report can be older than the change.
+   */
+  runChange(change: () => Promise<unknown>): Promise<void>
   close(): Promise<void>
 }
 
@@ -65,6 +70,8 @@
   const { client, index, timers, logger, url } = options
   const stopping = new AbortController()
   let state = UNKNOWN_STATE
+  let latestChange = 0
+  let isChanging = false
 
   const applyIdentity = (identity: Identity) => {
     const incarnation = toIncarnation(identity.incarnation)
@@ -84,6 +91,16 @@
       state = { ...state, isReady: false }
     }
   }
+  const runChange = async (change: () => Promise<unknown>) => {
+    const own = (latestChange += 1)
+    isChanging = true
+    try {
+      await change()
+    } finally {
+      await refresh()
+      if (own === latestChange) isChanging = false
+    }
+  }
   const loadSnapshot = async () => {
     const snapshot = await client.sendJson<{
       incarnation: Incarnation
@@ -125,8 +142,9 @@
   await refresh()
   const tasks = [watchIdentity(), ...(options.isEngine ? [watchEvents()] : [])]
   return {
-    state: () => state,
+    state: () => (isChanging ? { ...state, isReady: false } : state),
     refresh,
+    runChange,
     close: async () => {
       stopping.abort()
       await Promise.all(tasks)
--- a/packages/sidecar/src/orders/orderGate.ts
+++ b/packages/sidecar/src/orders/orderGate.ts
@@ -11,6 +11,7 @@
   type Logger,
 } from '@spoolgate/core'
 import type { ControlClient, Order } from '@spoolgate/control'
+import type { BackendWatcher } from '../backend/backendWatcher.js'
 
 /** Options of {@link createOrderGate}. */
 export interface OrderGateOptions {
@@ -19,6 +20,7 @@
   readonly url: string
   readonly client: HttpClient
   readonly control: ControlClient
+  readonly watcher: Pick<BackendWatcher, 'runChange'>
   readonly logger: Logger
   readonly invariants: Invariants
 }
@@ -32,9 +34,12 @@
   apply(order: Order): Promise<void>
 }
 
+/** Time limit of an order, in ms, as long as control waits for it; after that its outcome counts as unknown. */
+const ORDER_TIMEOUT_MS = 600_000
+
 /** Creates a gate. */
 export function createOrderGate(options: OrderGateOptions): OrderGate {
-  const { server, url, client, control, logger, invariants } = options
+  const { server, url, client, control, watcher, logger, invariants } = options
   let highest: number | undefined
 
   const learnHighest = async (): Promise<number> => {
@@ -42,6 +47,13 @@
     highest = Math.max(highest ?? 0, reply.highest)
     return highest
   }
+  const sendOrder = (order: Order) =>
+    client.sendJson({
+      method: 'POST',
+      url: `${url}/orders`,
+      json: order,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    })
   return {
     apply: async (order) => {
       const known = highest ?? (await learnHighest())
@@ -55,7 +67,8 @@
       }))
       highest = order.fencing
       logger.info('order.passed', { action: order.action, value: order.value, fencing: highest })
-      await client.sendJson({ method: 'POST', url: `${url}/orders`, json: order })
+      if (order.action === 'loadWeights') await watcher.runChange(() => sendOrder(order))
+      else await sendOrder(order)
     },
   }
 }
--- a/packages/sidecar/src/server/sidecarServer.ts
+++ b/packages/sidecar/src/server/sidecarServer.ts
@@ -136,6 +136,7 @@
     url: options.backendUrl,
     client: backendClient,
     control,
+    watcher,
     logger,
     invariants,
   })
--- a/packages/spoolgate/src/__tests__/queuedWeights.spec.ts
+++ b/packages/spoolgate/src/__tests__/queuedWeights.spec.ts
@@ -65,4 +65,29 @@
     expect(answer.status).to.equal(503)
     expect(reloaded.started.has(answer.request ?? '')).to.equal(false)
   })
+
+  it('are refused as not run from the start of a load, before the engine reports it', async () => {
+    fleet = await createTestFleet({
+      engines: 1,
+      services: 0,
+      repairPeriodMs: NEVER_MS,
+      engine: { loadWeightsMs: 300 },
+    })
+    const order = { server: 'engine-0', action: 'loadWeights', value: 'w2' }
+    const issued = await fleet.client.sendJson<{ order: object }>({
+      method: 'POST',
+      url: `${fleet.controlUrls[0]}/orders`,
+      json: order,
+    })
+    const applied = fleet.client.sendJson({
+      method: 'POST',
+      url: `${fleet.sidecars[0]?.url}/orders`,
+      headers: { authorization: `Bearer ${fleet.processKey}` },
+      json: issued.order,
+    })
+    await waitUntil(() => !fleet.engines[0].orders.isReady(), 'it loads')
+    const answer = await streamChat(fleet, { messages: createMessages('loading'), tokens: TOKENS })
+    expect(answer.status).to.equal(503)
+    await applied
+  })
 })
