fix(sidecar): do not start a call whose deadline passed while it waited

Cause: the deadline of the first token was compared with the expected wait when the call was claimed; a call that waited longer than expected was started after its deadline, and took capacity from calls whose callers still waited. Change: when its turn comes, what is left of the deadline must cover its own prefill; otherwise it ends as not run. The retry delay is the expected time of a new call. Measured: queuedCalls.spec, a call with a deadline of 2 s that waits 2.5 s, manual clock: before, it was sent; after, not. One that waits 1.9 s is sent before and after.

--- a/packages/sidecar/src/__tests__/queuedCalls.spec.ts
+++ b/packages/sidecar/src/__tests__/queuedCalls.spec.ts
@@ -232,6 +232,18 @@
     expect(engine.sent).to.have.length(1)
   })
 
+  it('do not start once their deadline has passed', async () => {
+    const end = await runQueued(() => timers.advance(2_500), { deadlineMs: 2_000 })
+    expect(engine.sent).to.have.length(1)
+    expect(end).to.include({ outcome: 'failed', reason: 'deadlineUnreachable', notRun: true })
+    expect(end.declined?.decline.retryAfterMs).to.be.greaterThan(0)
+  })
+
+  it('start when their own prefill still fits into what is left of the deadline', async () => {
+    const end = await runQueued(() => timers.advance(1_900), { deadlineMs: 2_000 })
+    expect(end).to.deep.equal({ outcome: 'finished' })
+  })
+
   it('still run after a planned stop began', async () => {
     const end = await runQueued(() => {
       isLeaving = true
--- a/packages/sidecar/src/calls/admission.ts
+++ b/packages/sidecar/src/calls/admission.ts
@@ -23,6 +23,8 @@
   readonly queueLimit: number
   /** Expected time to the first token, in ms. */
   readonly firstTokenMs: number
+  /** Time after which a retry may succeed, in ms. */
+  readonly retryAfterMs: number
 }
 
 type Check = (call: CallHeader, facts: AdmissionFacts) => boolean
@@ -66,6 +68,7 @@
   'notReady',
   'wrongWeights',
   'wrongScope',
+  'deadlineUnreachable',
 ])
 const START_CHECKS = CHECKS.filter(([reason]) => START_REASONS.has(reason))
 
@@ -81,7 +84,7 @@
   if (!failed) return undefined
   const [declined] = failed
   if (!PASSING_REASONS.has(declined)) return { declined }
-  return { declined, retryAfterMs: Math.ceil(facts.firstTokenMs) }
+  return { declined, retryAfterMs: Math.ceil(facts.retryAfterMs) }
 }
 
 /** Finds out why a call must be declined; undefined when it is claimed. */
@@ -90,9 +93,14 @@
 }
 
 /**
- * Finds out why a claimed call must not start when its turn comes; undefined when it starts. A planned stop is no
- * reason: claimed calls are still run.
+ * Finds out why a claimed call must not start when its turn comes, after `waitedMs` in the queue; undefined when it
+ * starts. A planned stop is no reason: claimed calls are still run.
  */
-export function findStartDecline(call: CallHeader, facts: AdmissionFacts): Decline | undefined {
-  return findFirstDecline(START_CHECKS, call, facts)
+export function findStartDecline(
+  call: CallHeader,
+  facts: AdmissionFacts,
+  waitedMs: number,
+): Decline | undefined {
+  const deadlineMs = call.deadlineMs === undefined ? undefined : call.deadlineMs - waitedMs
+  return findFirstDecline(START_CHECKS, { ...call, deadlineMs }, facts)
 }
--- a/packages/sidecar/src/calls/callHandler.ts
+++ b/packages/sidecar/src/calls/callHandler.ts
@@ -128,7 +128,8 @@
   }
   const findFacts = (header: CallHeader, missingTokens: number): AdmissionFacts => {
     const fleet = config.current()
-    const queueMs = estimate.queueMs(queue.waiting(), options.slots)
+    const prefillMs = missingTokens / estimate.prefillTokensPerMs()
+    const firstTokenMs = estimate.queueMs(queue.waiting(), options.slots) + prefillMs
     return {
       isLeaving: options.isLeaving(),
       incarnation: options.incarnation,
@@ -139,7 +140,8 @@
       isBarred: header.dispatch !== undefined && dispatches.isBarred(header.dispatch),
       waiting: queue.waiting(),
       queueLimit: options.queueLimit,
-      firstTokenMs: queueMs + missingTokens / estimate.prefillTokensPerMs(),
+      firstTokenMs,
+      retryAfterMs: firstTokenMs,
     }
   }
   const recordDecline = ({ request }: CallHeader, decline: Decline, waitedMs: number) => {
@@ -182,9 +184,13 @@
     const run = async () => {
       const { url, client } = options
       const { body } = prepared
-      const decline = findStartDecline(header, findFacts(header, missing))
+      const waitedMs = timers.now() - claimedAt
+      // Its wait is over; what other calls still wait for counts in the retry delay only.
+      const firstTokenMs = missing / estimate.prefillTokensPerMs()
+      const facts = { ...findFacts(header, missing), firstTokenMs }
+      const decline = findStartDecline(header, facts, waitedMs)
       if (decline) {
-        recordDecline(header, decline, timers.now() - claimedAt)
+        recordDecline(header, decline, waitedMs)
         const declined = { decline, hints: buildHints(index.match(chain, timers.now())) }
         call.finish({ outcome: 'failed', reason: decline.declined, notRun: true, declined })
         return
