fix(router): continue a stream without the deadline of its first token

Cause: each attempt carries what is left of the deadline of the first token, also one that continues a stream whose first token was delivered long before. Every sidecar declined it then, and the stream ended with an error. Change: an attempt that continues a stream carries no deadline.

--- a/packages/router/src/relay/relayRepeatable.ts
+++ b/packages/router/src/relay/relayRepeatable.ts
@@ -80,6 +80,8 @@
     ...commonHeader,
     attempt,
     hasResumeText: resumeText !== undefined,
+    // The deadline bounds the first token only, which the caller of a resumed stream has.
+    deadlineMs: resumeText === undefined ? commonHeader.deadlineMs : undefined,
     acceptMs: state.latencyDeclines < MAX_LATENCY_DECLINES ? decision.acceptMs : undefined,
   }
   const { firstTokenTimeoutMs, wholeAnswerTimeoutMs } = fleet.routing
