fix(router): rank engines last where a request would begin too late, instead of leaving them out

An expected start that passed the limit on old weights, times 1.5, took the engine out of the ranking. A passing peak of the estimate, which counts waiting twice, left no engine, and the admission queue refused all that waited ("noServer") instead of holding it ("full"). Change: such an engine costs as much as one that loads, without the factor; only engines with expired weights are left out, now also by the router's own clock. What is sent all the same is withdrawn at the limit.

--- a/packages/router/src/direct/serverRanking.ts
+++ b/packages/router/src/direct/serverRanking.ts
@@ -79,12 +79,15 @@
   readonly random: RandomSource
   readonly enginePartition: EnginePartition
   readonly serviceTimes: ServiceTimes
-  readonly weightsExpiry: Pick<WeightsExpiry, 'isStartInTime'>
+  readonly weightsExpiry: Pick<WeightsExpiry, 'isExpired' | 'isStartInTime'>
 }
 
 /** Cost of a server in another data hall, in ms: the round trip and the cost of the traffic. */
 const OTHER_HALL_MS = 30
-/** Cost of a server that is loading weights, in ms; a cost of at least this means that it cannot serve now. */
+/**
+ * Cost of a server that is loading weights, or where a request would begin after its weights expire, in ms; a cost of at
+ * least this means that it cannot serve now.
+ */
 export const LOADING_MS = 5_000
 /**
  * Cost of a server that asked other routers to back off, in ms. The backoff binds only those routers, but a
@@ -223,7 +226,10 @@
     (server) => server.group === group.name && server.phase === 'ready',
   )
   const usable = inGroup.filter(
-    ({ id }) => !excluded.has(id) && !view.expired.has(id) && isOpen(id),
+    (server) =>
+      !excluded.has(server.id) &&
+      !context.weightsExpiry.isExpired(view, server) &&
+      isOpen(server.id),
   )
   const reachable = inGroup.filter(({ id }) => !liveness.isUnreachable(id) && !view.silent.has(id))
   const findCapacity = serverSpeeds && ((id: BackendServerId) => serverSpeeds.findCapacity(id, now))
@@ -254,7 +260,7 @@
   const rates = resolvePrefillRates(context, input)
   const isAnyShedding = inGroup.some(isSheddingHereOrElsewhere)
   const estimatePlainCost = createPlainEstimate(context, input)
-  const estimated = usable.map((server): Candidate => {
+  const ranked = usable.map((server): Candidate => {
     const load = addLoad(serverStats.findLoad(server.id), view.loads[server.id])
     const estimate =
       prompt && locations
@@ -264,10 +270,11 @@
     const idlePenaltyMs = isIdleWhileShedding
       ? IDLE_WHILE_SHEDDING_MS * (1 + context.random.next())
       : 0
-    const cost = estimate.cost + estimateServerPenalty(context, input, server) + idlePenaltyMs
+    const latePenaltyMs = context.weightsExpiry.isStartInTime(estimate) ? 0 : LOADING_MS
+    const penaltyMs = estimateServerPenalty(context, input, server) + idlePenaltyMs + latePenaltyMs
+    const cost = estimate.cost + penaltyMs
     return buildCandidate(server, estimate, cost)
   })
-  const ranked = estimated.filter(context.weightsExpiry.isStartInTime)
   ranked.sort((a, b) => a.cost - b.cost || (a.server.id < b.server.id ? -1 : 1))
   const sampledRatio = serverSpeeds ? SAMPLED_RATIO_WITH_SPEEDS : SAMPLED_RATIO
   const sampled = prompt
--- a/packages/router/src/direct/weightsExpiry.ts
+++ b/packages/router/src/direct/weightsExpiry.ts
@@ -2,7 +2,12 @@
  * Enforces the maximum age of weights at the time a request begins. A request is not sent to an engine where it would
  * begin too late, and a request that still waits at an engine when its weights expire is withdrawn.
  */
-import { findSupersededAt, LAST_SEND_RATIO, type FleetView } from '@spoolgate/control'
+import {
+  findSupersededAt,
+  LAST_SEND_RATIO,
+  type FleetView,
+  type RegisteredServer,
+} from '@spoolgate/control'
 import type { BackendServerId, TimerService } from '@spoolgate/core'
 import { Subscription } from 'rxjs'
 import { findVersion } from './prefixLocations.js'
@@ -30,7 +35,9 @@
 
 /** See {@link createWeightsExpiry}. */
 export interface WeightsExpiry {
-  /** Whether a request that is sent now would begin before the weights of the candidate expire. */
+  /** Whether no request may be sent to a server any more because its weights are too old. */
+  isExpired(view: FleetView, server: RegisteredServer): boolean
+  /** Whether a request that is sent now is expected to begin before the weights of the candidate reach the limit. */
   isStartInTime(candidate: Pick<Candidate, 'supersededAt' | 'expectedMs'>): boolean
   /** Watches a request until it is unsubscribed. */
   watch(request: WaitingRequest): Subscription
@@ -40,8 +47,6 @@
 const CHECK_PERIOD_MS = 50
 /** Time before the limit at which requests are withdrawn, in ms: the engine has to receive the withdrawal. */
 const WITHDRAWAL_MARGIN_MS = 250
-/** Factor on the expected start: half as much again for the calls of other routers that this one does not know of. */
-const START_SAFETY_FACTOR = 1.5
 
 /** Creates the enforcement for one router. */
 export function createWeightsExpiry(options: WeightsExpiryOptions): WeightsExpiry {
@@ -54,7 +59,7 @@
     const server = view.servers.get(id)
     return (server && findVersion(server, model, serverStats)) ?? version
   }
-  const isExpired = (request: WaitingRequest): boolean => {
+  const isOverdue = (request: WaitingRequest): boolean => {
     const view = findView()
     const version = view && findCurrentVersion(view, request)
     if (!view || version === undefined) return false
@@ -62,7 +67,7 @@
     return timers.now() >= supersededAt + maxAgeMs - WITHDRAWAL_MARGIN_MS
   }
   const checkWaiting = () => {
-    for (const request of [...waiting].filter(isExpired)) {
+    for (const request of [...waiting].filter(isOverdue)) {
       waiting.delete(request)
       request.onExpired()
     }
@@ -74,13 +79,14 @@
     checks = undefined
   }
   return {
-    isStartInTime: ({ supersededAt, expectedMs }) => {
-      if (supersededAt === undefined) return true
-      const now = timers.now()
-      if (now > supersededAt + maxAgeMs * LAST_SEND_RATIO) return false
-      const latestStartAt = supersededAt + maxAgeMs - WITHDRAWAL_MARGIN_MS
-      return now + expectedMs * START_SAFETY_FACTOR <= latestStartAt
-    },
+    isExpired: (view, { id, weights }) =>
+      view.expired.has(id) ||
+      weights.some(({ model, version }) => {
+        const supersededAt = findSupersededAt(view.versionTimes, model, version) ?? Infinity
+        return timers.now() > supersededAt + maxAgeMs * LAST_SEND_RATIO
+      }),
+    isStartInTime: ({ supersededAt = Infinity, expectedMs }) =>
+      timers.now() + expectedMs <= supersededAt + maxAgeMs - WITHDRAWAL_MARGIN_MS,
     watch: (request) => {
       if (maxAgeMs === Infinity) return Subscription.EMPTY
       waiting.add(request)
--- a/packages/spoolgate/src/node/bench/rankingBench.ts
+++ b/packages/spoolgate/src/node/bench/rankingBench.ts
@@ -103,7 +103,7 @@
     random,
     enginePartition: createEnginePartition(timers),
     serviceTimes: createServiceTimes(),
-    weightsExpiry: { isStartInTime: () => true },
+    weightsExpiry: { isExpired: () => false, isStartInTime: () => true },
   }
   const buildInput = (turn: number, speeds: ServerSpeeds | undefined): RankingInput => ({
     view,
