fix(router): have callers return after a load only while the weights of the engines have expired

An engine counted as open only after a load from the moment at which a newer version was named, although it takes requests until its weights expire: a request refused by one engine was told to return after 1 s and missed its target while five others were open. Change: the expiry decides. `expired` of call.noServer counts the engines of the group.

--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -45,15 +45,18 @@
     expect(listUsable()).to.deep.equal([])
   })
 
-  it('does not have callers return at once when all engines have to load first', () => {
+  it('has callers return after a load only when all engines have to load first', () => {
     const timers = createManualTimerService()
     const view = buildOutdatedView(['a', 'b'], {})
     const feed = { current: () => view }
     const context = { ...createRankingContext(timers, 1, MAX_AGE_MS), timers, feed }
     const plan = { view, group: GROUP }
-    timers.advance(8_000)
-    const refusal = createNoServer(context as never, plan as never, () => undefined)
-    expect(refusal.retryAfterSeconds).to.be.within(1, 1.25)
+    const findRetryAfter = () =>
+      createNoServer(context as never, plan as never, () => undefined).retryAfterSeconds
+    timers.advance(6_000)
+    expect(findRetryAfter()).to.equal(0.15)
+    timers.advance(2_000)
+    expect(findRetryAfter()).to.be.within(1, 1.25)
   })
 
   it('withdraws each waiting request once, before it is reached, also at an engine that left, unless it has newer weights', () => {
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -1,5 +1,5 @@
 /** Selects the backend server for the next send of a request, or finds that none can take it. */
-import { findSupersededAt, type FleetView, type RegisteredServer } from '@spoolgate/control'
+import type { RegisteredServer } from '@spoolgate/control'
 import type { BackendServerId } from '@spoolgate/core'
 import { formatCallScope, type CallPlan } from './callPlan.js'
 import { LOADING_MS, rankServers, type Candidate } from './serverRanking.js'
@@ -36,13 +36,6 @@
 /** Result of {@link chooseServer}. */
 export type ServerSelection = { readonly kind: 'server'; readonly candidate: Candidate } | NoServer
 
-/** Whether a server has weights that are no longer the newest. */
-function isOutdated({ versionTimes }: FleetView, { weights }: RegisteredServer): boolean {
-  return weights.some(
-    ({ model, version }) => findSupersededAt(versionTimes, model, version) !== undefined,
-  )
-}
-
 /** Finds the earliest time at which a server of the group accepts requests again; now if one already does. */
 function findNextOpenAt(context: DirectContext, plan: CallPlan): number {
   const now = context.timers.now()
@@ -53,7 +46,7 @@
     .filter(({ verdict }) => verdict.kind !== 'leaving')
     .map(({ server, verdict }) => {
       if ('until' in verdict) return verdict.until
-      return isOutdated(view, server) ? now + LOAD_MS : now
+      return context.weightsExpiry.isExpired(view, server) ? now + LOAD_MS : now
     })
   return openTimes.length === 0 ? now : Math.min(...openTimes)
 }
@@ -64,12 +57,19 @@
   return drawRetryAfterSeconds(retryAfterMs, context.random)
 }
 
+function countExpired(context: DirectContext, { view: planned, group }: CallPlan): number {
+  const view = context.feed.current() ?? planned
+  const isExpired = (server: RegisteredServer) =>
+    server.group === group.name && context.weightsExpiry.isExpired(view, server)
+  return [...view.servers.values()].filter(isExpired).length
+}
+
 /** Logs that no server is available and finds when the caller may retry. */
 export function createNoServer(context: DirectContext, plan: CallPlan, log: CallLog): NoServer {
   const retryAfterSeconds = findGroupRetryAfterSeconds(context, plan)
   const backingOff = context.backpressure.listBackingOff(context.timers.now()).length
   const limited = context.limits.countLimited()
-  const expired = (context.feed.current() ?? plan.view).expired.size
+  const expired = countExpired(context, plan)
   log('call.noServer', { group: plan.group.name, backingOff, limited, expired, retryAfterSeconds })
   return { kind: 'none', retryAfterSeconds }
 }
