fix(router): keep the weights versions of several models at one engine apart

A router remembered one version for each server, the highest of any model. After an answer for a model at version 9, the engine counted as updated for all its models: its weights never expired there, and requests asked for a version that it did not have. Change: versions are kept by server and model. Measured: weightsExpiry.spec with an answer for another model: one key for all models withdraws [gone], keys by model [old, old, gone]. Specs of ranking, locations and components pass.

--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -77,7 +77,9 @@
     watch('old').unsubscribe()
     timers.advance(9_000)
     expect(withdrawn).to.deep.equal([])
-    serverStats.recordVersion(createEngineServer('updated').id, 2)
+    serverStats.recordVersion(createEngineServer('updated').id, 'm', 2)
+    // An answer for another model says nothing about this one.
+    serverStats.recordVersion(createEngineServer('old').id, 'other', 9)
     timers.advance(999)
     expect(withdrawn).to.deep.equal(['old', 'old', 'gone'])
     timers.advance(5_000)
--- a/packages/router/src/direct/prefixLocations.ts
+++ b/packages/router/src/direct/prefixLocations.ts
@@ -111,7 +111,7 @@
   const registered = server.weights.find((weights) => weights.model === model)?.version
   return registered === undefined
     ? undefined
-    : Math.max(registered, serverStats.findVersion(server.id))
+    : Math.max(registered, serverStats.findVersion(server.id, model))
 }
 
 /** Finds the location for a key by rendezvous hashing: removing a location moves only its own keys. */
--- a/packages/router/src/direct/responseHead.ts
+++ b/packages/router/src/direct/responseHead.ts
@@ -22,7 +22,9 @@
   const { backend, serverStats } = context
   const head = backend.decodeHead(message, call)
   recordResponseSignals(context, call, server, { ...head, sentAt })
-  if (head.weightsVersion !== undefined) serverStats.recordVersion(server.id, head.weightsVersion)
+  const { model } = call.prompt ?? {}
+  if (model !== undefined && head.weightsVersion !== undefined)
+    serverStats.recordVersion(server.id, model, head.weightsVersion)
   if (head.isNotExecuted) {
     message.resume()
     const reason = head.isOtherServer ? 'otherServer' : `status${message.statusCode}`
--- a/packages/router/src/direct/serverStats.ts
+++ b/packages/router/src/direct/serverStats.ts
@@ -29,20 +29,26 @@
   /** Prompt tokens and maximum generated tokens of the calls in progress at a server. */
   findKvTokens(server: BackendServerId): number
   listLoads(): ServerLoads
-  /** Records the weights version that a server stated in a response. */
-  recordVersion(server: BackendServerId, version: number): void
+  /** Records the weights version of a model that a server stated in a response. */
+  recordVersion(server: BackendServerId, model: string, version: number): void
   /** Finds the highest weights version that a server was seen with; 0 for none. */
-  findVersion(server: BackendServerId): number
+  findVersion(server: BackendServerId, model: string): number
   /** Moving average of the ratio of calls that a server failed, from 0 to 1. */
   findFailureRate(server: BackendServerId): number
 }
 
 /** Server incarnations that are tracked: several times the servers of a large fleet. */
 const MAX_SERVERS = 5_000
+/** Pairs of a server and a model whose version is tracked: a few models per server. */
+const MAX_VERSIONS = 4 * MAX_SERVERS
 /** Weight of the latest call in the failure rate, which thus covers about ten calls. */
 const FAILURE_WEIGHT = 0.1
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
+function formatVersionKey(server: BackendServerId, model: string): string {
+  return `${server} ${model}`
+}
+
 /**
  * Creates statistics without calls.
  * @param onRelieved called after a call gave its first chunk or ended, so that its server may have capacity again
@@ -54,7 +60,7 @@
   const loads = new Map<BackendServerId, ServerLoad>()
   const kvLoads = new Map<BackendServerId, number>()
   const lastActivityAt = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
-  const versions = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
+  const versions = new LRUCache<string, number>({ max: MAX_VERSIONS })
   const failureRates = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
 
   const addLoad = (server: BackendServerId, calls: number, promptTokens: number) => {
@@ -106,10 +112,11 @@
     findLoad: (server) => loads.get(server) ?? NO_LOAD,
     findKvTokens: (server) => kvLoads.get(server) ?? 0,
     listLoads: () => Object.fromEntries(loads),
-    recordVersion: (server, version) => {
-      if (version > (versions.get(server) ?? 0)) versions.set(server, version)
+    recordVersion: (server, model, version) => {
+      const key = formatVersionKey(server, model)
+      if (version > (versions.get(key) ?? 0)) versions.set(key, version)
     },
-    findVersion: (server) => versions.get(server) ?? 0,
+    findVersion: (server, model) => versions.get(formatVersionKey(server, model)) ?? 0,
     findFailureRate: (server) => failureRates.get(server) ?? 0,
   }
 }
