refactor(router): watch the weights of an attempt only until its head, and only for streams

The watch ran for the whole response, and a response that is not a stream has no head until it is complete, so one that had begun in time would have been withdrawn. Change: watchRestart and watchWeights are apart; the latter ends with the head.

--- a/packages/router/src/direct/attemptWatch.ts
+++ b/packages/router/src/direct/attemptWatch.ts
@@ -1,5 +1,6 @@
-/** Watches an attempt for what its connection does not show: a restart of its server, and weights that expire there. */
-import type { Subscription } from 'rxjs'
+/** Watches attempts for what their connection does not show: a restart of the server, and weights that expire there. */
+import type { RegisteredServer } from '@spoolgate/control'
+import { Subscription } from 'rxjs'
 import type { CallPlan } from './callPlan.js'
 import type { DirectContext } from './directContext.js'
 import { watchStall } from './restartDetector.js'
@@ -7,11 +8,10 @@
 import type { Candidate } from './serverRanking.js'
 import type { CallLog } from './serverSelection.js'
 
-/** Options of {@link watchAttempt}. */
-export interface AttemptWatchOptions {
+/** Options of {@link watchRestart}. */
+export interface RestartWatchOptions {
   readonly context: DirectContext
-  readonly plan: CallPlan
-  readonly candidate: Candidate
+  readonly server: RegisteredServer
   /** Returns when the last part of the response arrived, in ms of the monotonic clock. */
   readonly lastDataAt: () => number
   /** Returns the attempt in progress; undefined before it starts. */
@@ -24,12 +24,11 @@
 /** Reason logged for a request that is withdrawn from an engine. */
 const EXPIRED_REASON = 'the weights of the engine expired before the request began'
 
-/** Watches an attempt until it is unsubscribed. */
-export function watchAttempt(options: AttemptWatchOptions): Subscription {
-  const { context, plan, candidate, findAttempt, log } = options
-  const { id } = candidate.server
-  const { prompt } = plan.call
-  const subscription = watchStall({
+/** Watches an attempt for a restart of its server until it is unsubscribed. */
+export function watchRestart(options: RestartWatchOptions): Subscription {
+  const { context, server, findAttempt, log } = options
+  const { id } = server
+  return watchStall({
     restarts: context.restartDetector,
     timers: context.timers,
     server: id,
@@ -42,13 +41,23 @@
       if (options.isRetryable()) findAttempt()?.cancel()
     },
   })
-  if (!prompt) return subscription
+}
+
+/**
+ * Withdraws an attempt if the weights of its engine expire before the response begins; watches until it is unsubscribed.
+ * The head of a stream comes with its first token. Other responses have none until they are complete, so they are left
+ * alone.
+ */
+export function watchWeights(
+  { weightsExpiry, instruments }: DirectContext,
+  { call, route, group }: CallPlan,
+  { server, version }: Candidate,
+  attempt: SendAttempt,
+): Subscription {
+  const { prompt } = call
+  if (!prompt || !route.isStream) return Subscription.EMPTY
   const onExpired = () => {
-    const isWithdrawn = findAttempt()?.withdraw(EXPIRED_REASON)
-    if (isWithdrawn) context.instruments.withdrawals.add(1, { group: plan.group.name })
+    if (attempt.withdraw(EXPIRED_REASON)) instruments.withdrawals.add(1, { group: group.name })
   }
-  const { version } = candidate
-  const request = { server: id, model: prompt.model, version, onExpired }
-  subscription.add(context.weightsExpiry.watch(request))
-  return subscription
+  return weightsExpiry.watch({ server: server.id, model: prompt.model, version, onExpired })
 }
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -36,7 +36,7 @@
 import { countKvTokens } from './engineLoads.js'
 import { buildSendFields, recordSentPrompt } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
-import { watchAttempt } from './attemptWatch.js'
+import { watchRestart, watchWeights } from './attemptWatch.js'
 import type { TrackedCall } from './serverStats.js'
 
 /** Serves one planned request; resolves once its final response has been sent. */
@@ -263,10 +263,9 @@
   }
 
   private async sendWithWatch(candidate: Candidate): Promise<AttemptOutcome> {
-    const watch = watchAttempt({
+    const watch = watchRestart({
       context: this.context,
-      plan: this.plan,
-      candidate,
+      server: candidate.server,
       lastDataAt: () => this.lastChunkAt,
       findAttempt: () => this.currentAttempt,
       isRetryable: () => !this.isFinished && this.isRetryable(),
@@ -294,6 +293,7 @@
       connectMs: CONNECT_TIMEOUT_MS,
     })
     this.currentAttempt = attempt
+    const watch = watchWeights(context, plan, candidate, attempt)
     const result = await waitForResponseHead({
       send: attempt,
       server: candidate.server,
@@ -303,7 +303,7 @@
       mayBePrefilling: plan.call.prompt !== undefined,
       isUnanswered: () => !this.isFinished && this.trackedCall?.hasNoServerActivity() === true,
       takeRetry: () => this.takeRetry(),
-    })
+    }).finally(() => watch.unsubscribe())
     if (result.kind !== 'head') {
       if (NOT_STARTED_OUTCOMES.has(result.kind)) this.mayHaveRun = previousMayHaveRun
       return result
