fix(control): state in the feed how long a poll was held, so that routers date versions exactly

A router dated a version from the time at which it sent the poll. Polls are held for up to 0.8 s in large fleets, so that it took the version for up to 0.8 s older than it was and gave up engines early. Change: the reply has heldMs, which the router adds. A delay on the way still never makes a version seem newer.

--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -174,6 +174,8 @@
   readonly weights?: Readonly<Record<string, number>>
   /** Ages of the target weights and of those before them; absent before version 0.8. */
   readonly weightAges?: VersionAges
+  /** Time for which the leader held the poll, in ms; absent before version 0.8. */
+  readonly heldMs?: number
   readonly servers?: ServersUpdate
   readonly conditions?: ServerConditions
   /** URLs of the control instances. */
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -297,7 +297,7 @@
     const cursor = isCurrentTerm(request) ? loadsSeen : undefined
     return { loads: {}, loadsUpdate: loads.buildUpdate(cursor) }
   }
-  const buildReply = (request: FeedRequest): FeedReply => {
+  const buildReply = (request: FeedRequest, receivedAt: number): FeedReply => {
     recordFleetChanges()
     const { term, members } = member.status()
     const page = options.cacheDirectory.readPage(
@@ -333,6 +333,7 @@
       ...common,
       weights: machine.weights.list(),
       weightAges: options.listVersionAges(),
+      heldMs: Math.floor(timers.now() - receivedAt),
       servers: serverChanges.listSince(isCurrentTerm(request) ? request.revision : undefined),
       conditions: options.findConditions(),
       control: Object.values(members).map(({ url }) => url),
@@ -340,6 +341,7 @@
   }
   return {
     answer: async (request, response) => {
+      const receivedAt = timers.now()
       if (!isLeaderKnown()) await waitUntil(leaderKnown, MAX_LEADER_WAIT_MS, response)
       checkLeading()
       const trial = recordRouter(request)
@@ -350,7 +352,7 @@
       if (trial === undefined) await gatherChanges(request, response)
       if (isLarge(request)) await turns.take()
       checkLeading()
-      return { ...buildReply(request), trial }
+      return { ...buildReply(request, receivedAt), trial }
     },
     grantQuotas: (report) => {
       checkLeading()
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -169,7 +169,8 @@
     servers = next
     return true
   }
-  const applyWeights = ({ weights: next, weightAges = {} }: FeedReply, sentAt: number) => {
+  const applyWeights = (reply: FeedReply, sentAt: number) => {
+    const { weights: next, weightAges = {}, heldMs = 0 } = reply
     if (!next) return
     const changed = Object.keys(next).filter((model) => next[model] !== weights[model])
     // For the first weights that a router receives, the time since they became the target is unknown.
@@ -178,8 +179,8 @@
     weightsSince = { ...weightsSince, ...Object.fromEntries(changed.map((model) => [model, at])) }
     weights = next
     weightsHistory.record(weights, timers.now())
-    // The leader stated the ages after the poll was sent; a delayed reply must not make versions seem newer.
-    weightsHistory.recordAges(weightAges, sentAt)
+    // Of the time since the poll was sent, only what the leader held it is known to lie before the ages were stated.
+    weightsHistory.recordAges(weightAges, sentAt + heldMs)
   }
   const buildView = () => {
     if (!index) return
