fix(control): do not take the last engine in service out for a load while the others have expired

Cause: places were counted without regard to engines that get no requests because their weights have expired. Change: while engines of a group have expired, its last engine in service stays. Once it expires as well, it is ordered without a place of its own in the traffic. Measured: unansweredOrders.spec: before, c is ordered among a and b; after, only once it has expired.

--- a/packages/control/src/__tests__/unansweredOrders.spec.ts
+++ b/packages/control/src/__tests__/unansweredOrders.spec.ts
@@ -93,6 +93,20 @@
     expect(leader.rollout.listLoading()).to.deep.equal(['b'])
   })
 
+  it('does not take the last engine in service out for a load while the others have expired', async () => {
+    for (const name of ['a', 'b', 'c']) leader.addEngine(name)
+    for (const name of ['a', 'b']) leader.losesOrders.add(toBackendServerId(name))
+    leader.expired = ['a', 'b'].map((name) => toBackendServerId(name))
+    leader.nameWeights(2)
+    await leader.run(3_000)
+    expect(leader.orders.map(({ server }) => server as string))
+      .to.include('b')
+      .and.not.include('c')
+    leader.expired = ['a', 'b', 'c'].map((name) => toBackendServerId(name))
+    await leader.run(1_000)
+    expect(leader.orders.map(({ server }) => server as string)).to.include('c')
+  })
+
   it('does not wait for idleness at engines with expired weights, and orders no more than the places', async () => {
     const names = ['a', 'b', 'c', 'd', 'e', 'f']
     const engines = names.map((name) => leader.addEngine(name, 1, 15))
--- a/packages/control/src/registry/weightsRollout.ts
+++ b/packages/control/src/registry/weightsRollout.ts
@@ -115,7 +115,7 @@
     orderLeaseMs: options.orderLeaseMs,
   })
   const unconfirmed = createUnconfirmedOrders(timers)
-  const places = createLoadPlaces({ servers: machine.servers, isLive })
+  const places = createLoadPlaces({ servers: machine.servers, isLive, isExpired })
   const orders = createLoadOrders({ ...options, leases, unconfirmed, isLeading })
   const queue = createLoadQueue({
     ...options,
@@ -209,9 +209,10 @@
     const free = places.countFree(new Set(tasks.map(({ server }) => server.group)))
     for (const task of tasks) {
       const { group } = task.server
-      const left = free.get(group) ?? 0
-      if (left <= 0) continue
-      free.set(group, left - 1)
+      const { loads = 0, inService = 0 } = free.get(group) ?? {}
+      const isInService = !isExpired(task.server.id)
+      if (loads <= 0 || (isInService && inService <= 0)) continue
+      free.set(group, { loads: loads - 1, inService: inService - (isInService ? 1 : 0) })
       void runTask(task, term)
     }
   }
