--- a/packages/control/src/registry/weightsLoad.ts
+++ b/packages/control/src/registry/weightsLoad.ts
@@ -47,12 +47,11 @@
 /**
  * Time without new work, in ms, for each request that may still be running when the load is ordered and then continues
  * under the new weights. Its remaining output is worth less than the capacity lost to requests that wait for a slot.
- * With waits of 1.5 to 3 s and one such request allowed, a version took 9 s to reach six engines.
  */
 const IDLE_MS_PER_RUNNING_REQUEST = 100
 /** Maximum wait for queued requests, which a load order would reject, in ms. */
 const MAX_IDLE_WAIT_MS = 1_500
-/** Maximum time from the announcement to an accepted order, in ms. */
+/** Maximum time from the announcement to an accepted order, in ms; then other engines get their turn. */
 const ORDER_TIMEOUT_MS = 4_000
 /** Interval between status polls of a loading engine, in ms; each poll costs the engine a request. */
 const POLL_PERIOD_MS = 80
@@ -64,7 +63,6 @@
 const LOAD_TIMEOUT_MS = 15_000
 /** Time after which an engine that reports no order in flight no longer counts as loading, in ms. */
 const NOT_BUSY_MS = 1_000
-
 /** Time without a report after which a load no longer holds its place, in ms: two unanswered polls. */
 const SILENT_MS = 1_000
 
