fix(control): announce the leader to the seeds, which may not find it themselves

Cause: after a turnover the seeds were two relays and one instance that lost its disk. Routers, relays and an instance with an empty disk know nobody but the seeds, so none of them found the leader, which was not a seed. The instance with the empty disk sent its join requests to the relays only, and was not taken back into the group. Ruled out: elections (`raft.elected`, three voters of three), leases (the leader changed its group 15 s later). Change: each voter sends the leader's URL to its seeds once a second. A relay asks that instance to confirm its lease; an instance that knows no leader sends it a join request.

--- a/packages/control/src/__tests__/controlRelay.spec.ts
+++ b/packages/control/src/__tests__/controlRelay.spec.ts
@@ -162,6 +162,19 @@
     await scene.close()
   })
 
+  it('asks announced instances, and takes none for the leader that does not confirm its lease', async () => {
+    const instances = { a: {}, b: { leaderUrl: 'a' }, c: 'refusing', d: 'leaseless' } as const
+    const scene = createScene({ ...instances, e: 'leader' }, ['a', 'b'])
+    for (const announced of ['c', 'd']) scene.tracker.recordCandidate(announced)
+    const { outcome } = await scene.finish(scene.operations.run('nameWeights', WEIGHTS))
+    expect(outcome).to.include({ kind: 'controlUnavailable', notRun: true })
+    scene.tracker.recordCandidate('e')
+    const next = await scene.finish(scene.operations.run('nameWeights', WEIGHTS))
+    expect(next.outcome).to.deep.equal(NAMED)
+    expect(scene.listSent('nameWeights')).to.deep.equal(['e'])
+    await scene.close()
+  })
+
   it('reads the table at the next leader after a silent one within the time of one read', async () => {
     const scene = createScene({ a: 'leader', b: { leaderUrl: 'a' } })
     await scene.finish(scene.operations.run('nameWeights', WEIGHTS))
--- a/packages/control/src/group/membershipManager.ts
+++ b/packages/control/src/group/membershipManager.ts
@@ -12,6 +12,7 @@
 } from '@spoolgate/core'
 import type { RaftMember } from '../raft/types.js'
 import { createFaultToleranceReport } from './faultToleranceReport.js'
+import { createLeaderAnnouncer } from './leaderAnnouncer.js'
 import { findMembershipStep, type JoinRequest, type MemberHealth } from './groupPlan.js'
 
 /** Path of requests to join the group. */
@@ -37,6 +38,8 @@
    * @throws SpoolgateError `notLeader` with the leader's URL on other members.
    */
   recordJoinRequest(joiner: JoinRequest): void
+  /** Records the leader that a voter announced; this instance then also asks it to join. */
+  recordAnnouncement(leaderUrl: string): void
   close(): Promise<void>
 }
 
@@ -57,7 +60,9 @@
   let leaderKnownAt = -Infinity
   let leadingTerm: number | undefined
   let leadingSince = 0
+  let announcedLeader: string | undefined
   const toleranceReport = createFaultToleranceReport(options)
+  const announcer = createLeaderAnnouncer(options)
 
   const listJoinRequests = (): JoinRequest[] => {
     const oldest = timers.now() - JOIN_REQUEST_TTL_MS
@@ -97,6 +102,7 @@
     const { members } = member.status()
     const known = Object.values(members).map(({ url }) => url)
     const targets = new Set([...known, ...options.seeds()])
+    if (announcedLeader !== undefined) targets.add(announcedLeader)
     targets.delete(options.url)
     const body = { name: options.name, url: options.url }
     const attempts = [...targets].map(async (target) => {
@@ -143,7 +149,13 @@
       }
       joinRequests.set(joiner.name, { joiner, at: timers.now() })
     },
+    recordAnnouncement: (leaderUrl) => {
+      if (announcedLeader === leaderUrl) return
+      announcedLeader = leaderUrl
+      logger.info('group.leaderAnnounced', { leaderUrl })
+    },
     close: async () => {
+      announcer.close()
       stopping.abort()
       await running
     },
--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -9,12 +9,17 @@
   createMetrics,
   createRandomSource,
   createTimeLimit,
+  INTERNAL_BODY_LIMITS,
+  readJson,
+  sendJson,
   SpoolgateError,
   type CloseReport,
+  type HttpExchange,
   type Logger,
   type Route,
   type TimerService,
 } from '@spoolgate/core'
+import { LEADER_PATH, type LeaderAnnouncement } from '../group/leaderAnnouncer.js'
 import { JOIN_PATH } from '../group/membershipManager.js'
 import { FEED_PATH, TABLE_PATH } from './feed.js'
 import { OPERATION_PATH } from './fleetOperations.js'
@@ -119,9 +124,15 @@
       details: { leaderUrl },
     })
   }
+  const serveAnnouncement = async ({ request, response }: HttpExchange) => {
+    const announcement = await readJson(request, INTERNAL_BODY_LIMITS)
+    tracker.recordCandidate((announcement as LeaderAnnouncement).leaderUrl)
+    sendJson(response, 200, {})
+  }
   const findUnreadyReason = () => (tracker.current() ? undefined : 'no leader is known')
   server.addRoutes([
     ...createDaemonRoutes({ metrics, findUnreadyReason }),
+    { method: 'POST', path: LEADER_PATH, handler: serveAnnouncement },
     ...LEADER_ROUTES.map(([method, path]): Route => ({ method, path, handler: refuse })),
   ])
   logger.info('relay.listening', { url, seeds: options.seeds() })
--- a/packages/control/src/registry/leaderTracker.ts
+++ b/packages/control/src/registry/leaderTracker.ts
@@ -1,6 +1,6 @@
 /**
- * Knows the current leader from outside the control group: searches it among the seeds and the instances that led
- * before, and checks it periodically.
+ * Knows the current leader from outside the control group: searches it among the seeds, the instances that led before
+ * and those that voters announce, and checks it periodically.
  */
 import {
   createTimeLimit,
@@ -44,6 +44,8 @@
   search(signal: AbortSignal): Promise<KnownLeader | undefined>
   /** Records an instance that answered as the leader, if none is known: a late answer may be from a former one. */
   recordLeader(url: string): void
+  /** Records an instance that may be the leader; searches also ask it. */
+  recordCandidate(url: string): void
   /** Records that an instance does not lead or does not listen. */
   recordRefusal(url: string): void
   /** Records that the leader did not answer; it stays the current one until a search finds another. */
@@ -53,14 +55,15 @@
 
 /** Interval between checks of the leader, in ms: as long as an election. */
 const CHECK_PERIOD_MS = 500
-/** Maximum number of former leaders that are searched besides the seeds: the largest number of voters. */
-const MAX_FORMER_LEADERS = 8
+/** Maximum number of candidates that are searched besides the seeds: the largest number of voters. */
+const MAX_CANDIDATES = 8
 
 /** Creates the tracker and starts its periodic check. */
 export function createLeaderTracker(options: LeaderTrackerOptions): LeaderTracker {
   const { client, timers, logger } = options
   const stopping = new AbortController()
-  const formerLeaders = new LRUCache<string, true>({ max: MAX_FORMER_LEADERS })
+  /** Instances that led before or were announced as the leader. */
+  const candidates = new LRUCache<string, true>({ max: MAX_CANDIDATES })
   let leader: KnownLeader | undefined
   let searching: Promise<void> | undefined
   /** Emits the result of each search; waiting on its promise would hold every waiter until the search ends. */
@@ -74,7 +77,7 @@
       signal,
     })
   const instances = createInstanceSearch({
-    listInstances: () => [...new Set([...formerLeaders.keys(), ...options.seeds()])],
+    listInstances: () => [...new Set([...candidates.keys(), ...options.seeds()])],
     send: confirm,
     timers,
     random: options.random,
@@ -84,7 +87,7 @@
     stopping: stopping.signal,
   })
   const install = (next: KnownLeader) => {
-    formerLeaders.set(next.url, true)
+    candidates.set(next.url, true)
     if (leader?.url !== next.url) logger.info('relay.leader', { url: next.url, term: next.term })
     leader = next
   }
@@ -132,6 +135,10 @@
     recordLeader: (url) => {
       if (!leader) install({ url })
     },
+    recordCandidate: (url) => {
+      if (!candidates.has(url)) logger.info('relay.leaderAnnounced', { leaderUrl: url })
+      candidates.set(url, true)
+    },
     recordRefusal,
     recordSilence: () => void startSearch(),
     close: async () => {
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -22,8 +22,8 @@
 import type { RoutingTable } from '@spoolgate/routing'
 import { merge, Subject } from 'rxjs'
 import { createQuarantineCoordinator } from '../quarantine/quarantineCoordinator.js'
-import { createMembershipManager, JOIN_PATH } from '../group/membershipManager.js'
-import type { JoinRequest } from '../group/groupPlan.js'
+import { createMembershipManager } from '../group/membershipManager.js'
+import { createMembershipRoutes } from '../group/membershipRoutes.js'
 import { openIdentity } from '../group/identity.js'
 import { openDataFolder, type DataFolder } from '../log/dataFolder.js'
 import { openLogStore } from '../log/logStore.js'
@@ -299,16 +299,7 @@
   const routes: Route[] = [
     ...createDaemonRoutes({ metrics, findUnreadyReason }),
     createRaftRoute({ member, isCut: () => false }),
-    {
-      method: 'POST',
-      path: JOIN_PATH,
-      handler: async ({ request, response }: HttpExchange) => {
-        membershipManager.recordJoinRequest(
-          (await readJson(request, INTERNAL_BODY_LIMITS)) as JoinRequest,
-        )
-        sendJson(response, 200, {})
-      },
-    },
+    ...createMembershipRoutes(membershipManager),
     {
       method: 'POST',
       path: FEED_PATH,
