--- a/packages/control/src/registry/loadTask.ts
+++ b/packages/control/src/registry/loadTask.ts
@@ -19,7 +19,7 @@
   | 'unconfirmed'
   /** The engine is no longer loading, but has no newer version. */
   | 'notLoaded'
-  /** The engine refused the order for good. */
+  /** The engine rejected the order; sending it again cannot succeed. */
   | 'rejected'
   | 'timedOut'
   /** This instance no longer leads, or stops. */
