docs: comments of the rollout and of the limit on old weights

Cause: found in the last read of the change: four comments had to be read twice, or told of an earlier form of the code. Change: wording only.

--- a/packages/control/src/group/membershipManager.ts
+++ b/packages/control/src/group/membershipManager.ts
@@ -38,7 +38,7 @@
    * @throws SpoolgateError `notLeader` with the leader's URL on other members.
    */
   recordJoinRequest(joiner: JoinRequest): void
-  /** Records the leader that a voter announced; this instance then also asks it to join. */
+  /** Records the leader that a voter announced; join requests are also sent to it. */
   recordAnnouncement(leaderUrl: string): void
   close(): Promise<void>
 }
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -179,7 +179,7 @@
     weightsSince = { ...weightsSince, ...Object.fromEntries(changed.map((model) => [model, at])) }
     weights = next
     weightsHistory.record(weights, timers.now())
-    // Of the time since the poll was sent, only what the leader held it is known to lie before the ages were stated.
+    // The leader stated the ages after it had held the poll; any other delay may have come later.
     weightsHistory.recordAges(weightAges, sentAt + heldMs)
   }
   const buildView = () => {
--- a/packages/control/src/registry/loadQueue.ts
+++ b/packages/control/src/registry/loadQueue.ts
@@ -41,7 +41,7 @@
   readonly calls: number
 }
 
-/** Orders tasks by how long an engine has been owed an order: each new version is owed to all engines from then on. */
+/** Puts the engines first that were last ordered to load the oldest version, then those ordered longest ago. */
 function compareTasks(a: RankedTask, b: RankedTask): number {
   return a.orderedVersion - b.orderedVersion || a.attemptedAt - b.attemptedAt || a.calls - b.calls
 }
--- a/packages/router/src/direct/weightsExpiry.ts
+++ b/packages/router/src/direct/weightsExpiry.ts
@@ -1,6 +1,6 @@
 /**
- * Enforces the maximum age of weights at the time a request begins. A request is not sent to an engine where it would
- * begin too late, and a request that still waits at an engine when its weights expire is withdrawn.
+ * Enforces the maximum age of weights at the time a request begins. Engines where a request would begin too late rank
+ * like engines that are loading, and a request that still waits when the weights of its engine expire is withdrawn.
  */
 import {
   findSupersededAt,
