feat(router): log the software versions of servers and which stream a request takes up

Heartbeats now bring it into the registry and the feed; call.choice has softwareVersion, resumes and lastEventId, call.sendEnded the version and the last event that was forwarded, server.observed and 'spoolgate servers' the version. No request is routed differently.

--- a/packages/control/src/registry/heartbeatBatches.ts
+++ b/packages/control/src/registry/heartbeatBatches.ts
@@ -79,9 +79,10 @@
 export function hashRegistration(server: RegisteredServer): number {
   const known = digests.get(server)
   if (known !== undefined) return known
-  const { id, group, address, hall, phase, slots, weights } = server
+  const { id, group, address, hall, phase, slots, weights, softwareVersion } = server
   const versions = weights.map(({ model, version }) => [model, version])
-  const digest = hashText(JSON.stringify([id, group, address, hall, phase, slots, versions]))
+  const fields = [id, group, address, hall, phase, slots, versions, softwareVersion]
+  const digest = hashText(JSON.stringify(fields))
   digests.set(server, digest)
   return digest
 }
--- a/packages/control/src/registry/heartbeatIntake.ts
+++ b/packages/control/src/registry/heartbeatIntake.ts
@@ -138,6 +138,7 @@
         phase: server.phase,
         before: known?.phase,
         weights: server.weights,
+        softwareVersion: server.softwareVersion,
       })
       return (await member.propose({ kind: 'server.observe', server })) as ServerResult
     },
--- a/packages/control/src/registry/serverStatus.ts
+++ b/packages/control/src/registry/serverStatus.ts
@@ -10,6 +10,8 @@
   readonly server: string
   readonly group: string
   readonly hall: string
+  /** Version of its software; null if it does not report one. */
+  readonly softwareVersion: string | null
   /** Registered phase, or the condition that keeps requests away. */
   readonly state: string
   /** Speed in percent of the group's; null without recent evidence. */
@@ -54,12 +56,14 @@
       conditions[state].map((id) => [id, state] as const),
     ),
   )
-  const statuses = input.servers.map(({ id, group, hall, phase }): ServerStatus => {
+  const statuses = input.servers.map((server): ServerStatus => {
+    const { id, group, hall, phase, softwareVersion = null } = server
     const { calls, promptTokens, backoffs = 0 } = loads[id] ?? NO_LOAD
     return {
       server: id,
       group,
       hall,
+      softwareVersion,
       state: states.get(id) ?? phase,
       ...readSpeed(speeds.get(id)),
       calls,
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -7,6 +7,7 @@
   toBackendServerId,
   type BackendServerId,
   type ServerName,
+  type SoftwareVersion,
 } from '@spoolgate/core'
 
 /** Lifecycle phase of one incarnation of a backend server; it only advances. */
@@ -38,6 +39,8 @@
   /** Maximum number of requests processed concurrently. */
   readonly slots: number
   readonly weights: readonly LoadedWeights[]
+  /** Absent if the server does not report it, and in state written before version 0.9. */
+  readonly softwareVersion?: SoftwareVersion
 }
 
 /** Records the server data of a heartbeat. */
@@ -150,6 +153,7 @@
     a.hall === b.hall &&
     a.phase === b.phase &&
     a.slots === b.slots &&
+    a.softwareVersion === b.softwareVersion &&
     isEqualWeights(a.weights, b.weights)
   )
 }
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -28,6 +28,8 @@
 export type FencingNumber = Brand<number, 'FencingNumber'>
 /** Weights version of a model as the engine reports it. */
 export type WeightsVersion = Brand<string, 'WeightsVersion'>
+/** Version of the software that a backend server runs, as its platform names it; unlike weights, versions have no order. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>
 /** What is the same when a caller sends a request again: see `hashRequest`. */
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>
 /** Hash of a prompt prefix, which covers everything before its end. */
@@ -43,6 +45,7 @@
 export const toConfigVersion = (value: number): ConfigVersion => value as ConfigVersion
 export const toFencingNumber = (value: number): FencingNumber => value as FencingNumber
 export const toWeightsVersion = (value: string): WeightsVersion => value as WeightsVersion
+export const toSoftwareVersion = (value: string): SoftwareVersion => value as SoftwareVersion
 export const toRequestFingerprint = (value: string): RequestFingerprint =>
   value as RequestFingerprint
 export const toPrefixHash = (value: string): PrefixHash => value as PrefixHash
--- a/packages/router/src/__tests__/requestFingerprint.spec.ts
+++ b/packages/router/src/__tests__/requestFingerprint.spec.ts
@@ -14,6 +14,7 @@
   tokenCount: undefined,
   prompt: undefined,
   lastEventId: undefined,
+  resumes: undefined,
   headers: [['X-Trace', '1']],
 }
 const TEAM: TeamEntry = { id: toTeamId('team-a'), keys: [], isIsolated: false, priority: 1 }
--- a/packages/router/src/direct/protocols.ts
+++ b/packages/router/src/direct/protocols.ts
@@ -41,6 +41,8 @@
   readonly prompt: PromptInfo | undefined
   /** ID of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined
+  /** ID of the request whose response contained the first event of the stream that is resumed. */
+  readonly resumes: string | undefined
   /** Header fields that are forwarded to the backend server. */
   readonly headers: HeaderList
 }
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -1,4 +1,5 @@
 /** Records server choices and attempts: for the log, the metrics and later choices of all routers. */
+import type { AttemptOutcome } from './attemptOutcome.js'
 import { formatCallScope, type CallPlan } from './callPlan.js'
 import { recordEngineWork } from './engineCost.js'
 import type { Candidate } from './serverRanking.js'
@@ -16,6 +17,9 @@
   const { prompt } = plan.call
   return {
     server: best.server.id,
+    softwareVersion: best.server.softwareVersion,
+    resumes: plan.call.resumes,
+    lastEventId: plan.call.lastEventId,
     cost: best.cost,
     expectedMs: Math.round(best.expectedMs),
     matchedTokens: best.matchedTokens,
@@ -31,6 +35,23 @@
   }
 }
 
+/** Builds the log fields of an attempt without a complete response; `lastEventId` is of the last event forwarded. */
+export function formatSendEnd(
+  { server }: Candidate,
+  outcome: Exclude<AttemptOutcome, { kind: 'answered' }>,
+  lastEventId: string | undefined,
+): Record<string, unknown> {
+  const { kind, reason } = outcome
+  return {
+    server: server.id,
+    softwareVersion: server.softwareVersion,
+    end: kind,
+    reason,
+    backoff: kind === 'notRun' ? outcome.backoff : undefined,
+    lastEventId,
+  }
+}
+
 /** Builds the fields of a send that depend on the chosen server. */
 export function buildSendFields(
   { call, team }: CallPlan,
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -34,7 +34,7 @@
 import { admitAttempt, type AdmittedAttempt, type RequestState } from './attemptAdmission.js'
 import { findGroupRetryAfterSeconds } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
-import { buildSendFields, recordSentPrompt } from './sendRecord.js'
+import { buildSendFields, formatSendEnd, recordSentPrompt } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
 import type { TrackedCall } from './serverStats.js'
@@ -321,17 +321,11 @@
     return relayResponse({ message, headers, response, relay, isFinished: () => this.isFinished })
   }
 
-  private logSendEnd({ server }: Candidate, outcome: AttemptOutcome): void {
-    if (outcome.kind === 'answered') return
-    const { kind, reason } = outcome
-    const backoff = kind === 'notRun' ? outcome.backoff : undefined
-    this.log('call.sendEnded', { server: server.id, end: kind, reason, backoff })
-  }
-
   /** Handles the outcome of an attempt; returns true once the request has its final response. */
   private async handleOutcome(candidate: Candidate, outcome: AttemptOutcome): Promise<boolean> {
     this.trackedCall?.finish(SERVER_OUTCOMES[outcome.kind])
-    this.logSendEnd(candidate, outcome)
+    if (outcome.kind !== 'answered')
+      this.log('call.sendEnded', formatSendEnd(candidate, outcome, this.relay.lastEventId()))
     switch (outcome.kind) {
       case 'answered':
         this.timings.recordPlainResponse()
--- a/packages/spoolgate/src/__tests__/servers.spec.ts
+++ b/packages/spoolgate/src/__tests__/servers.spec.ts
@@ -3,7 +3,15 @@
 
 describe('the table of the servers', () => {
   it('tells a server without evidence from one as fast as its group', () => {
-    const base = { group: 'g', hall: 'h', state: 'ready', calls: 2, promptTokens: 9_190 }
+    const softwareVersion = 'v2'
+    const base = {
+      softwareVersion,
+      group: 'g',
+      hall: 'h',
+      state: 'ready',
+      calls: 2,
+      promptTokens: 9_190,
+    }
     const text = formatServers([
       { ...base, server: 'a@1', percent: 60, ageMs: 340, perSecond: 4, backoffs: 2 },
       { ...base, server: 'b@1', percent: null, ageMs: null, perSecond: null, backoffs: 0 },
@@ -12,6 +20,7 @@
     expect(first).to.deep.equal([
       'a@1',
       'h',
+      'v2',
       'ready',
       '0.60',
       '2',
@@ -20,6 +29,6 @@
       '4/s',
       '2 routers',
     ])
-    expect(second).to.deep.equal(['b@1', 'h', 'ready', '-', '2', '9190', '-', '-', '-'])
+    expect(second).to.deep.equal(['b@1', 'h', 'v2', 'ready', '-', '2', '9190', '-', '-', '-'])
   })
 })
--- a/packages/spoolgate/src/node/cli/serversCommand.ts
+++ b/packages/spoolgate/src/node/cli/serversCommand.ts
@@ -9,6 +9,7 @@
 const HEAD = [
   'server',
   'hall',
+  'version',
   'state',
   'speed',
   'calls',
@@ -27,6 +28,7 @@
   const rows = statuses.map((status) => [
     status.server,
     status.hall,
+    status.softwareVersion ?? '-',
     status.state,
     formatOrNone(status.percent, (percent) => (percent / PERCENT).toFixed(2)),
     String(status.calls),
