fix(router): continue a stream only at the software version that began it

Callers got streams with events of two software versions of a service, in one answer: after a server broke off, the router ranked all servers of the group for the continuation.

The version of the server whose event is forwarded first pins the request: later attempts go to servers of that version alone. While no whole event was forwarded, any version may begin. Where no server of the version is left the answer ends at once, and Retry-After of what is refused as not run counts only servers of that version.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -113,6 +113,7 @@
 } from './registry/feed.js'
 export {
   buildServerIdentity,
+  findSoftwareVersion,
   isStartTimeKnown,
   type LoadedWeights,
   type RegisteredServer,
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -5,6 +5,7 @@
 import {
   removeOldest,
   toBackendServerId,
+  toSoftwareVersion,
   type BackendServerId,
   type ServerName,
   type SoftwareVersion,
@@ -91,6 +92,8 @@
   load(saved: SavedServers): void
 }
 
+/** Stands for the software of servers that do not report a version. */
+const NO_SOFTWARE_VERSION = toSoftwareVersion('')
 /** Start time of a server that does not report it. */
 const UNKNOWN_START_TIME = 0
 /** Incarnations that left; they are kept so that a late heartbeat does not register one again. */
@@ -110,6 +113,11 @@
   return { id: toBackendServerId(`${name}@${startedAt}`), name, startedAt }
 }
 
+/** Returns the software version of a server; the empty version for one that does not report any. */
+export function findSoftwareVersion({ softwareVersion }: RegisteredServer): SoftwareVersion {
+  return softwareVersion ?? NO_SOFTWARE_VERSION
+}
+
 /** Whether the server reported its start time. */
 export function isStartTimeKnown({ startedAt }: ServerIdentity): boolean {
   return startedAt !== UNKNOWN_START_TIME
--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -51,8 +51,9 @@
     const feed = { current: () => view }
     const context = { ...createRankingContext(timers, 1, MAX_AGE_MS), timers, feed }
     const plan = { view, group: GROUP }
+    const history = { pinnedVersion: undefined }
     const findRetryAfter = () =>
-      createNoServer(context as never, plan as never, () => undefined).retryAfterSeconds
+      createNoServer(context as never, plan as never, history, () => undefined).retryAfterSeconds
     timers.advance(6_000)
     expect(findRetryAfter()).to.equal(0.15)
     timers.advance(2_000)
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -1,5 +1,6 @@
 /** Outcomes of one attempt at a backend server, and the relay of its response up to that outcome. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { RegisteredServer } from '@spoolgate/control'
 import { readResponseBody, sendBufferedResponse, type StreamRelay } from './responseRelay.js'
 import type { HeaderList, BackoffSignal } from './protocols.js'
 import type { CallOutcome } from './serverStats.js'
@@ -75,6 +76,8 @@
 /** Options of {@link relayResponse}. */
 export interface RelayResponseOptions {
   readonly message: IncomingMessage
+  /** Server that sent the message. */
+  readonly server: RegisteredServer
   readonly headers: HeaderList
   readonly response: ServerResponse
   readonly relay: StreamRelay
@@ -84,11 +87,11 @@
 
 /** Relays a response to the caller; failures are returned instead. */
 export async function relayResponse(options: RelayResponseOptions): Promise<AttemptOutcome> {
-  const { message, headers, response, relay, isFinished } = options
+  const { message, server, headers, response, relay, isFinished } = options
   const status = message.statusCode ?? 0
   const isStream = (message.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)
   if (isStream && status < MIN_CLIENT_ERROR_STATUS) {
-    const bodyResult = await relay.relay(message, headers)
+    const bodyResult = await relay.relay(message, headers, server)
     if (bodyResult === 'broken') return { kind: 'lost', reason: 'the response stream broke off' }
     if (!isFinished()) relay.finish()
     return { kind: 'answered', status }
--- a/packages/router/src/direct/engineSelection.ts
+++ b/packages/router/src/direct/engineSelection.ts
@@ -114,14 +114,14 @@
 
 /** Chooses the best engine with capacity that does not cost much more than the best one, and reserves it. */
 function chooseEngine(
-  { context, engineAdmission, plan, log }: AdmittedCall,
+  { context, engineAdmission, plan, state, log }: AdmittedCall,
   request: AdmissionRequest,
   allowed: readonly Candidate[],
 ): ServerChoice<AdmittedEngine> {
   const { loads, rooms } = engineAdmission
   const [best] = allowed
   if (!best) {
-    const { retryAfterSeconds } = createNoServer(context, plan, log)
+    const { retryAfterSeconds } = createNoServer(context, plan, state, log)
     return { kind: 'none', retryAfterMs: retryAfterSeconds * MS_PER_S }
   }
   const view = context.feed.current() ?? plan.view
@@ -206,7 +206,7 @@
   const [best] = ranked
   const refusal = best
     ? findDeadlineRefusal(context, plan, best, log)
-    : createNoServer(context, plan, log)
+    : createNoServer(context, plan, state, log)
   if (!best || refusal)
     return { kind: 'refused', error: createUnavailableError(false, refusal?.retryAfterSeconds) }
   const first: FirstChoice = { ranked }
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -3,6 +3,7 @@
  * truncated one can still be retried or turned into an error response. Events of a stream are forwarded as they arrive.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { RegisteredServer } from '@spoolgate/control'
 import type { HeaderList } from './protocols.js'
 import { createSseEventBuffer, type SseEventBuffer } from './sseEventBuffer.js'
 
@@ -74,8 +75,12 @@
   hasBegun(): boolean
   /** ID of the last complete event that was forwarded; undefined before the first. */
   lastEventId(): string | undefined
-  /** Forwards the events of one backend response until it ends or breaks off. */
-  relay(message: IncomingMessage, headers: HeaderList): Promise<BodyResult>
+  /** Forwards the events of one backend response, which `server` sent, until it ends or breaks off. */
+  relay(
+    message: IncomingMessage,
+    headers: HeaderList,
+    server: RegisteredServer,
+  ): Promise<BodyResult>
   /** Ends the response to the caller. */
   finish(): void
 }
@@ -85,8 +90,8 @@
   readonly response: ServerResponse
   /** Whether another attempt may resume a broken stream; if so, only complete events are forwarded. */
   readonly isResumable: boolean
-  /** Called for each chunk that is forwarded. */
-  readonly onChunk: () => void
+  /** Called with the sender of each chunk before it is forwarded. */
+  readonly onChunk: (server: RegisteredServer) => void
 }
 
 /** Creates a relay whose response has not started. */
@@ -95,13 +100,18 @@
   let lastId: string | undefined
   let hasBegun = false
 
-  const forward = (message: IncomingMessage, headers: HeaderList, data: Buffer) => {
+  const forward = (
+    message: IncomingMessage,
+    headers: HeaderList,
+    server: RegisteredServer,
+    data: Buffer,
+  ) => {
     if (data.length === 0) return
+    onChunk(server)
     if (!hasBegun) {
       hasBegun = true
       writeHead(response, message.statusCode ?? 200, headers)
     }
-    onChunk()
     if (response.write(data)) return
     message.pause()
     response.once('drain', () => message.resume())
@@ -114,12 +124,12 @@
   return {
     hasBegun: () => hasBegun,
     lastEventId: () => lastId,
-    relay: (message, headers) =>
+    relay: (message, headers, server) =>
       new Promise((resolve) => {
         const eventBuffer = createSseEventBuffer()
         const watch = watchCompletion(message)
         message.on('data', (chunk: Buffer) =>
-          forward(message, headers, takeForwardable(eventBuffer, chunk)),
+          forward(message, headers, server, takeForwardable(eventBuffer, chunk)),
         )
         message.on('end', () => {
           const isComplete = watch.isComplete() && !eventBuffer.hasPartialEvent()
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -4,7 +4,13 @@
  * that a request was not run is sent only if it was not.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { BackendServerId, RequestFingerprint, SpoolgateError } from '@spoolgate/core'
+import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
+import type {
+  BackendServerId,
+  RequestFingerprint,
+  SoftwareVersion,
+  SpoolgateError,
+} from '@spoolgate/core'
 import type { Subscription } from 'rxjs'
 import { checkResponseHead } from './responseHead.js'
 import { createStreamRelay, isCallerDisconnected, type StreamRelay } from './responseRelay.js'
@@ -36,6 +42,7 @@
 import { countKvTokens } from './engineLoads.js'
 import { buildSendFields, formatSendEnd, recordSentPrompt } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
+import { isRetryable, takeRetry } from './retryRules.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
 import type { TrackedCall } from './serverStats.js'
 
@@ -56,6 +63,7 @@
   readonly sentTo = new Set<BackendServerId>()
   readonly excluded = new Set<BackendServerId>()
   mayHaveRun = false
+  pinnedVersion: SoftwareVersion | undefined
   private isFinished = false
   private currentAttempt: SendAttempt | undefined
   private timeout: Subscription | undefined
@@ -86,7 +94,7 @@
     this.relay = createStreamRelay({
       response,
       isResumable: plan.route.repeatability === 'resumable',
-      onChunk: () => this.recordChunk(),
+      onChunk: (server) => this.recordChunk(server),
     })
   }
 
@@ -117,7 +125,8 @@
     this.cancelWait = cancel
   }
 
-  private recordChunk(): void {
+  private recordChunk(server: RegisteredServer): void {
+    this.pinnedVersion ??= findSoftwareVersion(server)
     this.recordFirstEvent()
     this.trackedCall?.recordFirstChunk()
     this.trackedCall?.recordActivity()
@@ -312,13 +321,14 @@
     this.trackedCall?.recordActivity()
     const outcome = checkResponseHead(context, plan, candidate, { message, sentAt: this.sentAt })
     if (outcome?.kind === 'notRun') this.mayHaveRun = previousMayHaveRun
-    return outcome ?? this.relayToCaller(message)
+    return outcome ?? this.relayToCaller(message, candidate.server)
   }
 
-  private relayToCaller(message: IncomingMessage): Promise<AttemptOutcome> {
+  private relayToCaller(message: IncomingMessage, server: RegisteredServer) {
     const { response, relay } = this
     const headers = this.context.backend.listAnswerHeaders(message)
-    return relayResponse({ message, headers, response, relay, isFinished: () => this.isFinished })
+    const isFinished = () => this.isFinished
+    return relayResponse({ message, server, headers, response, relay, isFinished })
   }
 
   /** Handles the outcome of an attempt; returns true once the request has its final response. */
@@ -359,7 +369,10 @@
     if (!hasNewerVersion) this.excluded.add(server.id)
     if (this.context.retryBudget.takeRetry(this.plan.group.name)) return false
     this.finishWithError(
-      createUnavailableError(this.mayHaveRun, findGroupRetryAfterSeconds(this.context, this.plan)),
+      createUnavailableError(
+        this.mayHaveRun,
+        findGroupRetryAfterSeconds(this.context, this.plan, this.pinnedVersion),
+      ),
     )
     return true
   }
@@ -384,18 +397,8 @@
     return true
   }
 
-  /** Whether the route, and what has been forwarded to the caller, allow the request to run again. */
-  private isRetryable(): boolean {
-    const { repeatability } = this.plan.route
-    if (repeatability === 'once') return false
-    return !this.relay.hasBegun() || repeatability === 'resumable'
-  }
+  private isRetryable = () => isRetryable(this.plan, this.relay)
 
   /** Takes one retry from the budget if a request that may have run may be sent to another server now. */
-  private takeRetry(): boolean {
-    const { route, group } = this.plan
-    if (!this.isRetryable()) return false
-    if (this.sentTo.size >= route.maxServers) return false
-    return this.context.retryBudget.takeRetry(group.name)
-  }
+  private takeRetry = () => takeRetry(this.context, this.plan, this.relay, this)
 }
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -1,6 +1,6 @@
 /** Selects the backend server for the next send of a request, or finds that none can take it. */
-import type { RegisteredServer } from '@spoolgate/control'
-import type { BackendServerId } from '@spoolgate/core'
+import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
+import type { BackendServerId, SoftwareVersion } from '@spoolgate/core'
 import { formatCallScope, type CallPlan } from './callPlan.js'
 import { LOADING_MS, rankServers, type Candidate } from './serverRanking.js'
 import type { DirectContext } from './directContext.js'
@@ -13,6 +13,8 @@
 
 /** Typical duration of a load of weights, in ms: the time after which callers return if all engines have to load first. */
 const LOAD_MS = 1_000
+/** Time until a server of a software version that has none may start, in ms: a rollback takes minutes. */
+const VERSION_GONE_MS = 60_000
 
 /** Sends of a request so far. */
 export interface SendHistory {
@@ -22,6 +24,8 @@
   readonly sentTo: ReadonlySet<BackendServerId>
   /** Servers that were unreachable, failed or stopped responding, or refused for a lasting reason; not tried again. */
   readonly excluded: ReadonlySet<BackendServerId>
+  /** Software version that began the stream, the only one at which it may continue; undefined before the first event. */
+  readonly pinnedVersion: SoftwareVersion | undefined
 }
 
 /** Logs an event of the request. */
@@ -36,12 +40,35 @@
 /** Result of {@link chooseServer}. */
 export type ServerSelection = { readonly kind: 'server'; readonly candidate: Candidate } | NoServer
 
+/** Whether a request may be sent to a server by the software version to which it is pinned. */
+function isVersionAllowed(server: RegisteredServer, pinned: SoftwareVersion | undefined): boolean {
+  return pinned === undefined || findSoftwareVersion(server) === pinned
+}
+
+/** Lists the servers of the group that are not leaving and have the software version of the request. */
+function listReadyServers(
+  context: DirectContext,
+  plan: CallPlan,
+  pinned: SoftwareVersion | undefined,
+): RegisteredServer[] {
+  const view = context.feed.current() ?? plan.view
+  return [...view.servers.values()].filter(
+    (server) =>
+      server.group === plan.group.name &&
+      server.phase === 'ready' &&
+      isVersionAllowed(server, pinned),
+  )
+}
+
 /** Finds the earliest time at which a server of the group accepts requests again; now if one already does. */
-function findNextOpenAt(context: DirectContext, plan: CallPlan): number {
+function findNextOpenAt(
+  context: DirectContext,
+  plan: CallPlan,
+  pinned: SoftwareVersion | undefined,
+): number {
   const now = context.timers.now()
   const view = context.feed.current() ?? plan.view
-  const openTimes = [...view.servers.values()]
-    .filter(({ group, phase }) => group === plan.group.name && phase === 'ready')
+  const openTimes = listReadyServers(context, plan, pinned)
     .map((server) => ({ server, verdict: checkServerAvailability(context, server.id, now) }))
     .filter(({ verdict }) => verdict.kind !== 'leaving')
     .map(({ server, verdict }) => {
@@ -52,8 +79,12 @@
 }
 
 /** Finds the Retry-After of a request that no server of the group accepts now, in seconds. */
-export function findGroupRetryAfterSeconds(context: DirectContext, plan: CallPlan): number {
-  const retryAfterMs = findNextOpenAt(context, plan) - context.timers.now()
+export function findGroupRetryAfterSeconds(
+  context: DirectContext,
+  plan: CallPlan,
+  pinned: SoftwareVersion | undefined,
+): number {
+  const retryAfterMs = findNextOpenAt(context, plan, pinned) - context.timers.now()
   return drawRetryAfterSeconds(retryAfterMs, context.random)
 }
 
@@ -65,12 +96,31 @@
 }
 
 /** Logs that no server is available and finds when the caller may retry. */
-export function createNoServer(context: DirectContext, plan: CallPlan, log: CallLog): NoServer {
-  const retryAfterSeconds = findGroupRetryAfterSeconds(context, plan)
+export function createNoServer(
+  context: DirectContext,
+  plan: CallPlan,
+  { pinnedVersion }: Pick<SendHistory, 'pinnedVersion'>,
+  log: CallLog,
+): NoServer {
+  const isVersionGone =
+    pinnedVersion !== undefined && listReadyServers(context, plan, pinnedVersion).length === 0
+  if (isVersionGone) {
+    const retryAfterSeconds = drawRetryAfterSeconds(VERSION_GONE_MS, context.random)
+    log('call.versionGone', { group: plan.group.name, pinnedVersion, retryAfterSeconds })
+    return { kind: 'none', retryAfterSeconds }
+  }
+  const retryAfterSeconds = findGroupRetryAfterSeconds(context, plan, pinnedVersion)
   const backingOff = context.backpressure.listBackingOff(context.timers.now()).length
   const limited = context.limits.countLimited()
   const expired = countExpired(context, plan)
-  log('call.noServer', { group: plan.group.name, backingOff, limited, expired, retryAfterSeconds })
+  log('call.noServer', {
+    group: plan.group.name,
+    pinnedVersion,
+    backingOff,
+    limited,
+    expired,
+    retryAfterSeconds,
+  })
   return { kind: 'none', retryAfterSeconds }
 }
 
@@ -95,7 +145,7 @@
 export function listAllowedServers(
   context: DirectContext,
   plan: CallPlan,
-  { sends, sentTo, excluded }: SendHistory,
+  { sends, sentTo, excluded, pinnedVersion }: SendHistory,
 ): Candidate[] {
   if (sends >= MAX_SENDS) return []
   const ranked = rankServers(context, {
@@ -109,8 +159,9 @@
     targetMs: plan.route.targetMs,
     serverSpeeds: context.findServerSpeeds(plan.group),
   })
+  const allowed = ranked.filter(({ server }) => isVersionAllowed(server, pinnedVersion))
   const hasReachedMaxServers = sentTo.size >= plan.route.maxServers
-  return hasReachedMaxServers ? ranked.filter(({ server }) => sentTo.has(server.id)) : ranked
+  return hasReachedMaxServers ? allowed.filter(({ server }) => sentTo.has(server.id)) : allowed
 }
 
 /** Chooses the server for the next send. */
@@ -122,7 +173,7 @@
 ): ServerSelection {
   const allowed = listAllowedServers(context, plan, history)
   const [best] = allowed
-  if (!best) return createNoServer(context, plan, log)
+  if (!best) return createNoServer(context, plan, history, log)
   const isFirstPromptSend = plan.call.prompt !== undefined && history.sends === 0
   const deadlineRefusal = isFirstPromptSend
     ? findDeadlineRefusal(context, plan, best, log)
