feat(control): list the software versions of each group before servers of a new one are used

Routers have to know whether a stream that a client takes up can have begun at another software version. The versions of a group are replicated, with a revision, and part of the feed; a version is listed by the log before the first server that has it is registered.

A router that is cut off could still take the group for one with a single version. The gate therefore registers servers of a new version only once every router whose state is younger than 1.5 s holds the version, or after 2 s: from then on routers that do not know it do not rely on their state either. A start that a held one replaces is taken out at once. The feed also has the addresses of the routers, where a group has several versions.

--- a/packages/control/src/__tests__/feedSource.spec.ts
+++ b/packages/control/src/__tests__/feedSource.spec.ts
@@ -44,6 +44,7 @@
       logger: createQuietLogger(),
     }),
     tables: { findUpdate: () => undefined },
+    versionGate: { recordPoll: () => {} },
     findConditions: () => ({ loading: [], expired: [], silent: [], stores: [] }),
     conditionChanges: NEVER,
     cacheDirectory: {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -64,6 +64,8 @@
   type SpeedReply,
 } from './registry/feedClient.js'
 export { SERVERS_PATH, type ServerStatus } from './registry/serverStatus.js'
+export { VERSIONS_MAX_AGE_MS } from './registry/versionGate.js'
+export type { GroupVersions } from './state/softwareVersionState.js'
 export { createQuotaBuckets, type QuotaBuckets } from './registry/quotaBuckets.js'
 export {
   CREDIT_TTL_MS,
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -10,6 +10,7 @@
 import type { TableUpdate } from '../table/tableUpdate.js'
 import type { VersionAges } from './weightsHistory.js'
 import type { QueueReport } from './queueBoard.js'
+import type { GroupVersions } from '../state/softwareVersionState.js'
 import type { QuotaGrants, QuotaReport } from './quotaProtocol.js'
 
 /** Path of the feed endpoint on a control instance. */
@@ -104,6 +105,20 @@
   readonly stores: readonly ReachableStore[]
 }
 
+/** Software versions of all groups. */
+export interface VersionsUpdate {
+  /** Revision of the list, which does not depend on the term. */
+  readonly revision: number
+  readonly groups: GroupVersions
+}
+
+/** Addresses at which routers exchange the records of their streams. */
+export interface PeersUpdate {
+  /** Whether the leader has led for long enough to know all routers. */
+  readonly isComplete: boolean
+  readonly urls: readonly string[]
+}
+
 /** Engine time that requests of a rank and team need soon; ranks and weights are those of the routers' admission. */
 export type Demand = readonly [
   rank: number,
@@ -155,6 +170,12 @@
   readonly speedsSeen?: number
   /** Engine time that this router needs soon; absent where it does not share scarce engines. */
   readonly demands?: Demands
+  /** Revision of the software versions that this router holds; absent before version 0.9. */
+  readonly versionsSeen?: number
+  /** Address at which other routers reach this one; absent if they cannot. */
+  readonly peerUrl?: string
+  /** Revision, within the term, of this router's list of peers. */
+  readonly peersSeen?: number
   /** Maximum time that the leader may hold the poll, in ms. */
   readonly waitMs: number
 }
@@ -207,6 +228,11 @@
   readonly speedsSeen?: number
   /** Engine time that all other routers need soon; present if the router reported its own. */
   readonly demands?: Demands
+  /** Present if the router's revision of the software versions differs. */
+  readonly versions?: VersionsUpdate
+  /** Present if the router's revision differs and a group has several software versions. */
+  readonly peers?: PeersUpdate
+  readonly peersSeen?: number
   /** Quota credits of the teams; present if the router reported its use. */
   readonly quotas?: QuotaGrants
 }
--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -79,6 +79,11 @@
   readonly onTrial: (request: RequestFingerprint) => void
   /** Called with cache content reported by engines and stores. */
   readonly onCacheChanges: (placements: readonly CachedPlacement[]) => void
+  /**
+   * Address at which other routers reach this one, for the records of streams.
+   * @default undefined, they do not
+   */
+  readonly peerUrl?: string
 }
 
 /** Limits observed by this router, held until the leader acknowledges them. */
@@ -122,9 +127,13 @@
   current(): FleetView | undefined
   /** Time since the poll that last confirmed the router's table as the newest, in ms; Infinity if never. */
   proofAgeMs(): number
+  /** Time since the poll whose reply was applied last, in ms; Infinity if never. */
+  viewAgeMs(): number
+  /** Addresses at which routers exchange the records of their streams, that of this one included. */
+  listPeers(): readonly string[]
   /** URL of the instance that answered last; undefined while none responds. */
   leaderUrl(): string | undefined
-  /** Emits after each change of the table, the weights or the servers. */
+  /** Emits after each change of the table, the weights, the servers, the software versions or the peers. */
   readonly changes: Observable<FleetView>
   close(): Promise<void>
 }
@@ -173,6 +182,8 @@
   const replica = createFleetReplica(options)
   let unreportedPlacements: readonly Placement[] = []
   let confirmedAt = -Infinity
+  /** When the poll of the reply that was applied last was sent, in ms of the same clock. */
+  let appliedAt = -Infinity
   /** Confirmation of the version that is being fetched; takes effect once the router holds it. */
   let pendingConfirmation: TableConfirmation | undefined
   /** URL of the instance that answered last. */
@@ -198,6 +209,7 @@
     const request: FeedRequest = {
       router: options.router,
       ...position,
+      peerUrl: options.peerUrl,
       blame: blame.report,
       limits: limits.reports,
       quotas: options.quotas.buildReport(askedAt),
@@ -248,6 +260,7 @@
   const applyAnswer = (answer: FeedAnswer) => {
     const { reply, askedAt, sentAt, reported, blame, limits, loads } = answer
     const isChanged = replica.apply(reply, loads, sentAt)
+    appliedAt = Math.max(appliedAt, askedAt)
     options.onPlacements(reply.placements)
     options.onCacheChanges(reply.kept)
     options.blame.recordReported(blame, reply.term)
@@ -312,6 +325,8 @@
     current: replica.view,
     // Counts suspension: the table may have been replaced while this machine was suspended.
     proofAgeMs: () => timers.promiseNow() - confirmedAt,
+    viewAgeMs: () => timers.promiseNow() - appliedAt,
+    listPeers: replica.listPeers,
     leaderUrl: () => leader,
     changes,
     close: async () => {
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -25,6 +25,7 @@
 import { createDemandAggregator } from './demandAggregator.js'
 import { createRateLimitAllocator } from './rateLimitAllocator.js'
 import { createLoadAggregator } from './loadAggregator.js'
+import { createPeerDirectory } from './peerDirectory.js'
 import { createPlacementLog } from './placementLog.js'
 import { createQueueBoard, type RouterQueue } from './queueBoard.js'
 import { createSpeedAggregator } from './speedAggregator.js'
@@ -32,6 +33,7 @@
 import type { QuotaGrants, QuotaReport, QuotaStatus } from './quotaProtocol.js'
 import type { VersionAges } from './weightsHistory.js'
 import { listServerStatus, type ServerStatus } from './serverStatus.js'
+import type { VersionGate } from './versionGate.js'
 import { createServerChanges } from './serverChanges.js'
 import type { TableHistory } from '../table/tableHistory.js'
 import { measureUpdate, NO_TABLE_VERSION } from '../table/tableUpdate.js'
@@ -46,6 +48,8 @@
   /** Emits when the conditions change. */
   readonly conditionChanges: Observable<void>
   readonly tables: TableHistory
+  /** Takes note of the software versions that routers hold. */
+  readonly versionGate: Pick<VersionGate, 'recordPoll'>
   /** Quarantines requests that crash servers. */
   readonly quarantine: QuarantineCoordinator
   /** Quotas of the teams. */
@@ -151,6 +155,7 @@
     timers,
     isRegistered: (server) => machine.servers.find(server as BackendServerId) !== undefined,
   })
+  const peers = createPeerDirectory({ timers, routerLifeMs: ROUTER_EXPIRY_MS })
   const placements = createPlacementLog()
   const cacheChanges = createPlacementLog()
   const updatedAt = new LRUCache<string, number>({ max: MAX_TRACKED_ROUTERS })
@@ -227,9 +232,15 @@
     placements.reset()
     limits.reset()
     speeds.reset()
+    peers.reset()
     options.quotas.reset(leadingTerm)
     currentTerm = leadingTerm
   }
+  const recordVersions = ({ router, peerUrl, versionsSeen }: FeedRequest) => {
+    if (peerUrl !== undefined) peers.record(peerUrl)
+    if (versionsSeen !== undefined && leadingTerm !== undefined)
+      options.versionGate.recordPoll(router, versionsSeen, leadingTerm)
+  }
   /** Records the reports of a router; returns the quarantined request that it may try. */
   const recordRouter = (request: FeedRequest) => {
     startTerm()
@@ -239,6 +250,7 @@
     queues.record(request.router, request.queues)
     speeds.record(request.speeds ?? [])
     demands.record(request.router, request.demands)
+    recordVersions(request)
     if (request.quotas) options.quotas.applyReport(request.quotas)
     return request.blame && quarantine.record(request.blame)
   }
@@ -256,6 +268,21 @@
   const isNewLimits = (request: FeedRequest) =>
     !isCurrentTerm(request) ||
     (request.limitsSeen !== undefined && request.limitsSeen !== limits.revision())
+  const isNewVersions = ({ versionsSeen }: FeedRequest) =>
+    versionsSeen !== undefined && versionsSeen !== machine.softwareVersions.revision()
+  const listVersions = (request: FeedRequest) => {
+    if (!isNewVersions(request)) return undefined
+    const { softwareVersions } = machine
+    return { revision: softwareVersions.revision(), groups: softwareVersions.list() }
+  }
+  /** Routers need each other only where streams of several versions may be resumed. */
+  const buildPeers = (request: FeedRequest) => {
+    const isUsed = Object.values(machine.softwareVersions.list()).some(({ length }) => length > 1)
+    if (request.peerUrl === undefined || !isUsed) return {}
+    const peersSeen = peers.revision()
+    const isSeen = isCurrentTerm(request) && request.peersSeen === peersSeen
+    return { peersSeen, peers: isSeen ? undefined : peers.buildUpdate() }
+  }
   /** Revision of the speeds that the router has; undefined if it does not use them. */
   const findSpeedsSeen = (request: FeedRequest) =>
     request.speedsSeen === undefined || isCurrentTerm(request) ? request.speedsSeen : 0
@@ -270,6 +297,7 @@
   }
   const isUpdateDue = (request: FeedRequest) => {
     if (isNewTable(request) || isNewSuspects(request) || isNewLimits(request)) return true
+    if (isNewVersions(request)) return true
     recordFleetChanges()
     if (speeds.isBehind(findSpeedsSeen(request) ?? Infinity)) return true
     return request.revision !== revision
@@ -280,7 +308,11 @@
   }
   /** Gathers changes of the fleet that follow an update closely. Nothing delays a new table. */
   const gatherChanges = async (request: FeedRequest, response: ServerResponse) => {
-    const isOther = isNewTable(request) || isNewSuspects(request) || isNewLimits(request)
+    const isOther =
+      isNewTable(request) ||
+      isNewSuspects(request) ||
+      isNewLimits(request) ||
+      isNewVersions(request)
     if (isOther || !isUpdateDue(request)) return
     const gatherMs = findGatherMs(request)
     if (gatherMs <= 0) return
@@ -326,6 +358,8 @@
       demands: request.demands && demands.sumExcept(request.router),
       quotas: request.quotas && options.quotas.listGrants(request.quotas),
       ...listSpeeds(request),
+      versions: listVersions(request),
+      ...buildPeers(request),
     }
     if (isCurrentTerm(request) && request.revision === revision) return common
     updatedAt.set(request.router, timers.now())
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -19,6 +19,7 @@
 import type { BatchReply, HeartbeatBatch } from './heartbeatBatches.js'
 import { createHeartbeatForwarder, type HeartbeatOutcome } from './heartbeatForwarder.js'
 import { createHeartbeatIntake, type ServerHeartbeat } from './heartbeatIntake.js'
+import type { VersionGate } from './versionGate.js'
 import { createTableWriter } from './tableWriter.js'
 import type { SetWeightsVersion, SetWeightsVersionResult } from '../state/weightsState.js'
 
@@ -91,6 +92,11 @@
   /** Whether the routing table, if there is one, contains a group. */
   readonly isKnownGroup: (name: string) => boolean
   readonly rejectedInputs: RejectedInputs
+  /**
+   * Decides when servers of a new software version may be registered.
+   * @default at once
+   */
+  readonly versionGate?: Pick<VersionGate, 'isOpen' | 'waitUntilOpen'>
   /**
    * Called with the outcome of each heartbeat that this instance received from a server.
    * @default no counting
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -13,6 +13,7 @@
 } from '../table/tableUpdate.js'
 import type { RegisteredServer } from '../state/serverState.js'
 import { createLoadsReplica, NO_LOADS } from './loadsUpdate.js'
+import type { GroupVersions } from '../state/softwareVersionState.js'
 import type { ServersUpdate } from './serverChanges.js'
 import { createWeightsHistory, type VersionTimes } from './weightsHistory.js'
 import type {
@@ -20,8 +21,10 @@
   FeedRequest,
   CacheListCursor,
   ServerConditions,
+  PeersUpdate,
   ServerLoads,
   ReachableStore,
+  VersionsUpdate,
 } from './feed.js'
 
 /** Fleet state as seen by a router. */
@@ -33,6 +36,8 @@
   /** When each version of the weights became the target, in ms of the same clock; never later than it did. */
   readonly versionTimes: VersionTimes
   readonly servers: ReadonlyMap<BackendServerId, RegisteredServer>
+  /** Software versions of the groups; streams may be left that any of them began. */
+  readonly softwareVersions: GroupVersions
   /** Servers that are loading weights or about to load them. */
   readonly loading: ReadonlySet<BackendServerId>
   /** Servers whose weights are too old for new calls. */
@@ -61,6 +66,8 @@
   | 'limitsSeen'
   | 'loadsSeen'
   | 'speedsSeen'
+  | 'versionsSeen'
+  | 'peersSeen'
 >
 
 /** Options of {@link createFleetReplica}. */
@@ -80,8 +87,10 @@
   listControl(): readonly string[]
   /** Number of routers that polled control recently, including this one. */
   countRouters(): number
+  /** Addresses at which routers exchange the records of their streams; empty until they are needed. */
+  listPeers(): readonly string[]
   /**
-   * Applies a reply; true if it contained a new table, weights or servers.
+   * Applies a reply; true if it contained a new table, weights, servers, software versions or peers.
    * @param sentLoads loads of this router in the poll of the reply
    * @param sentAt when that poll was sent, in ms of `TimerService.now`
    * @throws what `decodeTable` throws; the reply is then not applied at all.
@@ -129,6 +138,8 @@
   let conditions = NO_CONDITIONS
   let control: readonly string[] = []
   let routers = 1
+  let peers: PeersUpdate = { isComplete: false, urls: [] }
+  let versions: VersionsUpdate = { revision: NO_VERSION, groups: {} }
   let loads: ServerLoads = {}
   const loadsReplica = createLoadsReplica()
   const weightsHistory = createWeightsHistory(timers)
@@ -142,6 +153,7 @@
     keptSeen: 0,
     keptPosition: EMPTY_LIST,
     loadsSeen: NO_LOADS,
+    versionsSeen: NO_VERSION,
   }
 
   const installTable = (update: TableUpdate) => {
@@ -182,10 +194,20 @@
     // The leader stated the ages after it had held the poll; any other delay may have come later.
     weightsHistory.recordAges(weightAges, sentAt + heldMs)
   }
+  /** A delayed reply of the same term may have an older list. */
+  const applyVersions = ({ versions: next, term }: FeedReply) => {
+    if (!next) return
+    if (term > position.term || next.revision > versions.revision) versions = next
+  }
+  /** A new leader does not know all routers yet. */
+  const applyPeers = ({ peers: next }: FeedReply) => {
+    if (next && (next.isComplete || !peers.isComplete)) peers = next
+  }
   const buildView = () => {
     if (!index) return
     const versionTimes = weightsHistory.times()
-    const known = { index, weights, weightsSince, versionTimes, servers }
+    const softwareVersions = versions.groups
+    const known = { index, weights, weightsSince, versionTimes, servers, softwareVersions }
     view = { ...known, ...conditions, routers, loads }
   }
   return {
@@ -193,6 +215,7 @@
     position: () => position,
     listControl: () => control,
     countRouters: () => routers,
+    listPeers: () => peers.urls,
     applyTable: (update) => {
       if (!installTable(update)) return false
       position = { ...position, tableVersion: update.version }
@@ -204,6 +227,8 @@
       const isServersKnown = !reply.servers || applyServers(reply.servers)
       if (reply.conditions) conditions = toSets(reply.conditions)
       applyWeights(reply, sentAt)
+      applyVersions(reply)
+      applyPeers(reply)
       control = reply.control ?? control
       routers = Math.max(1, reply.routers)
       const { loadsUpdate } = reply
@@ -217,6 +242,7 @@
         suspectsSeen,
         limitsSeen,
         speedsSeen,
+        peersSeen,
       } = reply
       position = {
         tableVersion: heldTable?.version ?? NO_TABLE_VERSION,
@@ -230,9 +256,12 @@
         limitsSeen,
         loadsSeen: loadsReplica.cursor(),
         speedsSeen,
+        versionsSeen: versions.revision,
+        peersSeen,
       }
       buildView()
-      return isTableNew || reply.servers !== undefined
+      const { servers: newServers, versions: newVersions, peers: newPeers } = reply
+      return isTableNew || [newServers, newVersions, newPeers].some((news) => news !== undefined)
     },
   }
 }
--- a/packages/control/src/registry/heartbeatIntake.ts
+++ b/packages/control/src/registry/heartbeatIntake.ts
@@ -19,7 +19,9 @@
   type ServerState,
 } from '../state/serverState.js'
 import { hashRegistration, type BatchEntry, type BatchReply } from './heartbeatBatches.js'
+import { createHeldRegistrations } from './heldRegistrations.js'
 import { createServerSignals, type ServerSignals } from './serverSignals.js'
+import type { VersionGate } from './versionGate.js'
 
 /** Heartbeat of a backend server. */
 export interface ServerHeartbeat {
@@ -39,6 +41,11 @@
   /** Whether the routing table, if there is one, contains a group. */
   readonly isKnownGroup: (name: string) => boolean
   readonly rejectedInputs: RejectedInputs
+  /**
+   * Decides when servers of a new software version may be registered.
+   * @default at once
+   */
+  readonly versionGate?: Pick<VersionGate, 'isOpen' | 'waitUntilOpen'>
 }
 
 /** See {@link createHeartbeatIntake}. */
@@ -61,6 +68,11 @@
 /** Maximum age of the known leadership, in ms: a pass over 3,000 servers reads the status of the member once. */
 const STATUS_MAX_AGE_MS = 1
 
+const OPEN_GATE: Pick<VersionGate, 'isOpen' | 'waitUntilOpen'> = {
+  isOpen: () => true,
+  waitUntilOpen: () => Promise.resolve(true),
+}
+
 /** Creates the intake of one instance. */
 export function createHeartbeatIntake(options: HeartbeatIntakeOptions): HeartbeatIntake {
   const { member, servers, timers, logger } = options
@@ -89,6 +101,8 @@
     silentAfterMs: options.silentAfterMs,
     findHeartbeatAgeMs,
   })
+  const gate = options.versionGate ?? OPEN_GATE
+  const heldRegistrations = createHeldRegistrations({ ...options, gate })
   /** Batches arrive out of order: the time of the last heartbeat never decreases. */
   const recordActivity = (id: BackendServerId, at: number) =>
     receivedAt.set(id, Math.max(at, receivedAt.get(id) ?? -Infinity))
@@ -103,7 +117,10 @@
     return hashRegistration(known) === digest
   }
   return {
-    resolveLeave: signals.resolveLeave,
+    resolveLeave: (name, startedAt) => {
+      heldRegistrations.remove(name)
+      return signals.resolveLeave(name, startedAt)
+    },
     findHeartbeatAgeMs,
     checkLeadership: () => void findLeadingSince(timers.now()),
     observeServers: (entries) => {
@@ -131,6 +148,7 @@
       recordActivity(id, timers.now())
       if (known && isSameRegistration(known, mergeServer(known, server)))
         return { phase: known.phase }
+      if (heldRegistrations.hold(server)) return { phase: server.phase, isRegistered: false }
       logger.info('server.observed', {
         server: id,
         group,
--- /dev/null
+++ b/packages/control/src/registry/peerDirectory.ts
@@ -0,0 +1,64 @@
+/** The leader's list of the addresses at which routers exchange the records of their streams. */
+import type { TimerService } from '@spoolgate/core'
+import type { PeersUpdate } from './feed.js'
+
+/** Options of {@link createPeerDirectory}. */
+export interface PeerDirectoryOptions {
+  readonly timers: Pick<TimerService, 'now'>
+  /** Time after its last poll at which a router is removed, in ms. */
+  readonly routerLifeMs: number
+}
+
+/** See {@link createPeerDirectory}. */
+export interface PeerDirectory {
+  /** Clears the list at the start of a term. */
+  reset(): void
+  /** Records a poll of the router at an address; a restarted router has the address that it had. */
+  record(url: string): void
+  /** Revision of the list, which changes once a second at most. */
+  revision(): number
+  buildUpdate(): PeersUpdate
+}
+
+/** Minimum time between two revisions, in ms: 410 addresses take 10 KB for each router. */
+const REFRESH_PERIOD_MS = 1_000
+
+/** Creates an empty list. */
+export function createPeerDirectory({ timers, routerLifeMs }: PeerDirectoryOptions): PeerDirectory {
+  const polledAt = new Map<string, number>()
+  let startedAt = timers.now()
+  let refreshedAt = -Infinity
+  let update: PeersUpdate = { isComplete: false, urls: [] }
+  let revision = 0
+
+  const isSame = ({ isComplete, urls }: PeersUpdate) =>
+    isComplete === update.isComplete &&
+    urls.length === update.urls.length &&
+    urls.every((url, index) => url === update.urls[index])
+  const refresh = () => {
+    const now = timers.now()
+    if (now - refreshedAt < REFRESH_PERIOD_MS) return
+    refreshedAt = now
+    for (const [url, at] of polledAt) if (now - at > routerLifeMs) polledAt.delete(url)
+    const next = { isComplete: now - startedAt >= routerLifeMs, urls: [...polledAt.keys()].sort() }
+    if (isSame(next)) return
+    update = next
+    revision += 1
+  }
+  return {
+    reset: () => {
+      polledAt.clear()
+      startedAt = timers.now()
+      refreshedAt = -Infinity
+    },
+    record: (url) => void polledAt.set(url, timers.now()),
+    revision: () => {
+      refresh()
+      return revision
+    },
+    buildUpdate: () => {
+      refresh()
+      return update
+    },
+  }
+}
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -52,6 +52,7 @@
 import { createTableSource, type TableRequest } from './tableSource.js'
 import { createOrderCounter, startWeightsReport } from './weightsReport.js'
 import { createWeightsRollout } from './weightsRollout.js'
+import { createVersionGate } from './versionGate.js'
 import { createTableHistory } from '../table/tableHistory.js'
 
 /** Options of {@link createRegistryControl}. */
@@ -209,6 +210,11 @@
   const heartbeatClient = createHttpClient({ maxConnections: MAX_HEARTBEAT_CONNECTIONS })
   const batchClient = createHttpClient({ maxConnections: 1 })
   const overload = createOverloadMonitor({ timers, logger })
+  const versionGate = createVersionGate({
+    versions: machine.softwareVersions,
+    servers: machine.servers,
+    timers,
+  })
   const operations = createFleetOperationRunner({
     member,
     machine,
@@ -221,6 +227,7 @@
     logger,
     silentAfterMs: options.silentAfterMs,
     isKnownGroup: table.isKnownGroup,
+    versionGate,
     rejectedInputs: options.rejectedInputs,
   })
   const rollout = createWeightsRollout({
@@ -281,6 +288,7 @@
     machine,
     timers,
     tables,
+    versionGate,
     quarantine: blame,
     findConditions: () => ({
       loading: rollout.listLoading(),
@@ -367,6 +375,7 @@
     close: async (drainMs) => {
       stopping.next()
       operations.close()
+      versionGate.close()
       overload.close()
       monitor.close()
       await caches.close()
--- a/packages/control/src/state/controlMachine.ts
+++ b/packages/control/src/state/controlMachine.ts
@@ -1,6 +1,6 @@
 /**
  * Replicated state machine of the control group: configuration, claims, orders, routing table, weights, weight loads,
- * registered servers and quarantined requests. Typed commands from the log change it.
+ * registered servers with their software versions, and quarantined requests. Typed commands from the log change it.
  */
 import { Subject, type Observable } from 'rxjs'
 import type { StateMachine } from '../raft/types.js'
@@ -47,12 +47,21 @@
 import type { SuspectedRequest } from '../quarantine/crashReport.js'
 import {
   createServerState,
+  findSoftwareVersion,
   type ObserveServer,
   type RetireServer,
   type SavedServers,
   type ServerResult,
   type ServerState,
 } from './serverState.js'
+import {
+  createSoftwareVersionState,
+  type AddSoftwareVersion,
+  type RemoveSoftwareVersion,
+  type SavedSoftwareVersions,
+  type SoftwareVersionResult,
+  type SoftwareVersionState,
+} from './softwareVersionState.js'
 import {
   createTableState,
   type PutTable,
@@ -81,6 +90,8 @@
   'weights.name': { command: SetWeightsVersion; result: SetWeightsVersionResult }
   'server.observe': { command: ObserveServer; result: ServerResult }
   'server.retire': { command: RetireServer; result: ServerResult }
+  'version.add': { command: AddSoftwareVersion; result: SoftwareVersionResult }
+  'version.remove': { command: RemoveSoftwareVersion; result: SoftwareVersionResult }
   'request.quarantine': { command: QuarantineRequest; result: null }
   'request.release': { command: ReleaseRequest; result: null }
   'load.begin': { command: BeginWeightLoad; result: null }
@@ -104,9 +115,10 @@
   readonly table: TableState
   readonly weights: WeightsState
   readonly servers: ServerState
+  readonly softwareVersions: SoftwareVersionState
   readonly weightLoads: WeightLoadState
   readonly quarantine: QuarantineState
-  /** Emits after each command on the routing table, weights, registered servers or quarantined requests. */
+  /** Emits after each command on the routing table, weights, servers, software versions or quarantined requests. */
   readonly fleetChanges: Observable<void>
 }
 
@@ -122,6 +134,8 @@
   readonly loads?: SavedWeightLoads
   /** Absent from snapshots written before version 0.5. */
   readonly quarantine?: readonly SuspectedRequest[]
+  /** Absent from snapshots written before version 0.9. */
+  readonly softwareVersions?: SavedSoftwareVersions
 }
 
 type Handlers = {
@@ -140,6 +154,7 @@
   const table = createTableState()
   const weights = createWeightsState()
   const servers = createServerState()
+  const softwareVersions = createSoftwareVersionState()
   const loads = createWeightLoadState()
   const quarantine = createQuarantineState()
   const fleetChanges = new Subject<void>()
@@ -147,6 +162,13 @@
     fleetChanges.next()
     return result
   }
+  const observeServer = (command: ObserveServer): ServerResult => {
+    const { server } = command
+    const result = servers.observe(command)
+    if (result.phase !== 'gone')
+      softwareVersions.add({ serverGroup: server.group, version: findSoftwareVersion(server) })
+    return result
+  }
   const handlers: Handlers = {
     'config.submit': (command, index) => {
       const result = config.submit(command, index)
@@ -162,8 +184,10 @@
     'order.finish': orders.finish,
     'table.put': (command) => emitFleetChange(table.put(command)),
     'weights.name': (command) => emitFleetChange(weights.raiseVersion(command)),
-    'server.observe': (command) => emitFleetChange(servers.observe(command)),
+    'server.observe': (command) => emitFleetChange(observeServer(command)),
     'server.retire': (command) => emitFleetChange(servers.retire(command)),
+    'version.add': (command) => emitFleetChange(softwareVersions.add(command)),
+    'version.remove': (command) => emitFleetChange(softwareVersions.remove(command)),
     'request.quarantine': (command) => emitFleetChange(quarantine.quarantine(command)),
     'request.release': (command) => emitFleetChange(quarantine.release(command)),
     'load.begin': loads.begin,
@@ -177,6 +201,7 @@
     table,
     weights,
     servers,
+    softwareVersions,
     weightLoads: loads,
     quarantine,
     fleetChanges,
@@ -194,6 +219,7 @@
       servers: servers.save(),
       loads: loads.save(),
       quarantine: quarantine.save(),
+      softwareVersions: softwareVersions.save(),
     }),
     load: (state) => {
       const saved = state as SavedMachine
@@ -203,6 +229,7 @@
       table.load(saved.table ?? null)
       weights.load(saved.weights ?? {})
       servers.load(saved.servers ?? { servers: [], retired: [] })
+      softwareVersions.load(saved.softwareVersions, servers.list())
       loads.load(saved.loads ?? [])
       quarantine.load(saved.quarantine ?? [])
       fleetChanges.next()
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -30,6 +30,8 @@
 export type WeightsVersion = Brand<string, 'WeightsVersion'>
 /** Version of the software that a backend server runs, as its platform names it; unlike weights, versions have no order. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>
+/** Hash of a team and the id of a request that began a stream. */
+export type StreamKey = Brand<string, 'StreamKey'>
 /** What is the same when a caller sends a request again: see `hashRequest`. */
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>
 /** Hash of a prompt prefix, which covers everything before its end. */
@@ -46,6 +48,7 @@
 export const toFencingNumber = (value: number): FencingNumber => value as FencingNumber
 export const toWeightsVersion = (value: string): WeightsVersion => value as WeightsVersion
 export const toSoftwareVersion = (value: string): SoftwareVersion => value as SoftwareVersion
+export const toStreamKey = (value: string): StreamKey => value as StreamKey
 export const toRequestFingerprint = (value: string): RequestFingerprint =>
   value as RequestFingerprint
 export const toPrefixHash = (value: string): PrefixHash => value as PrefixHash
--- a/packages/spoolgate/src/node/bench/rankingBench.ts
+++ b/packages/spoolgate/src/node/bench/rankingBench.ts
@@ -69,6 +69,7 @@
     weights: {},
     weightsSince: {},
     versionTimes: {},
+    softwareVersions: {},
     stores: [],
     routers: 1,
   }
