fix(router): take up a stream only at the software version that began it, at each router

Callers that took up a stream at another router got events of two software versions: a router knew nothing of what another one had begun, and ranked all servers of the group.

A router records the version with the first event, before it is forwarded, under a hash of the team and the request's id. Once a group has several versions, it sends the record to three other routers by rendezvous hashing, without waiting for them; one that fails is replaced. A router that is asked to take a stream up uses its own record, else the only version of the group if its state is recent, else it asks the holders, twice. Without an answer it refuses: a version is never presumed. A stopping router sends its records on.

call.resumed and call.notResumed tell the version, where it is known from, or why not; metrics resumed_streams, refused_streams, stream_records, record_messages, records_sent.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -30,6 +30,7 @@
   declined: { status: 503, type: 'overloaded_error', notRun: true },
   deadlineUnreachable: { status: 503, type: 'overloaded_error', notRun: true },
   noBackendServer: { status: 503, type: 'overloaded_error', notRun: true },
+  streamNotResumable: { status: 503, type: 'overloaded_error', notRun: true },
   quarantined: { status: 503, type: 'overloaded_error', notRun: true },
   instanceStopping: { status: 503, type: 'overloaded_error', notRun: true },
   controlUnavailable: { status: 503, type: 'overloaded_error', notRun: true },
--- a/packages/router/src/direct/directContext.ts
+++ b/packages/router/src/direct/directContext.ts
@@ -25,6 +25,7 @@
 import type { EngineAdmission } from './engineAdmission.js'
 import type { DirectInstruments } from './instruments.js'
 import type { WeightsExpiry } from './weightsExpiry.js'
+import type { StreamContinuity } from '../streams/streamContinuity.js'
 import type { ServerSpeeds } from '../speeds/serverSpeeds.js'
 
 /** Context shared by all requests of a direct router. */
@@ -47,6 +48,7 @@
   /** Finds the speeds of the servers of a group; undefined if they are not estimated. */
   readonly findServerSpeeds: (group: ServerGroup) => ServerSpeeds | undefined
   readonly retryBudget: RetryBudget
+  readonly streams: Pick<StreamContinuity, 'resolvePin' | 'recordStart'>
   readonly restartDetector: Pick<RestartDetector, 'watch'>
   readonly crashDetector: Pick<CrashDetector, 'recordInterrupted'>
   readonly quarantine: Pick<RequestQuarantine, 'admit' | 'recordAnswered'>
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -42,6 +42,7 @@
 import { createServerStats } from './serverStats.js'
 import { createCrashDetector } from './crashDetector.js'
 import { createRestartDetector } from './restartDetector.js'
+import { openStreamSetup } from '../streams/streamSetup.js'
 import type { DirectRouterOptions } from './directRouterOptions.js'
 import { serveCall } from './serveCall.js'
 import { createEngineAdmission } from './engineAdmission.js'
@@ -150,7 +151,9 @@
     logger,
     findLeaderUrl: () => feed.leaderUrl(),
   })
+  const streamSetup = await openStreamSetup({ peers: options.peers, timers, logger, metrics })
   const feed: FeedClient = createFeedClient({
+    peerUrl: streamSetup.peerUrl,
     router: options.instance,
     seeds: options.seeds,
     client,
@@ -243,6 +246,7 @@
       bounds: options.retryBounds,
       countRouters: () => feed.current()?.routers ?? 1,
     }),
+    streams: streamSetup.start(feed),
     restartDetector,
     crashDetector,
     quarantine,
@@ -352,6 +356,7 @@
       const abandoned = shutdown.reportCutOff()
       for (const socket of sockets) socket.destroy()
       boundsSubscription.unsubscribe()
+      await streamSetup.close()
       restartDetector.close()
       crashDetector.close()
       liveness.close()
--- a/packages/router/src/direct/directRouterOptions.ts
+++ b/packages/router/src/direct/directRouterOptions.ts
@@ -3,6 +3,7 @@
 import type { RoutingTable, ServerGroup } from '@spoolgate/routing'
 import type { DirectAdmissionOptions } from './engineAdmission.js'
 import type { BackendProtocol, CallerProtocol } from './protocols.js'
+import type { PeerEndpoint } from '../streams/recordExchange.js'
 import type { RetryBounds } from './retryBudget.js'
 
 /** Options of `createDirectRouter`. */
@@ -25,6 +26,11 @@
    * @default Infinity
    */
   readonly maxWeightsAgeMs?: number
+  /**
+   * Where other routers reach this one to exchange the records of streams.
+   * @default undefined: beside several software versions, a stream is resumed only at the router that began it
+   */
+  readonly peers?: PeerEndpoint
   readonly logger: Logger
   readonly timers: TimerService
   /**
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -7,6 +7,17 @@
 import type { DirectContext } from './directContext.js'
 import { buildPlacement } from './prefixCacheIndex.js'
 
+/** Builds the log fields that each event of a request has. */
+export function formatCall(context: DirectContext, plan: CallPlan): Record<string, unknown> {
+  return {
+    request: plan.call.id,
+    route: plan.route.name,
+    tableVersion: plan.view.index.table.version,
+    proofAgeMs: Math.round(context.feed.proofAgeMs()),
+    ms: Math.round(context.timers.now() - plan.arrivedAt),
+  }
+}
+
 /** Builds the log fields of a server choice at time `now`: the figures that decided it and the second-best server. */
 export function formatServerChoice(
   plan: CallPlan,
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -1,7 +1,7 @@
 /**
  * Serves one request on the direct path: chooses a backend server, sends the request and relays the response. A request
  * that may have run is retried only if its route allows repetition, or if its stream can be resumed. An error that says
- * that a request was not run is sent only if it was not.
+ * that a request was not run is sent only if it was not. A stream continues only at the software version that began it.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
@@ -40,7 +40,7 @@
 import { admitAttempt, type AdmittedAttempt, type RequestState } from './attemptAdmission.js'
 import { findGroupRetryAfterSeconds } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
-import { buildSendFields, formatSendEnd, recordSentPrompt } from './sendRecord.js'
+import { buildSendFields, formatCall, formatSendEnd, recordSentPrompt } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
 import { isRetryable, takeRetry } from './retryRules.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
@@ -53,7 +53,10 @@
   body: Buffer,
   response: ServerResponse,
 ): Promise<void> {
-  const servedCall = new ServedCall(context, plan, body, response)
+  const pinned = await context.streams.resolvePin(plan, (event, fields) =>
+    context.logger.info(event, { ...formatCall(context, plan), ...fields }),
+  )
+  const servedCall = new ServedCall(context, pinned.plan, body, response, pinned.version)
   await servedCall.run()
 }
 
@@ -63,7 +66,6 @@
   readonly sentTo = new Set<BackendServerId>()
   readonly excluded = new Set<BackendServerId>()
   mayHaveRun = false
-  pinnedVersion: SoftwareVersion | undefined
   private isFinished = false
   private currentAttempt: SendAttempt | undefined
   private timeout: Subscription | undefined
@@ -88,6 +90,7 @@
     private readonly plan: CallPlan,
     readonly body: Buffer,
     private readonly response: ServerResponse,
+    public pinnedVersion: SoftwareVersion | undefined,
   ) {
     this.timings = createRequestTimings(context, plan)
     this.fingerprint = hashRequest(plan, body)
@@ -126,7 +129,7 @@
   }
 
   private recordChunk(server: RegisteredServer): void {
-    this.pinnedVersion ??= findSoftwareVersion(server)
+    if (this.pinnedVersion === undefined) this.recordStart(server)
     this.recordFirstEvent()
     this.trackedCall?.recordFirstChunk()
     this.trackedCall?.recordActivity()
@@ -134,6 +137,12 @@
     this.timings.recordFirstPart()
   }
 
+  /** Pins the request to the version that begins its stream. */
+  private recordStart(server: RegisteredServer): void {
+    this.pinnedVersion = findSoftwareVersion(server)
+    this.context.streams.recordStart(this.plan, server)
+  }
+
   /** Completes the request, once its response is sent or its caller has disconnected, and cancels all work for it. */
   private finish(reason: string): void {
     if (this.isFinished) return
@@ -146,17 +155,8 @@
   }
 
   private log(event: string, fields: Record<string, unknown>): void {
-    const { plan, context } = this
-    context.logger.info(event, {
-      request: plan.call.id,
-      fingerprint: this.fingerprint,
-      route: plan.route.name,
-      tableVersion: plan.view.index.table.version,
-      proofAgeMs: Math.round(context.feed.proofAgeMs()),
-      sends: this.sends,
-      ms: Math.round(context.timers.now() - plan.arrivedAt),
-      ...fields,
-    })
+    const { plan, context, fingerprint, sends } = this
+    context.logger.info(event, { ...formatCall(context, plan), fingerprint, sends, ...fields })
   }
 
   private handleDeadline(): void {
--- /dev/null
+++ b/packages/router/src/streams/recordLookup.ts
@@ -0,0 +1,91 @@
+/** Asks the routers that hold the record of a stream for it. */
+import {
+  toSpoolgateError,
+  waitFor,
+  type HttpClient,
+  type Logger,
+  type StreamKey,
+  type TimerService,
+} from '@spoolgate/core'
+import { decodeRecords, LOOKUP_PATH } from './recordMessages.js'
+import { rankHolders, RECORD_COPIES } from './recordHolders.js'
+import type { StreamRecord } from './streamRecords.js'
+
+/** Options of {@link createRecordLookup}. */
+export interface RecordLookupOptions {
+  readonly ownUrl: string
+  readonly listPeers: () => readonly string[]
+  readonly client: Pick<HttpClient, 'sendJson'>
+  readonly timers: TimerService
+  readonly logger: Logger
+}
+
+/** Result of a lookup. */
+export interface LookupResult {
+  readonly record: StreamRecord | undefined
+  /** Routers that were asked, and those of them that answered. */
+  readonly asked: number
+  readonly answered: number
+}
+
+/** Finds a record at other routers; `maxWaitMs` bounds the time that it takes. */
+export type RecordLookup = (key: StreamKey, maxWaitMs: number) => Promise<LookupResult>
+
+/** Time within which a router answers, in ms. */
+const ANSWER_TIMEOUT_MS = 250
+/** Time until the second round, in ms; a record may be on its way while its stream is resumed already. */
+const SECOND_ROUND_MS = 100
+/** Routers asked in the second round: those that replace failed holders as well. */
+const SECOND_ROUND_HOLDERS = 2 * RECORD_COPIES
+
+/** Resolves with the first record that any holder has, or undefined once all have answered or failed. */
+function findFirst(
+  answers: readonly Promise<StreamRecord | undefined>[],
+): Promise<StreamRecord | undefined> {
+  return new Promise((resolve) => {
+    const settled = answers.map(async (answer) => {
+      const record = await answer
+      if (record) resolve(record)
+    })
+    void Promise.all(settled).then(() => resolve(undefined))
+  })
+}
+
+/** Creates a lookup. */
+export function createRecordLookup(options: RecordLookupOptions): RecordLookup {
+  const { ownUrl, listPeers, client, timers, logger } = options
+
+  return async (key, maxWaitMs) => {
+    const holders = rankHolders(key, listPeers(), ownUrl)
+    const endsAt = timers.now() + maxWaitMs
+    const asked = new Set<string>()
+    const answered = new Set<string>()
+    const askHolder = async (url: string): Promise<StreamRecord | undefined> => {
+      asked.add(url)
+      try {
+        const body = await client.sendJson({
+          method: 'POST',
+          url: `${url}${LOOKUP_PATH}`,
+          json: { keys: [key] },
+          timeoutMs: Math.max(1, Math.min(ANSWER_TIMEOUT_MS, endsAt - timers.now())),
+        })
+        answered.add(url)
+        return decodeRecords(body).at(0)
+      } catch (cause) {
+        logger.info('streams.lookupFailed', {
+          holder: url,
+          reason: toSpoolgateError(cause).message,
+        })
+        return undefined
+      }
+    }
+    const askRound = (count: number) => findFirst(holders.slice(0, count).map(askHolder))
+    let record = await askRound(RECORD_COPIES)
+    const isTimeLeft = endsAt - timers.now() > SECOND_ROUND_MS
+    if (!record && isTimeLeft && holders.length > 0) {
+      await waitFor(timers, SECOND_ROUND_MS)
+      record = await askRound(SECOND_ROUND_HOLDERS)
+    }
+    return { record, asked: asked.size, answered: answered.size }
+  }
+}
--- /dev/null
+++ b/packages/router/src/streams/streamSetup.ts
@@ -0,0 +1,51 @@
+/** Assembles what a router needs to resume streams: its records, their exchange with other routers, and the metrics. */
+import type { FeedClient } from '@spoolgate/control'
+import type { Logger, Metrics, TimerService } from '@spoolgate/core'
+import { openRecordExchange, type PeerEndpoint } from './recordExchange.js'
+import { createStreamContinuity, type StreamContinuity } from './streamContinuity.js'
+import { createStreamRecords } from './streamRecords.js'
+
+/** Options of {@link openStreamSetup}. */
+export interface StreamSetupOptions {
+  /** Undefined if the router has no exchange with others. */
+  readonly peers: PeerEndpoint | undefined
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** See {@link openStreamSetup}. */
+export interface StreamSetup {
+  /** URL at which other routers reach this one. */
+  readonly peerUrl: string | undefined
+  /** Starts to follow the software versions and the peers that the feed reports. */
+  start(feed: FeedClient): StreamContinuity
+  /** Sends the records to other routers and stops. */
+  close(): Promise<void>
+}
+
+/** Opens the exchange of records, if the router has one. */
+export async function openStreamSetup(options: StreamSetupOptions): Promise<StreamSetup> {
+  const { peers: endpoint, timers, logger, metrics } = options
+  const records = createStreamRecords(timers)
+  let followed: FeedClient | undefined
+  let continuity: StreamContinuity | undefined
+  const listPeers = () => followed?.listPeers() ?? []
+  const exchange =
+    endpoint &&
+    (await openRecordExchange({ endpoint, records, listPeers, timers, logger, metrics }))
+  metrics.gauge('stream_records', 'Records of streams that may be resumed', records.count)
+  return {
+    peerUrl: exchange?.url,
+    start: (feed) => {
+      followed = feed
+      continuity = createStreamContinuity({ records, exchange, feed, timers, metrics })
+      return continuity
+    },
+    close: async () => {
+      continuity?.close()
+      await exchange?.close()
+      records.close()
+    },
+  }
+}
