feat(control): remove software versions that have had no server for over an hour

A group in which a release has ended kept both versions in its list for good, so that routers would exchange records forever, and refuse to resume what began before all of them restarted. Routers keep records for an hour at most; the leader removes a version that has had no server for 65 minutes, one at a time, and never the last one of a group (versionGate.spec).

--- a/packages/control/src/__tests__/versionGate.spec.ts
+++ b/packages/control/src/__tests__/versionGate.spec.ts
@@ -6,7 +6,9 @@
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import { createHeldRegistrations } from '../registry/heldRegistrations.js'
+import { startVersionRetention, VERSION_RETENTION_MS } from '../registry/versionRetention.js'
 import { createVersionGate, VERSIONS_MAX_AGE_MS } from '../registry/versionGate.js'
+import type { RaftMember } from '../raft/types.js'
 import { createControlStateMachine, type ControlCommand } from '../state/controlMachine.js'
 import { buildServerIdentity, type RegisteredServer } from '../state/serverState.js'
 
@@ -110,6 +112,28 @@
     expect([isRegistered('bb'), isRegistered('ccc')]).to.deep.equal([true, false])
   })
 
+  it('removes a version only long after its last server, and never the last one of a group', async () => {
+    const { machine, propose, timers } = await startWith('a')
+    await propose({ kind: 'server.observe', server: buildServer('bb', NEW) })
+    const status = () => ({ hasLease: true })
+    const member = { status, propose } as unknown as Pick<RaftMember, 'status' | 'propose'>
+    const retention = startVersionRetention({
+      member,
+      machine,
+      timers,
+      logger: createQuietLogger(),
+    })
+    await propose({ kind: 'server.retire', id: toServerName('a'), phase: 'gone' })
+    timers.advance(VERSION_RETENTION_MS)
+    expect(machine.softwareVersions.list()).to.deep.equal({ g: [OLD, NEW] })
+    timers.advance(20_000)
+    expect(machine.softwareVersions.list()).to.deep.equal({ g: [NEW] })
+    await propose({ kind: 'server.retire', id: toServerName('bb'), phase: 'gone' })
+    timers.advance(2 * VERSION_RETENTION_MS)
+    expect(machine.softwareVersions.list()).to.deep.equal({ g: [NEW] })
+    retention.close()
+  })
+
   it('keeps the versions and their revision over a snapshot, and lists those of an earlier one', async () => {
     const { machine, propose } = await startWith('a')
     await propose({ kind: 'version.add', serverGroup: 'g', version: NEW })
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -53,6 +53,7 @@
 import { createOrderCounter, startWeightsReport } from './weightsReport.js'
 import { createWeightsRollout } from './weightsRollout.js'
 import { createVersionGate } from './versionGate.js'
+import { startVersionRetention } from './versionRetention.js'
 import { createTableHistory } from '../table/tableHistory.js'
 
 /** Options of {@link createRegistryControl}. */
@@ -230,6 +231,7 @@
     versionGate,
     rejectedInputs: options.rejectedInputs,
   })
+  const versionRetention = startVersionRetention({ member, machine, timers, logger })
   const rollout = createWeightsRollout({
     member,
     machine,
@@ -376,6 +378,7 @@
       stopping.next()
       operations.close()
       versionGate.close()
+      versionRetention.close()
       overload.close()
       monitor.close()
       await caches.close()
