feat(cli): list the software versions of each group

'spoolgate versions' asks the leader for the versions of each group, their ready and draining servers, the calls there, and which are held until all routers know them. The leader's lists are one table of routes.

--- a/packages/control/src/__tests__/feedSimulation.ts
+++ b/packages/control/src/__tests__/feedSimulation.ts
@@ -236,7 +236,7 @@
       timers,
       quotas: createUnlimitedQuotaBuckets(timers),
       tables,
-      versionGate: { recordPoll: () => {} },
+      versionGate: { recordPoll: () => {}, isOpen: () => true },
       findConditions: () => ({ loading: [], expired: [], silent: [], stores: [] }),
       conditionChanges: NEVER,
       cacheDirectory: directory,
--- a/packages/control/src/__tests__/feedSource.spec.ts
+++ b/packages/control/src/__tests__/feedSource.spec.ts
@@ -44,7 +44,7 @@
       logger: createQuietLogger(),
     }),
     tables: { findUpdate: () => undefined },
-    versionGate: { recordPoll: () => {} },
+    versionGate: { recordPoll: () => {}, isOpen: () => true },
     findConditions: () => ({ loading: [], expired: [], silent: [], stores: [] }),
     conditionChanges: NEVER,
     cacheDirectory: {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -63,6 +63,7 @@
   type SpeedRecord,
   type SpeedReply,
 } from './registry/feedClient.js'
+export { VERSIONS_PATH, type VersionStatus } from './registry/versionStatus.js'
 export { SERVERS_PATH, type ServerStatus } from './registry/serverStatus.js'
 export { VERSIONS_MAX_AGE_MS } from './registry/versionGate.js'
 export type { GroupVersions } from './state/softwareVersionState.js'
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -32,6 +32,7 @@
 import type { QuotaBuckets } from './quotaBuckets.js'
 import type { QuotaGrants, QuotaReport, QuotaStatus } from './quotaProtocol.js'
 import type { VersionAges } from './weightsHistory.js'
+import { listVersionStatus, type VersionStatus } from './versionStatus.js'
 import { listServerStatus, type ServerStatus } from './serverStatus.js'
 import type { VersionGate } from './versionGate.js'
 import { createServerChanges } from './serverChanges.js'
@@ -49,7 +50,7 @@
   readonly conditionChanges: Observable<void>
   readonly tables: TableHistory
   /** Takes note of the software versions that routers hold. */
-  readonly versionGate: Pick<VersionGate, 'recordPoll'>
+  readonly versionGate: Pick<VersionGate, 'recordPoll' | 'isOpen'>
   /** Quarantines requests that crash servers. */
   readonly quarantine: QuarantineCoordinator
   /** Quotas of the teams. */
@@ -98,6 +99,11 @@
    * @throws SpoolgateError unless this instance is the leader and holds its lease.
    */
   listServers(): readonly ServerStatus[]
+  /**
+   * Lists the software versions of the groups.
+   * @throws SpoolgateError unless this instance is the leader and holds its lease.
+   */
+  listVersions(): readonly VersionStatus[]
 }
 
 /** Time after its last poll at which a router is no longer counted, in ms; six polls. */
@@ -403,6 +409,15 @@
     },
     addCacheChanges: (placed) => cacheChanges.add(NO_ROUTER, placed),
     sumLoads: () => loads.sumExcept(undefined),
+    listVersions: () => {
+      checkLeading()
+      return listVersionStatus({
+        versions: machine.softwareVersions.list(),
+        servers: machine.servers.list(),
+        loads: loads.sumExcept(undefined),
+        isOpen: options.versionGate.isOpen,
+      })
+    },
     listServers: () => {
       checkLeading()
       return listServerStatus({
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -35,7 +35,7 @@
 import { createCacheWatch, type CacheClient } from './cacheWatch.js'
 import type { EngineClient } from './engineClient.js'
 import { FEED_PATH, TABLE_PATH, type FeedRequest } from './feed.js'
-import { createFeedSource } from './feedSource.js'
+import { createFeedSource, type FeedSource } from './feedSource.js'
 import {
   createFleetOperationRunner,
   OPERATION_PATH,
@@ -44,6 +44,7 @@
 import { createDecodedTable } from './decodedTable.js'
 import { createQuotaBuckets } from './quotaBuckets.js'
 import { QUEUES_PATH } from './queueBoard.js'
+import { VERSIONS_PATH } from './versionStatus.js'
 import { SERVERS_PATH } from './serverStatus.js'
 import { QUOTA_PATH, type QuotaReport, type QuotaTolerance } from './quotaProtocol.js'
 import { createOverloadMonitor } from './overloadMonitor.js'
@@ -130,6 +131,14 @@
  */
 export const MAX_HEARTBEAT_CONNECTIONS = 16
 
+/** What the leader shows operators, by path. */
+const LEADER_VIEWS: readonly (readonly [path: string, list: (feed: FeedSource) => unknown])[] = [
+  [QUOTA_PATH, (feed) => feed.listQuotas()],
+  [QUEUES_PATH, (feed) => feed.listQueues()],
+  [SERVERS_PATH, (feed) => feed.listServers()],
+  [VERSIONS_PATH, (feed) => feed.listVersions()],
+]
+
 /** Creates a control instance; resolves once it is listening. */
 export async function createRegistryControl(
   options: RegistryControlOptions,
@@ -310,6 +319,11 @@
     ...createDaemonRoutes({ metrics, findUnreadyReason }),
     createRaftRoute({ member, isCut: () => false }),
     ...createMembershipRoutes(membershipManager),
+    ...LEADER_VIEWS.map(([path, list]): Route => ({
+      method: 'GET',
+      path,
+      handler: ({ response }) => sendJson(response, 200, list(feed)),
+    })),
     {
       method: 'POST',
       path: FEED_PATH,
@@ -326,21 +340,6 @@
         sendJson(response, 200, feed.grantQuotas(report))
       },
     },
-    {
-      method: 'GET',
-      path: QUOTA_PATH,
-      handler: ({ response }: HttpExchange) => sendJson(response, 200, feed.listQuotas()),
-    },
-    {
-      method: 'GET',
-      path: QUEUES_PATH,
-      handler: ({ response }: HttpExchange) => sendJson(response, 200, feed.listQueues()),
-    },
-    {
-      method: 'GET',
-      path: SERVERS_PATH,
-      handler: ({ response }: HttpExchange) => sendJson(response, 200, feed.listServers()),
-    },
     {
       method: 'POST',
       path: TABLE_PATH,
--- a/packages/spoolgate/src/node/cli/cli.ts
+++ b/packages/spoolgate/src/node/cli/cli.ts
@@ -11,6 +11,7 @@
 import { loadCommand } from './loadCommand.js'
 import { queuesCommand } from './queuesCommand.js'
 import { serversCommand } from './serversCommand.js'
+import { versionsCommand } from './versionsCommand.js'
 import { soakCommand } from './soakCommand.js'
 import { configCommands, explainCommand, memberCommands } from './operatorCommands.js'
 
@@ -27,6 +28,7 @@
   limits: limitsCommand,
   queues: queuesCommand,
   servers: serversCommand,
+  versions: versionsCommand,
   load: loadCommand,
   soak: soakCommand,
   bench: benchCommands,
