--- a/packages/router/src/__tests__/streamContinuity.spec.ts
+++ b/packages/router/src/__tests__/streamContinuity.spec.ts
@@ -17,7 +17,7 @@
   decodeLookup,
   decodeRecords,
   encodeRecord,
-  RECORDS_PATH,
+  TAKEN_STATUS,
 } from '../streams/recordMessages.js'
 import { createRecordSender } from '../streams/recordSender.js'
 import { createStreamContinuity } from '../streams/streamContinuity.js'
@@ -52,20 +52,25 @@
   const state = { versions: options.versions ?? SEVERAL, viewAgeMs: 0, isDelayed: false }
   const recordsByUrl = new Map(urls.map((url) => [url, createStreamRecords(timers)]))
   const delayed: (() => void)[] = []
-  const sendJson = async ({ url, json }: { url: string; json?: unknown }): Promise<unknown> => {
-    const { origin, pathname } = new URL(url)
+  const findRecords = (url: string) => {
+    const { origin } = new URL(url)
     const records = recordsByUrl.get(origin)
     if (!records || failed.has(origin)) throw new Error('connection refused')
-    if (pathname !== RECORDS_PATH) {
-      const found = decodeLookup(json).map(records.find)
-      return { records: found.flatMap((record) => (record ? [encodeRecord(record)] : [])) }
-    }
-    const add = () => decodeRecords(json).forEach((record) => records.add(record))
+    return records
+  }
+  const sendJson = async ({ url, json }: { url: string; json?: unknown }): Promise<unknown> => {
+    const found = decodeLookup(json).map(findRecords(url).find)
+    return { records: found.flatMap((record) => (record ? [encodeRecord(record)] : [])) }
+  }
+  const send = async ({ url, body }: { url: string; body?: unknown }): Promise<unknown> => {
+    const records = findRecords(url)
+    const sent = decodeRecords(JSON.parse(String(body)))
+    const add = () => sent.forEach((record) => records.add(record))
     if (state.isDelayed) delayed.push(add)
     else add()
-    return {}
+    return { statusCode: TAKEN_STATUS, resume: () => {} }
   }
-  const client = { sendJson } as Pick<HttpClient, 'sendJson'>
+  const client = { send, sendJson } as Pick<HttpClient, 'send' | 'sendJson'>
   const logger = createQuietLogger()
   const changes = new Subject<FleetView>()
   const routers = urls.map((ownUrl) => {
@@ -97,6 +102,7 @@
 
 async function startStream({ routers }: Routers, change: CallChange, version = OLD): Promise<void> {
   routers[0].recordStart(buildPlan(change), server(version))
+  await Promise.resolve()
   await routers[0].waitUntilIdle()
 }
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -17,6 +17,16 @@
   PromptPart,
   BackoffSignal,
 } from './direct/protocols.js'
+export { createRecordLookup, type RecordLookup } from './streams/recordLookup.js'
+export { createRecordSender, type RecordSender } from './streams/recordSender.js'
+export { createRecordRoutes, type PeerEndpoint } from './streams/recordExchange.js'
+export {
+  createStreamRecords,
+  hashStreamKey,
+  MAX_STREAM_RECORDS,
+  type StreamRecord,
+  type StreamRecords,
+} from './streams/streamRecords.js'
 export { rankServers, type RankingContext, type RankingInput } from './direct/serverRanking.js'
 export { createEnginePartition } from './direct/enginePartition.js'
 export { createPrefixCacheIndex } from './direct/prefixCacheIndex.js'
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -22,6 +22,7 @@
   encodeRecord,
   LOOKUP_PATH,
   RECORDS_PATH,
+  TAKEN_STATUS,
 } from './recordMessages.js'
 import { createRecordLookup, type LookupResult } from './recordLookup.js'
 import { createRecordSender } from './recordSender.js'
@@ -62,19 +63,19 @@
 /** Time that a router which stops takes to send its records, in ms. */
 const HAND_OVER_MS = 500
 
-function createRoutes(records: StreamRecords): Route[] {
-  const serve =
-    (answer: (body: unknown) => unknown) =>
-    async ({ request, response }: HttpExchange) =>
-      sendJson(response, 200, answer(await readJson(request, INTERNAL_BODY_LIMITS)))
-  const takeRecords = serve((body) => {
-    for (const record of decodeRecords(body)) records.add(record)
-    return {}
-  })
-  const findRecords = serve((body) => {
-    const found = decodeLookup(body).map(records.find)
-    return { records: found.filter((record) => record !== undefined).map(encodeRecord) }
-  })
+/** Creates the routes with which a router takes the records of others and answers lookups. */
+export function createRecordRoutes(records: StreamRecords): Route[] {
+  const takeRecords = async ({ request, response }: HttpExchange) => {
+    for (const record of decodeRecords(await readJson(request, INTERNAL_BODY_LIMITS)))
+      records.add(record)
+    response.sendDate = false
+    response.writeHead(TAKEN_STATUS).end()
+  }
+  const findRecords = async ({ request, response }: HttpExchange) => {
+    const keys = decodeLookup(await readJson(request, INTERNAL_BODY_LIMITS))
+    const found = keys.map(records.find).filter((record) => record !== undefined)
+    sendJson(response, 200, { records: found.map(encodeRecord) })
+  }
   return [
     { method: 'POST', path: RECORDS_PATH, handler: takeRecords },
     { method: 'POST', path: LOOKUP_PATH, handler: findRecords },
@@ -86,7 +87,7 @@
   const { endpoint, records, listPeers, timers, logger, metrics } = options
   const server = await createHttpServer({
     ...endpoint,
-    routes: createRoutes(records),
+    routes: createRecordRoutes(records),
     logger,
     timers,
   })
--- a/packages/router/src/streams/recordLookup.ts
+++ b/packages/router/src/streams/recordLookup.ts
@@ -35,8 +35,6 @@
 const ANSWER_TIMEOUT_MS = 250
 /** Time until the second round, in ms; a record may be on its way while its stream is resumed already. */
 const SECOND_ROUND_MS = 100
-/** Routers asked in the second round: those that replace failed holders as well. */
-const SECOND_ROUND_HOLDERS = 2 * RECORD_COPIES
 
 /** Resolves with the first record that any holder has, or undefined once all have answered or failed. */
 function findFirst(
@@ -79,12 +77,13 @@
         return undefined
       }
     }
-    const askRound = (count: number) => findFirst(holders.slice(0, count).map(askHolder))
-    let record = await askRound(RECORD_COPIES)
+    const askAll = (urls: readonly string[]) => findFirst(urls.map(askHolder))
+    let record = await askAll(holders.slice(0, RECORD_COPIES))
     const isTimeLeft = endsAt - timers.now() > SECOND_ROUND_MS
     if (!record && isTimeLeft && holders.length > 0) {
       await waitFor(timers, SECOND_ROUND_MS)
-      record = await askRound(SECOND_ROUND_HOLDERS)
+      // Those that replace failed holders are asked as well.
+      record = await askAll(holders)
     }
     return { record, asked: asked.size, answered: answered.size }
   }
--- a/packages/router/src/streams/recordMessages.ts
+++ b/packages/router/src/streams/recordMessages.ts
@@ -8,6 +8,9 @@
 /** Path at which a router answers which records it has. */
 export const LOOKUP_PATH = '/streams/lookup'
 
+/** Status of the answer to a message with records, which has no body. */
+export const TAKEN_STATUS = 204
+
 /** A record as a flat tuple, since there are many: key, group, version or null, and remaining time in ms. */
 export type RecordEntry = readonly [
   key: string,
--- a/packages/router/src/streams/recordSender.ts
+++ b/packages/router/src/streams/recordSender.ts
@@ -2,8 +2,13 @@
  * Sends records to the routers that hold them. A holder has one message in flight; records that come meanwhile follow in
  * the next one, so that a busy router sends few messages and no record waits for a timer.
  */
-import { toSpoolgateError, type HttpClient, type Logger } from '@spoolgate/core'
-import { encodeRecord, MAX_RECORDS_PER_MESSAGE, RECORDS_PATH } from './recordMessages.js'
+import { readErrorAnswer, toSpoolgateError, type HttpClient, type Logger } from '@spoolgate/core'
+import {
+  encodeRecord,
+  MAX_RECORDS_PER_MESSAGE,
+  RECORDS_PATH,
+  TAKEN_STATUS,
+} from './recordMessages.js'
 import { rankHolders, RECORD_COPIES } from './recordHolders.js'
 import type { StreamRecord } from './streamRecords.js'
 
@@ -11,7 +16,7 @@
 export interface RecordSenderOptions {
   readonly ownUrl: string
   readonly listPeers: () => readonly string[]
-  readonly client: Pick<HttpClient, 'sendJson'>
+  readonly client: Pick<HttpClient, 'send'>
   readonly logger: Logger
   /** Counts a message by outcome, with the records in it. */
   readonly countMessage: (outcome: 'sent' | 'failed', records: number) => void
@@ -34,8 +39,6 @@
 
 /** Time within which a holder answers, in ms. */
 const SEND_TIMEOUT_MS = 500
-/** Holders that replace those that fail. */
-const SPARE_HOLDERS = 3
 /** Maximum records that wait for one holder. */
 const MAX_WAITING = 1_024
 
@@ -47,12 +50,14 @@
 
   const sendBatch = async (url: string, batch: readonly Transfer[]) => {
     try {
-      await client.sendJson({
+      const answer = await client.send({
         method: 'POST',
         url: `${url}${RECORDS_PATH}`,
-        json: { records: batch.map(({ record }) => encodeRecord(record)) },
+        body: JSON.stringify({ records: batch.map(({ record }) => encodeRecord(record)) }),
         timeoutMs: SEND_TIMEOUT_MS,
       })
+      if (answer.statusCode !== TAKEN_STATUS) throw await readErrorAnswer(answer)
+      answer.resume()
       countMessage('sent', batch.length)
     } catch (cause) {
       countMessage('failed', batch.length)
@@ -85,7 +90,7 @@
   return {
     send: (record) => {
       const holders = rankHolders(record.key, listPeers(), ownUrl)
-      const spare = holders.slice(RECORD_COPIES, RECORD_COPIES + SPARE_HOLDERS)
+      const spare = holders.slice(RECORD_COPIES)
       for (const url of holders.slice(0, RECORD_COPIES)) add(url, { record, next: spare })
     },
     waitUntilIdle: async () => {
--- a/packages/router/src/streams/streamContinuity.ts
+++ b/packages/router/src/streams/streamContinuity.ts
@@ -169,7 +169,8 @@
       }
       const isSent = exchange && isExchanged(group.name) && feed.listPeers().length > 0
       records.add(record, !isSent)
-      if (isSent) exchange.send(record)
+      // The event itself goes first.
+      if (isSent) queueMicrotask(() => exchange.send(record))
     },
     close: () => subscription.unsubscribe(),
   }
--- a/packages/spoolgate/src/node/cli/benchCommands.ts
+++ b/packages/spoolgate/src/node/cli/benchCommands.ts
@@ -7,6 +7,7 @@
 import { ROUTING_ARMS, runRoutingBench, type RoutingArm } from '../bench/routingBench.js'
 import { runRankingBench } from '../bench/rankingBench.js'
 import { runScaleBench } from '../bench/scaleBench.js'
+import { runStreamsBench } from '../bench/streamsBench.js'
 import { SCENARIOS, type ScenarioName } from '../bench/scenarios.js'
 import { CliError, EXIT_CODES, printLine } from './exit.js'
 import { readWorkload } from './loadCommand.js'
@@ -89,6 +90,18 @@
   handler: (args) => printResult(runAdmissionBench(args), args.json),
 })
 
+const streamsCommand = command({
+  name: 'streams',
+  description: 'what the record of a stream costs; example: spoolgate bench streams --routers 410',
+  args: {
+    json,
+    routers: option({ long: 'routers', type: number, defaultValue: () => 410 }),
+    rate: option({ long: 'rate', type: number, defaultValue: () => 13 }),
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 20 }),
+  },
+  handler: async (args) => printResult(await runStreamsBench(args), args.json),
+})
+
 function readScenario(name: string): ScenarioName {
   if (name in SCENARIOS) return name as ScenarioName
   const known = Object.keys(SCENARIOS).join(', ')
@@ -148,5 +161,6 @@
     control: controlCommand,
     heartbeats: heartbeatsCommand,
     admission: admissionCommand,
+    streams: streamsCommand,
   },
 })
