fix(router): send the records of a stopping router on within its margin before it is killed

The exchange waited 500 ms for its last messages, after the streams in progress had used the whole stop; the process is killed 250 ms after that.

--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -60,8 +60,8 @@
 
 /** Connections to one peer: records must not delay lookups. */
 const CONNECTIONS_PER_PEER = 2
-/** Time that a router which stops takes to send its records, in ms. */
-const HAND_OVER_MS = 500
+/** Time that a router which stops takes to send its records, in ms; less than its margin before it is killed. */
+const HAND_OVER_MS = 150
 
 /** Creates the routes with which a router takes the records of others and answers lookups. */
 export function createRecordRoutes(records: StreamRecords): Route[] {
