feat(router): log the parts in flight at a server that crashed

Which parts of prompts were in flight at an engine when it ended had to be joined from call.choice and call.sendEnded of all routers. server.ended names them now, with the number of sends that have each, 16 at most. The calls carry their parts and the time of their send; nothing is decided by them.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -34,6 +34,8 @@
 export type StreamKey = Brand<string, 'StreamKey'>
 /** What is the same when a caller sends a request again: see `hashRequest`. */
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>
+/** A part of a prompt as its caller names it: the same wherever it stands, on any route and for any team. */
+export type PromptPartId = Brand<string, 'PromptPartId'>
 /** Hash of a prompt prefix, which covers everything before its end. */
 export type PrefixHash = Brand<string, 'PrefixHash'>
 
@@ -51,4 +53,5 @@
 export const toStreamKey = (value: string): StreamKey => value as StreamKey
 export const toRequestFingerprint = (value: string): RequestFingerprint =>
   value as RequestFingerprint
+export const toPromptPartId = (value: string): PromptPartId => value as PromptPartId
 export const toPrefixHash = (value: string): PrefixHash => value as PrefixHash
--- a/packages/router/src/__tests__/crashDetector.spec.ts
+++ b/packages/router/src/__tests__/crashDetector.spec.ts
@@ -10,7 +10,7 @@
 import { Subject } from 'rxjs'
 import { createCrashDetector } from '../direct/crashDetector.js'
 
-const SEND = { request: toRequestFingerprint('c.1'), round: 0 }
+const SEND = { request: toRequestFingerprint('c.1'), round: 0, parts: [], sentAt: 0 }
 const SERVER = { id: toBackendServerId('s@1'), address: '10.0.0.1:80' }
 const settle = () => new Promise((resolve) => setImmediate(resolve))
 
@@ -30,7 +30,7 @@
     views,
     timers,
     logger: createQuietLogger(),
-    onCrash: (server) => crashed.push(server),
+    onCrash: ({ server }) => crashed.push(server.id),
   })
   const reportServer = (id: string, address: string) => {
     const server = { id: toBackendServerId(id), address } as RegisteredServer
--- a/packages/router/src/direct/crashDetector.ts
+++ b/packages/router/src/direct/crashDetector.ts
@@ -3,11 +3,25 @@
  * crash if the server accepts no connections afterwards or is reported to have restarted.
  */
 import type { InterruptedSend, FleetView } from '@spoolgate/control'
-import type { BackendServerId, Logger, TimerService } from '@spoolgate/core'
+import type { BackendServerId, Logger, PromptPartId, TimerService } from '@spoolgate/core'
 import { LRUCache } from 'lru-cache'
 import type { Observable } from 'rxjs'
 import type { LivenessMonitor, ProbedServer } from './livenessMonitor.js'
 
+/** An interrupted send as this router knows it. Instants are in ms of the monotonic clock. */
+export interface InterruptedCall extends InterruptedSend {
+  /** Shared parts of its prompt. */
+  readonly parts: readonly PromptPartId[]
+  readonly sentAt: number
+}
+
+/** A call whose server crashed. */
+export interface CrashedCall extends InterruptedCall {
+  readonly server: ProbedServer
+  /** When its connection was lost. */
+  readonly lostAt: number
+}
+
 /** Options of {@link createCrashDetector}. */
 export interface CrashDetectorOptions {
   readonly liveness: Pick<LivenessMonitor, 'checkReachable'>
@@ -16,13 +30,13 @@
   readonly timers: TimerService
   readonly logger: Logger
   /** Called for each send that was interrupted by a crash of its server. */
-  readonly onCrash: (server: BackendServerId, send: InterruptedSend) => void
+  readonly onCrash: (call: CrashedCall) => void
 }
 
 /** See {@link createCrashDetector}. */
 export interface CrashDetector {
   /** Records a send that was interrupted. */
-  recordInterrupted(server: ProbedServer, send: InterruptedSend): void
+  recordInterrupted(server: ProbedServer, call: InterruptedCall): void
   close(): void
 }
 
@@ -30,9 +44,9 @@
 interface CrashCheck {
   readonly server: ProbedServer
   /** Sends after which the server has not been checked yet. */
-  unchecked: InterruptedSend[]
+  unchecked: CrashedCall[]
   /** Sends after which the server accepted connections; it may have crashed and restarted already. */
-  unconfirmed: readonly InterruptedSend[]
+  unconfirmed: readonly CrashedCall[]
   isChecking: boolean
 }
 
@@ -43,6 +57,18 @@
 const RESTART_REPORT_MS = 3_000
 /** Maximum number of crashed server incarnations kept: several per server in a large fleet. */
 const MAX_CRASHED = 2_000
+/** Maximum number of parts in a log line. */
+const MAX_LOGGED_PARTS = 16
+
+/** Formats the parts of interrupted calls with the number of calls that have each, the most frequent first. */
+function formatParts(calls: readonly CrashedCall[]): readonly string[] {
+  const counts = new Map<PromptPartId, number>()
+  for (const { parts } of calls) {
+    for (const part of parts) counts.set(part, (counts.get(part) ?? 0) + 1)
+  }
+  const sorted = [...counts].sort(([, a], [, b]) => b - a)
+  return sorted.slice(0, MAX_LOGGED_PARTS).map(([part, count]) => `${part}:${count}`)
+}
 
 /** Creates a crash detector. */
 export function createCrashDetector(options: CrashDetectorOptions): CrashDetector {
@@ -50,15 +76,16 @@
   const crashed = new LRUCache<BackendServerId, true>({ max: MAX_CRASHED })
   const checks = new Map<BackendServerId, CrashCheck>()
 
-  const confirmCrash = (check: CrashCheck, sends: readonly InterruptedSend[], shownBy: string) => {
+  const confirmCrash = (check: CrashCheck, calls: readonly CrashedCall[], shownBy: string) => {
     const { id, address } = check.server
     checks.delete(id)
     crashed.set(id, true)
-    logger.warn('server.ended', { server: id, address, shownBy, sends: sends.length })
-    for (const send of sends) onCrash(id, send)
+    const parts = formatParts(calls)
+    logger.warn('server.ended', { server: id, address, shownBy, sends: calls.length, parts })
+    calls.forEach(onCrash)
   }
   /** Keeps interrupted sends for a while in case a restart is reported. */
-  const addUnconfirmed = (check: CrashCheck, sends: readonly InterruptedSend[]) => {
+  const addUnconfirmed = (check: CrashCheck, sends: readonly CrashedCall[]) => {
     check.unconfirmed = [...check.unconfirmed, ...sends]
     timers.after(RESTART_REPORT_MS).subscribe(() => {
       check.unconfirmed = check.unconfirmed.filter((send) => !sends.includes(send))
@@ -79,8 +106,7 @@
       check.unchecked = []
       const isAlive = await liveness.checkReachable(server)
       if (crashed.has(server.id)) {
-        for (const send of [...sends, ...check.unchecked]) onCrash(server.id, send)
-        return
+        return [...sends, ...check.unchecked].forEach(onCrash)
       }
       if (!isAlive) return confirmCrash(check, [...sends, ...check.unchecked], 'no connections')
       addUnconfirmed(check, sends)
@@ -97,8 +123,9 @@
     }
   })
   return {
-    recordInterrupted: (server, send) => {
-      if (crashed.has(server.id)) return onCrash(server.id, send)
+    recordInterrupted: (server, interrupted) => {
+      const call: CrashedCall = { ...interrupted, server, lostAt: timers.now() }
+      if (crashed.has(server.id)) return onCrash(call)
       const check = checks.get(server.id) ?? {
         server,
         unchecked: [],
@@ -106,7 +133,7 @@
         isChecking: false,
       }
       checks.set(server.id, check)
-      check.unchecked.push(send)
+      check.unchecked.push(call)
       void checkServer(check)
     },
     close: () => subscription.unsubscribe(),
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -206,7 +206,7 @@
     views: feed.changes,
     timers,
     logger,
-    onCrash: (server, { request, round }) => quarantine.recordCrash(server, request, round),
+    onCrash: ({ server, request, round }) => quarantine.recordCrash(server.id, request, round),
   })
   metrics.gauge(
     'quarantined_requests',
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -79,12 +79,22 @@
   }
 }
 
-/** Records the work that a prompt causes on its engine, and where its parts will be cached. */
-export function recordSentPrompt(
+/** Records a send at its server's limits, and the prompt that it carries. */
+export function recordSend(
   context: DirectContext,
   plan: CallPlan,
   candidate: Candidate,
+  sentAt: number,
 ): void {
+  const { server } = candidate
+  context.backpressure.recordSend(server.id, sentAt)
+  context.limits.recordSend(server.id, sentAt)
+  context.instruments.sends.add(1, { group: plan.group.name })
+  recordSentPrompt(context, plan, candidate)
+}
+
+/** Records the work that a prompt causes on its engine, and where its parts will be cached. */
+function recordSentPrompt(context: DirectContext, plan: CallPlan, candidate: Candidate): void {
   const { prompt } = plan.call
   const { server, version, saveTo, matchedTokens } = candidate
   if (!prompt || version === undefined) return
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -7,6 +7,7 @@
 import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
 import type {
   BackendServerId,
+  PromptPartId,
   RequestFingerprint,
   SoftwareVersion,
   SpoolgateError,
@@ -37,10 +38,11 @@
   type AttemptOutcome,
 } from './attemptOutcome.js'
 import { hashRequest } from './requestFingerprint.js'
+import { listSharedParts } from '../parts/sharedParts.js'
 import { admitAttempt, type AdmittedAttempt, type RequestState } from './attemptAdmission.js'
 import { findGroupRetryAfterSeconds } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
-import { buildSendFields, formatCall, formatSendEnd, recordSentPrompt } from './sendRecord.js'
+import { buildSendFields, formatCall, formatSendEnd, recordSend } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
 import { isRetryable, takeRetry } from './retryRules.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
@@ -77,6 +79,7 @@
   private sentAt = -Infinity
   private readonly timings: RequestTimings
   readonly fingerprint: RequestFingerprint
+  readonly sharedParts: readonly PromptPartId[]
   private resolveFinished: () => void = () => {}
   /** Reports the first event of the current attempt to admission. */
   private recordFirstEvent: () => void = () => {}
@@ -94,6 +97,7 @@
   ) {
     this.timings = createRequestTimings(context, plan)
     this.fingerprint = hashRequest(plan, body)
+    this.sharedParts = listSharedParts(plan.call.prompt)
     this.relay = createStreamRelay({
       response,
       isResumable: plan.route.repeatability === 'resumable',
@@ -209,7 +213,12 @@
     const { quarantine, crashDetector } = this.context
     const { server } = candidate
     this.recordConnectionLoss = () =>
-      crashDetector.recordInterrupted(server, { request: this.fingerprint, round })
+      crashDetector.recordInterrupted(server, {
+        request: this.fingerprint,
+        round,
+        parts: this.sharedParts,
+        sentAt: this.sentAt,
+      })
     const outcome = await this.sendWithWatch(candidate)
     const isConnectionLost = outcome.kind === 'lost' || outcome.kind === 'abandoned'
     // A connection that this router closed itself says nothing about the server.
@@ -262,13 +271,10 @@
     const kvTokens = countKvTokens(plan.call.prompt)
     this.trackedCall = context.serverStats.startCall(server.id, uncachedTokens, kvTokens)
     this.sentAt = context.timers.now()
-    context.backpressure.recordSend(server.id, this.sentAt)
-    context.limits.recordSend(server.id, this.sentAt)
     this.timings.recordAttempt(candidate)
     if (this.sends === 0) context.retryBudget.recordFirstSend(plan.group.name)
     this.sends += 1
-    context.instruments.sends.add(1, { group: plan.group.name })
-    recordSentPrompt(context, plan, candidate)
+    recordSend(context, plan, candidate, this.sentAt)
   }
 
   private async sendWithWatch(candidate: Candidate): Promise<AttemptOutcome> {
