--- a/packages/control/src/__tests__/feedSimulation.ts
+++ b/packages/control/src/__tests__/feedSimulation.ts
@@ -28,7 +28,13 @@
 import type { RaftMember } from '../raft/types.js'
 import { createControlStateMachine } from '../state/controlMachine.js'
 import { buildServerIdentity } from '../state/serverState.js'
-import { createUnlimitedQuotaBuckets, NO_LIMITS, NO_QUOTAS } from './routerRecordStubs.js'
+import {
+  NO_LIMITS,
+  NO_PARTS,
+  NO_QUOTAS,
+  createQuietPartCoordinator,
+  createUnlimitedQuotaBuckets,
+} from './routerRecordStubs.js'
 
 /** Size of the simulated fleet and its resources. */
 export interface FeedSimulationOptions {
@@ -222,16 +228,15 @@
     timers,
     stopping: NEVER,
   })
-  const createSource = (url: string, host: Host): FeedSource =>
-    createFeedSource({
+  const createSource = (url: string, host: Host): FeedSource => {
+    const { quarantine, quarantinedParts: parts } = machine
+    const member = createMember(url)
+    const logger = createQuietLogger()
+    return createFeedSource({
       listVersionAges: () => ({}),
-      member: createMember(url),
-      quarantine: createQuarantineCoordinator({
-        member: createMember(url),
-        quarantine: machine.quarantine,
-        timers,
-        logger: createQuietLogger(),
-      }),
+      member,
+      quarantine: createQuarantineCoordinator({ member, quarantine, timers, logger }),
+      parts: createQuietPartCoordinator({ member, parts, timers }),
       machine,
       timers,
       quotas: createUnlimitedQuotaBuckets(timers),
@@ -244,6 +249,7 @@
       stopping: NEVER,
       turns: createTurns(host),
     })
+  }
   const createHost = (cores: number, mbps: number): Host => ({
     processor: createResource(timers),
     tasksDone: 0,
@@ -340,6 +346,7 @@
       blame: createCrashReportBuffer(timers),
       onSuspects: () => {},
       onTrial: () => {},
+      parts: NO_PARTS,
       limits: NO_LIMITS,
       quotas: NO_QUOTAS,
       onCacheChanges: (placements) => {
--- a/packages/control/src/__tests__/feedSource.spec.ts
+++ b/packages/control/src/__tests__/feedSource.spec.ts
@@ -9,7 +9,7 @@
 import type { RaftMember } from '../raft/types.js'
 import { createControlStateMachine } from '../state/controlMachine.js'
 import { buildServer } from './heartbeatGroup.js'
-import { createUnlimitedQuotaBuckets } from './routerRecordStubs.js'
+import { createQuietPartCoordinator, createUnlimitedQuotaBuckets } from './routerRecordStubs.js'
 
 const TERM = 3
 
@@ -43,6 +43,7 @@
       timers,
       logger: createQuietLogger(),
     }),
+    parts: createQuietPartCoordinator({ member, parts: machine.quarantinedParts, timers }),
     tables: { findUpdate: () => undefined },
     versionGate: { recordPoll: () => {}, isOpen: () => true },
     findConditions: () => ({ loading: [], expired: [], silent: [], stores: [] }),
--- a/packages/control/src/__tests__/tableProof.spec.ts
+++ b/packages/control/src/__tests__/tableProof.spec.ts
@@ -10,7 +10,7 @@
 import { createCrashReportBuffer } from '../quarantine/crashReportBuffer.js'
 import { createFeedClient } from '../registry/feedClient.js'
 import { buildTableUpdate } from '../table/tableUpdate.js'
-import { NO_LIMITS, NO_QUOTAS } from './routerRecordStubs.js'
+import { NO_LIMITS, NO_PARTS, NO_QUOTAS } from './routerRecordStubs.js'
 
 const STEP_MS = 5
 const POLL_MS = 100
@@ -56,6 +56,7 @@
     blame: createCrashReportBuffer(timers),
     onSuspects: () => {},
     onTrial: () => {},
+    parts: NO_PARTS,
     limits: NO_LIMITS,
     quotas: NO_QUOTAS,
     onCacheChanges: () => {},
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -59,11 +59,18 @@
   type FeedClient,
   type LimitRecord,
   type ObservedLimits,
+  type PartRecord,
   type QuotaRecord,
   type SpeedRecord,
   type SpeedReply,
 } from './registry/feedClient.js'
 export { VERSIONS_PATH, type VersionStatus } from './registry/versionStatus.js'
+export {
+  QUARANTINE_PATH,
+  RELEASE_PATH,
+  type QuarantineStatus,
+  type ReleaseTarget,
+} from './registry/quarantineRoutes.js'
 export { SERVERS_PATH, type ServerStatus } from './registry/serverStatus.js'
 export { VERSIONS_MAX_AGE_MS } from './registry/versionGate.js'
 export type { GroupVersions } from './state/softwareVersionState.js'
@@ -99,6 +106,23 @@
   type InterruptedSend,
   type SuspectedRequest,
 } from './quarantine/crashReport.js'
+export {
+  createPartCoordinator,
+  type PartCoordinator,
+  type QuarantinedPartStatus,
+} from './parts/partCoordinator.js'
+export {
+  createPartCrashBuffer,
+  type InterruptedParts,
+  type PartCrashBuffer,
+} from './parts/partCrashBuffer.js'
+export {
+  findPartQuarantineMs,
+  PART_REPORT_PATH,
+  type ListedPart,
+  type PartReport,
+  type PartReportReply,
+} from './parts/partReport.js'
 export type { FleetView } from './registry/fleetReplica.js'
 export { findSupersededAt, LAST_SEND_RATIO, type VersionTimes } from './registry/weightsHistory.js'
 export type { CacheClient, CacheEvents } from './registry/cacheWatch.js'
--- /dev/null
+++ b/packages/control/src/parts/partCrashBuffer.ts
@@ -0,0 +1,191 @@
+/**
+ * Buffers a router's reports about parts of prompts until the control leader has received them, and the crashes for a while
+ * afterwards: a new leader receives all of them again.
+ */
+import type { BackendServerId, PromptPartId, TimerService } from '@spoolgate/core'
+import {
+  MAX_PARTS_PER_CRASH,
+  NEVER_ANSWERED,
+  type AnsweredPart,
+  type PartCrash,
+  type PartInFlight,
+  type PartReport,
+} from './partReport.js'
+
+/** A call that was interrupted by a crash. Instants are in ms of the monotonic clock. */
+export interface InterruptedParts {
+  readonly server: BackendServerId
+  readonly parts: readonly PromptPartId[]
+  readonly sentAt: number
+  readonly crashedAt: number
+}
+
+/** A report and what it was built from. */
+export interface UnreportedParts {
+  readonly report: PartReport
+  readonly crashes: readonly BufferedCrash[]
+  readonly answered: ReadonlyMap<PromptPartId, number>
+}
+
+/** An interrupted call with the progress of its report. */
+export interface BufferedCrash extends InterruptedParts {
+  /** Term of the leader that last received it; undefined if none did. */
+  reportedTerm: number | undefined
+  /** Whether a report with it is in progress. */
+  isSending: boolean
+}
+
+/** Options of {@link createPartCrashBuffer}. */
+export interface PartCrashBufferOptions {
+  readonly timers: TimerService
+  /** Finds when this router last received a complete response to a request with the part. */
+  readonly findAnsweredAt: (part: PromptPartId) => number | undefined
+}
+
+/** See {@link createPartCrashBuffer}. */
+export interface PartCrashBuffer {
+  addCrash(call: InterruptedParts): void
+  /** Records a complete response to a request with a listed part. */
+  addAnswered(part: PromptPartId, at: number): void
+  /** Records that a request with a quarantined part was refused. */
+  addRejected(part: PromptPartId): void
+  /** Counts the servers that crashed with the part in flight, each after it was sent again, and that no leader knows. */
+  countUnreportedCrashes(part: PromptPartId): number
+  /** Builds the report of everything that was not reported to the leader of the given term. */
+  listUnreported(term: number): UnreportedParts
+  /** Builds the report of crashes and responses for the leader that received the last one; undefined without any. */
+  takeUrgent(): UnreportedParts | undefined
+  /** Ends a report that was taken; `term` is that of the leader that received it, undefined if none did. */
+  finishUrgent(urgent: UnreportedParts, term: number | undefined): void
+  /** Records that the leader of the given term has received a report. */
+  recordReported(unreported: UnreportedParts, term: number): void
+}
+
+/** How long crashes are kept for a new leader, in ms. */
+const RETENTION_MS = 60_000
+/** Maximum number of interrupted calls kept: a production router has 75 requests in flight if all engines crash. */
+const MAX_CRASHES = 1_000
+/** Maximum number of rejected parts per report. */
+const MAX_REJECTED = 64
+/** Maximum number of parts whose responses wait to be reported. */
+const MAX_ANSWERED = 1_024
+
+/** Finds the newest send of each part among the interrupted calls of one server. */
+function listParts(
+  calls: readonly InterruptedParts[],
+  crashedAt: number,
+  findAnsweredAgeMs: (part: PromptPartId) => number,
+): PartInFlight[] {
+  const found = new Map<PromptPartId, { sends: number; sentAt: number }>()
+  for (const { parts, sentAt } of calls) {
+    for (const part of parts) {
+      const { sends, sentAt: newest } = found.get(part) ?? { sends: 0, sentAt: -Infinity }
+      found.set(part, { sends: sends + 1, sentAt: Math.max(newest, sentAt) })
+    }
+  }
+  const inFlight = [...found].map(([part, { sends, sentAt }]): PartInFlight => [
+    part,
+    sends,
+    Math.max(0, Math.round(crashedAt - sentAt)),
+    findAnsweredAgeMs(part),
+  ])
+  // Parts without a response come first, since only they are likely causes.
+  const sorted = inFlight.sort(([, , , a], [, , , b]) => Number(a >= 0) - Number(b >= 0))
+  return sorted.slice(0, MAX_PARTS_PER_CRASH)
+}
+
+/** Creates an empty buffer. */
+export function createPartCrashBuffer(options: PartCrashBufferOptions): PartCrashBuffer {
+  const { timers, findAnsweredAt } = options
+  let crashes: readonly BufferedCrash[] = []
+  const answered = new Map<PromptPartId, number>()
+  const rejected = new Set<PromptPartId>()
+  let lastTerm: number | undefined
+
+  const removeOld = () => {
+    const oldest = timers.now() - RETENTION_MS
+    if (crashes.some(({ crashedAt }) => crashedAt <= oldest))
+      crashes = crashes.filter(({ crashedAt }) => crashedAt > oldest)
+  }
+  const findAnsweredAgeMs = (part: PromptPartId) => {
+    const at = findAnsweredAt(part)
+    return at === undefined ? NEVER_ANSWERED : Math.round(timers.now() - at)
+  }
+  const buildCrash = (server: BackendServerId, calls: readonly BufferedCrash[]): PartCrash => {
+    const crashedAt = Math.min(...calls.map((call) => call.crashedAt))
+    return {
+      server,
+      ageMs: Math.round(timers.now() - crashedAt),
+      parts: listParts(calls, crashedAt, findAnsweredAgeMs),
+    }
+  }
+  const build = (term: number | undefined, rejectedParts: readonly PromptPartId[]) => {
+    removeOld()
+    const unreported = crashes.filter(
+      ({ reportedTerm, isSending }) =>
+        !isSending && (reportedTerm === undefined || reportedTerm !== term),
+    )
+    const servers = [...new Set(unreported.map(({ server }) => server))]
+    const report: PartReport = {
+      crashes: servers.map((server) =>
+        buildCrash(
+          server,
+          unreported.filter((call) => call.server === server),
+        ),
+      ),
+      answered: [...answered].map(([part, at]): AnsweredPart => [
+        part,
+        Math.round(timers.now() - at),
+      ]),
+      rejected: rejectedParts,
+    }
+    return { report, crashes: unreported, answered: new Map(answered) }
+  }
+  const recordReported = (unreported: UnreportedParts, term: number) => {
+    lastTerm = term
+    for (const crash of unreported.crashes) crash.reportedTerm = term
+    for (const [part, at] of unreported.answered) {
+      if (answered.get(part) === at) answered.delete(part)
+    }
+  }
+  return {
+    addCrash: (call) => {
+      const buffered = { ...call, reportedTerm: undefined, isSending: false }
+      crashes = [...crashes, buffered].slice(-MAX_CRASHES)
+    },
+    addAnswered: (part, at) => {
+      if (answered.size < MAX_ANSWERED || answered.has(part)) answered.set(part, at)
+    },
+    addRejected: (part) => {
+      if (rejected.size < MAX_REJECTED) rejected.add(part)
+    },
+    countUnreportedCrashes: (part) => {
+      if (crashes.length === 0) return 0
+      let count = 0
+      let lastAt = -Infinity
+      for (const { parts, sentAt, crashedAt, reportedTerm } of crashes) {
+        if (reportedTerm !== undefined || sentAt < lastAt || !parts.includes(part)) continue
+        count += 1
+        lastAt = crashedAt
+      }
+      return count
+    },
+    listUnreported: (term) => {
+      const rejectedParts = [...rejected]
+      // Not restored if the report is lost: requests that are still sent are rejected again.
+      rejected.clear()
+      return build(term, rejectedParts)
+    },
+    takeUrgent: () => {
+      const urgent = build(lastTerm, [])
+      if (urgent.crashes.length + urgent.answered.size === 0) return undefined
+      for (const crash of urgent.crashes) crash.isSending = true
+      return urgent
+    },
+    finishUrgent: (urgent, term) => {
+      for (const crash of urgent.crashes) crash.isSending = false
+      if (term !== undefined) recordReported(urgent, term)
+    },
+    recordReported,
+  }
+}
--- /dev/null
+++ b/packages/control/src/parts/partEvidence.ts
@@ -0,0 +1,251 @@
+/**
+ * Finds the part of prompts that crashes engines. A part is convicted when engines crashed again and again soon after it was
+ * sent there, it was never answered completely, and chance explains that badly. Counted crashes are independent: the part
+ * was sent to each engine after the one before had crashed, so that a power failure of many engines counts once. A
+ * convicted part explains its crashes, which then no longer count against the other parts that were in flight.
+ */
+import {
+  removeOldest,
+  type BackendServerId,
+  type PromptPartId,
+  type TimerService,
+} from '@spoolgate/core'
+import {
+  MAX_PARTS_PER_CRASH,
+  NEVER_ANSWERED,
+  type AnsweredPart,
+  type PartCrash,
+} from './partReport.js'
+
+/** Options of {@link createPartEvidence}. */
+export interface PartEvidenceOptions {
+  readonly timers: TimerService
+  /** Counts the engines of the fleet. */
+  readonly countServers: () => number
+}
+
+/** Why a part is convicted. */
+export interface PartVerdict {
+  readonly part: PromptPartId
+  /** Engines that crashed with the part in flight and that no other part explains. */
+  readonly servers: readonly BackendServerId[]
+  /** Independent crashes among them. */
+  readonly crashes: number
+  /** Probability that chance alone would have interrupted the part at each of them. */
+  readonly chance: number
+  /** Whether the part had been answered completely before. */
+  readonly isAnswered: boolean
+}
+
+/** See {@link createPartEvidence}. */
+export interface PartEvidence {
+  /** Adds a crash as one router reports it. */
+  addCrash(crash: PartCrash): void
+  /** Records a complete response to a request with the part. */
+  recordAnswered(answered: AnsweredPart): void
+  /** Finds the part that explains crashes best, if the evidence suffices for one. */
+  findVerdict(): PartVerdict | undefined
+  /** Records that a part explains all crashes at which it was in flight, including those reported later. */
+  recordExplained(part: PromptPartId): void
+  /** Discards the crashes of a part, which no longer explains them. */
+  remove(part: PromptPartId): void
+  /** Lists the engines that crashed with a part in flight, whatever explains the crashes. */
+  listCrashes(part: PromptPartId): readonly BackendServerId[]
+  /** Lists the suspected parts, those with the most crashes first. */
+  listSuspects(): readonly PromptPartId[]
+  /** Discards everything, as a new leader must. */
+  reset(): void
+}
+
+/** A crash with its parts. Instants are in ms of the monotonic clock. */
+interface Crash {
+  readonly server: BackendServerId
+  at: number
+  readonly parts: Map<PromptPartId, PartAtCrash>
+  isExplained: boolean
+}
+
+interface PartAtCrash {
+  sends: number
+  /** When the newest of the sends started. */
+  sentAt: number
+}
+
+/** Crashes of a part that count. */
+interface PartCase {
+  readonly part: PromptPartId
+  readonly crashes: readonly Crash[]
+  /** Largest set of them that are independent, by time. */
+  readonly independent: readonly Crash[]
+}
+
+/** Time for which a crash counts, in ms. */
+const RETENTION_MS = 600_000
+/** Maximum number of crashes; with the most parts each, they take 15 MB. */
+const MAX_CRASHES = 600
+/** Maximum number of parts whose last complete response is known. */
+const MAX_ANSWERED = 8_192
+/**
+ * Independent crashes needed for a part that was never answered, for one that was in flight at the same crashes as another
+ * such part, and for one that was answered.
+ */
+const MIN_CRASHES = { neverAnswered: 2, tied: 3, answered: 5 } as const
+/** Maximum probability that a conviction is due to chance. */
+const MAX_CHANCE = 1e-5
+/** Periods over which the rate of other crashes is measured, in ms; the higher rate applies. */
+const RATE_PERIODS_MS = [5_000, 60_000] as const
+/** Lower bound on the time that a part is presumed in flight, in ms. */
+const MIN_HELD_MS = 20
+/** Crashes from which a part that was answered before is listed, so that routers report whether it still is. */
+const CRASHES_TO_LIST_ANSWERED = 3
+/** Maximum number of suspects listed. */
+const MAX_SUSPECTS = 64
+
+/** Chooses the crashes of which each came after the part had been sent again following the one before. */
+function listIndependent(part: PromptPartId, crashes: readonly Crash[]): Crash[] {
+  const chosen: Crash[] = []
+  let lastAt = -Infinity
+  for (const crash of crashes) {
+    if ((crash.parts.get(part)?.sentAt ?? -Infinity) < lastAt) continue
+    chosen.push(crash)
+    lastAt = crash.at
+  }
+  return chosen
+}
+
+/** Creates evidence without crashes. */
+export function createPartEvidence({ timers, countServers }: PartEvidenceOptions): PartEvidence {
+  const crashes = new Map<BackendServerId, Crash>()
+  const answeredAt = new Map<PromptPartId, number>()
+  const explaining = new Set<PromptPartId>()
+
+  const isExplained = ({ parts }: Crash) => [...explaining].some((part) => parts.has(part))
+  const removeOld = () => {
+    const oldest = timers.now() - RETENTION_MS
+    for (const [server, { at }] of crashes) if (at < oldest) crashes.delete(server)
+    removeOldest(crashes, MAX_CRASHES)
+  }
+  const setAnswered = (part: PromptPartId, at: number) => {
+    const newest = Math.max(answeredAt.get(part) ?? -Infinity, at)
+    answeredAt.delete(part)
+    answeredAt.set(part, newest)
+    removeOldest(answeredAt, MAX_ANSWERED)
+  }
+  const addPart = (crash: Crash, part: PromptPartId, sends: number, sentAt: number) => {
+    const known = crash.parts.get(part)
+    if (!known && crash.parts.size >= MAX_PARTS_PER_CRASH) return
+    crash.parts.set(part, {
+      sends: (known?.sends ?? 0) + sends,
+      sentAt: Math.max(known?.sentAt ?? -Infinity, sentAt),
+    })
+  }
+  const isCounted = (part: PromptPartId, crash: Crash) =>
+    crash.at > (answeredAt.get(part) ?? -Infinity)
+  const listUnexplained = () =>
+    [...crashes.values()].filter(({ isExplained }) => !isExplained).sort((a, b) => a.at - b.at)
+  /** Builds the case of each part from the unexplained crashes after its last complete response. */
+  const listCases = (unexplained: readonly Crash[]): readonly PartCase[] => {
+    const byPart = new Map<PromptPartId, Crash[]>()
+    for (const crash of unexplained) {
+      for (const part of crash.parts.keys()) {
+        if (!isCounted(part, crash)) continue
+        const listed = byPart.get(part)
+        if (listed) listed.push(crash)
+        else byPart.set(part, [crash])
+      }
+    }
+    return [...byPart].map(([part, counted]) => {
+      return { part, crashes: counted, independent: listIndependent(part, counted) }
+    })
+  }
+  /** Measures the rate at which engines crash without the part in flight, per engine and ms. */
+  const measureOtherRate = (part: PromptPartId, unexplained: readonly Crash[]) => {
+    const servers = Math.max(1, countServers())
+    const rates = RATE_PERIODS_MS.map((periodMs) => {
+      const since = timers.now() - periodMs
+      const isOther = ({ at, parts }: Crash) => at >= since && !parts.has(part)
+      return unexplained.filter(isOther).length / (servers * periodMs)
+    })
+    // Without other crashes, one in the longest period is presumed.
+    return Math.max(...rates, 1 / (servers * Math.max(...RATE_PERIODS_MS)))
+  }
+  /** Estimates the probability that chance interrupted the part at each of its independent crashes. */
+  const estimateChance = ({ part, independent }: PartCase, rate: number) =>
+    independent.reduce((product, crash) => {
+      const { sends = 1, sentAt = crash.at } = crash.parts.get(part) ?? {}
+      return product * Math.min(1, rate * Math.max(MIN_HELD_MS, crash.at - sentAt) * sends)
+    }, 1)
+  /** Whether another part explains the same crashes; a request that is sent again brings all its parts again. */
+  const isTied = ({ part, crashes: counted }: PartCase, cases: readonly PartCase[]) =>
+    cases.some(
+      (other) =>
+        other.part !== part &&
+        !answeredAt.has(other.part) &&
+        other.crashes.length === counted.length &&
+        counted.every(({ parts }) => parts.has(other.part)),
+    )
+  const findMinCrashes = (partCase: PartCase, cases: readonly PartCase[]) => {
+    if (answeredAt.has(partCase.part)) return MIN_CRASHES.answered
+    return isTied(partCase, cases) ? MIN_CRASHES.tied : MIN_CRASHES.neverAnswered
+  }
+  const buildVerdict = (partCase: PartCase, unexplained: readonly Crash[]): PartVerdict => ({
+    part: partCase.part,
+    servers: partCase.crashes.map(({ server }) => server),
+    crashes: partCase.independent.length,
+    chance: estimateChance(partCase, measureOtherRate(partCase.part, unexplained)),
+    isAnswered: answeredAt.has(partCase.part),
+  })
+  return {
+    addCrash: ({ server, ageMs, parts }) => {
+      const at = timers.now() - ageMs
+      const crash = crashes.get(server) ?? { server, at, parts: new Map(), isExplained: false }
+      crash.at = Math.min(crash.at, at)
+      crashes.set(server, crash)
+      for (const [part, sends, heldMs, answeredAgeMs] of parts) {
+        addPart(crash, part, sends, at - heldMs)
+        if (answeredAgeMs !== NEVER_ANSWERED) setAnswered(part, timers.now() - answeredAgeMs)
+        if (explaining.has(part)) crash.isExplained = true
+      }
+      removeOld()
+    },
+    recordAnswered: ([part, ageMs]) => setAnswered(part, timers.now() - ageMs),
+    findVerdict: () => {
+      const unexplained = listUnexplained()
+      const cases = listCases(unexplained).filter(
+        ({ independent }) => independent.length >= MIN_CRASHES.neverAnswered,
+      )
+      const [best] = cases
+        .filter((partCase) => partCase.independent.length >= findMinCrashes(partCase, cases))
+        .map((partCase) => buildVerdict(partCase, unexplained))
+        .filter(({ chance }) => chance <= MAX_CHANCE)
+        .sort((a, b) => a.chance - b.chance)
+      return best
+    },
+    recordExplained: (part) => {
+      explaining.add(part)
+      for (const crash of crashes.values()) if (crash.parts.has(part)) crash.isExplained = true
+    },
+    remove: (part) => {
+      explaining.delete(part)
+      for (const crash of crashes.values()) {
+        if (crash.parts.delete(part)) crash.isExplained = isExplained(crash)
+      }
+    },
+    listCrashes: (part) =>
+      [...crashes.values()].filter(({ parts }) => parts.has(part)).map(({ server }) => server),
+    listSuspects: () =>
+      listCases(listUnexplained())
+        .filter(
+          ({ part, independent }) =>
+            !answeredAt.has(part) || independent.length >= CRASHES_TO_LIST_ANSWERED,
+        )
+        .sort((a, b) => b.independent.length - a.independent.length)
+        .slice(0, MAX_SUSPECTS)
+        .map(({ part }) => part),
+    reset: () => {
+      crashes.clear()
+      answeredAt.clear()
+      explaining.clear()
+    },
+  }
+}
--- a/packages/control/src/quarantine/quarantineCoordinator.ts
+++ b/packages/control/src/quarantine/quarantineCoordinator.ts
@@ -3,7 +3,13 @@
  * state, and lists the suspected and quarantined requests for routers. Crashes are counted centrally because routers that
  * count on their own would each allow the full number of crashes.
  */
-import type { BackendServerId, Logger, RequestFingerprint, TimerService } from '@spoolgate/core'
+import {
+  SpoolgateError,
+  type BackendServerId,
+  type Logger,
+  type RequestFingerprint,
+  type TimerService,
+} from '@spoolgate/core'
 import { Subject, type Observable } from 'rxjs'
 import type { RaftMember } from '../raft/types.js'
 import type {
@@ -40,6 +46,13 @@
   list(): readonly SuspectedRequest[]
   /** Increases with each change of that list. */
   revision(): number
+  /** Lists the quarantined requests for operators. */
+  listQuarantined(): readonly SuspectedRequest[]
+  /**
+   * Releases a request on an operator's command.
+   * @throws SpoolgateError `invalidRequest` if it is not in quarantine.
+   */
+  release(request: RequestFingerprint): Promise<void>
   /** Emits when a report changes the list; changes of the replicated state are emitted by the state itself. */
   readonly changes: Observable<void>
 }
@@ -143,6 +156,19 @@
       return [...quarantined, ...suspects]
     },
     revision: () => tally.revision() + quarantine.revision(),
+    listQuarantined: quarantine.list,
+    release: async (request) => {
+      if (!quarantine.find(request)) {
+        throw new SpoolgateError(
+          'invalidRequest',
+          `request "${request}" is not in quarantine; list the requests that are`,
+        )
+      }
+      tally.remove(request)
+      trials.remove(request)
+      await member.propose({ kind: 'request.release', request })
+      logger.info('request.released', { fingerprint: request, reason: 'operator' })
+    },
     changes,
   }
 }
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -3,7 +3,8 @@
  * and the load that other routers have in progress there. The leader replies at once when there is something new, and
  * otherwise after a short wait. Each reply also confirms that the router's state was current when it sent the poll.
  */
-import type { BackendServerId, RequestFingerprint, TeamId } from '@spoolgate/core'
+import type { BackendServerId, PromptPartId, RequestFingerprint, TeamId } from '@spoolgate/core'
+import type { ListedPart, PartReport } from '../parts/partReport.js'
 import type { CrashReport, SuspectedRequest } from '../quarantine/crashReport.js'
 import type { LoadsCursor, LoadsUpdate } from './loadsUpdate.js'
 import type { ServersUpdate } from './serverChanges.js'
@@ -156,6 +157,10 @@
   readonly blame?: CrashReport
   /** Revision, within the term, of this router's list of suspected requests. */
   readonly suspectsSeen?: number
+  /** Evidence about parts of prompts that may crash engines; absent before version 0.10. */
+  readonly parts?: PartReport
+  /** Revision, within the term, of this router's list of suspected and quarantined parts. */
+  readonly partsSeen?: number
   /** Limits observed by this router that the leader of the term has not acknowledged. */
   readonly limits?: readonly LimitReport[]
   /** Revision, within the term, of this router's limits. */
@@ -219,6 +224,11 @@
   readonly suspectsSeen?: number
   /** Quarantined request that this router alone may send once as a trial. */
   readonly trial?: RequestFingerprint
+  /** All quarantined or suspected parts of prompts; present if the router's revision of them differs. */
+  readonly parts?: readonly ListedPart[]
+  readonly partsSeen?: number
+  /** Quarantined part that this router alone may send once as a trial. */
+  readonly partTrial?: PromptPartId
   readonly keptPosition: CacheListCursor
   /** Present if the router's revision of the limits differs. */
   readonly limits?: LimitsUpdate
--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -6,6 +6,7 @@
   waitFor,
   type HttpClient,
   type Logger,
+  type PromptPartId,
   type RandomSource,
   type RequestFingerprint,
   type TimerService,
@@ -14,6 +15,8 @@
 import { Subject, type Observable } from 'rxjs'
 import type { CrashReportBuffer, UnreportedOutcomes } from '../quarantine/crashReportBuffer.js'
 import type { SuspectedRequest } from '../quarantine/crashReport.js'
+import type { PartCrashBuffer, UnreportedParts } from '../parts/partCrashBuffer.js'
+import type { ListedPart } from '../parts/partReport.js'
 import {
   FEED_PATH,
   type FeedReply,
@@ -52,6 +55,8 @@
   readonly onPlacements: (placements: readonly Placement[]) => void
   /** Outcomes that this router saw of requests that may crash servers. */
   readonly blame: Pick<CrashReportBuffer, 'listUnreported' | 'recordReported'>
+  /** Evidence about parts of prompts that may crash engines. */
+  readonly parts: PartRecord
   /** Server rate limits observed by this router. */
   readonly limits: LimitRecord
   /** This router's use of the team quotas. */
@@ -86,6 +91,14 @@
   readonly peerUrl?: string
 }
 
+/** Evidence about parts of prompts, held until the leader acknowledges it. */
+export interface PartRecord extends Pick<PartCrashBuffer, 'listUnreported' | 'recordReported'> {
+  /** Called after each change with all suspected or quarantined parts. */
+  applyListed(listed: readonly ListedPart[]): void
+  /** Called with a quarantined part that this router may send once as a trial. */
+  grantTrial(part: PromptPartId): void
+}
+
 /** Limits observed by this router, held until the leader acknowledges them. */
 export interface LimitRecord {
   listUnreported(term: number): ObservedLimits
@@ -158,6 +171,7 @@
   readonly reported: ReadonlySet<Placement>
   /** Request outcomes sent in the poll. */
   readonly blame: UnreportedOutcomes
+  readonly parts: UnreportedParts
   readonly limits: ObservedLimits
   /** Loads sent in the poll. */
   readonly loads: ServerLoads
@@ -202,6 +216,7 @@
     const placements = unreportedPlacements
     const position = replica.position()
     const blame = options.blame.listUnreported(position.term)
+    const parts = options.parts.listUnreported(position.term)
     const limits = options.limits.listUnreported(position.term)
     const loads = options.listLoads()
     const sentAt = timers.now()
@@ -211,6 +226,7 @@
       ...position,
       peerUrl: options.peerUrl,
       blame: blame.report,
+      parts: parts.report,
       limits: limits.reports,
       quotas: options.quotas.buildReport(askedAt),
       queues: options.buildQueueReport?.(),
@@ -227,7 +243,8 @@
       json: request,
       signal,
     })
-    return { reply, askedAt, sentAt, reported: new Set(placements), blame, limits, loads, speeds }
+    const reported = new Set(placements)
+    return { reply, askedAt, sentAt, reported, blame, parts, limits, loads, speeds }
   }
   const emitView = () => {
     const view = replica.view()
@@ -257,20 +274,26 @@
     },
     stopping: stopping.signal,
   })
+  const applyQuarantine = ({ reply, blame, parts }: FeedAnswer) => {
+    options.blame.recordReported(blame, reply.term)
+    options.parts.recordReported(parts, reply.term)
+    if (reply.suspects) options.onSuspects(reply.suspects)
+    if (reply.trial !== undefined) options.onTrial(reply.trial)
+    if (reply.parts) options.parts.applyListed(reply.parts)
+    if (reply.partTrial !== undefined) options.parts.grantTrial(reply.partTrial)
+  }
   const applyAnswer = (answer: FeedAnswer) => {
-    const { reply, askedAt, sentAt, reported, blame, limits, loads } = answer
+    const { reply, askedAt, sentAt, reported, limits, loads } = answer
     const isChanged = replica.apply(reply, loads, sentAt)
     appliedAt = Math.max(appliedAt, askedAt)
     options.onPlacements(reply.placements)
     options.onCacheChanges(reply.kept)
-    options.blame.recordReported(blame, reply.term)
+    applyQuarantine(answer)
     if (limits.term === reply.term) options.limits.recordAcknowledged(limits)
     if (reply.limits) options.limits.applyUpdate(reply.limits, sentAt)
     const reportedSpeeds = { reported: answer.speeds ?? [], speeds: reply.speeds ?? [] }
     options.speeds?.applyReply({ ...reportedSpeeds, term: reply.term }, timers.now())
     if (reply.quotas) options.quotas.applyGrants(reply.quotas, askedAt)
-    if (reply.suspects) options.onSuspects(reply.suspects)
-    if (reply.trial !== undefined) options.onTrial(reply.trial)
     unreportedPlacements = unreportedPlacements.filter((placement) => !reported.has(placement))
     applyConfirmation({ version: reply.tableVersion, askedAt })
     tableFetcher.requestVersion(reply.tableVersion)
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -9,8 +9,9 @@
 import { LRUCache } from 'lru-cache'
 import { filter, firstValueFrom, fromEvent, merge, race, share, type Observable } from 'rxjs'
 import type { ServerResponse } from 'node:http'
-import type { QuarantineCoordinator } from '../quarantine/quarantineCoordinator.js'
+import type { PartReport, PartReportReply } from '../parts/partReport.js'
 import type { RaftMember } from '../raft/types.js'
+import { isSameWeights } from '../state/weightsState.js'
 import type { ControlStateMachine } from '../state/controlMachine.js'
 import {
   MAX_PLACEMENTS_PER_REPLY,
@@ -27,6 +28,7 @@
 import { createLoadAggregator } from './loadAggregator.js'
 import { createPeerDirectory } from './peerDirectory.js'
 import { createPlacementLog } from './placementLog.js'
+import { createQuarantineFeed, type QuarantineFeedOptions } from './quarantineFeed.js'
 import { createQueueBoard, type RouterQueue } from './queueBoard.js'
 import { createSpeedAggregator } from './speedAggregator.js'
 import type { QuotaBuckets } from './quotaBuckets.js'
@@ -40,7 +42,7 @@
 import { measureUpdate, NO_TABLE_VERSION } from '../table/tableUpdate.js'
 
 /** Options of {@link createFeedSource}. */
-export interface FeedSourceOptions {
+export interface FeedSourceOptions extends Omit<QuarantineFeedOptions, 'isCurrentTerm'> {
   readonly member: RaftMember
   readonly machine: ControlStateMachine
   readonly timers: TimerService
@@ -51,8 +53,6 @@
   readonly tables: TableHistory
   /** Takes note of the software versions that routers hold. */
   readonly versionGate: Pick<VersionGate, 'recordPoll' | 'isOpen'>
-  /** Quarantines requests that crash servers. */
-  readonly quarantine: QuarantineCoordinator
   /** Quotas of the teams. */
   readonly quotas: QuotaBuckets
   /** Cache content of engines and stores, for routers that do not have it yet. */
@@ -75,6 +75,13 @@
    * @throws SpoolgateError unless this instance is the leader and holds its lease.
    */
   answer(request: FeedRequest, response: ServerResponse): Promise<FeedReply>
+  /**
+   * Records evidence about parts of prompts without waiting.
+   * @throws SpoolgateError unless this instance is the leader and holds its lease.
+   */
+  recordParts(report: PartReport): PartReportReply
+  /** @throws SpoolgateError unless this instance is the leader and holds its lease. */
+  checkLeading(): void
   /**
    * Grants quota credits without waiting.
    * @throws SpoolgateError unless this instance is the leader and holds its lease.
@@ -138,17 +145,9 @@
 /** Sender of placements that do not come from a router. */
 const NO_ROUTER = 'nobody'
 
-function isSameWeights(
-  a: Readonly<Record<string, number>>,
-  b: Readonly<Record<string, number>>,
-): boolean {
-  const models = Object.keys(a)
-  return models.length === Object.keys(b).length && models.every((model) => a[model] === b[model])
-}
-
 /** Creates the leader's side of the feed. */
 export function createFeedSource(options: FeedSourceOptions): FeedSource {
-  const { member, machine, timers, quarantine } = options
+  const { member, machine, timers } = options
   const loads = createLoadAggregator({ timers, routerLifeMs: ROUTER_EXPIRY_MS })
   const demands = createDemandAggregator({ timers, routerLifeMs: ROUTER_EXPIRY_MS })
   const queues = createQueueBoard({ timers, routerLifeMs: ROUTER_EXPIRY_MS })
@@ -187,7 +186,11 @@
   options.conditionChanges.subscribe(() => {
     revision += 1
   })
-  const changes = merge(machine.fleetChanges, options.conditionChanges, quarantine.changes)
+  const quarantines = createQuarantineFeed({
+    ...options,
+    isCurrentTerm: (request) => isCurrentTerm(request),
+  })
+  const changes = merge(machine.fleetChanges, options.conditionChanges, quarantines.changes)
 
   /** Term of this leader as of the last {@link checkLeading}; reading the status for each comparison is too slow. */
   let leadingTerm: number | undefined
@@ -247,7 +250,7 @@
     if (versionsSeen !== undefined && leadingTerm !== undefined)
       options.versionGate.recordPoll(router, versionsSeen, leadingTerm)
   }
-  /** Records the reports of a router; returns the quarantined request that it may try. */
+  /** Records the reports of a router; returns the quarantined request and part that it may try. */
   const recordRouter = (request: FeedRequest) => {
     startTerm()
     placements.add(request.router, request.placements)
@@ -258,7 +261,7 @@
     demands.record(request.router, request.demands)
     recordVersions(request)
     if (request.quotas) options.quotas.applyReport(request.quotas)
-    return request.blame && quarantine.record(request.blame)
+    return quarantines.record(request)
   }
   const findTableVersion = () => machine.table.current()?.version ?? NO_TABLE_VERSION
   const isNewTable = (request: FeedRequest) => findTableVersion() > request.tableReported
@@ -268,9 +271,6 @@
     const update = options.tables.findUpdate(request.tableVersion)
     return update && measureUpdate(update) <= MAX_TABLE_BYTES ? update : undefined
   }
-  const isNewSuspects = (request: FeedRequest) =>
-    !isCurrentTerm(request) ||
-    (request.suspectsSeen !== undefined && request.suspectsSeen !== quarantine.revision())
   const isNewLimits = (request: FeedRequest) =>
     !isCurrentTerm(request) ||
     (request.limitsSeen !== undefined && request.limitsSeen !== limits.revision())
@@ -301,9 +301,11 @@
       speedsSeen: changes.seen,
     }
   }
+  /** Whether something changed that is not gathered with changes of the fleet. */
+  const isNewOther = (request: FeedRequest) =>
+    quarantines.isNew(request) || isNewLimits(request) || isNewVersions(request)
   const isUpdateDue = (request: FeedRequest) => {
-    if (isNewTable(request) || isNewSuspects(request) || isNewLimits(request)) return true
-    if (isNewVersions(request)) return true
+    if (isNewTable(request) || isNewOther(request)) return true
     recordFleetChanges()
     if (speeds.isBehind(findSpeedsSeen(request) ?? Infinity)) return true
     return request.revision !== revision
@@ -314,12 +316,7 @@
   }
   /** Gathers changes of the fleet that follow an update closely. Nothing delays a new table. */
   const gatherChanges = async (request: FeedRequest, response: ServerResponse) => {
-    const isOther =
-      isNewTable(request) ||
-      isNewSuspects(request) ||
-      isNewLimits(request) ||
-      isNewVersions(request)
-    if (isOther || !isUpdateDue(request)) return
+    if (isNewTable(request) || isNewOther(request) || !isUpdateDue(request)) return
     const gatherMs = findGatherMs(request)
     if (gatherMs <= 0) return
     await waitUntil(changes.pipe(filter(() => isNewTable(request))), gatherMs, response)
@@ -359,8 +356,7 @@
       keptPosition: page.cursor,
       limits: isNewLimits(request) ? limits.buildUpdate(request.router) : undefined,
       limitsSeen: limits.revision(),
-      suspects: isNewSuspects(request) ? quarantine.list() : undefined,
-      suspectsSeen: quarantine.revision(),
+      ...quarantines.buildReply(request),
       demands: request.demands && demands.sumExcept(request.router),
       quotas: request.quotas && options.quotas.listGrants(request.quotas),
       ...listSpeeds(request),
@@ -384,16 +380,24 @@
       const receivedAt = timers.now()
       if (!isLeaderKnown()) await waitUntil(leaderKnown, MAX_LEADER_WAIT_MS, response)
       checkLeading()
-      const trial = recordRouter(request)
+      const trials = recordRouter(request)
+      const isTrial = trials.trial !== undefined || trials.partTrial !== undefined
       if (!isCurrentTerm(request)) await options.waitForCacheDirectory()
-      if (!isUpdateDue(request) && trial === undefined) {
+      if (!isUpdateDue(request) && !isTrial) {
         await waitUntil(changes, Math.min(request.waitMs, MAX_WAIT_MS), response)
       }
-      if (trial === undefined) await gatherChanges(request, response)
+      if (!isTrial) await gatherChanges(request, response)
       if (isLarge(request)) await turns.take()
       checkLeading()
-      return { ...buildReply(request, receivedAt), trial }
+      return { ...buildReply(request, receivedAt), ...trials }
+    },
+    recordParts: (report) => {
+      checkLeading()
+      startTerm()
+      quarantines.recordParts(report)
+      return { term: member.status().term }
     },
+    checkLeading,
     grantQuotas: (report) => {
       checkLeading()
       startTerm()
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -63,6 +63,7 @@
   | 'keptSeen'
   | 'keptPosition'
   | 'suspectsSeen'
+  | 'partsSeen'
   | 'limitsSeen'
   | 'loadsSeen'
   | 'speedsSeen'
@@ -240,6 +241,7 @@
         keptSeen,
         keptPosition,
         suspectsSeen,
+        partsSeen,
         limitsSeen,
         speedsSeen,
         peersSeen,
@@ -253,6 +255,7 @@
         keptSeen,
         keptPosition,
         suspectsSeen,
+        partsSeen,
         limitsSeen,
         loadsSeen: loadsReplica.cursor(),
         speedsSeen,
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -9,11 +9,7 @@
   createInvariants,
   createMetrics,
   createRandomSource,
-  INTERNAL_BODY_LIMITS,
-  readJson,
-  sendJson,
   type CloseReport,
-  type HttpExchange,
   type Logger,
   type RejectedInputs,
   type Route,
@@ -22,6 +18,7 @@
 import type { RoutingTable } from '@spoolgate/routing'
 import { merge, Subject } from 'rxjs'
 import { createQuarantineCoordinator } from '../quarantine/quarantineCoordinator.js'
+import { createPartCoordinator } from '../parts/partCoordinator.js'
 import { createMembershipManager } from '../group/membershipManager.js'
 import { createMembershipRoutes } from '../group/membershipRoutes.js'
 import { openIdentity } from '../group/identity.js'
@@ -34,23 +31,17 @@
 import { createControlStateMachine, type ControlStateMachine } from '../state/controlMachine.js'
 import { createCacheWatch, type CacheClient } from './cacheWatch.js'
 import type { EngineClient } from './engineClient.js'
-import { FEED_PATH, TABLE_PATH, type FeedRequest } from './feed.js'
-import { createFeedSource, type FeedSource } from './feedSource.js'
-import {
-  createFleetOperationRunner,
-  OPERATION_PATH,
-  type FleetOperationRunner,
-} from './fleetOperations.js'
+import { createFeedSource } from './feedSource.js'
+import { createFleetOperationRunner, type FleetOperationRunner } from './fleetOperations.js'
+import { createQuarantineRoutes } from './quarantineRoutes.js'
 import { createDecodedTable } from './decodedTable.js'
 import { createQuotaBuckets } from './quotaBuckets.js'
-import { QUEUES_PATH } from './queueBoard.js'
-import { VERSIONS_PATH } from './versionStatus.js'
-import { SERVERS_PATH } from './serverStatus.js'
-import { QUOTA_PATH, type QuotaReport, type QuotaTolerance } from './quotaProtocol.js'
+import { createRegistryRoutes } from './registryRoutes.js'
+import type { QuotaTolerance } from './quotaProtocol.js'
 import { createOverloadMonitor } from './overloadMonitor.js'
 import { createServerMonitor } from './serverMonitor.js'
 import { createTableAccess, type TableAccess } from './tableAccess.js'
-import { createTableSource, type TableRequest } from './tableSource.js'
+import { createTableSource } from './tableSource.js'
 import { createOrderCounter, startWeightsReport } from './weightsReport.js'
 import { createWeightsRollout } from './weightsRollout.js'
 import { createVersionGate } from './versionGate.js'
@@ -131,14 +122,6 @@
  */
 export const MAX_HEARTBEAT_CONNECTIONS = 16
 
-/** What the leader shows operators, by path. */
-const LEADER_VIEWS: readonly (readonly [path: string, list: (feed: FeedSource) => unknown])[] = [
-  [QUOTA_PATH, (feed) => feed.listQuotas()],
-  [QUEUES_PATH, (feed) => feed.listQueues()],
-  [SERVERS_PATH, (feed) => feed.listServers()],
-  [VERSIONS_PATH, (feed) => feed.listVersions()],
-]
-
 /** Creates a control instance; resolves once it is listening. */
 export async function createRegistryControl(
   options: RegistryControlOptions,
@@ -293,6 +276,14 @@
     findQuota: table.findQuota,
     tolerance: options.quotaTolerance,
   })
+  const parts = createPartCoordinator({
+    member,
+    parts: machine.quarantinedParts,
+    countServers: () => machine.servers.list().filter(({ weights }) => weights.length > 0).length,
+    readWallClock: Date.now,
+    timers,
+    logger,
+  })
   const feed = createFeedSource({
     quotas,
     member,
@@ -301,6 +292,7 @@
     tables,
     versionGate,
     quarantine: blame,
+    parts,
     findConditions: () => ({
       loading: rollout.listLoading(),
       expired: monitor.listExpired(),
@@ -319,43 +311,8 @@
     ...createDaemonRoutes({ metrics, findUnreadyReason }),
     createRaftRoute({ member, isCut: () => false }),
     ...createMembershipRoutes(membershipManager),
-    ...LEADER_VIEWS.map(([path, list]): Route => ({
-      method: 'GET',
-      path,
-      handler: ({ response }) => sendJson(response, 200, list(feed)),
-    })),
-    {
-      method: 'POST',
-      path: FEED_PATH,
-      handler: async ({ request, response }: HttpExchange) => {
-        const feedRequest = (await readJson(request, INTERNAL_BODY_LIMITS)) as FeedRequest
-        sendJson(response, 200, await feed.answer(feedRequest, response))
-      },
-    },
-    {
-      method: 'POST',
-      path: QUOTA_PATH,
-      handler: async ({ request, response }: HttpExchange) => {
-        const report = (await readJson(request, INTERNAL_BODY_LIMITS)) as QuotaReport
-        sendJson(response, 200, feed.grantQuotas(report))
-      },
-    },
-    {
-      method: 'POST',
-      path: TABLE_PATH,
-      handler: async ({ request, response }: HttpExchange) => {
-        const tableRequest = (await readJson(request, INTERNAL_BODY_LIMITS)) as TableRequest
-        sendJson(response, 200, await tableSource.answer(tableRequest, response))
-      },
-    },
-    {
-      method: 'POST',
-      path: `${OPERATION_PATH}/:name`,
-      handler: async ({ request, response, params }: HttpExchange) => {
-        const input = await readJson(request, INTERNAL_BODY_LIMITS)
-        sendJson(response, 200, await operations.runLocally(params.name, input))
-      },
-    },
+    ...createQuarantineRoutes({ parts, requests: blame, checkLeading: () => feed.checkLeading() }),
+    ...createRegistryRoutes({ feed, tableSource, operations }),
   ]
   server.addRoutes(routes)
   logger.info('control.listening', {
--- a/packages/control/src/state/controlMachine.ts
+++ b/packages/control/src/state/controlMachine.ts
@@ -1,6 +1,6 @@
 /**
  * Replicated state machine of the control group: configuration, claims, orders, routing table, weights, weight loads,
- * registered servers with their software versions, and quarantined requests. Typed commands from the log change it.
+ * registered servers with their software versions, and quarantined requests and parts. Typed commands from the log change it.
  */
 import { Subject, type Observable } from 'rxjs'
 import type { StateMachine } from '../raft/types.js'
@@ -45,6 +45,13 @@
   type ReleaseRequest,
 } from './quarantineState.js'
 import type { SuspectedRequest } from '../quarantine/crashReport.js'
+import {
+  createQuarantinedPartState,
+  type QuarantinedPart,
+  type QuarantinedPartState,
+  type QuarantinePart,
+  type ReleasePart,
+} from './quarantinedPartState.js'
 import {
   createServerState,
   findSoftwareVersion,
@@ -94,6 +101,8 @@
   'version.remove': { command: RemoveSoftwareVersion; result: SoftwareVersionResult }
   'request.quarantine': { command: QuarantineRequest; result: null }
   'request.release': { command: ReleaseRequest; result: null }
+  'part.quarantine': { command: QuarantinePart; result: null }
+  'part.release': { command: ReleasePart; result: null }
   'load.begin': { command: BeginWeightLoad; result: null }
   'load.end': { command: EndWeightLoad; result: null }
 }
@@ -118,7 +127,8 @@
   readonly softwareVersions: SoftwareVersionState
   readonly weightLoads: WeightLoadState
   readonly quarantine: QuarantineState
-  /** Emits after each command on the routing table, weights, servers, software versions or quarantined requests. */
+  readonly quarantinedParts: QuarantinedPartState
+  /** Emits after each command on the routing table, weights, servers, software versions or quarantines. */
   readonly fleetChanges: Observable<void>
 }
 
@@ -136,6 +146,8 @@
   readonly quarantine?: readonly SuspectedRequest[]
   /** Absent from snapshots written before version 0.9. */
   readonly softwareVersions?: SavedSoftwareVersions
+  /** Absent from snapshots written before version 0.10. */
+  readonly quarantinedParts?: readonly QuarantinedPart[]
 }
 
 type Handlers = {
@@ -157,6 +169,7 @@
   const softwareVersions = createSoftwareVersionState()
   const loads = createWeightLoadState()
   const quarantine = createQuarantineState()
+  const quarantinedParts = createQuarantinedPartState()
   const fleetChanges = new Subject<void>()
   const emitFleetChange = <T>(result: T): T => {
     fleetChanges.next()
@@ -190,6 +203,8 @@
     'version.remove': (command) => emitFleetChange(softwareVersions.remove(command)),
     'request.quarantine': (command) => emitFleetChange(quarantine.quarantine(command)),
     'request.release': (command) => emitFleetChange(quarantine.release(command)),
+    'part.quarantine': (command) => emitFleetChange(quarantinedParts.quarantine(command)),
+    'part.release': (command) => emitFleetChange(quarantinedParts.release(command)),
     'load.begin': loads.begin,
     'load.end': loads.end,
   }
@@ -204,6 +219,7 @@
     softwareVersions,
     weightLoads: loads,
     quarantine,
+    quarantinedParts,
     fleetChanges,
     apply: (command, index) => {
       const typed = command as ControlCommand
@@ -220,6 +236,7 @@
       loads: loads.save(),
       quarantine: quarantine.save(),
       softwareVersions: softwareVersions.save(),
+      quarantinedParts: quarantinedParts.save(),
     }),
     load: (state) => {
       const saved = state as SavedMachine
@@ -232,6 +249,7 @@
       softwareVersions.load(saved.softwareVersions, servers.list())
       loads.load(saved.loads ?? [])
       quarantine.load(saved.quarantine ?? [])
+      quarantinedParts.load(saved.quarantinedParts ?? [])
       fleetChanges.next()
       versions.next(config.version())
     },
--- a/packages/control/src/state/weightsState.ts
+++ b/packages/control/src/state/weightsState.ts
@@ -40,3 +40,12 @@
     },
   }
 }
+
+/** Whether two lists of target versions by model are equal. */
+export function isSameWeights(
+  a: Readonly<Record<string, number>>,
+  b: Readonly<Record<string, number>>,
+): boolean {
+  const models = Object.keys(a)
+  return models.length === Object.keys(b).length && models.every((model) => a[model] === b[model])
+}
--- a/packages/router/src/direct/attemptAdmission.ts
+++ b/packages/router/src/direct/attemptAdmission.ts
@@ -1,10 +1,14 @@
-/** Admits one attempt to send a request: checks the team's quota, the quarantine and the available servers. */
-import { SpoolgateError } from '@spoolgate/core'
+/** Admits one attempt to send a request: checks the team's quota, the quarantines and the available servers. */
+import { SpoolgateError, type PromptPartId } from '@spoolgate/core'
 import type { CallPlan } from './callPlan.js'
 import type { Candidate } from './serverRanking.js'
 import type { DirectContext } from './directContext.js'
 import { takeQuota } from './sendQuota.js'
-import { createQuarantineError, createUnavailableError } from './errorResponses.js'
+import {
+  createPartQuarantineError,
+  createQuarantineError,
+  createUnavailableError,
+} from './errorResponses.js'
 import type { AdmittedEngine } from './engineAdmission.js'
 import {
   admitToEngine,
@@ -19,6 +23,7 @@
 export interface RequestState extends WaitingState {
   /** Whether a server may have run the request. */
   readonly mayHaveRun: boolean
+  readonly sharedParts: readonly PromptPartId[]
 }
 
 /** An attempt that may start. */
@@ -48,12 +53,27 @@
   return { kind: 'refused', error: mayHaveRun ? createUnavailableError(true) : error }
 }
 
-/** Admits the request to the quarantine, or returns the error to answer it with. */
+/** Finds the error for a request whose prompt has a quarantined part. */
+function findPartRefusal(
+  { parts }: Pick<DirectContext, 'parts'>,
+  { sharedParts }: RequestState,
+  log: CallLog,
+): SpoolgateError | undefined {
+  const refusal = parts.findRefusal(sharedParts)
+  if (!refusal) return undefined
+  log('call.partQuarantined', { ...refusal })
+  return createPartQuarantineError(refusal.leftMs)
+}
+
+/** Admits the request to the quarantines, or returns the error to answer it with. */
 function admitToQuarantine(
-  { quarantine }: DirectContext,
-  { fingerprint }: RequestState,
+  { quarantine, parts }: Pick<DirectContext, 'quarantine' | 'parts'>,
+  state: RequestState,
   log: CallLog,
 ): QuarantineAdmission | SpoolgateError {
+  const refusal = findPartRefusal({ parts }, state, log)
+  if (refusal) return refusal
+  const { fingerprint } = state
   const decision = quarantine.admit(fingerprint)
   if (decision.kind === 'admitted') return decision
   log('call.quarantined', { round: decision.round, leftMs: decision.leftMs })
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -1,7 +1,12 @@
 /** Outcomes of one attempt at a backend server, and the relay of its response up to that outcome. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RegisteredServer } from '@spoolgate/control'
-import { readResponseBody, sendBufferedResponse, type StreamRelay } from './responseRelay.js'
+import {
+  isFramed,
+  readResponseBody,
+  sendBufferedResponse,
+  type StreamRelay,
+} from './responseRelay.js'
 import type { HeaderList, BackoffSignal } from './protocols.js'
 import type { CallOutcome } from './serverStats.js'
 
@@ -28,13 +33,20 @@
   readonly forward: () => void
 }
 
+/** The whole response was forwarded. */
+export interface AnsweredOutcome {
+  readonly kind: 'answered'
+  readonly status: number
+  /** Whether its length or its chunks show where it ends. */
+  readonly isFramed: boolean
+}
+
 /** How one attempt ended. */
 export type AttemptOutcome =
+  | AnsweredOutcome
   | AbandonedOutcome
   | NotRunOutcome
   | FailedOutcome
-  /** The whole response was forwarded. */
-  | { readonly kind: 'answered'; readonly status: number }
   /** The server received nothing: no connection was established. */
   | { readonly kind: 'notSent'; readonly reason: string }
   /** The weights of the server expired before a byte was sent. */
@@ -69,7 +81,8 @@
 
 /** Statuses that tell callers that the request was not run; forwarded only when the server itself guarantees that. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
-const MIN_CLIENT_ERROR_STATUS = 400
+/** Lowest status of an error response. */
+export const MIN_CLIENT_ERROR_STATUS = 400
 const MIN_SERVER_ERROR_STATUS = 500
 const EVENT_STREAM_TYPE = 'text/event-stream'
 
@@ -94,7 +107,7 @@
     const bodyResult = await relay.relay(message, headers, server)
     if (bodyResult === 'broken') return { kind: 'lost', reason: 'the response stream broke off' }
     if (!isFinished()) relay.finish()
-    return { kind: 'answered', status }
+    return { kind: 'answered', status, isFramed: isFramed(message) }
   }
   const body = await readResponseBody(message)
   if (!body) return { kind: 'lost', reason: 'the response broke off' }
@@ -103,5 +116,5 @@
     return { kind: 'failed', status, reason: `status ${status}`, forward }
   }
   if (!isFinished()) forward()
-  return { kind: 'answered', status }
+  return { kind: 'answered', status, isFramed: isFramed(message) }
 }
--- a/packages/router/src/direct/directContext.ts
+++ b/packages/router/src/direct/directContext.ts
@@ -17,6 +17,7 @@
 import type { GracefulShutdown } from './gracefulShutdown.js'
 import type { RetryBudget } from './retryBudget.js'
 import type { RequestQuarantine } from './requestQuarantine.js'
+import type { PartSetup } from '../parts/partSetup.js'
 import type { CrashDetector } from './crashDetector.js'
 import type { RestartDetector } from './restartDetector.js'
 import type { ServerStats } from './serverStats.js'
@@ -52,6 +53,7 @@
   readonly restartDetector: Pick<RestartDetector, 'watch'>
   readonly crashDetector: Pick<CrashDetector, 'recordInterrupted'>
   readonly quarantine: Pick<RequestQuarantine, 'admit' | 'recordAnswered'>
+  readonly parts: Pick<PartSetup, 'findRefusal' | 'recordAnswered' | 'waitForVerdict'>
   readonly timers: TimerService
   /** Queue that spreads sends over event loop turns. */
   readonly turns: TurnQueue
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -2,7 +2,7 @@
  * A router of the direct path: forwards callers' requests to backend servers without a sidecar in between. It keeps no
  * state that must survive a restart; the feed from control supplies the routing table, weights and servers.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { createCrashReportBuffer, createFeedClient, type FeedClient } from '@spoolgate/control'
 import {
@@ -45,10 +45,12 @@
 import { openStreamSetup } from '../streams/streamSetup.js'
 import type { DirectRouterOptions } from './directRouterOptions.js'
 import { serveCall } from './serveCall.js'
+import { startListening } from './startListening.js'
 import { createEngineAdmission } from './engineAdmission.js'
 import { createEnginePartition } from './enginePartition.js'
 import { createServiceTimes } from './serviceTimes.js'
 import { createWeightsExpiry } from './weightsExpiry.js'
+import { createPartSetup } from '../parts/partSetup.js'
 import { createSpeedSetup } from '../speeds/speedSetup.js'
 
 /** A running router. */
@@ -81,18 +83,6 @@
 const BACKEND_IDLE_MS = 30_000
 const BACKEND_IDLE_MARGIN_MS = 1_200
 
-/** Starts listening and returns the port. */
-function startListening(server: Server, host: string, port: number): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => {
-      server.removeListener('error', reject)
-      const address = server.address()
-      resolve(typeof address === 'object' && address ? address.port : port)
-    })
-  })
-}
-
 /** Creates a router and waits until it is listening. */
 export async function createDirectRouter(options: DirectRouterOptions): Promise<DirectRouter> {
   const { timers, logger, caller } = options
@@ -138,6 +128,14 @@
     })
   const crashReports = createCrashReportBuffer(timers)
   const quarantine = createRequestQuarantine({ crashReports, timers, logger })
+  const parts = createPartSetup({
+    client,
+    timers,
+    logger,
+    metrics,
+    findView: () => feed.current(),
+    findLeaderUrl: () => feed.leaderUrl(),
+  })
   const credits = createQuotaCredits({
     router: options.instance,
     incarnation: createUniqueId('router'),
@@ -165,6 +163,7 @@
       addBackoffs(serverStats.listLoads(), backpressure.listBackingOff(timers.now())),
     takePlacements: prefixCache.takePlacements,
     blame: crashReports,
+    parts: parts.record,
     limits: {
       listUnreported: (term) => limits.listUnreported(term, timers.now()),
       recordAcknowledged: limits.recordAcknowledged,
@@ -206,7 +205,10 @@
     views: feed.changes,
     timers,
     logger,
-    onCrash: ({ server, request, round }) => quarantine.recordCrash(server.id, request, round),
+    onCrash: (call) => {
+      quarantine.recordCrash(call.server.id, call.request, call.round)
+      parts.recordCrash(call)
+    },
   })
   metrics.gauge(
     'quarantined_requests',
@@ -250,6 +252,7 @@
     restartDetector,
     crashDetector,
     quarantine,
+    parts,
     timers,
     turns: createTurnQueue(),
     random,
--- a/packages/router/src/direct/errorResponses.ts
+++ b/packages/router/src/direct/errorResponses.ts
@@ -53,6 +53,15 @@
   })
 }
 
+/** Creates the error response for a request with a part of its prompt that is quarantined for `leftMs`. */
+export function createPartQuarantineError(leftMs: number): SpoolgateError {
+  const message =
+    'backend servers crashed while running requests that share a part of this prompt; change it, or contact your operator'
+  return new SpoolgateError('quarantined', message, {
+    retryAfterSeconds: Math.ceil(leftMs / MS_PER_S),
+  })
+}
+
 /** Creates the error response for a request whose deadline has passed. */
 export function createTimeoutError(mayHaveRun: boolean): SpoolgateError {
   if (mayHaveRun) {
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -15,6 +15,11 @@
   isComplete(): boolean
 }
 
+/** Whether the length or the chunks of a response show where it ends; any other ends with its connection. */
+export function isFramed({ headers }: Pick<IncomingMessage, 'headers'>): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /**
  * Watches for the end of a response body. A body with neither Content-Length nor chunked encoding ends when its
  * connection closes, and Node also reports a connection reset as such an end: it swallows the error, or, if the reset
@@ -22,17 +27,16 @@
  * it emits `end`.
  */
 function watchCompletion(message: IncomingMessage): CompletionWatch {
-  const { 'content-length': length, 'transfer-encoding': transferEncoding } = message.headers
-  const isFramed = length !== undefined || transferEncoding !== undefined
   const { socket } = message
+  const hasFrame = isFramed(message)
   let isReset = false
-  if (!isFramed) {
+  if (!hasFrame) {
     socket.prependOnceListener('end', () => {
       isReset = socket.remoteAddress === undefined
     })
   }
   return {
-    isComplete: () => message.complete && (isFramed || (!isReset && socket.errored === null)),
+    isComplete: () => message.complete && (hasFrame || (!isReset && socket.errored === null)),
   }
 }
 
--- a/packages/router/src/direct/retryRules.ts
+++ b/packages/router/src/direct/retryRules.ts
@@ -1,8 +1,10 @@
-/** Decides whether a request that may have run may be sent to another server. */
+/** Decides whether a request may be sent to another server. */
+import type { SpoolgateError } from '@spoolgate/core'
 import type { CallPlan } from './callPlan.js'
 import type { DirectContext } from './directContext.js'
 import type { StreamRelay } from './responseRelay.js'
-import type { SendHistory } from './serverSelection.js'
+import { listRefusalFields } from './gracefulShutdown.js'
+import type { CallLog, SendHistory } from './serverSelection.js'
 
 /** Whether the route, and what has been forwarded to the caller, allow the request to run again. */
 export function isRetryable({ route }: CallPlan, relay: Pick<StreamRelay, 'hasBegun'>): boolean {
@@ -21,3 +23,20 @@
   if (sentTo.size >= plan.route.maxServers) return false
   return retryBudget.takeRetry(plan.group.name)
 }
+
+/**
+ * Returns the error for a request that must not be retried because this router is shutting down. A request that no server
+ * ran can still be sent through another router, which has time to complete it; one that may have run stays with this
+ * router. The first attempt was checked before.
+ */
+export function findRetryRefusal(
+  { shutdown }: Pick<DirectContext, 'shutdown'>,
+  plan: CallPlan,
+  { sends, mayHaveRun }: Pick<SendHistory, 'sends'> & { readonly mayHaveRun: boolean },
+  log: CallLog,
+): SpoolgateError | undefined {
+  if (sends === 0 || mayHaveRun) return undefined
+  const refusal = shutdown.findRefusal(plan)
+  if (refusal) log('call.notSentAgain', listRefusalFields(refusal))
+  return refusal
+}
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -22,7 +22,6 @@
 import type { DirectContext } from './directContext.js'
 import { waitForResponseHead } from './responseHeadWait.js'
 import { CONNECT_TIMEOUT_MS } from './livenessMonitor.js'
-import { listRefusalFields } from './gracefulShutdown.js'
 import {
   createUnavailableError,
   createTimeoutError,
@@ -33,6 +32,8 @@
   NOT_RUN_STATUSES,
   NOT_STARTED_OUTCOMES,
   relayResponse,
+  MIN_CLIENT_ERROR_STATUS,
+  type AnsweredOutcome,
   type FailedOutcome,
   type NotRunOutcome,
   type AttemptOutcome,
@@ -40,11 +41,11 @@
 import { hashRequest } from './requestFingerprint.js'
 import { listSharedParts } from '../parts/sharedParts.js'
 import { admitAttempt, type AdmittedAttempt, type RequestState } from './attemptAdmission.js'
-import { findGroupRetryAfterSeconds } from './serverSelection.js'
+import { findGroupRetryAfterSeconds, type CallLog } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
 import { buildSendFields, formatCall, formatSendEnd, recordSend } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
-import { isRetryable, takeRetry } from './retryRules.js'
+import { findRetryRefusal, isRetryable, takeRetry } from './retryRules.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
 import type { TrackedCall } from './serverStats.js'
 
@@ -154,11 +155,11 @@
     this.cancelWait()
     this.currentAttempt?.cancel()
     this.trackedCall?.finish('none')
-    this.log('call.end', { outcome: reason, firstPartMs: this.timings.firstPartMs() })
+    this.writeLog('call.end', { outcome: reason, firstPartMs: this.timings.firstPartMs() })
     this.resolveFinished()
   }
 
-  private log(event: string, fields: Record<string, unknown>): void {
+  private writeLog: CallLog = (event, fields) => {
     const { plan, context, fingerprint, sends } = this
     context.logger.info(event, { ...formatCall(context, plan), fingerprint, sends, ...fields })
   }
@@ -191,11 +192,9 @@
       await this.context.turns.take()
       if (isCallerDisconnected(this.response)) this.finish('callerLeft')
       if (this.isFinished) return
-      const refusal = this.findShutdownRefusal()
+      const refusal = findRetryRefusal(this.context, this.plan, this, this.writeLog)
       if (refusal) return this.finishWithError(refusal)
-      const admission = await admitAttempt(this.context, this.plan, this, (event, fields) =>
-        this.log(event, fields),
-      )
+      const admission = await admitAttempt(this.context, this.plan, this, this.writeLog)
       if (admission.kind === 'refused') return this.finishWithError(admission.error)
       if (this.isFinished) return admission.release()
       admission.recordStart()
@@ -210,7 +209,7 @@
 
   /** Runs an admitted attempt and records its outcome for the quarantine. */
   private async runAdmittedAttempt({ candidate, round }: AdmittedAttempt): Promise<AttemptOutcome> {
-    const { quarantine, crashDetector } = this.context
+    const { crashDetector } = this.context
     const { server } = candidate
     this.recordConnectionLoss = () =>
       crashDetector.recordInterrupted(server, {
@@ -223,20 +222,15 @@
     const isConnectionLost = outcome.kind === 'lost' || outcome.kind === 'abandoned'
     // A connection that this router closed itself says nothing about the server.
     if (isConnectionLost && !this.isFinished) this.recordConnectionLoss()
-    if (outcome.kind === 'answered') quarantine.recordAnswered(this.fingerprint)
+    if (outcome.kind === 'answered') this.recordAnswered(server.id, outcome)
     return outcome
   }
 
-  /**
-   * Returns the error for a request that must not be retried because this router is shutting down. A request that
-   * no server ran can still be sent through another router, which has time to complete it; one that may have run stays
-   * with this router. The first attempt was checked before.
-   */
-  private findShutdownRefusal(): SpoolgateError | undefined {
-    if (this.sends === 0 || this.mayHaveRun) return undefined
-    const refusal = this.context.shutdown.findRefusal(this.plan)
-    if (refusal) this.log('call.notSentAgain', listRefusalFields(refusal))
-    return refusal
+  private recordAnswered(server: BackendServerId, { status, isFramed }: AnsweredOutcome): void {
+    const { context, fingerprint, sharedParts: parts } = this
+    context.quarantine.recordAnswered(fingerprint)
+    // An error response does not show that the engine worked on the prompt.
+    if (status < MIN_CLIENT_ERROR_STATUS) context.parts.recordAnswered({ server, parts, isFramed })
   }
 
   /**
@@ -284,7 +278,7 @@
       lastDataAt: () => this.lastChunkAt,
       findAttempt: () => this.currentAttempt,
       isRetryable: () => !this.isFinished && this.isRetryable(),
-      log: (event, fields) => this.log(event, fields),
+      log: this.writeLog,
     })
     try {
       return await this.sendToServer(candidate)
@@ -341,7 +335,7 @@
   private async handleOutcome(candidate: Candidate, outcome: AttemptOutcome): Promise<boolean> {
     this.trackedCall?.finish(SERVER_OUTCOMES[outcome.kind])
     if (outcome.kind !== 'answered')
-      this.log('call.sendEnded', formatSendEnd(candidate, outcome, this.relay.lastEventId()))
+      this.writeLog('call.sendEnded', formatSendEnd(candidate, outcome, this.relay.lastEventId()))
     switch (outcome.kind) {
       case 'answered':
         this.timings.recordPlainResponse()
@@ -396,11 +390,12 @@
     return true
   }
 
-  private handleLost(candidate: Candidate, reason: string): boolean {
+  private async handleLost(candidate: Candidate, reason: string): Promise<boolean> {
     this.excluded.add(candidate.server.id)
-    if (this.takeRetry()) return false
-    this.finishWithError(createOutcomeUnknownError(reason))
-    return true
+    const isRetried = this.takeRetry()
+    if (isRetried) await this.context.parts.waitForVerdict(this.sharedParts)
+    else this.finishWithError(createOutcomeUnknownError(reason))
+    return !isRetried
   }
 
   private isRetryable = () => isRetryable(this.plan, this.relay)
