--- a/packages/spoolgate/src/node/cli/cli.ts
+++ b/packages/spoolgate/src/node/cli/cli.ts
@@ -9,6 +9,7 @@
 import { CliError, EXIT_CODES } from './exit.js'
 import { limitsCommand } from './limitsCommand.js'
 import { loadCommand } from './loadCommand.js'
+import { quarantineCommand } from './quarantineCommand.js'
 import { queuesCommand } from './queuesCommand.js'
 import { serversCommand } from './serversCommand.js'
 import { versionsCommand } from './versionsCommand.js'
@@ -26,6 +27,7 @@
   members: memberCommands,
   explain: explainCommand,
   limits: limitsCommand,
+  quarantine: quarantineCommand,
   queues: queuesCommand,
   servers: serversCommand,
   versions: versionsCommand,
--- a/packages/spoolgate/src/node/cli/leaderQuery.ts
+++ b/packages/spoolgate/src/node/cli/leaderQuery.ts
@@ -28,15 +28,22 @@
   readonly json: boolean
 }
 
+/** A request to the leader. */
+interface LeaderRequest {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly json?: unknown
+}
+
 async function fetchFromLeader<Answer>(
   client: HttpClient,
   urls: readonly string[],
-  path: string,
+  { path, ...request }: LeaderRequest,
 ): Promise<Answer> {
   const answers: string[] = []
   for (const url of urls) {
     try {
-      return await client.sendJson<Answer>({ method: 'GET', url: `${url}${path}` })
+      return await client.sendJson<Answer>({ ...request, url: `${url}${path}` })
     } catch (cause) {
       answers.push(`${url}: ${cause instanceof Error ? cause.message : String(cause)}`)
     }
@@ -45,20 +52,32 @@
   throw new CliError(`${answers.join('\n')}\n${remedy}`, EXIT_CODES.failedRun)
 }
 
-/** Asks the leader and prints its answer, as a table or as JSON. */
-export async function printFromLeader<Answer>(
-  { control, keyFile, json }: LeaderQuery,
-  path: string,
-  formatAnswer: (answer: Answer) => string,
-): Promise<void> {
+async function runLeaderRequest<Answer>(
+  { control, keyFile }: LeaderQuery,
+  request: LeaderRequest,
+): Promise<Answer> {
   const client = createHttpClient({
     key: keyFile === undefined ? undefined : readKeyFile(keyFile),
   })
   const urls = control.split(',').map((url) => url.trim().replace(/\/$/, ''))
   try {
-    const answer = await fetchFromLeader<Answer>(client, urls, path)
-    printLine(json ? JSON.stringify(answer, null, 2) : formatAnswer(answer))
+    return await fetchFromLeader<Answer>(client, urls, request)
   } finally {
     client.close()
   }
 }
+
+/** Asks the leader and prints its answer, as a table or as JSON. */
+export async function printFromLeader<Answer>(
+  query: LeaderQuery,
+  path: string,
+  formatAnswer: (answer: Answer) => string,
+): Promise<void> {
+  const answer = await runLeaderRequest<Answer>(query, { method: 'GET', path })
+  printLine(query.json ? JSON.stringify(answer, null, 2) : formatAnswer(answer))
+}
+
+/** Sends an operator's command to the leader. */
+export async function sendToLeader(query: LeaderQuery, path: string, json: unknown): Promise<void> {
+  await runLeaderRequest(query, { method: 'POST', path, json })
+}
