perf(control): search for the part that crashes engines only among new evidence

The parts of a crash that are dropped beyond the bound are those that were answered before or sent long ago.

--- a/packages/control/src/parts/partCrashBuffer.ts
+++ b/packages/control/src/parts/partCrashBuffer.ts
@@ -29,8 +29,8 @@
 
 /** An interrupted call with the progress of its report. */
 export interface BufferedCrash extends InterruptedParts {
-  /** Term of the leader that last received it; undefined if none did. */
-  reportedTerm: number | undefined
+  /** Whether a leader has received it. */
+  isReported: boolean
   /** Whether a report with it is in progress. */
   isSending: boolean
 }
@@ -89,23 +89,30 @@
     Math.max(0, Math.round(crashedAt - sentAt)),
     findAnsweredAgeMs(part),
   ])
-  // Parts without a response come first, since only they are likely causes.
-  const sorted = inFlight.sort(([, , , a], [, , , b]) => Number(a >= 0) - Number(b >= 0))
+  // Only parts without a response are likely causes, and among them those that were sent last.
+  const sorted = inFlight.sort(
+    ([, , heldA, a], [, , heldB, b]) => Number(a >= 0) - Number(b >= 0) || heldA - heldB,
+  )
   return sorted.slice(0, MAX_PARTS_PER_CRASH)
 }
 
 /** Creates an empty buffer. */
 export function createPartCrashBuffer(options: PartCrashBufferOptions): PartCrashBuffer {
   const { timers, findAnsweredAt } = options
-  let crashes: readonly BufferedCrash[] = []
+  const crashes = new Set<BufferedCrash>()
+  /** Those of them that the leader of the last term has not received. */
+  let pending = new Set<BufferedCrash>()
   const answered = new Map<PromptPartId, number>()
   const rejected = new Set<PromptPartId>()
   let lastTerm: number | undefined
 
   const removeOld = () => {
     const oldest = timers.now() - RETENTION_MS
-    if (crashes.some(({ crashedAt }) => crashedAt <= oldest))
-      crashes = crashes.filter(({ crashedAt }) => crashedAt > oldest)
+    for (const crash of crashes) {
+      if (crash.crashedAt > oldest && crashes.size <= MAX_CRASHES) return
+      crashes.delete(crash)
+      pending.delete(crash)
+    }
   }
   const findAnsweredAgeMs = (part: PromptPartId) => {
     const at = findAnsweredAt(part)
@@ -121,9 +128,8 @@
   }
   const build = (term: number | undefined, rejectedParts: readonly PromptPartId[]) => {
     removeOld()
-    const unreported = crashes.filter(
-      ({ reportedTerm, isSending }) =>
-        !isSending && (reportedTerm === undefined || reportedTerm !== term),
+    const unreported = [...(term === lastTerm ? pending : crashes)].filter(
+      ({ isSending }) => !isSending,
     )
     const servers = [...new Set(unreported.map(({ server }) => server))]
     const report: PartReport = {
@@ -142,16 +148,22 @@
     return { report, crashes: unreported, answered: new Map(answered) }
   }
   const recordReported = (unreported: UnreportedParts, term: number) => {
+    if (term !== lastTerm) pending = new Set(crashes)
     lastTerm = term
-    for (const crash of unreported.crashes) crash.reportedTerm = term
+    for (const crash of unreported.crashes) {
+      crash.isReported = true
+      pending.delete(crash)
+    }
     for (const [part, at] of unreported.answered) {
       if (answered.get(part) === at) answered.delete(part)
     }
   }
   return {
     addCrash: (call) => {
-      const buffered = { ...call, reportedTerm: undefined, isSending: false }
-      crashes = [...crashes, buffered].slice(-MAX_CRASHES)
+      const buffered = { ...call, isReported: false, isSending: false }
+      crashes.add(buffered)
+      pending.add(buffered)
+      removeOld()
     },
     addAnswered: (part, at) => {
       if (answered.size < MAX_ANSWERED || answered.has(part)) answered.set(part, at)
@@ -160,11 +172,10 @@
       if (rejected.size < MAX_REJECTED) rejected.add(part)
     },
     countUnreportedCrashes: (part) => {
-      if (crashes.length === 0) return 0
       let count = 0
       let lastAt = -Infinity
-      for (const { parts, sentAt, crashedAt, reportedTerm } of crashes) {
-        if (reportedTerm !== undefined || sentAt < lastAt || !parts.includes(part)) continue
+      for (const { parts, sentAt, crashedAt, isReported } of pending) {
+        if (isReported || sentAt < lastAt || !parts.includes(part)) continue
         count += 1
         lastAt = crashedAt
       }
--- a/packages/control/src/parts/partEvidence.ts
+++ b/packages/control/src/parts/partEvidence.ts
@@ -81,8 +81,8 @@
 
 /** Time for which a crash counts, in ms. */
 const RETENTION_MS = 600_000
-/** Maximum number of crashes; with the most parts each, they take 15 MB. */
-const MAX_CRASHES = 600
+/** Maximum number of crashes; with the most parts each, they take 14 MB. */
+const MAX_CRASHES = 300
 /** Maximum number of parts whose last complete response is known. */
 const MAX_ANSWERED = 8_192
 /**
@@ -98,8 +98,9 @@
 const MIN_HELD_MS = 20
 /** Crashes from which a part that was answered before is listed, so that routers report whether it still is. */
 const CRASHES_TO_LIST_ANSWERED = 3
-/** Maximum number of suspects listed. */
+/** Maximum number of suspects listed, and of the parts of the newest crashes that they are chosen from. */
 const MAX_SUSPECTS = 64
+const MAX_SUSPECTS_COMPARED = 512
 
 /** Chooses the crashes of which each came after the part had been sent again following the one before. */
 function listIndependent(part: PromptPartId, crashes: readonly Crash[]): Crash[] {
@@ -116,14 +117,25 @@
 /** Creates evidence without crashes. */
 export function createPartEvidence({ timers, countServers }: PartEvidenceOptions): PartEvidence {
   const crashes = new Map<BackendServerId, Crash>()
+  const crashesByPart = new Map<PromptPartId, Set<Crash>>()
+  /** Parts with crashes since the last search for a verdict; only those can have become likelier. */
+  const touched = new Set<PromptPartId>()
   const answeredAt = new Map<PromptPartId, number>()
   const explaining = new Set<PromptPartId>()
 
   const isExplained = ({ parts }: Crash) => [...explaining].some((part) => parts.has(part))
+  const removePart = (crash: Crash, part: PromptPartId) => {
+    const listed = crashesByPart.get(part)
+    listed?.delete(crash)
+    if (listed?.size === 0) crashesByPart.delete(part)
+  }
   const removeOld = () => {
     const oldest = timers.now() - RETENTION_MS
-    for (const [server, { at }] of crashes) if (at < oldest) crashes.delete(server)
-    removeOldest(crashes, MAX_CRASHES)
+    for (const crash of crashes.values()) {
+      if (crash.at > oldest && crashes.size <= MAX_CRASHES) return
+      crashes.delete(crash.server)
+      for (const part of crash.parts.keys()) removePart(crash, part)
+    }
   }
   const setAnswered = (part: PromptPartId, at: number) => {
     const newest = Math.max(answeredAt.get(part) ?? -Infinity, at)
@@ -138,28 +150,29 @@
       sends: (known?.sends ?? 0) + sends,
       sentAt: Math.max(known?.sentAt ?? -Infinity, sentAt),
     })
+    const listed = crashesByPart.get(part)
+    if (listed) listed.add(crash)
+    else crashesByPart.set(part, new Set([crash]))
+    touched.add(part)
   }
   const isCounted = (part: PromptPartId, crash: Crash) =>
     crash.at > (answeredAt.get(part) ?? -Infinity)
-  const listUnexplained = () =>
-    [...crashes.values()].filter(({ isExplained }) => !isExplained).sort((a, b) => a.at - b.at)
-  /** Builds the case of each part from the unexplained crashes after its last complete response. */
-  const listCases = (unexplained: readonly Crash[]): readonly PartCase[] => {
-    const byPart = new Map<PromptPartId, Crash[]>()
-    for (const crash of unexplained) {
-      for (const part of crash.parts.keys()) {
-        if (!isCounted(part, crash)) continue
-        const listed = byPart.get(part)
-        if (listed) listed.push(crash)
-        else byPart.set(part, [crash])
-      }
-    }
-    return [...byPart].map(([part, counted]) => {
-      return { part, crashes: counted, independent: listIndependent(part, counted) }
-    })
+  /** Builds the case of a part from the unexplained crashes after its last complete response. */
+  const buildCase = (part: PromptPartId): PartCase => {
+    const counted = [...(crashesByPart.get(part) ?? [])]
+      .filter((crash) => !crash.isExplained && isCounted(part, crash))
+      .sort((a, b) => a.at - b.at)
+    return { part, crashes: counted, independent: listIndependent(part, counted) }
   }
+  /** Builds the cases of the parts whose crashes may suffice. */
+  const listCases = () =>
+    [...touched]
+      .filter((part) => (crashesByPart.get(part)?.size ?? 0) >= MIN_CRASHES.neverAnswered)
+      .map(buildCase)
+      .filter(({ independent }) => independent.length >= MIN_CRASHES.neverAnswered)
   /** Measures the rate at which engines crash without the part in flight, per engine and ms. */
-  const measureOtherRate = (part: PromptPartId, unexplained: readonly Crash[]) => {
+  const measureOtherRate = (part: PromptPartId) => {
+    const unexplained = [...crashes.values()].filter(({ isExplained }) => !isExplained)
     const servers = Math.max(1, countServers())
     const rates = RATE_PERIODS_MS.map((periodMs) => {
       const since = timers.now() - periodMs
@@ -176,23 +189,25 @@
       return product * Math.min(1, rate * Math.max(MIN_HELD_MS, crash.at - sentAt) * sends)
     }, 1)
   /** Whether another part explains the same crashes; a request that is sent again brings all its parts again. */
-  const isTied = ({ part, crashes: counted }: PartCase, cases: readonly PartCase[]) =>
-    cases.some(
-      (other) =>
-        other.part !== part &&
-        !answeredAt.has(other.part) &&
-        other.crashes.length === counted.length &&
-        counted.every(({ parts }) => parts.has(other.part)),
-    )
-  const findMinCrashes = (partCase: PartCase, cases: readonly PartCase[]) => {
+  const isTied = ({ part, crashes: counted }: PartCase) => {
+    const isSame = (other: PromptPartId) => {
+      if (other === part || answeredAt.has(other)) return false
+      const { crashes: others } = buildCase(other)
+      return others.length === counted.length && others.every((crash, at) => crash === counted[at])
+    }
+    return [...counted[0].parts.keys()].some(isSame)
+  }
+  const findMinCrashes = (partCase: PartCase) => {
     if (answeredAt.has(partCase.part)) return MIN_CRASHES.answered
-    return isTied(partCase, cases) ? MIN_CRASHES.tied : MIN_CRASHES.neverAnswered
+    return isTied(partCase) ? MIN_CRASHES.tied : MIN_CRASHES.neverAnswered
   }
-  const buildVerdict = (partCase: PartCase, unexplained: readonly Crash[]): PartVerdict => ({
+  const isListed = ({ part, independent }: PartCase) =>
+    independent.length >= (answeredAt.has(part) ? CRASHES_TO_LIST_ANSWERED : 1)
+  const buildVerdict = (partCase: PartCase): PartVerdict => ({
     part: partCase.part,
     servers: partCase.crashes.map(({ server }) => server),
     crashes: partCase.independent.length,
-    chance: estimateChance(partCase, measureOtherRate(partCase.part, unexplained)),
+    chance: estimateChance(partCase, measureOtherRate(partCase.part)),
     isAnswered: answeredAt.has(partCase.part),
   })
   return {
@@ -210,15 +225,12 @@
     },
     recordAnswered: ([part, ageMs]) => setAnswered(part, timers.now() - ageMs),
     findVerdict: () => {
-      const unexplained = listUnexplained()
-      const cases = listCases(unexplained).filter(
-        ({ independent }) => independent.length >= MIN_CRASHES.neverAnswered,
-      )
-      const [best] = cases
-        .filter((partCase) => partCase.independent.length >= findMinCrashes(partCase, cases))
-        .map((partCase) => buildVerdict(partCase, unexplained))
+      const [best] = listCases()
+        .filter((partCase) => partCase.independent.length >= findMinCrashes(partCase))
+        .map(buildVerdict)
         .filter(({ chance }) => chance <= MAX_CHANCE)
         .sort((a, b) => a.chance - b.chance)
+      if (!best) touched.clear()
       return best
     },
     recordExplained: (part) => {
@@ -228,22 +240,30 @@
     remove: (part) => {
       explaining.delete(part)
       for (const crash of crashes.values()) {
-        if (crash.parts.delete(part)) crash.isExplained = isExplained(crash)
+        if (!crash.parts.delete(part)) continue
+        removePart(crash, part)
+        crash.isExplained = isExplained(crash)
       }
     },
     listCrashes: (part) =>
       [...crashes.values()].filter(({ parts }) => parts.has(part)).map(({ server }) => server),
-    listSuspects: () =>
-      listCases(listUnexplained())
-        .filter(
-          ({ part, independent }) =>
-            !answeredAt.has(part) || independent.length >= CRASHES_TO_LIST_ANSWERED,
-        )
+    listSuspects: () => {
+      const recent = new Set<PromptPartId>()
+      for (const crash of [...crashes.values()].reverse()) {
+        if (recent.size >= MAX_SUSPECTS_COMPARED) break
+        if (!crash.isExplained) for (const part of crash.parts.keys()) recent.add(part)
+      }
+      return [...recent]
+        .map(buildCase)
+        .filter(isListed)
         .sort((a, b) => b.independent.length - a.independent.length)
         .slice(0, MAX_SUSPECTS)
-        .map(({ part }) => part),
+        .map(({ part }) => part)
+    },
     reset: () => {
       crashes.clear()
+      crashesByPart.clear()
+      touched.clear()
       answeredAt.clear()
       explaining.clear()
     },
--- a/packages/control/src/parts/partReport.ts
+++ b/packages/control/src/parts/partReport.ts
@@ -50,7 +50,7 @@
 export type ListedPart = readonly [part: PromptPartId, round: number]
 
 /** Maximum number of parts of one crash in a report and at the leader. */
-export const MAX_PARTS_PER_CRASH = 256
+export const MAX_PARTS_PER_CRASH = 128
 
 const MS_PER_MINUTE = 60_000
 const MINUTES_PER_DAY = 1_440
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -30,6 +30,8 @@
 export { rankServers, type RankingContext, type RankingInput } from './direct/serverRanking.js'
 export { createEnginePartition } from './direct/enginePartition.js'
 export { createPrefixCacheIndex } from './direct/prefixCacheIndex.js'
+export { createAnsweredParts } from './parts/answeredParts.js'
+export { createPartQuarantine } from './parts/partQuarantine.js'
 export { createServerStats } from './direct/serverStats.js'
 export { createServiceTimes } from './direct/serviceTimes.js'
 export { createServerLimits } from './limits/serverLimits.js'
--- a/packages/spoolgate/src/node/cli/benchCommands.ts
+++ b/packages/spoolgate/src/node/cli/benchCommands.ts
@@ -5,6 +5,7 @@
 import { runHeartbeatBench } from '../bench/heartbeatBench.js'
 import { runOverheadBench } from '../bench/overheadBench.js'
 import { ROUTING_ARMS, runRoutingBench, type RoutingArm } from '../bench/routingBench.js'
+import { runPartsBench } from '../bench/partsBench.js'
 import { runRankingBench } from '../bench/rankingBench.js'
 import { runScaleBench } from '../bench/scaleBench.js'
 import { runStreamsBench } from '../bench/streamsBench.js'
@@ -67,6 +68,19 @@
   handler: (args) => printResult(runRankingBench(args), args.json),
 })
 
+const partsCommand = command({
+  name: 'parts',
+  description: 'what the quarantine of prompt parts costs; example: spoolgate bench parts --json',
+  args: {
+    json,
+    engines: option({ long: 'engines', type: number, defaultValue: () => 600 }),
+    requests: option({ long: 'requests', type: number, defaultValue: () => 64 }),
+    quarantined: option({ long: 'quarantined', type: number, defaultValue: () => 100 }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
+  },
+  handler: (args) => printResult(runPartsBench(args), args.json),
+})
+
 const controlCommand = command({
   name: 'control',
   description: 'claims, spread and restart of control; example: spoolgate bench control --json',
@@ -157,6 +171,7 @@
     overhead: overheadCommand,
     routing: routingCommand,
     scale: scaleCommand,
+    parts: partsCommand,
     ranking: rankingCommand,
     control: controlCommand,
     heartbeats: heartbeatsCommand,
