fix: convict no part of which routers cannot tell whether it is sound

A router says of a part that it was never answered only once it has five complete responses; else the part needs five crashes. A conviction waits 60 ms from the first report, in which other routers report their responses. A part that nine tenths of the recent requests to its group have, as each router measures it, is never convicted: engines that crash for another reason crash with it in flight as well.

--- a/packages/control/src/parts/__tests__/partEvidence.spec.ts
+++ b/packages/control/src/parts/__tests__/partEvidence.spec.ts
@@ -6,7 +6,7 @@
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import { createPartEvidence } from '../partEvidence.js'
-import { NEVER_ANSWERED, type PartInFlight } from '../partReport.js'
+import { NEVER_ANSWERED, UNKNOWN_ANSWERED, type PartInFlight } from '../partReport.js'
 
 const ENGINES = 6
 const BAD = toPromptPartId('bad')
@@ -18,6 +18,7 @@
   readonly heldMs?: number
   readonly answeredAgeMs?: number
   readonly sends?: number
+  readonly sharePercent?: number
 }
 
 function createCase() {
@@ -29,12 +30,13 @@
     timers.advance(afterMs)
     crashes += 1
     const parts = inFlight.map(
-      ({ part, heldMs = HELD_MS, answeredAgeMs = NEVER_ANSWERED, sends = 1 }): PartInFlight => [
+      ({
         part,
-        sends,
-        heldMs,
-        answeredAgeMs,
-      ],
+        heldMs = HELD_MS,
+        answeredAgeMs = NEVER_ANSWERED,
+        sends = 1,
+        sharePercent = 20,
+      }): PartInFlight => [part, sends, heldMs, answeredAgeMs, sharePercent],
     )
     const server = toBackendServerId(`e${crashes}`)
     evidence.addCrash({ server, ageMs: 0, parts })
@@ -103,6 +105,21 @@
     expect(evidence.findVerdict()?.part).to.equal(BAD)
   })
 
+  it('convicts a part of which no router can tell only after five crashes', () => {
+    const { evidence, crash } = createCase()
+    for (let count = 1; count <= 4; count += 1)
+      crash([{ part: BAD, answeredAgeMs: UNKNOWN_ANSWERED }])
+    expect(evidence.findVerdict()).to.equal(undefined)
+    crash([{ part: BAD, answeredAgeMs: UNKNOWN_ANSWERED }])
+    expect(evidence.findVerdict()?.part).to.equal(BAD)
+  })
+
+  it('never convicts a part that nearly all requests have', () => {
+    const { evidence, crash } = createCase()
+    for (let count = 1; count <= 9; count += 1) crash([{ part: COMMON, sharePercent: 95 }])
+    expect(evidence.findVerdict()).to.equal(undefined)
+  })
+
   it('needs more crashes where engines crash without the part as well', () => {
     const { evidence, crash } = createCase()
     for (let count = 0; count < 4; count += 1) {
--- a/packages/control/src/parts/partCoordinator.ts
+++ b/packages/control/src/parts/partCoordinator.ts
@@ -17,7 +17,7 @@
   QuarantinePart,
   ReleasePart,
 } from '../state/quarantinedPartState.js'
-import { createPartEvidence, type PartVerdict } from './partEvidence.js'
+import { createPartEvidence, OBJECTION_MS, type PartVerdict } from './partEvidence.js'
 import {
   findPartQuarantineMs,
   type ListedPart,
@@ -200,6 +200,7 @@
       crashes.forEach(recordTrialCrashes)
       answered.forEach(recordAnswered)
       if (crashes.length + answered.length + pending.size > 0) requestEvaluation()
+      if (crashes.length > 0) timers.after(OBJECTION_MS).subscribe(requestEvaluation)
       const trial = trials.choose(rejected)
       if (trial !== undefined) logger.info('part.tried', { part: trial })
       return trial
--- a/packages/control/src/parts/partCrashBuffer.ts
+++ b/packages/control/src/parts/partCrashBuffer.ts
@@ -6,6 +6,7 @@
 import {
   MAX_PARTS_PER_CRASH,
   NEVER_ANSWERED,
+  UNKNOWN_ANSWERED,
   type AnsweredPart,
   type PartCrash,
   type PartInFlight,
@@ -16,6 +17,8 @@
 export interface InterruptedParts {
   readonly server: BackendServerId
   readonly parts: readonly PromptPartId[]
+  /** Share of each part, in the same order, of the router's recent requests to the group, in percent. */
+  readonly sharesPercent: readonly number[]
   readonly sentAt: number
   readonly crashedAt: number
 }
@@ -40,6 +43,8 @@
   readonly timers: TimerService
   /** Finds when this router last received a complete response to a request with the part. */
   readonly findAnsweredAt: (part: PromptPartId) => number | undefined
+  /** Whether this router has received enough responses to tell that a part was never answered. */
+  readonly isExperienced: () => boolean
 }
 
 /** See {@link createPartCrashBuffer}. */
@@ -76,18 +81,23 @@
   crashedAt: number,
   findAnsweredAgeMs: (part: PromptPartId) => number,
 ): PartInFlight[] {
-  const found = new Map<PromptPartId, { sends: number; sentAt: number }>()
-  for (const { parts, sentAt } of calls) {
-    for (const part of parts) {
-      const { sends, sentAt: newest } = found.get(part) ?? { sends: 0, sentAt: -Infinity }
-      found.set(part, { sends: sends + 1, sentAt: Math.max(newest, sentAt) })
+  const found = new Map<PromptPartId, { sends: number; sentAt: number; sharePercent: number }>()
+  for (const { parts, sharesPercent, sentAt } of calls) {
+    for (const [index, part] of parts.entries()) {
+      const known = found.get(part)
+      found.set(part, {
+        sends: (known?.sends ?? 0) + 1,
+        sentAt: Math.max(known?.sentAt ?? -Infinity, sentAt),
+        sharePercent: sharesPercent[index],
+      })
     }
   }
-  const inFlight = [...found].map(([part, { sends, sentAt }]): PartInFlight => [
+  const inFlight = [...found].map(([part, { sends, sentAt, sharePercent }]): PartInFlight => [
     part,
     sends,
     Math.max(0, Math.round(crashedAt - sentAt)),
     findAnsweredAgeMs(part),
+    sharePercent,
   ])
   // Only parts without a response are likely causes, and among them those that were sent last.
   const sorted = inFlight.sort(
@@ -98,7 +108,7 @@
 
 /** Creates an empty buffer. */
 export function createPartCrashBuffer(options: PartCrashBufferOptions): PartCrashBuffer {
-  const { timers, findAnsweredAt } = options
+  const { timers, findAnsweredAt, isExperienced } = options
   const crashes = new Set<BufferedCrash>()
   /** Those of them that the leader of the last term has not received. */
   let pending = new Set<BufferedCrash>()
@@ -116,7 +126,8 @@
   }
   const findAnsweredAgeMs = (part: PromptPartId) => {
     const at = findAnsweredAt(part)
-    return at === undefined ? NEVER_ANSWERED : Math.round(timers.now() - at)
+    if (at !== undefined) return Math.round(timers.now() - at)
+    return isExperienced() ? NEVER_ANSWERED : UNKNOWN_ANSWERED
   }
   const buildCrash = (server: BackendServerId, calls: readonly BufferedCrash[]): PartCrash => {
     const crashedAt = Math.min(...calls.map((call) => call.crashedAt))
--- a/packages/control/src/parts/partEvidence.ts
+++ b/packages/control/src/parts/partEvidence.ts
@@ -69,6 +69,8 @@
   sends: number
   /** When the newest of the sends started. */
   sentAt: number
+  /** Smallest share of the recent requests of a router, in percent. */
+  sharePercent: number
 }
 
 /** Crashes of a part that count. */
@@ -87,9 +89,16 @@
 const MAX_ANSWERED = 8_192
 /**
  * Independent crashes needed for a part that was never answered, for one that was in flight at the same crashes as another
- * such part, and for one that was answered.
+ * such part, and for one that was answered or of which no router can tell.
  */
 const MIN_CRASHES = { neverAnswered: 2, tied: 3, answered: 5 } as const
+/**
+ * Share of the requests, in percent, from which a part is never convicted: engines that crash for another reason crash with
+ * it in flight as well.
+ */
+const COMMON_PERCENT = 90
+/** Time from the first report of a part to its conviction, in ms, in which other routers report their responses. */
+export const OBJECTION_MS = 60
 /** Maximum probability that a conviction is due to chance. */
 const MAX_CHANCE = 1e-5
 /** Periods over which the rate of other crashes is measured, in ms; the higher rate applies. */
@@ -120,6 +129,8 @@
   const crashesByPart = new Map<PromptPartId, Set<Crash>>()
   /** Parts with crashes since the last search for a verdict; only those can have become likelier. */
   const touched = new Set<PromptPartId>()
+  /** When a router first reported of a part that it was never answered. */
+  const neverAnsweredSince = new Map<PromptPartId, number>()
   const answeredAt = new Map<PromptPartId, number>()
   const explaining = new Set<PromptPartId>()
 
@@ -127,7 +138,9 @@
   const removePart = (crash: Crash, part: PromptPartId) => {
     const listed = crashesByPart.get(part)
     listed?.delete(crash)
-    if (listed?.size === 0) crashesByPart.delete(part)
+    if (listed?.size !== 0) return
+    crashesByPart.delete(part)
+    neverAnsweredSince.delete(part)
   }
   const removeOld = () => {
     const oldest = timers.now() - RETENTION_MS
@@ -143,12 +156,17 @@
     answeredAt.set(part, newest)
     removeOldest(answeredAt, MAX_ANSWERED)
   }
-  const addPart = (crash: Crash, part: PromptPartId, sends: number, sentAt: number) => {
+  const addPart = (
+    crash: Crash,
+    part: PromptPartId,
+    { sends, sentAt, sharePercent }: PartAtCrash,
+  ) => {
     const known = crash.parts.get(part)
     if (!known && crash.parts.size >= MAX_PARTS_PER_CRASH) return
     crash.parts.set(part, {
       sends: (known?.sends ?? 0) + sends,
       sentAt: Math.max(known?.sentAt ?? -Infinity, sentAt),
+      sharePercent: Math.min(known?.sharePercent ?? Infinity, sharePercent),
     })
     const listed = crashesByPart.get(part)
     if (listed) listed.add(crash)
@@ -191,18 +209,24 @@
   /** Whether another part explains the same crashes; a request that is sent again brings all its parts again. */
   const isTied = ({ part, crashes: counted }: PartCase) => {
     const isSame = (other: PromptPartId) => {
-      if (other === part || answeredAt.has(other)) return false
+      if (other === part || !isNeverAnswered(other)) return false
       const { crashes: others } = buildCase(other)
       return others.length === counted.length && others.every((crash, at) => crash === counted[at])
     }
     return [...counted[0].parts.keys()].some(isSame)
   }
+  const isNeverAnswered = (part: PromptPartId) =>
+    neverAnsweredSince.has(part) && !answeredAt.has(part)
+  const isObjectionTime = (part: PromptPartId) =>
+    timers.now() - (neverAnsweredSince.get(part) ?? -Infinity) < OBJECTION_MS
+  const isCommon = ({ part, crashes: counted }: PartCase) =>
+    counted.every(({ parts }) => (parts.get(part)?.sharePercent ?? 0) >= COMMON_PERCENT)
   const findMinCrashes = (partCase: PartCase) => {
-    if (answeredAt.has(partCase.part)) return MIN_CRASHES.answered
+    if (!isNeverAnswered(partCase.part)) return MIN_CRASHES.answered
     return isTied(partCase) ? MIN_CRASHES.tied : MIN_CRASHES.neverAnswered
   }
   const isListed = ({ part, independent }: PartCase) =>
-    independent.length >= (answeredAt.has(part) ? CRASHES_TO_LIST_ANSWERED : 1)
+    independent.length >= (isNeverAnswered(part) ? 1 : CRASHES_TO_LIST_ANSWERED)
   const buildVerdict = (partCase: PartCase): PartVerdict => ({
     part: partCase.part,
     servers: partCase.crashes.map(({ server }) => server),
@@ -216,9 +240,11 @@
       const crash = crashes.get(server) ?? { server, at, parts: new Map(), isExplained: false }
       crash.at = Math.min(crash.at, at)
       crashes.set(server, crash)
-      for (const [part, sends, heldMs, answeredAgeMs] of parts) {
-        addPart(crash, part, sends, at - heldMs)
-        if (answeredAgeMs !== NEVER_ANSWERED) setAnswered(part, timers.now() - answeredAgeMs)
+      for (const [part, sends, heldMs, answeredAgeMs, sharePercent] of parts) {
+        addPart(crash, part, { sends, sentAt: at - heldMs, sharePercent })
+        if (answeredAgeMs >= 0) setAnswered(part, timers.now() - answeredAgeMs)
+        if (answeredAgeMs === NEVER_ANSWERED && !neverAnsweredSince.has(part))
+          neverAnsweredSince.set(part, timers.now())
         if (explaining.has(part)) crash.isExplained = true
       }
       removeOld()
@@ -226,12 +252,14 @@
     recordAnswered: ([part, ageMs]) => setAnswered(part, timers.now() - ageMs),
     findVerdict: () => {
       const [best] = listCases()
+        .filter((partCase) => !isCommon(partCase) && !isObjectionTime(partCase.part))
         .filter((partCase) => partCase.independent.length >= findMinCrashes(partCase))
         .map(buildVerdict)
         .filter(({ chance }) => chance <= MAX_CHANCE)
         .sort((a, b) => a.chance - b.chance)
-      if (!best) touched.clear()
-      return best
+      if (best) return best
+      for (const part of touched) if (!isObjectionTime(part)) touched.delete(part)
+      return undefined
     },
     recordExplained: (part) => {
       explaining.add(part)
@@ -264,6 +292,7 @@
       crashes.clear()
       crashesByPart.clear()
       touched.clear()
+      neverAnsweredSince.clear()
       answeredAt.clear()
       explaining.clear()
     },
--- a/packages/control/src/parts/partReport.ts
+++ b/packages/control/src/parts/partReport.ts
@@ -9,17 +9,21 @@
 
 /**
  * A part that was in flight at a server when it crashed, at one router: number of sends with it, time from the newest of
- * them to the crash in ms, and time since the router last received a complete response to a request with it in ms, or -1.
+ * them to the crash in ms, time since the router last received a complete response to a request with it in ms, or a
+ * constant below, and its share of the router's recent requests to the group, in percent.
  */
 export type PartInFlight = readonly [
   part: PromptPartId,
   sends: number,
   heldMs: number,
   answeredAgeMs: number,
+  sharePercent: number,
 ]
 
-/** Number that stands for a part without a complete response. */
+/** Stands for a part without a complete response at a router that has received enough of them to tell. */
 export const NEVER_ANSWERED = -1
+/** Stands for a part without a complete response at a router that has received too few of them. */
+export const UNKNOWN_ANSWERED = -2
 
 /** A crash with the parts that one router had in flight there. */
 export interface PartCrash {
--- a/packages/router/src/__tests__/crashDetector.spec.ts
+++ b/packages/router/src/__tests__/crashDetector.spec.ts
@@ -10,7 +10,7 @@
 import { Subject } from 'rxjs'
 import { createCrashDetector } from '../direct/crashDetector.js'
 
-const SEND = { request: toRequestFingerprint('c.1'), round: 0, parts: [], sentAt: 0 }
+const SEND = { request: toRequestFingerprint('c.1'), round: 0, group: 'g', parts: [], sentAt: 0 }
 const SERVER = { id: toBackendServerId('s@1'), address: '10.0.0.1:80' }
 const settle = () => new Promise((resolve) => setImmediate(resolve))
 
--- a/packages/router/src/direct/attemptAdmission.ts
+++ b/packages/router/src/direct/attemptAdmission.ts
@@ -129,6 +129,7 @@
   state: RequestState,
   log: CallLog,
 ): Promise<AdmittedAttempt | RefusedAttempt> {
+  if (state.sends === 0) context.parts.recordRequest(plan.group.name, state.sharedParts)
   const quotaDecision = await takeQuota(context, plan)
   if (quotaDecision.refusal) {
     log('call.quotaReached', quotaDecision.refusal.fields)
--- a/packages/router/src/direct/crashDetector.ts
+++ b/packages/router/src/direct/crashDetector.ts
@@ -10,6 +10,8 @@
 
 /** An interrupted send as this router knows it. Instants are in ms of the monotonic clock. */
 export interface InterruptedCall extends InterruptedSend {
+  /** Group of its server. */
+  readonly group: string
   /** Shared parts of its prompt. */
   readonly parts: readonly PromptPartId[]
   readonly sentAt: number
--- a/packages/router/src/direct/directContext.ts
+++ b/packages/router/src/direct/directContext.ts
@@ -53,7 +53,10 @@
   readonly restartDetector: Pick<RestartDetector, 'watch'>
   readonly crashDetector: Pick<CrashDetector, 'recordInterrupted'>
   readonly quarantine: Pick<RequestQuarantine, 'admit' | 'recordAnswered'>
-  readonly parts: Pick<PartSetup, 'findRefusal' | 'recordAnswered' | 'waitForVerdict'>
+  readonly parts: Pick<
+    PartSetup,
+    'recordRequest' | 'findRefusal' | 'recordAnswered' | 'waitForVerdict'
+  >
   readonly timers: TimerService
   /** Queue that spreads sends over event loop turns. */
   readonly turns: TurnQueue
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -215,6 +215,7 @@
       crashDetector.recordInterrupted(server, {
         request: this.fingerprint,
         round,
+        group: this.plan.group.name,
         parts: this.sharedParts,
         sentAt: this.sentAt,
       })
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -31,6 +31,7 @@
 export { createEnginePartition } from './direct/enginePartition.js'
 export { createPrefixCacheIndex } from './direct/prefixCacheIndex.js'
 export { createAnsweredParts } from './parts/answeredParts.js'
+export { createPartShares } from './parts/partShares.js'
 export { createPartQuarantine } from './parts/partQuarantine.js'
 export { createServerStats } from './direct/serverStats.js'
 export { createServiceTimes } from './direct/serviceTimes.js'
--- a/packages/router/src/parts/__tests__/partSimulation.ts
+++ b/packages/router/src/parts/__tests__/partSimulation.ts
@@ -18,6 +18,7 @@
   type PromptPartId,
 } from '@spoolgate/core'
 import { createAnsweredParts } from '../answeredParts.js'
+import { createPartShares, type PartShares } from '../partShares.js'
 import { createPartQuarantine, type PartQuarantine } from '../partQuarantine.js'
 
 /** Parameters of a simulation. */
@@ -92,6 +93,7 @@
 const POLL_MS_PER_ROUTER = 2
 const MAX_SENDS = 2
 const TOPICS = 20
+const GROUP = 'engines'
 interface SimulatedRequest {
   readonly parts: readonly PromptPartId[]
   readonly router: number
@@ -110,6 +112,7 @@
 interface SimulatedRouter {
   readonly quarantine: PartQuarantine
   readonly answered: ReturnType<typeof createAnsweredParts>
+  readonly shares: PartShares
   readonly buffer: ReturnType<typeof createPartCrashBuffer>
   term: number
   seen: number | undefined
@@ -163,13 +166,14 @@
       isServing: () => true,
       onAnswered: (part, at) => router.quarantine.recordAnswered(part, at),
     })
-    const { findAnsweredAt } = answered
-    const buffer = createPartCrashBuffer({ timers, findAnsweredAt })
+    const { findAnsweredAt, isExperienced } = answered
+    const buffer = createPartCrashBuffer({ timers, findAnsweredAt, isExperienced })
     const sendReport = () => after(MESSAGE_MS, () => sendUrgent(router))
-    const parts = { buffer, findAnsweredAt, sendReport, timers, logger }
+    const parts = { buffer, findAnsweredAt, isExperienced, sendReport, timers, logger }
     const router: SimulatedRouter = {
       quarantine: createPartQuarantine(parts),
       answered,
+      shares: createPartShares(),
       buffer,
       term: 0,
       seen: undefined,
@@ -247,7 +251,8 @@
     const interrupt = () => {
       const crashedAt = timers.now()
       after(DETECTION_MS, () => {
-        router.quarantine.recordCrash({ server: id, parts, sentAt, crashedAt })
+        const sharesPercent = router.shares.measure(GROUP, parts)
+        router.quarantine.recordCrash({ server: id, parts, sharesPercent, sentAt, crashedAt })
         void router.quarantine.waitForVerdict(parts).then(() => send(request))
       })
     }
@@ -270,7 +275,9 @@
     const count = harmful === undefined ? findCount() : undefined
     if (count) count.sent += 1
     const router = random.nextInt(routers.length)
-    send({ parts: parts.map(toPromptPartId), router, harmful, count, sends: 0 })
+    const ids = parts.map(toPromptPartId)
+    routers[router].shares.recordRequest(GROUP, ids)
+    send({ parts: ids, router, harmful, count, sends: 0 })
   }
   let requests = 0
   const { topicRequests = 300, chanceCrashMs = Infinity } = options
--- a/packages/router/src/parts/answeredParts.ts
+++ b/packages/router/src/parts/answeredParts.ts
@@ -24,8 +24,12 @@
   record(response: CompleteResponse): void
   /** Finds when the last response with the part arrived, in ms of the monotonic clock. */
   findAnsweredAt(part: PromptPartId): number | undefined
+  /** Whether enough responses arrived to tell that a part is never answered. */
+  isExperienced(): boolean
 }
 
+/** Complete responses with parts after which a part in common use is among those answered. */
+const MIN_RESPONSES = 5
 /** Maximum number of parts; one in use is among the newest even beside a caller that always sends new ones. */
 const MAX_PARTS = 20_000
 /**
@@ -38,7 +42,9 @@
 export function createAnsweredParts(options: AnsweredPartsOptions): AnsweredParts {
   const { timers, isServing, onAnswered } = options
   const answeredAt = new LRUCache<PromptPartId, number>({ max: MAX_PARTS })
+  let responses = 0
   const recordAll = (parts: readonly PromptPartId[], at: number) => {
+    responses += 1
     for (const part of parts) {
       answeredAt.set(part, at)
       onAnswered(part, at)
@@ -54,5 +60,6 @@
       })
     },
     findAnsweredAt: (part) => answeredAt.get(part),
+    isExperienced: () => responses >= MIN_RESPONSES,
   }
 }
--- a/packages/router/src/parts/partQuarantine.ts
+++ b/packages/router/src/parts/partQuarantine.ts
@@ -18,6 +18,8 @@
   >
   /** Finds when this router last received a complete response to a request with the part. */
   readonly findAnsweredAt: (part: PromptPartId) => number | undefined
+  /** Whether enough responses arrived to tell that a part is never answered. */
+  readonly isExperienced: () => boolean
   /** Sends the buffered evidence to control without waiting for the next poll. */
   readonly sendReport: () => void
   readonly timers: TimerService
@@ -65,13 +67,15 @@
 
 /** Creates an empty quarantine. */
 export function createPartQuarantine(options: PartQuarantineOptions): PartQuarantine {
-  const { buffer, findAnsweredAt, sendReport, timers, logger } = options
+  const { buffer, findAnsweredAt, isExperienced, sendReport, timers, logger } = options
   /** Quarantine round by part, as listed by control; 0 for parts that are only suspected. */
   let rounds: ReadonlyMap<PromptPartId, number> = new Map()
   let trial: PromptPartId | undefined
 
   const isUndecidedRefused = (part: PromptPartId) =>
-    buffer.countUnreportedCrashes(part) >= CRASHES_TO_REFUSE && findAnsweredAt(part) === undefined
+    buffer.countUnreportedCrashes(part) >= CRASHES_TO_REFUSE &&
+    findAnsweredAt(part) === undefined &&
+    isExperienced()
   const findPartRefusal = (part: PromptPartId): PartRefusal | undefined => {
     const round = rounds.get(part) ?? 0
     if (round > 0) return { part, round, leftMs: findPartQuarantineMs(round) }
--- a/packages/router/src/parts/partSetup.ts
+++ b/packages/router/src/parts/partSetup.ts
@@ -9,6 +9,7 @@
 import type { CrashedCall } from '../direct/crashDetector.js'
 import { createAnsweredParts, type AnsweredParts } from './answeredParts.js'
 import { createPartQuarantine, type PartQuarantine } from './partQuarantine.js'
+import { createPartShares, type PartShares } from './partShares.js'
 import { createPartReporter } from './partReporter.js'
 
 /** Options of {@link createPartSetup}. */
@@ -26,6 +27,7 @@
 export interface PartSetup {
   /** What the feed exchanges with control. */
   readonly record: PartRecord
+  recordRequest: PartShares['recordRequest']
   findRefusal: PartQuarantine['findRefusal']
   waitForVerdict: PartQuarantine['waitForVerdict']
   /** Records a complete response. */
@@ -55,11 +57,13 @@
     },
     onAnswered: (part, at) => quarantine.recordAnswered(part, at),
   })
-  const { findAnsweredAt } = answered
-  const buffer = createPartCrashBuffer({ timers, findAnsweredAt })
+  const { findAnsweredAt, isExperienced } = answered
+  const buffer = createPartCrashBuffer({ timers, findAnsweredAt, isExperienced })
+  const shares = createPartShares()
   const reporter = createPartReporter({ ...options, buffer })
   const sendReport = reporter.sendSoon
-  const quarantine = createPartQuarantine({ buffer, findAnsweredAt, sendReport, timers, logger })
+  const known = { findAnsweredAt, isExperienced }
+  const quarantine = createPartQuarantine({ ...known, buffer, sendReport, timers, logger })
   metrics.gauge(
     'quarantined_parts',
     'Parts of prompts that are refused, since engines crashed under them',
@@ -72,9 +76,12 @@
     findRefusal,
     waitForVerdict,
     recordAnswered: answered.record,
-    recordCrash: ({ server, parts, sentAt, lostAt }) => {
+    recordRequest: shares.recordRequest,
+    recordCrash: ({ server, group, parts, sentAt, lostAt }) => {
       if (isLeaving(findView()?.servers ?? new Map(), server)) return
-      quarantine.recordCrash({ server: server.id, parts, sentAt, crashedAt: lostAt })
+      const sharesPercent = shares.measure(group, parts)
+      const crashedAt = lostAt
+      quarantine.recordCrash({ server: server.id, parts, sharesPercent, sentAt, crashedAt })
     },
   }
 }
--- a/packages/spoolgate/src/node/bench/partsBench.ts
+++ b/packages/spoolgate/src/node/bench/partsBench.ts
@@ -11,9 +11,10 @@
   createRandomSource,
   toBackendServerId,
   toPromptPartId,
+  type BackendServerId,
   type PromptPartId,
 } from '@spoolgate/core'
-import { createAnsweredParts, createPartQuarantine } from '@spoolgate/router'
+import { createAnsweredParts, createPartQuarantine, createPartShares } from '@spoolgate/router'
 import { findPercentile, toRounded } from './statistics.js'
 
 /** Options of {@link runPartsBench}. */
@@ -42,6 +43,7 @@
 }
 
 const SHARED_PARTS = 3
+const GROUP = 'engines'
 const SAMPLES = 2_000
 const CRASHES = 700
 /** More parts than a router remembers. */
@@ -76,15 +78,24 @@
 
   const heapBefore = measureHeap()
   const answered = createAnsweredParts({ timers, isServing: () => true, onAnswered: () => {} })
-  const { findAnsweredAt } = answered
-  const buffer = createPartCrashBuffer({ timers, findAnsweredAt })
+  const { findAnsweredAt, isExperienced } = answered
+  const buffer = createPartCrashBuffer({ timers, findAnsweredAt, isExperienced })
+  const shares = createPartShares()
   const sendReport = () => {}
-  const quarantine = createPartQuarantine({ buffer, findAnsweredAt, sendReport, timers, logger })
+  const quarantine = createPartQuarantine({
+    buffer,
+    findAnsweredAt,
+    isExperienced,
+    sendReport,
+    timers,
+    logger,
+  })
   quarantine.applyListed(Array.from({ length: quarantined }, () => [drawNew(), 1] as const))
   const server = toBackendServerId('engine-1')
   const requestUs = Array.from({ length: SAMPLES }, () => {
     const prompt = drawPrompt()
     return measureUs(() => {
+      shares.recordRequest(GROUP, prompt)
       quarantine.findRefusal(prompt)
       answered.record({ server, parts: prompt, isFramed: true })
     })
@@ -94,11 +105,16 @@
   const routerMemoryBytes = measureHeap() - heapBefore
 
   let report: PartReport = { crashes: [], answered: [], rejected: [] }
+  const addCrash = (crashed: BackendServerId, sentAt: number) => {
+    const prompt = drawPrompt()
+    const sharesPercent = shares.measure(GROUP, prompt)
+    const crashedAt = timers.now()
+    buffer.addCrash({ server: crashed, parts: prompt, sharesPercent, sentAt, crashedAt })
+  }
   const buildReport = (index: number) => {
     const crashed = toBackendServerId(`engine-${index % engines}@${index}`)
     const sentAt = timers.now() - STEP_MS / 2
-    for (let count = 0; count < requests; count += 1)
-      buffer.addCrash({ server: crashed, parts: drawPrompt(), sentAt, crashedAt: timers.now() })
+    for (let count = 0; count < requests; count += 1) addCrash(crashed, sentAt)
     return measureUs(() => {
       const urgent = buffer.takeUrgent()
       if (!urgent) return
