fix(router): measure the share of a part from as few requests as there are

Each part has its true share of however few requests now; that of a part in all prompts is 100% from the first.

--- a/packages/router/src/parts/__tests__/partSimulation.spec.ts
+++ b/packages/router/src/parts/__tests__/partSimulation.spec.ts
@@ -60,6 +60,15 @@
     })
   }
 
+  it('never take the part of all prompts along, though nobody knows that it was answered', async () => {
+    for (let seed = 1; seed <= 4 * SEEDS; seed += 1) {
+      const fullRestarts = [CALM_MS + 60 * seed, CALM_MS + 2_000 + 90 * seed]
+      const options = { ...SMALL, harmful: 1 + (seed % 2), fullRestarts, seed }
+      const { isCommonQuarantined } = await runPartSimulation(options)
+      expect(isCommonQuarantined, `seed ${seed}`).to.equal(false)
+    }
+  })
+
   it('reach at most three more engines: three at a time, 410 routers, 600 engines', async () => {
     const { lateSends, calm, after } = await runPartSimulation({ ...LARGE, harmful: 3 })
     expect(Math.max(...lateSends)).to.be.at.most(MAX_LATE_SENDS)
--- a/packages/router/src/parts/__tests__/partSimulation.ts
+++ b/packages/router/src/parts/__tests__/partSimulation.ts
@@ -46,6 +46,8 @@
   /** Times at which another leader takes over after an outage, and at which routers restart, in ms. */
   readonly leaderChanges?: readonly number[]
   readonly routerRestarts?: readonly number[]
+  /** Times at which all routers restart and another leader takes over, in ms. */
+  readonly fullRestarts?: readonly number[]
   /** Times at which all engines crash at once without being caused by a request, in ms. */
   readonly powerLosses?: readonly number[]
   readonly durationMs: number
@@ -70,6 +72,8 @@
   /** Sound parts that were ever quarantined, and those that still are at the end. */
   readonly wrongVerdicts: number
   readonly wrongAtEnd: number
+  /** Whether the part that all prompts have was ever quarantined. */
+  readonly isCommonQuarantined: boolean
 }
 
 /** Time within which machines in touch must know of a crash, in ms. */
@@ -94,6 +98,7 @@
 const MAX_SENDS = 2
 const TOPICS = 20
 const GROUP = 'engines'
+const COMMON = 'common'
 interface SimulatedRequest {
   readonly parts: readonly PromptPartId[]
   readonly router: number
@@ -291,43 +296,48 @@
   routers.forEach((_, index) => poll(index))
   repeat(1_000 / options.soundPerSecond, () => {
     requests += 1
-    startRequest(['common', drawTopic()], undefined)
+    startRequest([COMMON, drawTopic()], undefined)
   })
   for (let index = 0; index < options.harmful; index += 1) {
     after(CALM_MS, () =>
       repeat(1_000 / options.harmfulPerSecond, () => {
         const part = `bad-${index}`
-        const parts = options.isFirst ? [part, 'common'] : ['common', part]
+        const parts = options.isFirst ? [part, COMMON] : [COMMON, part]
         startRequest([...parts, drawTopic()], index)
       }),
     )
   }
   if (chanceCrashMs < Infinity) repeat(chanceCrashMs, () => crashEngine(random.choose(engines)))
-  for (const at of options.leaderChanges ?? []) {
-    after(at, () => {
-      isLeaderUp = false
-      after(ELECTION_MS, () => {
-        term += 1
-        leader = createLeader()
-        isLeaderUp = true
-      })
+  const changeLeader = () => {
+    isLeaderUp = false
+    after(ELECTION_MS, () => {
+      term += 1
+      leader = createLeader()
+      isLeaderUp = true
     })
   }
-  for (const at of options.routerRestarts ?? []) {
-    after(at, () => {
-      const index = random.nextInt(routers.length)
-      routers[index] = createSimulatedRouter()
-      // A router serves no requests before its first response from control.
-      pollLeader(routers[index])
-    })
+  const restartRouter = (index: number) => {
+    routers[index] = createSimulatedRouter()
+    // A router serves no requests before its first response from control.
+    pollLeader(routers[index])
   }
-  for (const at of options.powerLosses ?? []) after(at, () => engines.forEach(crashEngine))
+  const runAt = (times: readonly number[] | undefined, run: () => void) =>
+    times?.forEach((at) => after(at, run))
+  runAt(options.leaderChanges, changeLeader)
+  runAt(options.routerRestarts, () => restartRouter(random.nextInt(routers.length)))
+  runAt(options.fullRestarts, () => {
+    changeLeader()
+    routers.forEach((_, index) => restartRouter(index))
+  })
+  runAt(options.powerLosses, () => engines.forEach(crashEngine))
   for (let now = 0; now < options.durationMs; now += STEP_MS) {
     timers.advance(STEP_MS)
     await new Promise((resolve) => setImmediate(resolve))
   }
   const wrongAtEnd = machine.quarantinedParts.list().filter(({ part }) => !isHarmful(part)).length
-  return { crashes, lateSends, ...counts, wrongVerdicts: wrong.size, wrongAtEnd }
+  const isCommonQuarantined = wrong.has(toPromptPartId(COMMON))
+  const verdicts = { wrongVerdicts: wrong.size, wrongAtEnd, isCommonQuarantined }
+  return { crashes, lateSends, ...counts, ...verdicts }
 }
 
 function createCount(): RequestCount {
--- a/packages/router/src/parts/partShares.ts
+++ b/packages/router/src/parts/partShares.ts
@@ -6,13 +6,12 @@
 export interface PartShares {
   /** Records a request, whatever becomes of it. */
   recordRequest(group: string, parts: readonly PromptPartId[]): void
-  /** Measures the share of each part in percent; 0 while there are too few requests. */
+  /** Measures the share of each part in percent, from as few requests as there are. */
   measure(group: string, parts: readonly PromptPartId[]): readonly number[]
 }
 
-/** Recent requests that are kept of each group, and the number that a share needs. */
+/** Recent requests that are kept of each group. */
 const MAX_REQUESTS = 64
-const MIN_REQUESTS = 10
 const MAX_GROUPS = 64
 const PERCENT = 100
 
@@ -29,10 +28,9 @@
     },
     measure: (group, parts) => {
       const requests = recent.get(group) ?? []
-      if (requests.length < MIN_REQUESTS) return parts.map(() => 0)
       return parts.map((part) => {
         const count = requests.filter((others) => others.includes(part)).length
-        return Math.round((PERCENT * count) / requests.length)
+        return Math.round((PERCENT * count) / Math.max(1, requests.length))
       })
     },
   }
