fix(control): release no part because another one explains its crashes

The release was to undo a wrong choice between two parts that come together. It cannot tell that from two that crash engines each, so it is gone: answers, trials and operators undo.

--- a/packages/control/src/parts/partCoordinator.ts
+++ b/packages/control/src/parts/partCoordinator.ts
@@ -66,7 +66,7 @@
 }
 
 type PartCommand = QuarantinePart | ReleasePart
-type ReleaseReason = 'answered' | 'otherPart' | 'operator'
+type ReleaseReason = 'answered' | 'operator'
 
 /** Minimum time between two evaluations, in ms; a failure of many engines brings hundreds of reports at once. */
 const EVALUATION_PERIOD_MS = 20
@@ -134,21 +134,11 @@
     logger.info('part.released', { part, reason })
     return command
   }
-  /** Releases parts that were quarantined for crashes all of which another part explains, with more of its own. */
-  const releaseExplained = (convicted: PromptPartId) => {
-    const crashes = new Set(evidence.listCrashes(convicted))
-    for (const { part, round, servers } of parts.list()) {
-      const isContained = servers.every((server) => crashes.has(server))
-      if (part !== convicted && round === 1 && isContained && servers.length < crashes.size)
-        startRelease(part, 'otherPart')
-    }
-  }
   const convict = (verdict: PartVerdict) => {
     const { part } = verdict
     evidence.recordExplained(part)
     if (parts.find(part) || pending.has(part)) return
     startRound(part, 1, verdict)
-    releaseExplained(part)
   }
   const updateSuspects = () => {
     const listed = evidence.listSuspects()
--- a/packages/control/src/parts/partEvidence.ts
+++ b/packages/control/src/parts/partEvidence.ts
@@ -49,8 +49,6 @@
   recordExplained(part: PromptPartId): void
   /** Discards the crashes of a part, which no longer explains them. */
   remove(part: PromptPartId): void
-  /** Lists the engines that crashed with a part in flight, whatever explains the crashes. */
-  listCrashes(part: PromptPartId): readonly BackendServerId[]
   /** Lists the suspected parts, those with the most crashes first. */
   listSuspects(): readonly PromptPartId[]
   /** Discards everything, as a new leader must. */
@@ -273,8 +271,6 @@
         crash.isExplained = isExplained(crash)
       }
     },
-    listCrashes: (part) =>
-      [...crashes.values()].filter(({ parts }) => parts.has(part)).map(({ server }) => server),
     listSuspects: () => {
       const recent = new Set<PromptPartId>()
       for (const crash of [...crashes.values()].reverse()) {
