refactor(router): take apart the circle of imports that the types of a call closed

CallPlan and CallLog moved to callTypes, which imports neither the context nor what decides on a call. The circle of callPlan, directContext, gracefulShutdown, sendRecord, serverSelection and streamContinuity is gone; two others (capacityShares with sharedRoom, serverRanking with engineCost and weightsExpiry) are as before. No change of behaviour.

--- a/packages/router/src/__tests__/gracefulShutdown.spec.ts
+++ b/packages/router/src/__tests__/gracefulShutdown.spec.ts
@@ -9,7 +9,7 @@
   type ManualTimerService,
 } from '@spoolgate/core'
 import { expect } from 'chai'
-import type { CallPlan } from '../direct/callPlan.js'
+import type { CallPlan } from '../direct/callTypes.js'
 import {
   createGracefulShutdown,
   listRefusalFields,
--- a/packages/router/src/__tests__/streamContinuity.spec.ts
+++ b/packages/router/src/__tests__/streamContinuity.spec.ts
@@ -10,7 +10,7 @@
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import { Subject } from 'rxjs'
-import type { CallPlan } from '../direct/callPlan.js'
+import type { CallPlan } from '../direct/callTypes.js'
 import { createRecordLookup } from '../streams/recordLookup.js'
 import { rankHolders, RECORD_COPIES } from '../streams/recordHolders.js'
 import {
--- a/packages/router/src/direct/attemptAdmission.ts
+++ b/packages/router/src/direct/attemptAdmission.ts
@@ -1,6 +1,6 @@
 /** Admits one attempt to send a request: checks the team's quota, the quarantines and the available servers. */
 import { SpoolgateError, type PromptPartId } from '@spoolgate/core'
-import type { CallPlan } from './callPlan.js'
+import type { CallLog, CallPlan } from './callTypes.js'
 import type { Candidate } from './serverRanking.js'
 import type { DirectContext } from './directContext.js'
 import { takeQuota } from './sendQuota.js'
@@ -17,7 +17,7 @@
   type WaitingState,
 } from './engineSelection.js'
 import type { Admission as QuarantineAdmission } from './requestQuarantine.js'
-import { chooseServer, type CallLog } from './serverSelection.js'
+import { chooseServer } from './serverSelection.js'
 
 /** Progress of a request across its attempts. */
 export interface RequestState extends WaitingState {
--- a/packages/router/src/direct/attemptWatch.ts
+++ b/packages/router/src/direct/attemptWatch.ts
@@ -1,12 +1,11 @@
 /** Watches attempts for what their connection does not show: a restart of the server, and weights that expire there. */
 import type { RegisteredServer } from '@spoolgate/control'
 import { Subscription } from 'rxjs'
-import type { CallPlan } from './callPlan.js'
+import type { CallLog, CallPlan } from './callTypes.js'
 import type { DirectContext } from './directContext.js'
 import { watchStall } from './restartDetector.js'
 import type { SendAttempt } from './sendAttempt.js'
 import type { Candidate } from './serverRanking.js'
-import type { CallLog } from './serverSelection.js'
 
 /** Options of {@link watchRestart}. */
 export interface RestartWatchOptions {
--- a/packages/router/src/direct/callPlan.ts
+++ b/packages/router/src/direct/callPlan.ts
@@ -1,30 +1,11 @@
 /** Resolves a request to its route, server group, team, deadline and priority. */
 import type { FleetView } from '@spoolgate/control'
 import { SpoolgateError } from '@spoolgate/core'
-import {
-  chooseTarget,
-  formatCacheScope,
-  type RouteRule,
-  type ServerGroup,
-  type TeamEntry,
-} from '@spoolgate/routing'
+import { chooseTarget, formatCacheScope, type RouteRule, type TeamEntry } from '@spoolgate/routing'
+import type { CallPlan } from './callTypes.js'
 import type { DirectCall } from './protocols.js'
 import type { DirectContext } from './directContext.js'
 
-/** A request that was accepted for serving. */
-export interface CallPlan {
-  readonly call: DirectCall
-  readonly view: FleetView
-  readonly route: RouteRule
-  readonly group: ServerGroup
-  readonly team: TeamEntry | undefined
-  readonly arrivedAt: number
-  /** Monotonic time by which the request must have its final answer, in ms. */
-  readonly deadline: number
-  /** Scheduling priority from team and route; 0 is the most urgent. */
-  readonly priority: number
-}
-
 /** Retry-After while this router has no valid configuration, in seconds. */
 const RETRY_AFTER_UNAVAILABLE_S = 0.3
 
--- a/packages/router/src/direct/engineSelection.ts
+++ b/packages/router/src/direct/engineSelection.ts
@@ -7,7 +7,7 @@
   ServerChoice,
 } from '../admission/admission.js'
 import type { AdmissionRequest } from '../admission/types.js'
-import type { CallPlan } from './callPlan.js'
+import type { CallLog, CallPlan } from './callTypes.js'
 import type { DirectContext } from './directContext.js'
 import type { AdmittedEngine, EngineAdmission } from './engineAdmission.js'
 import { countKvTokens } from './engineLoads.js'
@@ -19,7 +19,6 @@
   createNoServer,
   findDeadlineRefusal,
   listAllowedServers,
-  type CallLog,
   type SendHistory,
 } from './serverSelection.js'
 
--- a/packages/router/src/direct/gracefulShutdown.ts
+++ b/packages/router/src/direct/gracefulShutdown.ts
@@ -12,7 +12,7 @@
   type Logger,
   type TimerService,
 } from '@spoolgate/core'
-import type { CallPlan } from './callPlan.js'
+import type { CallPlan } from './callTypes.js'
 import type { DirectCall } from './protocols.js'
 
 /** A request in progress: from its arrival until the response is sent or the connection closes. */
--- a/packages/router/src/direct/requestFingerprint.ts
+++ b/packages/router/src/direct/requestFingerprint.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from 'node:crypto'
 import { toRequestFingerprint, type RequestFingerprint } from '@spoolgate/core'
-import type { CallPlan } from './callPlan.js'
+import type { CallPlan } from './callTypes.js'
 
 /** Base64 characters of 6 bits each: 36 bits distinguish thousands of callers, 96 bits any number of requests. */
 const CALLER_CHARACTERS = 6
--- a/packages/router/src/direct/requestTimings.ts
+++ b/packages/router/src/direct/requestTimings.ts
@@ -1,6 +1,6 @@
 /** Timings of one request: time to the first response chunk, and the service time of its last attempt. */
 import type { BackendServerId } from '@spoolgate/core'
-import type { CallPlan } from './callPlan.js'
+import type { CallPlan } from './callTypes.js'
 import type { DirectContext } from './directContext.js'
 import type { Candidate } from './serverRanking.js'
 import type { ServerSpeeds } from '../speeds/serverSpeeds.js'
--- a/packages/router/src/direct/responseHead.ts
+++ b/packages/router/src/direct/responseHead.ts
@@ -1,7 +1,7 @@
 /** Evaluates the head of a backend response before any of the response is forwarded. */
 import type { IncomingMessage } from 'node:http'
 import { recordResponseSignals } from './responseSignals.js'
-import type { CallPlan } from './callPlan.js'
+import type { CallPlan } from './callTypes.js'
 import type { Candidate } from './serverRanking.js'
 import type { DirectContext } from './directContext.js'
 import type { AttemptOutcome } from './attemptOutcome.js'
--- a/packages/router/src/direct/retryRules.ts
+++ b/packages/router/src/direct/retryRules.ts
@@ -1,10 +1,10 @@
 /** Decides whether a request may be sent to another server. */
 import type { SpoolgateError } from '@spoolgate/core'
-import type { CallPlan } from './callPlan.js'
+import type { CallLog, CallPlan } from './callTypes.js'
 import type { DirectContext } from './directContext.js'
 import type { StreamRelay } from './responseRelay.js'
 import { listRefusalFields } from './gracefulShutdown.js'
-import type { CallLog, SendHistory } from './serverSelection.js'
+import type { SendHistory } from './serverSelection.js'
 
 /** Whether the route, and what has been forwarded to the caller, allow the request to run again. */
 export function isRetryable({ route }: CallPlan, relay: Pick<StreamRelay, 'hasBegun'>): boolean {
--- a/packages/router/src/direct/sendQuota.ts
+++ b/packages/router/src/direct/sendQuota.ts
@@ -1,7 +1,7 @@
 /** Team quotas on the request path: the cost of one send, and the error response when the quota is exhausted. */
 import { SpoolgateError } from '@spoolgate/core'
 import type { TeamQuota } from '@spoolgate/routing'
-import type { CallPlan } from './callPlan.js'
+import type { CallPlan } from './callTypes.js'
 import type { DirectCall } from './protocols.js'
 import type { DirectContext } from './directContext.js'
 import { drawRetryAfterSeconds } from './errorResponses.js'
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -1,6 +1,7 @@
 /** Records server choices and attempts: for the log, the metrics and later choices of all routers. */
 import type { AttemptOutcome } from './attemptOutcome.js'
-import { formatCallScope, type CallPlan } from './callPlan.js'
+import { formatCallScope } from './callPlan.js'
+import type { CallPlan } from './callTypes.js'
 import { recordEngineWork } from './engineCost.js'
 import type { Candidate } from './serverRanking.js'
 import type { BackendRequest } from './protocols.js'
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -16,7 +16,8 @@
 import { checkResponseHead } from './responseHead.js'
 import { createStreamRelay, isCallerDisconnected, type StreamRelay } from './responseRelay.js'
 import { createRequestTimings, type RequestTimings } from './requestTimings.js'
-import { isProofFresh, resolveSendPriority, type CallPlan } from './callPlan.js'
+import { isProofFresh, resolveSendPriority } from './callPlan.js'
+import type { CallLog, CallPlan } from './callTypes.js'
 import type { Candidate } from './serverRanking.js'
 import type { HeaderList } from './protocols.js'
 import type { DirectContext } from './directContext.js'
@@ -41,7 +42,7 @@
 import { hashRequest } from './requestFingerprint.js'
 import { listSharedParts } from '../parts/sharedParts.js'
 import { admitAttempt, type AdmittedAttempt, type RequestState } from './attemptAdmission.js'
-import { findGroupRetryAfterSeconds, type CallLog } from './serverSelection.js'
+import { findGroupRetryAfterSeconds } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
 import { buildSendFields, formatCall, formatSendEnd, recordSend } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
@@ -278,7 +279,7 @@
       server: candidate.server,
       lastDataAt: () => this.lastChunkAt,
       findAttempt: () => this.currentAttempt,
-      isRetryable: () => !this.isFinished && this.isRetryable(),
+      isRetryable: () => !this.isFinished && isRetryable(this.plan, this.relay),
       log: this.writeLog,
     })
     try {
@@ -399,8 +400,6 @@
     return !isRetried
   }
 
-  private isRetryable = () => isRetryable(this.plan, this.relay)
-
   /** Takes one retry from the budget if a request that may have run may be sent to another server now. */
   private takeRetry = () => takeRetry(this.context, this.plan, this.relay, this)
 }
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -1,7 +1,8 @@
 /** Selects the backend server for the next send of a request, or finds that none can take it. */
 import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
 import type { BackendServerId, SoftwareVersion } from '@spoolgate/core'
-import { formatCallScope, type CallPlan } from './callPlan.js'
+import { formatCallScope } from './callPlan.js'
+import type { CallLog, CallPlan } from './callTypes.js'
 import { LOADING_MS, rankServers, type Candidate } from './serverRanking.js'
 import type { DirectContext } from './directContext.js'
 import { findRetryAfterSeconds, drawRetryAfterSeconds } from './errorResponses.js'
@@ -28,9 +29,6 @@
   readonly pinnedVersion: SoftwareVersion | undefined
 }
 
-/** Logs an event of the request. */
-export type CallLog = (event: string, fields: Record<string, unknown>) => void
-
 /** No server is available; the caller may retry after so many seconds. */
 export interface NoServer {
   readonly kind: 'none'
--- a/packages/router/src/streams/streamContinuity.ts
+++ b/packages/router/src/streams/streamContinuity.ts
@@ -16,8 +16,7 @@
   type TimerService,
 } from '@spoolgate/core'
 import type { ServerGroup } from '@spoolgate/routing'
-import type { CallPlan } from '../direct/callPlan.js'
-import type { CallLog } from '../direct/serverSelection.js'
+import type { CallLog, CallPlan } from '../direct/callTypes.js'
 import type { LookupResult } from './recordLookup.js'
 import type { RecordExchange } from './recordExchange.js'
 import { MAX_RECORD_TTL_MS } from './recordMessages.js'
