--- a/packages/control/src/parts/partCoordinator.ts
+++ b/packages/control/src/parts/partCoordinator.ts
@@ -95,6 +95,7 @@
     evidence.reset()
     trials.reset()
     pending.clear()
+    suspects = []
     for (const { part } of parts.list()) evidence.recordExplained(part)
     currentTerm = term
   }
--- a/packages/control/src/parts/partEvidence.ts
+++ b/packages/control/src/parts/partEvidence.ts
@@ -81,7 +81,7 @@
 
 /** Time for which a crash counts, in ms. */
 const RETENTION_MS = 600_000
-/** Maximum number of crashes; with the most parts each, they take 14 MB. */
+/** Maximum number of crashes. */
 const MAX_CRASHES = 300
 /** Maximum number of parts whose last complete response is known. */
 const MAX_ANSWERED = 8_192
