fix(control): keep nothing of parts beyond the bound of a crash

Found on reading: the leader kept when a part was first reported as never answered also where the part itself was dropped, beyond 128 parts of one crash. Such entries had no crash to leave with, so that callers who send new parts always made the leader grow, and the part counted as never answered for ever. The new test of partEvidence.spec failed before: the part was quarantined after two crashes of which no router could tell.

--- a/packages/control/src/parts/__tests__/partEvidence.spec.ts
+++ b/packages/control/src/parts/__tests__/partEvidence.spec.ts
@@ -6,7 +6,12 @@
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import { createPartEvidence } from '../partEvidence.js'
-import { NEVER_ANSWERED, UNKNOWN_ANSWERED, type PartInFlight } from '../partReport.js'
+import {
+  MAX_PARTS_PER_CRASH,
+  NEVER_ANSWERED,
+  UNKNOWN_ANSWERED,
+  type PartInFlight,
+} from '../partReport.js'
 
 const ENGINES = 6
 const BAD = toPromptPartId('bad')
@@ -120,6 +125,17 @@
     expect(evidence.findVerdict()).to.equal(undefined)
   })
 
+  it('keeps nothing of parts beyond the bound of a crash', () => {
+    const { evidence, crash } = createCase()
+    const others = Array.from({ length: MAX_PARTS_PER_CRASH }, (_, index) => ({
+      part: toPromptPartId(`other-${index}`),
+    }))
+    crash([...others, { part: BAD }])
+    for (let count = 1; count <= 2; count += 1)
+      crash([{ part: BAD, answeredAgeMs: UNKNOWN_ANSWERED }])
+    expect(evidence.findVerdict()).to.equal(undefined)
+  })
+
   it('needs more crashes where engines crash without the part as well', () => {
     const { evidence, crash } = createCase()
     for (let count = 0; count < 4; count += 1) {
--- a/packages/control/src/parts/partEvidence.ts
+++ b/packages/control/src/parts/partEvidence.ts
@@ -171,6 +171,11 @@
     else crashesByPart.set(part, new Set([crash]))
     touched.add(part)
   }
+  /** Parts beyond the bound of a crash are not kept here either. */
+  const recordNeverAnswered = (crash: Crash, part: PromptPartId) => {
+    if (crash.parts.has(part) && !neverAnsweredSince.has(part))
+      neverAnsweredSince.set(part, timers.now())
+  }
   const isCounted = (part: PromptPartId, crash: Crash) =>
     crash.at > (answeredAt.get(part) ?? -Infinity)
   /** Builds the case of a part from the unexplained crashes after its last complete response. */
@@ -241,8 +246,7 @@
       for (const [part, sends, heldMs, answeredAgeMs, sharePercent] of parts) {
         addPart(crash, part, { sends, sentAt: at - heldMs, sharePercent })
         if (answeredAgeMs >= 0) setAnswered(part, timers.now() - answeredAgeMs)
-        if (answeredAgeMs === NEVER_ANSWERED && !neverAnsweredSince.has(part))
-          neverAnsweredSince.set(part, timers.now())
+        if (answeredAgeMs === NEVER_ANSWERED) recordNeverAnswered(crash, part)
         if (explaining.has(part)) crash.isExplained = true
       }
       removeOld()
