refactor(control): name the evidence about prompt parts in the terms of the field

Comments and names of packages/*/src/parts spoke of a court (convict, objection, experience); they say what is quarantined, waited for and kept, and bounds name their reason where a reader would ask for it.

--- a/packages/control/src/parts/__tests__/partEvidence.spec.ts
+++ b/packages/control/src/parts/__tests__/partEvidence.spec.ts
@@ -51,7 +51,7 @@
 }
 
 describe('the evidence against parts of prompts', () => {
-  it('convicts a part that was never answered at the second crash after a new send', () => {
+  it('names a part that was never answered at the second crash after a new send', () => {
     const { evidence, crash } = createCase()
     const common = { part: COMMON, answeredAgeMs: 1_000, sends: 9 }
     const first = crash([{ part: BAD }, common])
@@ -78,7 +78,7 @@
     expect(evidence.findVerdict()).to.equal(undefined)
   })
 
-  it('convicts a part that was answered before only after five crashes without a response', () => {
+  it('names a part that was answered before only after five crashes without a response', () => {
     const { evidence, crash } = createCase()
     const inFlight = () => [{ part: COMMON, answeredAgeMs: 60_000 }]
     for (let count = 1; count <= 4; count += 1) crash(inFlight())
@@ -94,7 +94,7 @@
     crash([{ part: BAD }, { part: other, sends: 3 }])
     crash([{ part: BAD }, { part: other, sends: 3 }])
     expect(evidence.findVerdict()?.part).to.equal(BAD)
-    evidence.recordExplained(BAD)
+    evidence.recordCause(BAD)
     expect(evidence.findVerdict()).to.equal(undefined)
     crash([{ part: BAD }, { part: other }])
     expect(evidence.listSuspects()).to.deep.equal([])
@@ -110,7 +110,7 @@
     expect(evidence.findVerdict()?.part).to.equal(BAD)
   })
 
-  it('convicts a part of which no router can tell only after five crashes', () => {
+  it('names a part of which no router can tell only after five crashes', () => {
     const { evidence, crash } = createCase()
     for (let count = 1; count <= 4; count += 1)
       crash([{ part: BAD, answeredAgeMs: UNKNOWN_ANSWERED }])
@@ -119,7 +119,7 @@
     expect(evidence.findVerdict()?.part).to.equal(BAD)
   })
 
-  it('never convicts a part that nearly all requests have', () => {
+  it('never names a part that nearly all requests have', () => {
     const { evidence, crash } = createCase()
     for (let count = 1; count <= 9; count += 1) crash([{ part: COMMON, sharePercent: 95 }])
     expect(evidence.findVerdict()).to.equal(undefined)
--- a/packages/control/src/parts/partCoordinator.ts
+++ b/packages/control/src/parts/partCoordinator.ts
@@ -17,7 +17,7 @@
   QuarantinePart,
   ReleasePart,
 } from '../state/quarantinedPartState.js'
-import { createPartEvidence, OBJECTION_MS, type PartVerdict } from './partEvidence.js'
+import { createPartEvidence, RESPONSES_WAIT_MS, type PartVerdict } from './partEvidence.js'
 import {
   findPartQuarantineMs,
   type ListedPart,
@@ -96,7 +96,7 @@
     trials.reset()
     pending.clear()
     suspects = []
-    for (const { part } of parts.list()) evidence.recordExplained(part)
+    for (const { part } of parts.list()) evidence.recordCause(part)
     currentTerm = term
   }
   const propose = async (command: PartCommand) => {
@@ -135,9 +135,9 @@
     logger.info('part.released', { part, reason })
     return command
   }
-  const convict = (verdict: PartVerdict) => {
+  const startQuarantine = (verdict: PartVerdict) => {
     const { part } = verdict
-    evidence.recordExplained(part)
+    evidence.recordCause(part)
     if (parts.find(part) || pending.has(part)) return
     startRound(part, 1, verdict)
   }
@@ -154,7 +154,7 @@
     isEvaluationDue = false
     evaluatedAt = timers.now()
     for (let verdict = evidence.findVerdict(); verdict; verdict = evidence.findVerdict())
-      convict(verdict)
+      startQuarantine(verdict)
     proposePending()
     updateSuspects()
   }
@@ -180,7 +180,7 @@
     const [part, ageMs] = answered
     evidence.recordAnswered(answered)
     const quarantined = parts.find(part)
-    // A response from before the crashes does not acquit the part of them.
+    // A response from before the crashes says nothing about them.
     const isLater = quarantined && readWallClock() - ageMs > quarantined.since
     if (isLater && pending.get(part)?.kind !== 'part.release') startRelease(part, 'answered')
   }
@@ -191,7 +191,7 @@
       crashes.forEach(recordTrialCrashes)
       answered.forEach(recordAnswered)
       if (crashes.length + answered.length + pending.size > 0) requestEvaluation()
-      if (crashes.length > 0) timers.after(OBJECTION_MS).subscribe(requestEvaluation)
+      if (crashes.length > 0) timers.after(RESPONSES_WAIT_MS).subscribe(requestEvaluation)
       const trial = trials.choose(rejected)
       if (trial !== undefined) logger.info('part.tried', { part: trial })
       return trial
--- a/packages/control/src/parts/partCrashBuffer.ts
+++ b/packages/control/src/parts/partCrashBuffer.ts
@@ -44,7 +44,7 @@
   /** Finds when this router last received a complete response to a request with the part. */
   readonly findAnsweredAt: (part: PromptPartId) => number | undefined
   /** Whether this router has received enough responses to tell that a part was never answered. */
-  readonly isExperienced: () => boolean
+  readonly hasEnoughResponses: () => boolean
 }
 
 /** See {@link createPartCrashBuffer}. */
@@ -108,7 +108,7 @@
 
 /** Creates an empty buffer. */
 export function createPartCrashBuffer(options: PartCrashBufferOptions): PartCrashBuffer {
-  const { timers, findAnsweredAt, isExperienced } = options
+  const { timers, findAnsweredAt, hasEnoughResponses } = options
   const crashes = new Set<BufferedCrash>()
   /** Those of them that the leader of the last term has not received. */
   let pending = new Set<BufferedCrash>()
@@ -127,7 +127,7 @@
   const findAnsweredAgeMs = (part: PromptPartId) => {
     const at = findAnsweredAt(part)
     if (at !== undefined) return Math.round(timers.now() - at)
-    return isExperienced() ? NEVER_ANSWERED : UNKNOWN_ANSWERED
+    return hasEnoughResponses() ? NEVER_ANSWERED : UNKNOWN_ANSWERED
   }
   const buildCrash = (server: BackendServerId, calls: readonly BufferedCrash[]): PartCrash => {
     const crashedAt = Math.min(...calls.map((call) => call.crashedAt))
--- a/packages/control/src/parts/partEvidence.ts
+++ b/packages/control/src/parts/partEvidence.ts
@@ -1,8 +1,8 @@
 /**
- * Finds the part of prompts that crashes engines. A part is convicted when engines crashed again and again soon after it was
- * sent there, it was never answered completely, and chance explains that badly. Counted crashes are independent: the part
- * was sent to each engine after the one before had crashed, so that a power failure of many engines counts once. A
- * convicted part explains its crashes, which then no longer count against the other parts that were in flight.
+ * Identifies the part of prompts that crashes engines. A part is quarantined if it was in flight at several crashes without a
+ * complete response, and is unlikely to have been there by chance. Only independent crashes count: the part was sent to
+ * each engine after the previous one had crashed, so that a power failure of many engines counts once. Crashes with a
+ * quarantined part in flight are attributed to it and do not count for the other parts.
  */
 import {
   removeOldest,
@@ -24,10 +24,10 @@
   readonly countServers: () => number
 }
 
-/** Why a part is convicted. */
+/** The evidence for quarantining a part. */
 export interface PartVerdict {
   readonly part: PromptPartId
-  /** Engines that crashed with the part in flight and that no other part explains. */
+  /** Engines that crashed with the part in flight and no quarantined part. */
   readonly servers: readonly BackendServerId[]
   /** Independent crashes among them. */
   readonly crashes: number
@@ -43,11 +43,11 @@
   addCrash(crash: PartCrash): void
   /** Records a complete response to a request with the part. */
   recordAnswered(answered: AnsweredPart): void
-  /** Finds the part that explains crashes best, if the evidence suffices for one. */
+  /** Finds the part that is the least likely to have been in flight by chance, if the evidence suffices for one. */
   findVerdict(): PartVerdict | undefined
-  /** Records that a part explains all crashes at which it was in flight, including those reported later. */
-  recordExplained(part: PromptPartId): void
-  /** Discards the crashes of a part, which no longer explains them. */
+  /** Attributes all crashes with the part in flight to it, including those reported later. */
+  recordCause(part: PromptPartId): void
+  /** Discards the part from all crashes, which are no longer attributed to it. */
   remove(part: PromptPartId): void
   /** Lists the suspected parts, those with the most crashes first. */
   listSuspects(): readonly PromptPartId[]
@@ -91,17 +91,17 @@
  */
 const MIN_CRASHES = { neverAnswered: 2, tied: 3, answered: 5 } as const
 /**
- * Share of the requests, in percent, from which a part is never convicted: engines that crash for another reason crash with
- * it in flight as well.
+ * Share of the requests, in percent, from which a part is never quarantined: it is in flight at engines that crash for any
+ * other reason as well, and refusing it would reject nearly all callers.
  */
 const COMMON_PERCENT = 90
-/** Time from the first report of a part to its conviction, in ms, in which other routers report their responses. */
-export const OBJECTION_MS = 60
-/** Maximum probability that a conviction is due to chance. */
+/** Time for which a new suspect is not quarantined, in ms, so that other routers can report its complete responses. */
+export const RESPONSES_WAIT_MS = 60
+/** Maximum probability of chance for a quarantine: callers send new parts all the time, each with that probability. */
 const MAX_CHANCE = 1e-5
-/** Periods over which the rate of other crashes is measured, in ms; the higher rate applies. */
+/** Periods for the rate of other crashes, in ms; the higher rate applies, since crashes come in bursts. */
 const RATE_PERIODS_MS = [5_000, 60_000] as const
-/** Lower bound on the time that a part is presumed in flight, in ms. */
+/** Lower bound on the time in flight, in ms: reports of routers differ by the delay of messages. */
 const MIN_HELD_MS = 20
 /** Crashes from which a part that was answered before is listed, so that routers report whether it still is. */
 const CRASHES_TO_LIST_ANSWERED = 3
@@ -126,13 +126,13 @@
   const crashes = new Map<BackendServerId, Crash>()
   const crashesByPart = new Map<PromptPartId, Set<Crash>>()
   /** Parts with crashes since the last search for a verdict; only those can have become likelier. */
-  const touched = new Set<PromptPartId>()
+  const changedParts = new Set<PromptPartId>()
   /** When a router first reported of a part that it was never answered. */
   const neverAnsweredSince = new Map<PromptPartId, number>()
   const answeredAt = new Map<PromptPartId, number>()
-  const explaining = new Set<PromptPartId>()
+  const causes = new Set<PromptPartId>()
 
-  const isExplained = ({ parts }: Crash) => [...explaining].some((part) => parts.has(part))
+  const isExplained = ({ parts }: Crash) => [...causes].some((part) => parts.has(part))
   const removePart = (crash: Crash, part: PromptPartId) => {
     const listed = crashesByPart.get(part)
     listed?.delete(crash)
@@ -169,7 +169,7 @@
     const listed = crashesByPart.get(part)
     if (listed) listed.add(crash)
     else crashesByPart.set(part, new Set([crash]))
-    touched.add(part)
+    changedParts.add(part)
   }
   /** Parts beyond the bound of a crash are not kept here either. */
   const recordNeverAnswered = (crash: Crash, part: PromptPartId) => {
@@ -187,7 +187,7 @@
   }
   /** Builds the cases of the parts whose crashes may suffice. */
   const listCases = () =>
-    [...touched]
+    [...changedParts]
       .filter((part) => (crashesByPart.get(part)?.size ?? 0) >= MIN_CRASHES.neverAnswered)
       .map(buildCase)
       .filter(({ independent }) => independent.length >= MIN_CRASHES.neverAnswered)
@@ -220,8 +220,8 @@
   }
   const isNeverAnswered = (part: PromptPartId) =>
     neverAnsweredSince.has(part) && !answeredAt.has(part)
-  const isObjectionTime = (part: PromptPartId) =>
-    timers.now() - (neverAnsweredSince.get(part) ?? -Infinity) < OBJECTION_MS
+  const isAwaitingResponses = (part: PromptPartId) =>
+    timers.now() - (neverAnsweredSince.get(part) ?? -Infinity) < RESPONSES_WAIT_MS
   const isCommon = ({ part, crashes: counted }: PartCase) =>
     counted.every(({ parts }) => (parts.get(part)?.sharePercent ?? 0) >= COMMON_PERCENT)
   const findMinCrashes = (partCase: PartCase) => {
@@ -247,28 +247,28 @@
         addPart(crash, part, { sends, sentAt: at - heldMs, sharePercent })
         if (answeredAgeMs >= 0) setAnswered(part, timers.now() - answeredAgeMs)
         if (answeredAgeMs === NEVER_ANSWERED) recordNeverAnswered(crash, part)
-        if (explaining.has(part)) crash.isExplained = true
+        if (causes.has(part)) crash.isExplained = true
       }
       removeOld()
     },
     recordAnswered: ([part, ageMs]) => setAnswered(part, timers.now() - ageMs),
     findVerdict: () => {
       const [best] = listCases()
-        .filter((partCase) => !isCommon(partCase) && !isObjectionTime(partCase.part))
+        .filter((partCase) => !isCommon(partCase) && !isAwaitingResponses(partCase.part))
         .filter((partCase) => partCase.independent.length >= findMinCrashes(partCase))
         .map(buildVerdict)
         .filter(({ chance }) => chance <= MAX_CHANCE)
         .sort((a, b) => a.chance - b.chance)
       if (best) return best
-      for (const part of touched) if (!isObjectionTime(part)) touched.delete(part)
+      for (const part of changedParts) if (!isAwaitingResponses(part)) changedParts.delete(part)
       return undefined
     },
-    recordExplained: (part) => {
-      explaining.add(part)
+    recordCause: (part) => {
+      causes.add(part)
       for (const crash of crashes.values()) if (crash.parts.has(part)) crash.isExplained = true
     },
     remove: (part) => {
-      explaining.delete(part)
+      causes.delete(part)
       for (const crash of crashes.values()) {
         if (!crash.parts.delete(part)) continue
         removePart(crash, part)
@@ -291,10 +291,10 @@
     reset: () => {
       crashes.clear()
       crashesByPart.clear()
-      touched.clear()
+      changedParts.clear()
       neverAnsweredSince.clear()
       answeredAt.clear()
-      explaining.clear()
+      causes.clear()
     },
   }
 }
--- a/packages/router/src/parts/__tests__/partSimulation.ts
+++ b/packages/router/src/parts/__tests__/partSimulation.ts
@@ -171,10 +171,10 @@
       isServing: () => true,
       onAnswered: (part, at) => router.quarantine.recordAnswered(part, at),
     })
-    const { findAnsweredAt, isExperienced } = answered
-    const buffer = createPartCrashBuffer({ timers, findAnsweredAt, isExperienced })
+    const { findAnsweredAt, hasEnoughResponses } = answered
+    const buffer = createPartCrashBuffer({ timers, findAnsweredAt, hasEnoughResponses })
     const sendReport = () => after(MESSAGE_MS, () => sendUrgent(router))
-    const parts = { buffer, findAnsweredAt, isExperienced, sendReport, timers, logger }
+    const parts = { buffer, findAnsweredAt, hasEnoughResponses, sendReport, timers, logger }
     const router: SimulatedRouter = {
       quarantine: createPartQuarantine(parts),
       answered,
--- a/packages/router/src/parts/answeredParts.ts
+++ b/packages/router/src/parts/answeredParts.ts
@@ -25,7 +25,7 @@
   /** Finds when the last response with the part arrived, in ms of the monotonic clock. */
   findAnsweredAt(part: PromptPartId): number | undefined
   /** Whether enough responses arrived to tell that a part is never answered. */
-  isExperienced(): boolean
+  hasEnoughResponses(): boolean
 }
 
 /** Complete responses with parts after which a part in common use is among those answered. */
@@ -60,6 +60,6 @@
       })
     },
     findAnsweredAt: (part) => answeredAt.get(part),
-    isExperienced: () => responses >= MIN_RESPONSES,
+    hasEnoughResponses: () => responses >= MIN_RESPONSES,
   }
 }
--- a/packages/router/src/parts/partQuarantine.ts
+++ b/packages/router/src/parts/partQuarantine.ts
@@ -19,7 +19,7 @@
   /** Finds when this router last received a complete response to a request with the part. */
   readonly findAnsweredAt: (part: PromptPartId) => number | undefined
   /** Whether enough responses arrived to tell that a part is never answered. */
-  readonly isExperienced: () => boolean
+  readonly hasEnoughResponses: () => boolean
   /** Sends the buffered evidence to control without waiting for the next poll. */
   readonly sendReport: () => void
   readonly timers: TimerService
@@ -67,7 +67,7 @@
 
 /** Creates an empty quarantine. */
 export function createPartQuarantine(options: PartQuarantineOptions): PartQuarantine {
-  const { buffer, findAnsweredAt, isExperienced, sendReport, timers, logger } = options
+  const { buffer, findAnsweredAt, hasEnoughResponses, sendReport, timers, logger } = options
   /** Quarantine round by part, as listed by control; 0 for parts that are only suspected. */
   let rounds: ReadonlyMap<PromptPartId, number> = new Map()
   let trial: PromptPartId | undefined
@@ -75,7 +75,7 @@
   const isUndecidedRefused = (part: PromptPartId) =>
     buffer.countUnreportedCrashes(part) >= CRASHES_TO_REFUSE &&
     findAnsweredAt(part) === undefined &&
-    isExperienced()
+    hasEnoughResponses()
   const findPartRefusal = (part: PromptPartId): PartRefusal | undefined => {
     const round = rounds.get(part) ?? 0
     if (round > 0) return { part, round, leftMs: findPartQuarantineMs(round) }
--- a/packages/router/src/parts/partSetup.ts
+++ b/packages/router/src/parts/partSetup.ts
@@ -1,4 +1,4 @@
-/** The parts of a router that keep harmful parts of prompts away from engines. */
+/** Wires the quarantine of prompt parts of a router: evidence, reports to control and refusals. */
 import {
   createPartCrashBuffer,
   type FleetView,
@@ -46,7 +46,7 @@
   return ![...servers.values()].some((other) => other.address === address)
 }
 
-/** Creates the parts of one router. */
+/** Creates the quarantine of one router. */
 export function createPartSetup(options: PartSetupOptions): PartSetup {
   const { timers, logger, metrics, findView } = options
   const answered = createAnsweredParts({
@@ -57,12 +57,12 @@
     },
     onAnswered: (part, at) => quarantine.recordAnswered(part, at),
   })
-  const { findAnsweredAt, isExperienced } = answered
-  const buffer = createPartCrashBuffer({ timers, findAnsweredAt, isExperienced })
+  const { findAnsweredAt, hasEnoughResponses } = answered
+  const buffer = createPartCrashBuffer({ timers, findAnsweredAt, hasEnoughResponses })
   const shares = createPartShares()
   const reporter = createPartReporter({ ...options, buffer })
   const sendReport = reporter.sendSoon
-  const known = { findAnsweredAt, isExperienced }
+  const known = { findAnsweredAt, hasEnoughResponses }
   const quarantine = createPartQuarantine({ ...known, buffer, sendReport, timers, logger })
   metrics.gauge(
     'quarantined_parts',
--- a/packages/spoolgate/src/node/bench/partsBench.ts
+++ b/packages/spoolgate/src/node/bench/partsBench.ts
@@ -62,7 +62,7 @@
   return process.memoryUsage().heapUsed
 }
 
-/** Runs the benchmark; memory is measured if Node runs with --expose-gc, and otherwise imprecise. */
+/** Runs the benchmark. Its memory figures need Node's option --expose-gc. */
 export function runPartsBench(options: PartsBenchOptions): PartsBenchResult {
   const { engines, requests, quarantined } = options
   const timers = createManualTimerService()
@@ -78,14 +78,14 @@
 
   const heapBefore = measureHeap()
   const answered = createAnsweredParts({ timers, isServing: () => true, onAnswered: () => {} })
-  const { findAnsweredAt, isExperienced } = answered
-  const buffer = createPartCrashBuffer({ timers, findAnsweredAt, isExperienced })
+  const { findAnsweredAt, hasEnoughResponses } = answered
+  const buffer = createPartCrashBuffer({ timers, findAnsweredAt, hasEnoughResponses })
   const shares = createPartShares()
   const sendReport = () => {}
   const quarantine = createPartQuarantine({
     buffer,
     findAnsweredAt,
-    isExperienced,
+    hasEnoughResponses,
     sendReport,
     timers,
     logger,
