--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,6 +1,7 @@
 /**
- * Case 1: replicas hand out wrong bytes. In the event id of a resumable stream one bit is wrong, then the answer is cut off.
- * The router that relays the stream ends with an uncaught exception, and with it all that it has under way.
+ * Case 1: replicas hand out wrong bytes. One bit of a stream is wrong: in its status line, or in the id of an event after
+ * which the answer is cut off. The router that relays the stream ends with an uncaught exception, and with it all that it has
+ * under way.
  */
 import http from 'node:http'
 import { fileURLToPath } from 'node:url'
@@ -36,7 +37,7 @@
 const GARBLE_AT_MS = 3000
 const TRAFFIC_MS = 10_000
 /** Clients of a machine; each keeps one connection and sends one request after the other. */
-const CLIENTS = { explain: 12, fetch: 10 }
+const CLIENTS = { explain: 20, fetch: 10 }
 const THINK_MS = 100
 const EVENTS = 24
 const EVENT_MS = 8
@@ -111,12 +112,29 @@
 }
 
 /** Clears one bit of the first digit of the event's id. */
-function spoil(event) {
+function spoilId(event) {
   const bytes = Buffer.from(event)
   bytes[4] &= ~0x20
   return bytes
 }
 
+/** Sends a whole stream in whose status line one bit is wrong: "HTTP/1.1 000 OK" in place of "HTTP/1.1 200 OK". */
+function sendWithWrongStatus({ id, response }, fields, after) {
+  const head = Buffer.from(
+    `HTTP/1.1 200 OK\r\n${Object.entries(fields)
+      .map(([name, value]) => `${name}: ${value}\r\n`)
+      .join('')}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`,
+  )
+  head[9] &= ~0x02
+  const { socket } = response
+  socket.write(head)
+  for (let event = after + 1; event <= EVENTS; event += 1) {
+    const text = `id: ${event}\ndata: ${id}:${event}\n\n`
+    socket.write(`${text.length.toString(16)}\r\n${text}\r\n`)
+  }
+  socket.end('0\r\n\r\n')
+}
+
 await runCase(FOLDER, async ({ record, isTroubled, addCleanup }) => {
   const fleet = await startFleet({ record })
   addCleanup(() => fleet.close())
@@ -126,25 +144,35 @@
       garbled.ids.has(replica.id) && now() < garbled.until && Math.random() < GARBLE_X
     await sleep(PREFILL_MS)
     if (response.destroyed) return
-    response.writeHead(200, {
+    const fields = {
       'X-Request-Id': id,
       'X-Response-Seal': `seal.${replica.id}.${id}`,
       'X-Weight-Versions': '1',
       'Content-Type': 'text/event-stream',
-    })
+    }
     const after = Number(headers['last-event-id'] ?? 0)
+    if (isSpoilt && Math.random() < 0.5) {
+      garbled.spoilt += 1
+      record('replica hands out an answer with a wrong status line', {
+        replica: replica.id,
+        request: id,
+        status: '000',
+      })
+      return sendWithWrongStatus({ id, response }, fields, after)
+    }
+    response.writeHead(200, fields)
     for (let event = after + 1; event <= EVENTS; event += 1) {
       await sleep(EVENT_MS)
       if (response.destroyed) return
       const text = `id: ${event}\ndata: ${id}:${event}\n\n`
       if (isSpoilt && event >= after + 5) {
         garbled.spoilt += 1
-        record('replica hands out wrong bytes and cuts the answer off', {
+        record('replica hands out an event with a wrong id and cuts the answer off', {
           replica: replica.id,
           request: id,
-          event: spoil(text).toString('latin1'),
+          event: spoilId(text).toString('latin1'),
         })
-        response.write(spoil(text))
+        response.write(spoilId(text))
         await sleep(EVENT_MS)
         response.socket?.resetAndDestroy()
         return
