feat: log when control acknowledges a departure, and when a router learns of it

Cause for it: of the three hypotheses about requests that reached a leaving server none could be told from the others. server.observed is written before the log entry is stored, and not at all for a server that is held or unknown; routers wrote nothing, and call.choice had the age of the table's proof only.

Change: control writes server.departureAcknowledged for the first acknowledgement of each departure by an instance, with whether the server was registered; a router writes server.leaving saidBy=control with the term and revision of the feed; call.choice has the age and position of the view, call.end and call.sendEnded the time from the choice until the request was written (connectMs). No logic changes.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -63,6 +63,7 @@
   type QuotaRecord,
   type SpeedRecord,
   type SpeedReply,
+  type ViewPosition,
 } from './registry/feedClient.js'
 export { VERSIONS_PATH, type VersionStatus } from './registry/versionStatus.js'
 export {
--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -21,6 +21,7 @@
 } from '@spoolgate/core'
 import { LEADER_PATH, type LeaderAnnouncement } from '../group/leaderAnnouncer.js'
 import { JOIN_PATH } from '../group/membershipManager.js'
+import { createLoggedOperations } from './departureLog.js'
 import { FEED_PATH, TABLE_PATH } from './feed.js'
 import { OPERATION_PATH } from './fleetOperations.js'
 import type { ServerHeartbeat } from './heartbeatIntake.js'
@@ -138,7 +139,7 @@
   logger.info('relay.listening', { url, seeds: options.seeds() })
   return {
     url,
-    operations,
+    operations: createLoggedOperations({ operations, logger, metrics }),
     // A relay holds no table, so that each read returns the leader's.
     table: createTableAccess({ operator: operations, table: { current: () => undefined } }),
     renderMetrics: metrics.render,
--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -134,6 +134,9 @@
   readonly reports: readonly LimitReport[]
 }
 
+/** Which state of the leader a view shows: its term, and the revision within that term; -1 for none. */
+export type ViewPosition = Pick<FeedRequest, 'term' | 'revision'>
+
 /** A client of the feed; see {@link createFeedClient}. */
 export interface FeedClient {
   /** The router's state of the fleet; undefined before the first table arrives. */
@@ -142,6 +145,8 @@
   proofAgeMs(): number
   /** Time since the poll whose reply was applied last, in ms; Infinity if never. */
   viewAgeMs(): number
+  /** Position in the feed of the reply that was applied last. */
+  viewPosition(): ViewPosition
   /** Addresses at which routers exchange the records of their streams, that of this one included. */
   listPeers(): readonly string[]
   /** URL of the instance that answered last; undefined while none responds. */
@@ -349,6 +354,7 @@
     // Counts suspension: the table may have been replaced while this machine was suspended.
     proofAgeMs: () => timers.promiseNow() - confirmedAt,
     viewAgeMs: () => timers.promiseNow() - appliedAt,
+    viewPosition: replica.position,
     listPeers: replica.listPeers,
     leaderUrl: () => leader,
     changes,
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -35,6 +35,7 @@
 import { createFleetOperationRunner, type FleetOperationRunner } from './fleetOperations.js'
 import { createQuarantineRoutes } from './quarantineRoutes.js'
 import { createDecodedTable } from './decodedTable.js'
+import { createLoggedOperations } from './departureLog.js'
 import { createQuotaBuckets } from './quotaBuckets.js'
 import { createRegistryRoutes } from './registryRoutes.js'
 import type { QuotaTolerance } from './quotaProtocol.js'
@@ -223,6 +224,7 @@
     versionGate,
     rejectedInputs: options.rejectedInputs,
   })
+  const { run } = createLoggedOperations({ operations, logger, metrics })
   const versionRetention = startVersionRetention({ member, machine, timers, logger })
   const rollout = createWeightsRollout({
     member,
@@ -326,7 +328,7 @@
     url,
     member,
     machine,
-    operations,
+    operations: { ...operations, run },
     table: createTableAccess({ operator: operations, table: machine.table }),
     renderMetrics: metrics.render,
     recordConnection,
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -41,6 +41,7 @@
 import { addBackoffs } from './responseSignals.js'
 import { createServerStats } from './serverStats.js'
 import { createCrashDetector } from './crashDetector.js'
+import { startDepartureWatch } from './departureWatch.js'
 import { createRestartDetector } from './restartDetector.js'
 import { openStreamSetup } from '../streams/streamSetup.js'
 import type { DirectRouterOptions } from './directRouterOptions.js'
@@ -200,6 +201,7 @@
       limits.carryOver(before, after, timers.now())
     },
   })
+  const departureWatch = startDepartureWatch({ feed, logger, metrics })
   const crashDetector = createCrashDetector({
     liveness,
     views: feed.changes,
@@ -360,9 +362,7 @@
       for (const socket of sockets) socket.destroy()
       boundsSubscription.unsubscribe()
       await streamSetup.close()
-      restartDetector.close()
-      crashDetector.close()
-      liveness.close()
+      for (const part of [restartDetector, departureWatch, crashDetector, liveness]) part.close()
       engineAdmission?.close()
       await feed.close()
       agent.destroy()
--- a/packages/router/src/direct/engineSelection.ts
+++ b/packages/router/src/direct/engineSelection.ts
@@ -132,7 +132,7 @@
   )
   if (!candidate) return { kind: 'full' }
   const next = allowed.find((other) => other !== candidate)
-  log('call.choice', formatServerChoice(plan, candidate, next, context.timers.now()))
+  log('call.choice', formatServerChoice(context, plan, candidate, next))
   const { server, uncachedTokens } = candidate
   const reserved = loads.reserve(view, plan.group, server.id, request, uncachedTokens)
   const prefillMs = uncachedTokens / loads.findTokensPerMs(plan.group.name)
--- a/packages/router/src/direct/requestTimings.ts
+++ b/packages/router/src/direct/requestTimings.ts
@@ -9,12 +9,22 @@
 export interface RequestTimings {
   /** Records the start of an attempt at a server, and the work that is expected there. */
   recordAttempt(candidate: Candidate): void
+  /** Records that the request of the attempt is written to its connection now. */
+  recordWrite(): void
   /** Records the first chunk of the response; later calls have no effect. */
   recordFirstPart(): void
   /** Records that the response is complete; has an effect only for plain services. */
   recordPlainResponse(): void
+  /** Lists the log fields. */
+  list(): TimingFields
+}
+
+/** Timings as log fields. */
+export interface TimingFields {
   /** Time from the arrival of the request to the first chunk, in ms; undefined before the first chunk. */
-  firstPartMs(): number | undefined
+  readonly firstPartMs: number | undefined
+  /** Time from the start of the last attempt until its request was written, in ms; undefined if it was not. */
+  readonly connectMs: number | undefined
 }
 
 /** The last send of the request. */
@@ -40,6 +50,7 @@
 ): RequestTimings {
   let lastAttempt: Attempt | undefined
   let firstPartMs: number | undefined
+  let connectMs: number | undefined
 
   const isLoading = (id: BackendServerId) => feed.current()?.loading.has(id) ?? false
   /** Records the speed of the server. An engine that loads weights delays its requests for another reason. */
@@ -65,6 +76,10 @@
     recordAttempt: (candidate) => {
       const wasLoading = isLoading(candidate.server.id)
       lastAttempt = { at: timers.now(), candidate, wasLoading }
+      connectMs = undefined
+    },
+    recordWrite: () => {
+      if (lastAttempt) connectMs = Math.round(timers.now() - lastAttempt.at)
     },
     recordFirstPart: () => {
       if (firstPartMs !== undefined) return
@@ -75,6 +90,6 @@
     recordPlainResponse: () => {
       if (!call.prompt) recordDuration()
     },
-    firstPartMs: () => firstPartMs,
+    list: () => ({ firstPartMs, connectMs }),
   }
 }
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -19,16 +19,23 @@
   }
 }
 
-/** Builds the log fields of a server choice at time `now`: the figures that decided it and the second-best server. */
+/**
+ * Builds the log fields of a server choice: the figures that decided it, the age and position of the view that it was
+ * made by, and the second-best server.
+ */
 export function formatServerChoice(
+  { feed, timers }: Pick<DirectContext, 'feed' | 'timers'>,
   plan: CallPlan,
   best: Candidate,
   second: Candidate | undefined,
-  now: number,
 ): Record<string, unknown> {
   const { prompt } = plan.call
+  const now = timers.now()
+  const { term, revision } = feed.viewPosition()
   return {
     server: best.server.id,
+    viewAgeMs: Math.round(feed.viewAgeMs()),
+    view: `${term}:${revision}`,
     softwareVersion: best.server.softwareVersion,
     resumes: plan.call.resumes,
     lastEventId: plan.call.lastEventId,
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -156,7 +156,7 @@
     this.cancelWait()
     this.currentAttempt?.cancel()
     this.trackedCall?.finish('none')
-    this.writeLog('call.end', { outcome: reason, firstPartMs: this.timings.firstPartMs() })
+    this.writeLog('call.end', { outcome: reason, ...this.timings.list() })
     this.resolveFinished()
   }
 
@@ -240,27 +240,23 @@
    * Returns undefined if the request must not be sent.
    */
   private buildHeaders(candidate: Candidate): HeaderList | undefined {
-    const { context, plan } = this
+    const { context, plan, relay } = this
     const leftMs = Math.floor(plan.deadline - context.timers.now())
+    const firstPartMs = context.timers.now() - plan.arrivedAt + candidate.expectedMs
     if (leftMs <= 0 || this.isFinished || isCallerDisconnected(this.response)) return undefined
     if (plan.team && !isProofFresh(context)) return undefined
     this.sentTo.add(candidate.server.id)
     this.mayHaveRun = true
+    this.timings.recordWrite()
     return context.backend.encodeHeaders({
       ...buildSendFields(plan, candidate),
       bodyBytes: this.body.length,
       leftMs,
-      priority: this.resolveAttemptPriority(candidate),
-      lastEventId: this.relay.lastEventId() ?? plan.call.lastEventId,
+      priority: relay.hasBegun() ? plan.priority : resolveSendPriority(plan, firstPartMs),
+      lastEventId: relay.lastEventId() ?? plan.call.lastEventId,
     })
   }
 
-  private resolveAttemptPriority({ expectedMs }: Candidate): number {
-    const { plan, context, relay } = this
-    if (relay.hasBegun()) return plan.priority
-    return resolveSendPriority(plan, context.timers.now() - plan.arrivedAt + expectedMs)
-  }
-
   private recordAttempt(candidate: Candidate): void {
     const { context, plan } = this
     const { server, uncachedTokens } = candidate
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -177,6 +177,6 @@
     ? findDeadlineRefusal(context, plan, best, log)
     : undefined
   if (deadlineRefusal) return deadlineRefusal
-  log('call.choice', formatServerChoice(plan, best, allowed.at(1), context.timers.now()))
+  log('call.choice', formatServerChoice(context, plan, best, allowed.at(1)))
   return { kind: 'server', candidate: best }
 }
