fix(control): store each departure before it is acknowledged

What callers saw: requests reached servers that had said that they leave (DRAIN). Cause: control answers 200 to each heartbeat that it can read, but only a registration takes a phase into the replicated log. A draining server that is held until its software version is open, of a group that no table names, or displaced from its address has none: its word lived in the memory of one leader and changed with the heartbeat that came last, or was dropped as late. An earlier ready heartbeat that came after it, or a new leader, registered the server as ready. Class: acknowledged, and kept in nothing that survives. The intake proposes the departure of a server that is not registered, and answers after it is stored. Why it works: what a server is registered as no longer depends on which of its heartbeats comes last, or on what a leader remembers.

--- a/packages/control/src/registry/departureLog.ts
+++ b/packages/control/src/registry/departureLog.ts
@@ -4,7 +4,11 @@
  */
 import type { BackendServerId, Logger, Metrics } from '@spoolgate/core'
 import { LRUCache } from 'lru-cache'
-import { buildServerIdentity, type ServerResult } from '../state/serverState.js'
+import {
+  buildServerIdentity,
+  type DeparturePhase,
+  type ServerResult,
+} from '../state/serverState.js'
 import type {
   FleetOperationName,
   FleetOperationRunner,
@@ -21,7 +25,7 @@
 /** A departure as its server sends it. */
 interface Departure {
   readonly id: BackendServerId
-  readonly phase: 'draining' | 'gone'
+  readonly phase: DeparturePhase
   /** Sequence number of the heartbeat; undefined for a leave message. */
   readonly count?: number
 }
--- a/packages/control/src/registry/heartbeatIntake.ts
+++ b/packages/control/src/registry/heartbeatIntake.ts
@@ -116,6 +116,13 @@
     if (signals.admitHeartbeat(known, count ?? undefined)) recordActivity(id, timers.now() - ageMs)
     return hashRegistration(known) === digest
   }
+  /** Stores a departure before it is acknowledged, although no registration takes it. */
+  const recordDeparture = async (server: RegisteredServer, reason: string) => {
+    const { id, phase } = server
+    if (phase === 'ready' || servers.findDeparture(id) || servers.isIncarnationEnded(server)) return
+    await member.propose({ kind: 'server.retire', id, phase })
+    logger.info('server.departureStored', { server: id, phase, reason })
+  }
   return {
     resolveLeave: (name, startedAt) => {
       heldRegistrations.remove(name)
@@ -141,14 +148,21 @@
           from: name,
           reason: `unknown group ${group}`,
         })
+        await recordDeparture(server, 'unknownGroup')
         return { phase: server.phase, isRegistered: false }
       }
+      if (!signals.admitHeartbeat(server, count)) {
+        await recordDeparture(server, 'late')
+        return { phase: servers.find(id)?.phase ?? 'gone' }
+      }
       const known = servers.find(id)
-      if (!signals.admitHeartbeat(server, count)) return { phase: known?.phase ?? 'gone' }
       recordActivity(id, timers.now())
       if (known && isSameRegistration(known, mergeServer(known, server)))
         return { phase: known.phase }
-      if (heldRegistrations.hold(server)) return { phase: server.phase, isRegistered: false }
+      if (heldRegistrations.hold(server)) {
+        await recordDeparture(server, 'held')
+        return { phase: server.phase, isRegistered: false }
+      }
       logger.info('server.observed', {
         server: id,
         group,
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -14,6 +14,9 @@
 /** Lifecycle phase of one incarnation of a backend server; it only advances. */
 export type ServerPhase = 'ready' | 'draining' | 'gone'
 
+/** Phase of an incarnation that departs. */
+export type DeparturePhase = Exclude<ServerPhase, 'ready'>
+
 /** Weights loaded by a backend server. */
 export interface LoadedWeights {
   readonly model: string
@@ -54,7 +57,7 @@
 export interface RetireServer {
   readonly kind: 'server.retire'
   readonly id: BackendServerId
-  readonly phase: 'draining' | 'gone'
+  readonly phase: DeparturePhase
 }
 
 /** Result of {@link ObserveServer} and {@link RetireServer}. */
@@ -71,6 +74,8 @@
 export interface SavedServers {
   readonly servers: readonly SavedServer[]
   readonly retired: readonly BackendServerId[]
+  /** Incarnations that are draining, registered or not; absent from snapshots written before version 0.11. */
+  readonly draining?: readonly BackendServerId[]
   /** Latest start time of each server; absent from snapshots written before version 0.4. */
   readonly starts?: readonly (readonly [ServerName, number])[]
 }
@@ -84,6 +89,8 @@
   list(): readonly RegisteredServer[]
   /** Whether an incarnation has left or its server has restarted. An ended incarnation never returns. */
   isIncarnationEnded(identity: ServerIdentity): boolean
+  /** Returns what an incarnation reported of its departure, whether it is registered or not; undefined if nothing. */
+  findDeparture(id: BackendServerId): DeparturePhase | undefined
   /** Increases with each change. */
   revision(): number
   observe(command: ObserveServer): ServerResult
@@ -98,6 +105,8 @@
 const UNKNOWN_START_TIME = 0
 /** Incarnations that left; they are kept so that a late heartbeat does not register one again. */
 const MAX_RETIRED = 2_000
+/** Draining incarnations, which are kept so that a late heartbeat registers none as ready; as many as those that left. */
+const MAX_DRAINING = MAX_RETIRED
 /** Servers whose latest start time is kept, for the same reason: several times the size of a large fleet. */
 const MAX_START_TIMES = 5_000
 
@@ -170,6 +179,10 @@
   return { name: saved.id as string as ServerName, startedAt: UNKNOWN_START_TIME, ...saved }
 }
 
+function listDraining(servers: readonly SavedServer[]): BackendServerId[] {
+  return servers.filter(({ phase }) => phase === 'draining').map(({ id }) => id)
+}
+
 /** Creates an empty registry. */
 export function createServerState(): ServerState {
   const servers = new Map<BackendServerId, RegisteredServer>()
@@ -177,6 +190,8 @@
   const byAddress = new Map<string, RegisteredServer>()
   let listed: readonly RegisteredServer[] | undefined
   const retired = new Set<BackendServerId>()
+  /** Survives the removal of a registration, after which the next heartbeat starts from no known phase. */
+  const draining = new Set<BackendServerId>()
   const startTimes = new Map<ServerName, number>()
   let revision = 0
 
@@ -211,6 +226,15 @@
       if (other && other.id !== server.id) removeServer(other.id)
     }
   }
+  const recordDraining = (id: BackendServerId) => {
+    if (draining.has(id)) return
+    draining.add(id)
+    removeOldest(draining, MAX_DRAINING)
+  }
+  const findDeparture = (id: BackendServerId): DeparturePhase | undefined => {
+    if (retired.has(id)) return 'gone'
+    return draining.has(id) ? 'draining' : undefined
+  }
   const list = () => (listed ??= [...servers.values()])
   return {
     find: (id) => servers.get(id),
@@ -218,6 +242,7 @@
     findByAddress: (address) => byAddress.get(address),
     list,
     isIncarnationEnded,
+    findDeparture,
     revision: () => revision,
     observe: ({ server: saved }) => {
       const server = toRegisteredServer(saved)
@@ -227,7 +252,10 @@
       // An address belongs to one server. The other server is not retired: this may be a late heartbeat of the
       // previous owner of the address, and the next heartbeat of the current owner then corrects the registry.
       removeSupersededServers(server)
-      const merged = mergeServer(servers.get(server.id), server)
+      const reported = mergeServer(servers.get(server.id), server)
+      if (reported.phase === 'draining') recordDraining(server.id)
+      const isDraining = reported.phase === 'ready' && draining.has(server.id)
+      const merged: RegisteredServer = isDraining ? { ...reported, phase: 'draining' } : reported
       setServer(merged)
       return { phase: merged.phase }
     },
@@ -237,14 +265,19 @@
       const known = servers.get(id)
       if (phase === 'gone') {
         removeServer(id)
+        draining.delete(id)
         retired.add(id)
         removeOldest(retired, MAX_RETIRED)
-      } else if (known) setServer({ ...known, phase })
+      } else {
+        recordDraining(id)
+        if (known) setServer({ ...known, phase })
+      }
       return { phase }
     },
     save: () => ({
       servers: list(),
       retired: [...retired],
+      draining: [...draining],
       starts: [...startTimes],
     }),
     load: (saved) => {
@@ -252,6 +285,8 @@
       for (const server of saved.servers) setServer(toRegisteredServer(server))
       retired.clear()
       for (const id of saved.retired) retired.add(id)
+      draining.clear()
+      for (const id of saved.draining ?? listDraining(saved.servers)) draining.add(id)
       startTimes.clear()
       for (const [name, startedAt] of saved.starts ?? []) startTimes.set(name, startedAt)
       revision += 1
