fix(control): refuse a leave message that cannot be attributed to a start

Cause: a leave message without a start time that comes within 5 s of a new start may be of the start before. Only platforms whose heartbeats have start times are concerned.

--- a/packages/control/src/__tests__/departureFleet.ts
+++ b/packages/control/src/__tests__/departureFleet.ts
@@ -88,9 +88,14 @@
       }
       return isAcknowledged(leader.run('observeServer', { server, count }))
     },
-    /** Sends a leave message, with or without its start time; resolves to whether it was acknowledged. */
-    sendLeave: (name: string, leftAt = startedAt) =>
-      isAcknowledged(leader.run('retireServer', { name: toServerName(name), startedAt: leftAt })),
+    /** Sends a leave message, without its start time if `hasStart` is false; resolves to whether it was acknowledged. */
+    sendLeave: (name: string, hasStart = true) =>
+      isAcknowledged(
+        leader.run('retireServer', {
+          name: toServerName(name),
+          startedAt: hasStart ? startedAt : undefined,
+        }),
+      ),
     changeLeader: () => {
       leader.close()
       leader = createLeader()
--- a/packages/control/src/__tests__/departures.spec.ts
+++ b/packages/control/src/__tests__/departures.spec.ts
@@ -42,6 +42,17 @@
     }
   })
 
+  it('is not one that was ignored, since it may be of the start before', async () => {
+    const fleet = createDepartureFleet(START)
+    await fleet.sendHeartbeat({ name: 'a', phase: 'ready', count: 1 })
+    expect(await fleet.sendLeave('a', false)).to.equal(false)
+    expect(fleet.findPhase()).to.equal('ready')
+    fleet.timers.advance(2 * SILENT_AFTER_MS)
+    expect(await fleet.sendLeave('a', false)).to.equal(true)
+    expect(fleet.findPhase()).to.equal(undefined)
+    fleet.close()
+  })
+
   it('is not forgotten in any order of signals, under any leader', async () => {
     const steps = fc.array(fc.constantFrom(...STEPS), { minLength: 2, maxLength: 14 })
     const runs = fc.tuple(fc.constantFrom(...startedAts), fc.constantFrom('g', 'new'), steps)
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -129,6 +129,9 @@
 /** Timeout of requests to the leader, in ms: callers switch to another instance after one second. */
 export const LEADER_TIMEOUT_MS = 850
 
+/** Retry-After of a leave message that may be of an earlier start, in seconds. */
+const LEAVE_RETRY_S = 1
+
 type Handlers = {
   readonly [Name in FleetOperationName]: (
     input: FleetOperations[Name]['input'],
@@ -174,7 +177,13 @@
     observeServers: async ({ entries }) => intake.observeServers(entries),
     retireServer: async ({ name, startedAt }) => {
       const leaving = intake.resolveLeave(name, startedAt)
-      if (!leaving) return { phase: machine.servers.findByName(name)?.phase ?? 'gone' }
+      if (!leaving) {
+        throw new SpoolgateError(
+          'conflict',
+          `it is unknown which start of ${name} leaves; send its start time, or send the message again later`,
+          { retryAfterSeconds: LEAVE_RETRY_S },
+        )
+      }
       const { id } = leaving
       const command = { kind: 'server.retire', id, phase: 'gone' } as const
       const result = (await member.propose(command)) as ServerResult
