fix(control): keep which servers are displaced from their address across leaders

Cause: a heartbeat that a cut delays may arrive after its sender has crashed and another server has its address. The leader that saw the address change drops it, by a record in its own memory. A new leader had none: the late heartbeat took the address back, the running server was removed, its routers got 421 from it for two heartbeats, and its own heartbeats were dropped meanwhile, among them those that say draining. Evidence: the new case of lateHeartbeat.spec failed before ('ready' instead of 'gone', ['old'] registered).

--- a/packages/control/src/__tests__/lateHeartbeat.spec.ts
+++ b/packages/control/src/__tests__/lateHeartbeat.spec.ts
@@ -25,16 +25,18 @@
       return machine.apply(command, 1)
     },
   } as unknown as RaftMember
-  const operations = createFleetOperationRunner({
-    member,
-    machine,
-    client: {} as HttpClient,
-    timers,
-    logger: createQuietLogger(),
-    silentAfterMs: SILENT_AFTER_MS,
-    isKnownGroup: () => true,
-    rejectedInputs: createRejectedInputs({ logger: createQuietLogger(), timers }),
-  })
+  const createOperations = () =>
+    createFleetOperationRunner({
+      member,
+      machine,
+      client: {} as HttpClient,
+      timers,
+      logger: createQuietLogger(),
+      silentAfterMs: SILENT_AFTER_MS,
+      isKnownGroup: () => true,
+      rejectedInputs: createRejectedInputs({ logger: createQuietLogger(), timers }),
+    })
+  let operations = createOperations()
   const sendHeartbeat = (name: string, change: Partial<RegisteredServer> = {}) =>
     operations.run('observeServer', {
       server: {
@@ -52,6 +54,11 @@
     timers,
     proposed: () => proposals,
     sendHeartbeat,
+    /** Starts a leader that has the replicated state only, from a snapshot. */
+    changeLeader: () => {
+      machine.load(JSON.parse(JSON.stringify(machine.save())))
+      operations = createOperations()
+    },
     list: () => machine.servers.list().map(({ id }) => id),
   }
 }
@@ -73,6 +80,16 @@
     expect(list()).to.deep.equal(['new'])
   })
 
+  it('do not take the address back from a new leader when they arrive late', async () => {
+    const { timers, sendHeartbeat, changeLeader, list } = createLeader()
+    await sendHeartbeat('old')
+    await sendHeartbeat('new')
+    changeLeader()
+    timers.advance(1_000)
+    expect(await sendHeartbeat('old')).to.deep.equal({ phase: 'gone' })
+    expect(list()).to.deep.equal(['new'])
+  })
+
   it('take the address back once the other incarnation is silent', async () => {
     const { timers, sendHeartbeat, list } = createLeader()
     await sendHeartbeat('old')
--- a/packages/control/src/registry/serverSignals.ts
+++ b/packages/control/src/registry/serverSignals.ts
@@ -1,7 +1,7 @@
 /**
  * Filters the heartbeats and leave messages of backend servers at the leader. It accepts those of a server's latest
- * start in sequence order, and drops delayed ones of earlier incarnations. This state is not replicated: after a
- * leader change, delayed messages are recognised by their start time alone, and mergeServer reverts nothing for them.
+ * start in sequence order, and drops delayed ones of earlier incarnations. Sequence numbers are not replicated: after a
+ * leader change, delayed messages are recognised by what the registry has of their incarnation, which never goes back.
  */
 import type { BackendServerId, Logger, ServerName, TimerService } from '@spoolgate/core'
 import { LRUCache } from 'lru-cache'
@@ -15,7 +15,10 @@
 
 /** Options of {@link createServerSignals}. */
 export interface ServerSignalsOptions {
-  readonly servers: Pick<ServerState, 'findByName' | 'findByAddress' | 'isIncarnationEnded'>
+  readonly servers: Pick<
+    ServerState,
+    'findByName' | 'findByAddress' | 'isIncarnationEnded' | 'isDisplaced'
+  >
   readonly timers: TimerService
   readonly logger: Logger
   /** Time without a heartbeat after which a backend server counts as silent, in ms. */
@@ -47,8 +50,6 @@
 /** Creates a filter that has received nothing yet. */
 export function createServerSignals(options: ServerSignalsOptions): ServerSignals {
   const { servers, timers, logger, findHeartbeatAgeMs } = options
-  /** Incarnations whose address was taken over by another one while this instance was leader. */
-  const displaced = new LRUCache<BackendServerId, true>({ max: MAX_INCARNATIONS })
   const counts = new LRUCache<BackendServerId, number>({ max: MAX_INCARNATIONS })
   const firstReceivedAt = new LRUCache<BackendServerId, number>({ max: MAX_INCARNATIONS })
 
@@ -62,7 +63,7 @@
    */
   const isDisplaced = ({ id }: RegisteredServer, holder: RegisteredServer | undefined) =>
     holder !== undefined &&
-    displaced.has(id) &&
+    servers.isDisplaced(id) &&
     findHeartbeatAgeMs(holder.id) < options.silentAfterMs
   const findLateReason = (server: RegisteredServer, count: number | undefined) => {
     if (servers.isIncarnationEnded(server)) return 'over'
@@ -71,15 +72,13 @@
     if (isLower && isStartTimeKnown(server)) return 'count'
     return isDisplaced(server, findAddressHolder(server)) ? 'displaced' : undefined
   }
-  const recordDisplacement = (server: RegisteredServer, holder: RegisteredServer) => {
+  const reportDisplacement = (server: RegisteredServer, holder: RegisteredServer) => {
     logger.info('server.displaced', {
       server: holder.id,
       by: server.id,
       address: server.address,
       silentMs: Math.round(findHeartbeatAgeMs(holder.id)),
     })
-    displaced.set(holder.id, true)
-    displaced.delete(server.id)
   }
   const reportRestart = (server: RegisteredServer) => {
     const before = servers.findByName(server.name)
@@ -101,7 +100,7 @@
         return false
       }
       const holder = findAddressHolder(server)
-      if (holder) recordDisplacement(server, holder)
+      if (holder) reportDisplacement(server, holder)
       reportRestart(server)
       if (count !== undefined) counts.set(id, count)
       if (!firstReceivedAt.has(id)) firstReceivedAt.set(id, timers.now())
--- a/packages/control/src/state/serverState.ts
+++ b/packages/control/src/state/serverState.ts
@@ -76,6 +76,8 @@
   readonly retired: readonly BackendServerId[]
   /** Incarnations that are draining, registered or not; absent from snapshots written before version 0.11. */
   readonly draining?: readonly BackendServerId[]
+  /** Incarnations whose address another one has; absent from snapshots written before version 0.11. */
+  readonly displaced?: readonly BackendServerId[]
   /** Latest start time of each server; absent from snapshots written before version 0.4. */
   readonly starts?: readonly (readonly [ServerName, number])[]
 }
@@ -89,6 +91,8 @@
   list(): readonly RegisteredServer[]
   /** Whether an incarnation has left or its server has restarted. An ended incarnation never returns. */
   isIncarnationEnded(identity: ServerIdentity): boolean
+  /** Whether another incarnation took the address of this one, which has not been registered again since. */
+  isDisplaced(id: BackendServerId): boolean
   /** Returns what an incarnation reported of its departure, whether it is registered or not; undefined if nothing. */
   findDeparture(id: BackendServerId): DeparturePhase | undefined
   /** Increases with each change. */
@@ -107,6 +111,8 @@
 const MAX_RETIRED = 2_000
 /** Draining incarnations, which are kept so that a late heartbeat registers none as ready; as many as those that left. */
 const MAX_DRAINING = MAX_RETIRED
+/** Displaced incarnations that are kept; as many as those that left. */
+const MAX_DISPLACED = MAX_RETIRED
 /** Servers whose latest start time is kept, for the same reason: several times the size of a large fleet. */
 const MAX_START_TIMES = 5_000
 
@@ -192,6 +198,7 @@
   const retired = new Set<BackendServerId>()
   /** Survives the removal of a registration, after which the next heartbeat starts from no known phase. */
   const draining = new Set<BackendServerId>()
+  const displaced = new Set<BackendServerId>()
   const startTimes = new Map<ServerName, number>()
   let revision = 0
 
@@ -220,8 +227,16 @@
     startTimes.set(name, startedAt)
     removeOldest(startTimes, MAX_START_TIMES)
   }
+  const recordDisplaced = (server: RegisteredServer) => {
+    displaced.delete(server.id)
+    const holder = byAddress.get(server.address)
+    if (!holder || holder.name === server.name) return
+    displaced.add(holder.id)
+    removeOldest(displaced, MAX_DISPLACED)
+  }
   /** Removes the earlier incarnation of a server and any other server registered at its address. */
   const removeSupersededServers = (server: RegisteredServer) => {
+    recordDisplaced(server)
     for (const other of [byName.get(server.name), byAddress.get(server.address)]) {
       if (other && other.id !== server.id) removeServer(other.id)
     }
@@ -242,6 +257,7 @@
     findByAddress: (address) => byAddress.get(address),
     list,
     isIncarnationEnded,
+    isDisplaced: (id) => displaced.has(id),
     findDeparture,
     revision: () => revision,
     observe: ({ server: saved }) => {
@@ -265,7 +281,7 @@
       const known = servers.get(id)
       if (phase === 'gone') {
         removeServer(id)
-        draining.delete(id)
+        for (const ids of [draining, displaced]) ids.delete(id)
         retired.add(id)
         removeOldest(retired, MAX_RETIRED)
       } else {
@@ -278,6 +294,7 @@
       servers: list(),
       retired: [...retired],
       draining: [...draining],
+      displaced: [...displaced],
       starts: [...startTimes],
     }),
     load: (saved) => {
@@ -287,6 +304,8 @@
       for (const id of saved.retired) retired.add(id)
       draining.clear()
       for (const id of saved.draining ?? listDraining(saved.servers)) draining.add(id)
+      displaced.clear()
+      for (const id of saved.displaced ?? []) displaced.add(id)
       startTimes.clear()
       for (const [name, startedAt] of saved.starts ?? []) startTimes.set(name, startedAt)
       revision += 1
