fix(control): bound how long a new leader holds routers for cache lists

Cause: a router that polls a new leader is held until every engine and store has answered once, each for 100 ms at most. While engines register one after the other there is always one that has not: the router waits on, and learns of no departure meanwhile. Class: a signal waits behind something that others can prolong. Change: the wait ends after 100 ms, whatever registers meanwhile. Evidence: the new case of cacheWatch.spec failed before; feedStartup.spec (400 routers, 600 engines) passes.

--- a/packages/control/src/__tests__/cacheWatch.spec.ts
+++ b/packages/control/src/__tests__/cacheWatch.spec.ts
@@ -272,6 +272,12 @@
       return {
         timers,
         reported,
+        /** Registers one engine more, which does not answer either. */
+        addEngine: (name: string) => {
+          const identity = buildServerIdentity(toServerName(name), undefined)
+          const added = { ...server, ...identity, address: `${name}:1` }
+          machine.apply({ kind: 'server.observe', server: added }, 2)
+        },
         isReported: () => isReported,
         release: () => release(answer),
         finish,
@@ -299,5 +305,16 @@
       expect(engine.isReported()).to.equal(true)
       await engine.finish()
     })
+
+    it('does not keep routers waiting while one engine after the other registers', async () => {
+      const engine = watchSlowEngine()
+      for (const name of ['e2', 'e3']) {
+        engine.timers.advance(50)
+        engine.addEngine(name)
+        await settle()
+      }
+      expect(engine.isReported()).to.equal(true)
+      await engine.finish()
+    })
   })
 })
--- a/packages/control/src/registry/cacheWatch.ts
+++ b/packages/control/src/registry/cacheWatch.ts
@@ -8,6 +8,7 @@
   firstValueFrom,
   merge,
   mergeMap,
+  race,
   Subject,
   Subscription,
   type Observable,
@@ -257,8 +258,13 @@
     listReachableStores: () => [...storeEpochs].map(([address, epoch]) => ({ address, epoch })),
     directory,
     waitForFirstAnswers: async () => {
-      const isOver = settledChanges.pipe(filter(isEachSettled))
-      if (!isEachSettled()) await firstValueFrom(isOver, { defaultValue: undefined })
+      if (isEachSettled()) return
+      // Engines may register all the time, and none of them may delay what else a reply contains.
+      const isOver = race(
+        settledChanges.pipe(filter(isEachSettled)),
+        timers.after(FIRST_ANSWERS_TIMEOUT_MS),
+      )
+      await firstValueFrom(isOver, { defaultValue: undefined })
     },
     changes,
     close: async () => {
