fix(router): look at a server's departure again before the request is written

Cause: between the choice of a server and the first byte lies a wait for a connection, 0.3 s at most, and more where the router is short of processor time. What the router learned meanwhile was not looked at. Change: right before it is written, a request is withheld from a server that control reports as draining or no longer has, or that announced its shutdown itself; it goes to another one, without a retry from the budget.

--- a/packages/router/src/__tests__/sendAttempt.spec.ts
+++ b/packages/router/src/__tests__/sendAttempt.spec.ts
@@ -28,18 +28,28 @@
     await new Promise((resolve) => server.close(resolve))
   })
 
-  const start = () =>
+  const start = (findObstacle: () => string | undefined = () => undefined) =>
     startAttempt({
       agent,
       timers: createTimerService(),
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
       method: 'POST',
       target: '/',
+      findObstacle,
       buildHeaders: () => [['host', 'h.example']],
       body: Buffer.from('body'),
       connectMs: 5_000,
     })
 
+  it('keeps a request from a server that departs while its connection is established', async () => {
+    let isDeparting = false
+    const attempt = start(() => (isDeparting ? 'it departs' : undefined))
+    isDeparting = true
+    expect(await attempt.result).to.deep.equal({ kind: 'withheld', reason: 'it departs' })
+    expect(attempt.wasWritten()).to.equal(false)
+    expect(requests).to.equal(0)
+  })
+
   it('does not count as a possible run before a byte was sent', async () => {
     const attempt = start()
     expect(attempt.withdraw('why')).to.equal(true)
--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -20,6 +20,8 @@
   readonly address: string
   readonly method: string
   readonly target: string
+  /** Returns, immediately before sending, why the request should go to another server; undefined if it should not. */
+  readonly findObstacle: () => string | undefined
   /** Builds the headers immediately before sending; undefined forbids sending. */
   readonly buildHeaders: () => HeaderList | undefined
   readonly body: Buffer
@@ -85,6 +87,8 @@
     const write = () => {
       connectTimer.unsubscribe()
       if (isCancelled) return
+      const obstacle = options.findObstacle()
+      if (obstacle !== undefined) return void withdraw(obstacle)
       const headers = options.buildHeaders()
       if (!headers) {
         resolve({
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -42,6 +42,7 @@
 import { hashRequest } from './requestFingerprint.js'
 import { listSharedParts } from '../parts/sharedParts.js'
 import { admitAttempt, type AdmittedAttempt, type RequestState } from './attemptAdmission.js'
+import { findDepartureReason } from './serverAvailability.js'
 import { findGroupRetryAfterSeconds } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
 import { buildSendFields, formatCall, formatSendEnd, recordSend } from './sendRecord.js'
@@ -295,6 +296,7 @@
       address: candidate.server.address,
       method: plan.call.method,
       target: plan.call.target,
+      findObstacle: () => findDepartureReason(context, candidate.server.id, context.timers.now()),
       buildHeaders: () => this.buildHeaders(candidate),
       body: this.body,
       connectMs: CONNECT_TIMEOUT_MS,
