--- a/packages/control/src/__tests__/feedSimulation.ts
+++ b/packages/control/src/__tests__/feedSimulation.ts
@@ -9,11 +9,11 @@
   createQuietLogger,
   createRandomSource,
   createTurnQueue,
-  toServerName,
+  type BackendServerId,
   type HttpClient,
   type ManualTimerService,
 } from '@spoolgate/core'
-import { formatCacheScope, type RoutingTable } from '@spoolgate/routing'
+import type { RoutingTable } from '@spoolgate/routing'
 import { EventEmitter } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { NEVER } from 'rxjs'
@@ -24,10 +24,8 @@
 import { createFeedSource, type FeedSource } from '../registry/feedSource.js'
 import { createTableSource, type TableRequest } from '../registry/tableSource.js'
 import { createTableHistory } from '../table/tableHistory.js'
-import { createCacheDirectory } from '../registry/cacheDirectory.js'
 import type { RaftMember } from '../raft/types.js'
-import { createControlStateMachine } from '../state/controlMachine.js'
-import { buildServerIdentity } from '../state/serverState.js'
+import { buildDocument, createDirectory, createMachine } from './feedFixtures.js'
 import {
   NO_LIMITS,
   NO_PARTS,
@@ -72,6 +70,16 @@
   putTable(version: number, routes: number): void
   /** By router, time from the acceptance of a version until the router had it or a newer one, in ms. */
   listPropagationMs(version: number): readonly (number | undefined)[]
+  /** Stores that the first `count` engines are draining. */
+  departEngines(count: number): void
+  /** By router, time from the departure until its view showed all of it, in ms. */
+  readonly departureMs: readonly (number | undefined)[]
+  /** Ends the leader; another instance leads after `downMs`. */
+  loseLeader(downMs: number): void
+  /** Suspends the first `count` routers for a while: they neither send nor read. */
+  suspendRouters(count: number, ms: number): void
+  /** Bytes of all replies of leaders. */
+  countReplyBytes(): number
   run(duration: number): Promise<void>
   close(): Promise<void>
 }
@@ -95,11 +103,6 @@
 const WARM_UP_FACTORS = [2.8, 2.1]
 const BITS_PER_BYTE = 8
 const BITS_PER_MS_AND_MBPS = 1_000
-const ROUTES = 44
-const HOSTS = 80
-const NAMES_PER_ROUTE = 2
-const RULE_BYTES = 180
-const TEAMS = 140
 
 /** A processor or link that serves requests in sequence. */
 interface Resource {
@@ -137,74 +140,33 @@
   readonly mbps: number
 }
 
-/** Builds a routing table; with {@link ROUTES} it is as large as at the users' sites, about 30 KB. */
-export function buildDocument(version: number, routeCount: number): string {
-  const random = createRandomSource(routeCount)
-  const routes = Array.from({ length: routeCount }, (_, index) => ({
-    name: `r-${index}`,
-    host: `host${index % HOSTS}.example`,
-    prefix: `/prefix${index}/a/b/`,
-    // Unique names, so that the table compresses realistically, to a twelfth of its size.
-    names: Array.from({ length: NAMES_PER_ROUTE }, () => random.next().toString(36).slice(2, 10)),
-    rules: 'x'.repeat(RULE_BYTES),
-  }))
-  const teams = Array.from({ length: TEAMS }, (_, index) => ({
-    name: `team${index}`,
-    keys: ['k'.repeat(20), 'l'.repeat(20)],
-  }))
-  return JSON.stringify({ version, routes, teams })
-}
-
-function createMachine(engines: number) {
-  const machine = createControlStateMachine()
-  machine.apply({ kind: 'table.put', version: 7, document: buildDocument(7, ROUTES) }, 1)
-  for (let index = 0; index < engines; index += 1) {
-    const server = {
-      ...buildServerIdentity(toServerName(`i-${1e9 + index}`), undefined),
-      group: 'models',
-      address: `10.0.${index}.9:8080`,
-      hall: 'hall',
-      phase: 'ready' as const,
-      slots: 24,
-      weights: [{ model: 'model', version: 4 }],
-    }
-    machine.apply({ kind: 'server.observe', server }, index + 2)
-  }
-  return machine
-}
-
-function createDirectory({ engines, partsPerEngine }: FeedSimulationOptions) {
-  const directory = createCacheDirectory()
-  const scope = formatCacheScope(undefined, 4)
-  for (let index = 0; index < engines; index += 1) {
-    const location = { kind: 'engine', id: `i-${1e9 + index}`, address: 'a' } as const
-    const parts = Array.from({ length: partsPerEngine }, (_, part) => ({
-      scope,
-      id: `${index}/${part}`,
-      tokens: 1_000 + part,
-    }))
-    directory.apply(location, parts)
-  }
-  return directory
-}
-
 /** Starts a simulation whose routers use the first three control instances as seeds. */
 export function createFeedSimulation(options: FeedSimulationOptions): FeedSimulation {
   const timers = createManualTimerService()
   const machine = createMachine(options.engines)
   const directory = createDirectory(options)
   const urls = Array.from({ length: INSTANCES }, (_, index) => `http://control-${index}`)
-  const leaderUrl = urls[INSTANCES - 1]
-  const isElected = () => timers.now() >= options.electedAt
+  let leaderUrl = urls[INSTANCES - 1]
+  let term = TERM
+  let electedAt = options.electedAt
+  const isElected = () => timers.now() >= electedAt
   const lines: string[] = []
   let leaderRequests = 0
+  let replyBytes = 0
+  /** Ended instances; nothing answers there. */
+  const ended = new Set<string>()
+  const suspendedUntil = new Map<Host, number>()
+  const waitWhileSuspended = async (router: Host) => {
+    const leftMs = (suspendedUntil.get(router) ?? 0) - timers.now()
+    if (leftMs > 0) await new Promise<void>((done) => timers.after(leftMs).subscribe(() => done()))
+  }
   let longestLagMs = 0
 
   const createMember = (url: string) =>
     ({
       status: () => ({
         role: url === leaderUrl && isElected() ? 'leader' : 'follower',
-        term: isElected() ? TERM : TERM - 1,
+        term: isElected() ? term : term - 1,
         leader: isElected() ? leaderUrl : undefined,
         leaderUrl: isElected() ? leaderUrl : undefined,
         members: Object.fromEntries(urls.map((each) => [each, { url: each, kind: 'voter' }])),
@@ -288,6 +250,8 @@
   ) => {
     const { source, host } = instances.get(url) as { source: FeedSource; host: Host }
     const requestText = JSON.stringify(json)
+    await waitWhileSuspended(router)
+    if (ended.has(url)) throw new ConnectionError('connection refused', true, true)
     await transfer(router, requestText.length)
     await new Promise<void>((resolve) => timers.after(NETWORK_DELAY_MS).subscribe(() => resolve()))
     await runTask(host, REQUEST_MS + requestText.length * READ_MS_PER_BYTE)
@@ -297,8 +261,11 @@
     await runTask(host, REQUEST_MS + reply.length * WRITE_MS_PER_BYTE)
     if (url === leaderUrl) longestLagMs = Math.max(longestLagMs, host.processor.backlogMs())
     if (response.destroyed) throw new Error('the caller has aborted the request')
+    if (ended.has(url)) throw new ConnectionError('connection reset', false, true)
+    if (url === leaderUrl) replyBytes += reply.length
     await transfer(host, reply.length)
     await transfer(router, reply.length)
+    await waitWhileSuspended(router)
     await runTask(router, REQUEST_MS + reply.length * READ_MS_PER_BYTE)
     return JSON.parse(reply) as never
   }
@@ -325,9 +292,14 @@
   const tableMs: (number | undefined)[] = []
   const accepted = new Map<number, AcceptedTable>()
   const cachedParts: number[] = []
+  const departureMs: (number | undefined)[] = []
+  let departure: { readonly at: number; readonly ids: readonly BackendServerId[] } | undefined
+  const hosts: Host[] = []
   const followers = Array.from({ length: options.routers }, (_, index) => {
     const host = createHost(options.routerCores, options.routerMbps)
+    hosts.push(host)
     cachedParts.push(0)
+    departureMs.push(undefined)
     tableMs.push(undefined)
     const follower = createFeedClient({
       router: `router-${index}`,
@@ -353,7 +325,9 @@
         for (const [, , ...pairs] of placements) cachedParts[index] += pairs.length / 2
       },
     })
-    follower.changes.subscribe(({ index: { table } }) => {
+    follower.changes.subscribe(({ index: { table }, servers }) => {
+      if (departure?.ids.every((id) => servers.get(id)?.phase === 'draining'))
+        departureMs[index] ??= timers.now() - departure.at
       tableMs[index] ??= timers.now() - options.electedAt
       for (const [version, { acceptedAt, propagationMs }] of accepted) {
         if (table.version >= version) propagationMs[index] ??= timers.now() - acceptedAt
@@ -388,6 +362,26 @@
         version,
       )
     },
+    departEngines: (count) => {
+      const ids = machine.servers
+        .list()
+        .slice(0, count)
+        .map(({ id }) => id)
+      departure = { at: timers.now(), ids }
+      for (const id of ids) machine.apply({ kind: 'server.retire', id, phase: 'draining' }, 1)
+    },
+    departureMs,
+    loseLeader: (downMs) => {
+      ended.add(leaderUrl)
+      leaderUrl = urls[INSTANCES - 2]
+      term += 1
+      electedAt = timers.now() + downMs
+      void instances.get(leaderUrl)?.host.processor.use(options.listingMs)
+    },
+    suspendRouters: (count, ms) => {
+      for (const host of hosts.slice(0, count)) suspendedUntil.set(host, timers.now() + ms)
+    },
+    countReplyBytes: () => replyBytes,
     listPropagationMs: (version) => accepted.get(version)?.propagationMs ?? [],
     run,
     close: async () => {
--- a/packages/control/src/__tests__/largeEntries.spec.ts
+++ b/packages/control/src/__tests__/largeEntries.spec.ts
@@ -1,7 +1,7 @@
 import { createLogger } from '@spoolgate/core'
 import { expect } from 'chai'
 import { createTableWriter } from '../registry/tableWriter.js'
-import { buildDocument } from './feedSimulation.js'
+import { buildDocument } from './feedFixtures.js'
 import { createTestGroup, type TestGroup, type TestMember } from './group.js'
 
 /** Size of a routing table with many routes, in bytes. */
--- a/packages/control/src/__tests__/tableUpdate.spec.ts
+++ b/packages/control/src/__tests__/tableUpdate.spec.ts
@@ -4,7 +4,7 @@
 import { createTableHistory } from '../table/tableHistory.js'
 import { applyTableUpdate, buildTableUpdate, type VersionedTable } from '../table/tableUpdate.js'
 import { applyTextPatch, buildTextPatch } from '../table/textPatch.js'
-import { buildDocument } from './feedSimulation.js'
+import { buildDocument } from './feedFixtures.js'
 
 const SEED = 35
 /** Texts with many repeated segments in any order. */
