fix: an unexpected error in a listener ends its connection, not the process

Cause: Node calls the listeners of a socket, a request or a response from its event loop. What such a listener throws is an uncaught exception, and a rejected promise that it leaves behind is an unhandled rejection; both end the process. The listeners of the direct path that set a header ('socket', 'connect') or send a head ('data', 'end') run on values from outside. The class is the listener, not the value: also the deadline of a request, its 'close', and the answer to an error in core's server.

Change: ConnectionGuard in core runs the listeners of one connection. What one throws is logged with its place, reason and stack, counted in connection_failures, and ends that connection: an attempt that was not written goes to another server, a stream counts as broken off, a caller's connection is closed. Header fields are set before a request counts as written. A violated invariant, where invariants are fatal, and a failed disk end the process as before.

Evidence: the tests in sendAttempt.spec (header field that cannot be written) on: Uncaught TypeError [ERR_INVALID_CHAR] in Socket.write of sendAttempt.js; now withheld, nothing written.

--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -78,6 +78,7 @@
     host: options.host,
     port: options.port,
     logger,
+    metrics,
     timers,
     routes: [],
     onConnection: recordConnection,
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -141,6 +141,7 @@
     host: options.host,
     port: options.port,
     logger,
+    metrics,
     timers,
     routes: [],
     onConnection: recordConnection,
--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -145,6 +145,7 @@
     port: options.port,
     tls: options.tls,
     logger,
+    metrics,
     timers,
     routes: [],
   })
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -13,9 +13,11 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { Subscription } from 'rxjs'
 import { createConnectionEnds } from './connectionEnds.js'
+import { createConnectionGuard } from './connectionGuard.js'
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
 import { isSameSecret } from './keys.js'
 import type { Logger } from './logger.js'
+import type { Metrics } from './metrics.js'
 import { createTurnQueue } from './turnQueue.js'
 import { waitFor, type TimerService } from './timers.js'
 
@@ -62,6 +64,11 @@
   readonly port: number
   readonly routes: readonly Route[]
   readonly logger: Logger
+  /**
+   * Registry that counts connections ended by an unexpected error.
+   * @default undefined, they are only logged
+   */
+  readonly metrics?: Pick<Metrics, 'counter'>
   /** Clock and timers; TLS files are checked for changes by it. */
   readonly timers: TimerService
   /**
@@ -268,27 +275,47 @@
   const sockets = new Set<Socket>()
   const closedTraffic = { received: 0, sent: 0 }
   const ends = createConnectionEnds(options.logger)
+  const guard = createConnectionGuard(options)
   let isClosing = false
   let notifyIdle: () => void = () => {}
 
-  server.on('connection', (socket: Socket) => {
+  const handleConnection = (socket: Socket) => {
     sockets.add(socket)
-    options.onConnection?.()
     socket.once('close', () => {
       sockets.delete(socket)
       closedTraffic.received += socket.bytesRead
       closedTraffic.sent += socket.bytesWritten
     })
-  })
-  server.on('request', (request, response) => {
+    options.onConnection?.()
+  }
+  const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
     const onEnd = () => {
       active.delete(response)
       if (active.size === 0) notifyIdle()
     }
     if (!ends.take(request, response, onEnd)) return
     active.add(response)
-    dispatch(request, response).catch((cause) => sendError(response, cause))
-  })
+    dispatch(request, response)
+      .catch((cause) => sendError(response, cause))
+      .catch((cause) => {
+        guard.recordFailure('server.request', cause)
+        response.destroy()
+      })
+  }
+  server.on('connection', (socket: Socket) =>
+    guard.run(
+      'server.connection',
+      () => handleConnection(socket),
+      () => socket.destroy(),
+    ),
+  )
+  server.on('request', (request, response) =>
+    guard.run(
+      'server.request',
+      () => handleRequest(request, response),
+      () => response.destroy(),
+    ),
+  )
   await waitUntilListening(server, options.host, options.port)
   const tlsWatch: Subscription | undefined = options.tls
     ? watchTlsFiles(server as TlsServer, options.tls, options)
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -82,5 +82,10 @@
   type HttpRequest,
 } from './httpClient.js'
 export { createConnectionEnds, type ConnectionEnds } from './connectionEnds.js'
+export {
+  createConnectionGuard,
+  type ConnectionGuard,
+  type ConnectionGuardOptions,
+} from './connectionGuard.js'
 export { createDaemonRoutes, createMetricsRoute } from './daemonRoutes.js'
 export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
--- a/packages/router/src/__tests__/responseRelay.spec.ts
+++ b/packages/router/src/__tests__/responseRelay.spec.ts
@@ -1,8 +1,10 @@
-import { get, type Agent, type IncomingMessage } from 'node:http'
+import { get, type Agent, type IncomingMessage, type ServerResponse } from 'node:http'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { createKeepAliveAgent } from '@spoolgate/core'
+import { PassThrough } from 'node:stream'
+import type { RegisteredServer } from '@spoolgate/control'
+import { createConnectionGuard, createKeepAliveAgent, createQuietLogger } from '@spoolgate/core'
 import { expect } from 'chai'
-import { readResponseBody } from '../direct/responseRelay.js'
+import { createStreamRelay, readResponseBody } from '../direct/responseRelay.js'
 
 type ConnectionScript = (socket: Socket, turn: number) => void
 
@@ -87,3 +89,28 @@
     expect(body?.toString()).to.equal('right')
   })
 })
+
+describe('relaying a stream whose head cannot be sent', () => {
+  // An exception in the listener of the response ended the process.
+  it('ends the attempt with the connection of the server, and nothing else', async () => {
+    const server = await startScriptedServer((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nid: 1\ndata: x\n\n')
+    })
+    const agent = createKeepAliveAgent({ idleMs: 5_000, marginMs: 100 })
+    const message = await sendGet(server, agent)
+    const writeHead = () => {
+      throw new RangeError('not a status')
+    }
+    const relay = createStreamRelay({
+      response: Object.assign(new PassThrough(), { writeHead }) as unknown as ServerResponse,
+      guard: createConnectionGuard({ logger: createQuietLogger() }),
+      isResumable: true,
+      onChunk: () => {},
+    })
+    expect(await relay.relay(message, [], {} as RegisteredServer)).to.equal('broken')
+    expect(message.destroyed).to.equal(true)
+    expect(relay.hasBegun()).to.equal(false)
+    agent.destroy()
+    server.close()
+  })
+})
--- a/packages/router/src/__tests__/sendAttempt.spec.ts
+++ b/packages/router/src/__tests__/sendAttempt.spec.ts
@@ -1,10 +1,13 @@
-import { createTimerService } from '@spoolgate/core'
+import { createConnectionGuard, createQuietLogger, createTimerService } from '@spoolgate/core'
 import { expect } from 'chai'
 import { Agent, createServer, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { HeaderList } from '../direct/protocols.js'
 import { startAttempt } from '../direct/sendAttempt.js'
 
 describe('withdrawal of an attempt', () => {
+  const timers = createTimerService()
+  const guard = createConnectionGuard({ logger: createQuietLogger() })
   let server: Server
   let agent: Agent
   let arrived: Promise<ServerResponse>
@@ -28,18 +31,22 @@
     await new Promise((resolve) => server.close(resolve))
   })
 
-  const start = (findObstacle: () => string | undefined = () => undefined) =>
-    startAttempt({
-      agent,
-      timers: createTimerService(),
-      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-      method: 'POST',
-      target: '/',
-      findObstacle,
-      buildHeaders: () => [['host', 'h.example']],
-      body: Buffer.from('body'),
-      connectMs: 5_000,
-    })
+  const start = (
+    findObstacle: () => string | undefined = () => undefined,
+    headers: HeaderList = [['host', 'h.example']],
+  ) =>
+    startAttempt(
+      { agent, timers, guard },
+      {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        method: 'POST',
+        target: '/',
+        findObstacle,
+        buildHeaders: () => headers,
+        body: Buffer.from('body'),
+        connectMs: 5_000,
+      },
+    )
 
   it('keeps a request from a server that departs while its connection is established', async () => {
     let isDeparting = false
@@ -50,6 +57,14 @@
     expect(requests).to.equal(0)
   })
 
+  // An exception in the listener of the connection ended the process.
+  it('withholds a request with a header field that cannot be written', async () => {
+    const attempt = start(undefined, [['x-name', 'line\nbreak']])
+    expect(await attempt.result).to.deep.include({ kind: 'withheld' })
+    expect(attempt.wasWritten()).to.equal(false)
+    expect(requests).to.equal(0)
+  })
+
   it('does not count as a possible run before a byte was sent', async () => {
     const attempt = start()
     expect(attempt.withdraw('why')).to.equal(true)
--- /dev/null
+++ b/packages/router/src/direct/callerServer.ts
@@ -0,0 +1,73 @@
+/** The HTTP server for callers: its connections, and the bounds that the routing table in force sets on them. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { FeedClient } from '@spoolgate/control'
+import type { ConnectionGuard } from '@spoolgate/core'
+import type { GracefulShutdown, TrackedRequest } from './gracefulShutdown.js'
+
+/** Options of {@link createCallerServer}. */
+export interface CallerServerOptions {
+  readonly feed: Pick<FeedClient, 'changes'>
+  readonly shutdown: Pick<GracefulShutdown, 'track'>
+  readonly guard: ConnectionGuard
+  /** Serves a request; a rejected promise closes its connection. */
+  readonly handleRequest: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    tracked: TrackedRequest,
+  ) => Promise<void>
+}
+
+/** A server that does not listen yet. */
+export interface CallerServer {
+  readonly server: Server
+  /** Cuts all connections. */
+  close(): void
+}
+
+/** Maximum size of the request headers, in bytes: twice what routing tables allow, which is checked later. */
+const MAX_HEADER_BYTES = 32_768
+/** Timeouts until the first routing table arrives, in ms. */
+const INITIAL_HEADERS_TIMEOUT_MS = 3_000
+const INITIAL_KEEP_ALIVE_MS = 15_000
+
+/** Creates the server. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  const { feed, shutdown, guard } = options
+  const sockets = new Set<Socket>()
+  const server = createServer({
+    headersTimeout: INITIAL_HEADERS_TIMEOUT_MS,
+    keepAliveTimeout: INITIAL_KEEP_ALIVE_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    requestTimeout: 0,
+    noDelay: true,
+  })
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
+  server.on('request', (request, response) => {
+    const abandon = () => void response.destroy()
+    const handle = () => {
+      const tracked = shutdown.track(request, response)
+      if (!tracked) return
+      options.handleRequest(request, response, tracked).catch((cause) => {
+        guard.recordFailure('caller.request', cause)
+        abandon()
+      })
+    }
+    guard.run('caller.request', handle, abandon)
+  })
+  const boundsSubscription = feed.changes.subscribe(({ index }) => {
+    const { headerTimeoutMs, idleTimeoutMs } = index.table.bounds
+    server.headersTimeout = headerTimeoutMs
+    server.keepAliveTimeout = idleTimeoutMs
+  })
+  return {
+    server,
+    close: () => {
+      for (const socket of sockets) socket.destroy()
+      boundsSubscription.unsubscribe()
+    },
+  }
+}
--- a/packages/router/src/direct/directContext.ts
+++ b/packages/router/src/direct/directContext.ts
@@ -1,6 +1,7 @@
 /** Shared state and services that every request of a direct router needs. */
 import type { FeedClient } from '@spoolgate/control'
 import type {
+  ConnectionGuard,
   KeepAliveAgent,
   Logger,
   RejectedInputs,
@@ -62,6 +63,8 @@
   readonly turns: TurnQueue
   readonly random: RandomSource
   readonly logger: Logger
+  /** Runs the listeners of callers' and servers' connections. */
+  readonly guard: ConnectionGuard
   readonly rejectedInputs: Pick<RejectedInputs, 'record'>
   readonly instruments: DirectInstruments
   readonly shutdown: Pick<GracefulShutdown, 'findRefusal'>
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -2,10 +2,10 @@
  * A router of the direct path: forwards callers' requests to backend servers without a sidecar in between. It keeps no
  * state that must survive a restart; the feed from control supplies the routing table, weights and servers.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createCrashReportBuffer, createFeedClient, type FeedClient } from '@spoolgate/control'
 import {
+  createConnectionGuard,
   createHttpClient,
   createKeepAliveAgent,
   createMetrics,
@@ -22,6 +22,7 @@
 import { createBackpressure } from '@spoolgate/routing'
 import { firstValueFrom, race } from 'rxjs'
 import { resolveCall } from './callPlan.js'
+import { createCallerServer } from './callerServer.js'
 import type { DirectCall } from './protocols.js'
 import type { DirectContext } from './directContext.js'
 import { createInstruments } from './instruments.js'
@@ -70,12 +71,7 @@
 
 /** Fraction of an engine's cache memory presumed available for cached prompt parts beside running requests. */
 const CACHED_MEMORY_RATIO = 0.85
-/** Maximum size of the request headers, in bytes: twice what routing tables allow, which is checked later. */
-const MAX_HEADER_BYTES = 32_768
 const DEFAULT_TABLE_WAIT_MS = 1_500
-/** Timeouts until the first routing table arrives, in ms. */
-const INITIAL_HEADERS_TIMEOUT_MS = 3_000
-const INITIAL_KEEP_ALIVE_MS = 15_000
 /** Timeout for receiving a request body, in ms. */
 const BODY_TIMEOUT_MS = 10_000
 /** Time for which a router that shuts down still accepts requests, in ms: two readiness checks. */
@@ -94,6 +90,7 @@
   const backpressure = createBackpressure()
   const limits = createServerLimits()
   const rejectedInputs = createRejectedInputs({ logger, timers })
+  const guard = createConnectionGuard({ logger, metrics })
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const liveness = createLivenessMonitor({
     timers,
@@ -259,6 +256,7 @@
     turns: createTurnQueue(),
     random,
     logger,
+    guard,
     rejectedInputs,
     instruments,
     shutdown,
@@ -276,7 +274,6 @@
       isReady: feed.current() !== undefined,
     })
   }
-  const sockets = new Set<Socket>()
 
   const handleRequest = async (
     request: IncomingMessage,
@@ -317,26 +314,8 @@
       else response.destroy()
     }
   }
-  const server = createServer({
-    headersTimeout: INITIAL_HEADERS_TIMEOUT_MS,
-    keepAliveTimeout: INITIAL_KEEP_ALIVE_MS,
-    maxHeaderSize: MAX_HEADER_BYTES,
-    requestTimeout: 0,
-    noDelay: true,
-  })
-  server.on('connection', (socket: Socket) => {
-    sockets.add(socket)
-    socket.once('close', () => sockets.delete(socket))
-  })
-  server.on('request', (request, response) => {
-    const tracked = shutdown.track(request, response)
-    if (tracked) void handleRequest(request, response, tracked)
-  })
-  const boundsSubscription = feed.changes.subscribe(({ index }) => {
-    const { headerTimeoutMs, idleTimeoutMs } = index.table.bounds
-    server.headersTimeout = headerTimeoutMs
-    server.keepAliveTimeout = idleTimeoutMs
-  })
+  const callerServer = createCallerServer({ feed, shutdown, guard, handleRequest })
+  const { server } = callerServer
   const port = await startListening(server, options.host, options.port)
   logger.info('router.listening', { port, seeds: options.seeds() })
 
@@ -359,8 +338,7 @@
       server.closeIdleConnections()
       await shutdown.waitUntilIdle()
       const abandoned = shutdown.reportCutOff()
-      for (const socket of sockets) socket.destroy()
-      boundsSubscription.unsubscribe()
+      callerServer.close()
       await streamSetup.close()
       for (const part of [restartDetector, departureWatch, crashDetector, liveness]) part.close()
       engineAdmission?.close()
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RegisteredServer } from '@spoolgate/control'
+import type { ConnectionGuard } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
 import { createSseEventBuffer, type SseEventBuffer } from './sseEventBuffer.js'
 
@@ -92,6 +93,8 @@
 /** Options of {@link createStreamRelay}. */
 export interface StreamRelayOptions {
   readonly response: ServerResponse
+  /** Runs the listeners of the responses. */
+  readonly guard: ConnectionGuard
   /** Whether another attempt may resume a broken stream; if so, only complete events are forwarded. */
   readonly isResumable: boolean
   /** Called with the sender of each chunk before it is forwarded. */
@@ -100,10 +103,16 @@
 
 /** Creates a relay whose response has not started. */
 export function createStreamRelay(options: StreamRelayOptions): StreamRelay {
-  const { response, isResumable, onChunk } = options
+  const { response, guard, isResumable, onChunk } = options
   let lastId: string | undefined
   let hasBegun = false
 
+  /** Sends the head of the first response that gives events. */
+  const startResponse = (message: IncomingMessage, headers: HeaderList) => {
+    if (hasBegun) return
+    writeHead(response, message.statusCode ?? 200, headers)
+    hasBegun = true
+  }
   const forward = (
     message: IncomingMessage,
     headers: HeaderList,
@@ -112,10 +121,7 @@
   ) => {
     if (data.length === 0) return
     onChunk(server)
-    if (!hasBegun) {
-      hasBegun = true
-      writeHead(response, message.statusCode ?? 200, headers)
-    }
+    startResponse(message, headers)
     if (response.write(data)) return
     message.pause()
     response.once('drain', () => message.resume())
@@ -132,17 +138,19 @@
       new Promise((resolve) => {
         const eventBuffer = createSseEventBuffer()
         const watch = watchCompletion(message)
-        message.on('data', (chunk: Buffer) =>
-          forward(message, headers, server, takeForwardable(eventBuffer, chunk)),
-        )
-        message.on('end', () => {
+        const abandon = () => {
+          message.destroy()
+          resolve('broken')
+        }
+        const handleData = (chunk: Buffer) =>
+          forward(message, headers, server, takeForwardable(eventBuffer, chunk))
+        const handleEnd = () => {
           const isComplete = watch.isComplete() && !eventBuffer.hasPartialEvent()
-          if (isComplete && !hasBegun) {
-            hasBegun = true
-            writeHead(response, message.statusCode ?? 200, headers)
-          }
+          if (isComplete) startResponse(message, headers)
           resolve(isComplete ? 'whole' : 'broken')
-        })
+        }
+        message.on('data', guard.wrap('response.data', handleData, abandon))
+        message.on('end', guard.wrap('response.end', handleEnd, abandon))
         message.on('error', () => resolve('broken'))
         message.on('close', () => resolve('broken'))
       }),
--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -9,13 +9,19 @@
   type IncomingMessage,
 } from 'node:http'
 import type { Socket } from 'node:net'
-import type { TimerService } from '@spoolgate/core'
+import type { ConnectionGuard, TimerService } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
 
-/** Options of {@link startAttempt}. */
-export interface AttemptOptions {
+/** What all attempts of a router share. */
+export interface AttemptContext {
   readonly agent: Agent
   readonly timers: TimerService
+  /** Runs the listeners of the connection. */
+  readonly guard: ConnectionGuard
+}
+
+/** Options of {@link startAttempt}. */
+export interface AttemptOptions {
   /** IP address and port. */
   readonly address: string
   readonly method: string
@@ -60,7 +66,10 @@
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000
 
 /** Starts an attempt. */
-export function startAttempt(options: AttemptOptions): SendAttempt {
+export function startAttempt(
+  { agent, timers, guard }: AttemptContext,
+  options: AttemptOptions,
+): SendAttempt {
   const [host, port] = options.address.split(':')
   let isWritten = false
   let isCancelled = false
@@ -76,11 +85,11 @@
       port: Number(port),
       method: options.method,
       path: options.target,
-      agent: options.agent,
+      agent,
       setHost: false,
     })
     const clientRequest = outgoing
-    const connectTimer = options.timers.after(options.connectMs).subscribe(() => {
+    const connectTimer = timers.after(options.connectMs).subscribe(() => {
       resolveFailure(`no connection within ${options.connectMs} ms`)
       clientRequest.destroy()
     })
@@ -98,13 +107,17 @@
         clientRequest.destroy()
         return
       }
-      isWritten = true
       for (const [name, value] of mergeRepeatedFields(headers)) clientRequest.setHeader(name, value)
+      isWritten = true
       clientRequest.end(options.body)
     }
+    const guardedWrite = guard.wrap('request.write', write, (reason) => {
+      if (withdraw(reason)) return
+      clientRequest.destroy()
+    })
     clientRequest.on('socket', (socket: Socket) => {
-      if (socket.connecting) socket.once('connect', write)
-      else write()
+      if (socket.connecting) socket.once('connect', guardedWrite)
+      else guardedWrite()
     })
     withdraw = (reason) => {
       if (hasResponse) return false
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -1,5 +1,10 @@
 /** Records server choices and attempts: for the log, the metrics and later choices of all routers. */
-import type { AttemptOutcome } from './attemptOutcome.js'
+import type { BackendServerId, PromptPartId, RequestFingerprint } from '@spoolgate/core'
+import {
+  MIN_CLIENT_ERROR_STATUS,
+  type AnsweredOutcome,
+  type AttemptOutcome,
+} from './attemptOutcome.js'
 import { formatCallScope } from './callPlan.js'
 import type { CallPlan } from './callTypes.js'
 import { recordEngineWork } from './engineCost.js'
@@ -121,3 +126,22 @@
   const shared = prompt.parts.slice(0, -1)
   context.prefixCache.recordOwnPlacement(buildPlacement(saveTo.id, version, scope, shared))
 }
+
+/** What a request is to the quarantines. */
+export interface SuspectedContent {
+  readonly fingerprint: RequestFingerprint
+  readonly sharedParts: readonly PromptPartId[]
+}
+
+/** Records for the quarantines that a server answered a request. */
+export function recordAnswered(
+  { quarantine, parts }: Pick<DirectContext, 'quarantine' | 'parts'>,
+  server: BackendServerId,
+  { fingerprint, sharedParts }: SuspectedContent,
+  { status, isFramed }: AnsweredOutcome,
+): void {
+  quarantine.recordAnswered(fingerprint)
+  // An error response does not show that the engine worked on the prompt.
+  if (status < MIN_CLIENT_ERROR_STATUS)
+    parts.recordAnswered({ server, parts: sharedParts, isFramed })
+}
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -33,8 +33,6 @@
   NOT_RUN_STATUSES,
   NOT_STARTED_OUTCOMES,
   relayResponse,
-  MIN_CLIENT_ERROR_STATUS,
-  type AnsweredOutcome,
   type FailedOutcome,
   type NotRunOutcome,
   type AttemptOutcome,
@@ -45,10 +43,17 @@
 import { findDepartureReason } from './serverAvailability.js'
 import { findGroupRetryAfterSeconds } from './serverSelection.js'
 import { countKvTokens } from './engineLoads.js'
-import { buildSendFields, formatCall, formatSendEnd, recordSend } from './sendRecord.js'
+import {
+  buildSendFields,
+  formatCall,
+  formatSendEnd,
+  recordAnswered,
+  recordSend,
+} from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
 import { findRetryRefusal, isRetryable, takeRetry } from './retryRules.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
+import { watchCaller } from './callerWatch.js'
 import type { TrackedCall } from './serverStats.js'
 
 /** Serves one planned request; resolves once its final response has been sent. */
@@ -103,6 +108,7 @@
     this.sharedParts = listSharedParts(plan.call.prompt)
     this.relay = createStreamRelay({
       response,
+      guard: context.guard,
       isResumable: plan.route.repeatability === 'resumable',
       onChunk: (server) => this.recordChunk(server),
     })
@@ -114,10 +120,10 @@
     const finished = new Promise<void>((resolve) => {
       this.resolveFinished = resolve
     })
-    response.once('close', () => {
-      if (!response.writableFinished) this.finish('callerLeft')
+    this.timeout = watchCaller(context, response, leftMs, {
+      onLeft: () => this.finish('callerLeft'),
+      onDeadline: () => this.handleDeadline(),
     })
-    this.timeout = context.timers.after(leftMs).subscribe(() => this.handleDeadline())
     const work = this.runAttempts().catch((cause) => {
       const reason = cause instanceof Error ? cause.message : String(cause)
       context.logger.error('call.internalError', { request: plan.call.id, reason })
@@ -130,7 +136,6 @@
   }
 
   isCallerGone = () => isCallerDisconnected(this.response)
-
   recordWait(cancel: () => void): void {
     this.cancelWait = cancel
   }
@@ -225,17 +230,10 @@
     const isConnectionLost = outcome.kind === 'lost' || outcome.kind === 'abandoned'
     // A connection that this router closed itself says nothing about the server.
     if (isConnectionLost && !this.isFinished) this.recordConnectionLoss()
-    if (outcome.kind === 'answered') this.recordAnswered(server.id, outcome)
+    if (outcome.kind === 'answered') recordAnswered(this.context, server.id, this, outcome)
     return outcome
   }
 
-  private recordAnswered(server: BackendServerId, { status, isFramed }: AnsweredOutcome): void {
-    const { context, fingerprint, sharedParts: parts } = this
-    context.quarantine.recordAnswered(fingerprint)
-    // An error response does not show that the engine worked on the prompt.
-    if (status < MIN_CLIENT_ERROR_STATUS) context.parts.recordAnswered({ server, parts, isFramed })
-  }
-
   /**
    * Builds the headers immediately before the request is written, and records that it may have run from then on.
    * Returns undefined if the request must not be sent.
@@ -290,13 +288,12 @@
     const { context, plan } = this
     this.recordAttempt(candidate)
     const previousMayHaveRun = this.mayHaveRun
-    const attempt = startAttempt({
-      agent: context.agent,
-      timers: context.timers,
+    const { timers, liveness, agent } = context
+    const attempt = startAttempt(context, {
       address: candidate.server.address,
       method: plan.call.method,
       target: plan.call.target,
-      findObstacle: () => findDepartureReason(context, candidate.server.id, context.timers.now()),
+      findObstacle: () => findDepartureReason(context, candidate.server.id, timers.now()),
       buildHeaders: () => this.buildHeaders(candidate),
       body: this.body,
       connectMs: CONNECT_TIMEOUT_MS,
@@ -306,9 +303,9 @@
     const result = await waitForResponseHead({
       send: attempt,
       server: candidate.server,
-      timers: context.timers,
-      liveness: context.liveness,
-      agent: context.agent,
+      timers,
+      liveness,
+      agent,
       mayBePrefilling: plan.call.prompt !== undefined,
       isUnanswered: () => !this.isFinished && this.trackedCall?.hasNoServerActivity() === true,
       takeRetry: () => this.takeRetry(),
--- a/packages/router/src/server/routerServer.ts
+++ b/packages/router/src/server/routerServer.ts
@@ -1,5 +1,6 @@
 /** The router process, which accepts callers' requests. It keeps no state that a restart must preserve. */
 import {
+  createConnectionGuard,
   createDaemonRoutes,
   createHttpClient,
   createHttpServer,
@@ -11,6 +12,7 @@
   toRequestId,
   type BodyLimits,
   type CloseReport,
+  type ConnectionGuard,
   type HttpExchange,
   type Invariants,
   type Logger,
@@ -111,12 +113,14 @@
 }
 
 /** Tracks tasks that outlive the request that started them. */
-function createBackgroundTasks() {
+function createBackgroundTasks(guard: ConnectionGuard) {
   const pending = new Set<Promise<unknown>>()
   return {
     add: (task: Promise<unknown>) => {
       pending.add(task)
-      void task.finally(() => pending.delete(task))
+      task
+        .catch((cause) => guard.recordFailure('caller.background', cause))
+        .finally(() => pending.delete(task))
     },
     waitUntilIdle: async () => {
       while (pending.size > 0) await Promise.allSettled([...pending])
@@ -139,7 +143,8 @@
     findMaxEjectedRatio: () => findRouting()?.maxEjectedRatio ?? DEFAULT_EJECTED_RATIO,
   })
   const decisions = createDecisionLog(logger)
-  const background = createBackgroundTasks()
+  const guard = createConnectionGuard({ logger, metrics })
+  const background = createBackgroundTasks(guard)
   const control = createControlClient({ urls: options.control, client, timers })
   const limits = createTeamLimits({ router: instance, control, timers, logger })
   const parts: RelayDependencies = {
@@ -184,6 +189,7 @@
     port: options.port,
     tls: options.tls,
     logger,
+    metrics,
     timers,
     headersTimeoutMs: options.headersTimeoutMs,
     maxHeaderBytes: options.maxHeaderBytes,
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -89,6 +89,7 @@
     ...endpoint,
     routes: createRecordRoutes(records),
     logger,
+    metrics,
     timers,
   })
   const client = createHttpClient({ maxConnections: CONNECTIONS_PER_PEER })
--- a/packages/sidecar/src/server/sidecarServer.ts
+++ b/packages/sidecar/src/server/sidecarServer.ts
@@ -176,6 +176,7 @@
     port: options.port,
     tls: options.tls,
     logger,
+    metrics,
     timers,
     routes: [
       ...createDaemonRoutes({ metrics, findUnreadyReason }),
