fix: reject the head of a response that is not a final response

Cause: the status of a server was passed on as it came. writeHead throws below 100, in the listener that relays a stream. A 204 that announces a body is not read by Node, and a caller got an empty success.

Change: one check in core decides whether a head is one of a final response: a status from 200 to 599, and no body announced where the status rules it out. Such an answer costs the attempt: the request is retried where it may be, and otherwise gets 502. It is counted and logged as rejected input.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -74,6 +74,7 @@
   type KeepAliveAgentOptions,
 } from './keepAliveAgent.js'
 export { readTextStream } from './httpTextStream.js'
+export { findResponseProblem } from './responseStatus.js'
 export {
   ConnectionError,
   createHttpClient,
--- a/packages/router/src/direct/responseHead.ts
+++ b/packages/router/src/direct/responseHead.ts
@@ -1,5 +1,6 @@
 /** Evaluates the head of a backend response before any of the response is forwarded. */
 import type { IncomingMessage } from 'node:http'
+import { findResponseProblem } from '@spoolgate/core'
 import { recordResponseSignals } from './responseSignals.js'
 import type { CallPlan } from './callTypes.js'
 import type { Candidate } from './serverRanking.js'
@@ -19,7 +20,14 @@
   { server }: Candidate,
   { message, sentAt }: ReceivedResponse,
 ): AttemptOutcome | undefined {
-  const { backend, serverStats } = context
+  const { backend, serverStats, rejectedInputs } = context
+  const problem = findResponseProblem(message)
+  if (problem !== undefined) {
+    // Nothing in such a head is used: it belongs to no request.
+    message.destroy()
+    rejectedInputs.record({ source: 'responseHead', from: server.id, reason: problem })
+    return { kind: 'lost', reason: problem }
+  }
   const head = backend.decodeHead(message, call)
   recordResponseSignals(context, call, server, { ...head, sentAt })
   const { model } = call.prompt ?? {}
