fix(router): resume a stream only after events whose ID a header field can carry

Cause: the ID that a server wrote went into Last-Event-Id of the next attempt as it came. Setting a control character threw; 9,000 bytes were sent and rejected with the whole head; an ID with a no-break space at its end was trimmed, and named another event.

Change: core says which bytes a header field can carry (fieldValue). The event buffer of a resumable stream checks each ID when it reads it: the events before an unusable one are forwarded, the rest of that response is not, and the stream is resumed at another server after the last event that was forwarded. IDs are kept as the bytes that came, so that a server reads back what it wrote. The reason is in call.sendEnded and in the new counter rejected_inputs of routers.

Now each caller gets the whole stream, without the spoilt event.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -75,6 +75,12 @@
 } from './keepAliveAgent.js'
 export { readTextStream } from './httpTextStream.js'
 export { findResponseProblem } from './responseStatus.js'
+export {
+  encodeFieldText,
+  findFieldBytesProblem,
+  findFieldTextProblem,
+  MAX_FIELD_VALUE_BYTES,
+} from './fieldValue.js'
 export {
   ConnectionError,
   createHttpClient,
--- a/packages/router/src/__tests__/directComponents.spec.ts
+++ b/packages/router/src/__tests__/directComponents.spec.ts
@@ -23,7 +23,7 @@
     fc.assert(
       fc.property(fc.array(event), fc.array(fc.nat({ max: 30 })), (events, sizes) => {
         const text = events.join('')
-        const cutter = createSseEventBuffer()
+        const cutter = createSseEventBuffer({ isResumable: true })
         let passed = ''
         let at = 0
         for (const size of [...sizes, text.length]) {
@@ -39,7 +39,7 @@
   })
 
   it('buffers a partial event and reports the ID of the last whole one', () => {
-    const cutter = createSseEventBuffer()
+    const cutter = createSseEventBuffer({ isResumable: true })
     const whole = cutter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b'))
     expect(whole.toString()).to.equal('id: 1\ndata: a\n\n')
     expect(cutter.lastEventId()).to.equal('1')
--- a/packages/router/src/__tests__/responseRelay.spec.ts
+++ b/packages/router/src/__tests__/responseRelay.spec.ts
@@ -101,13 +101,17 @@
     const writeHead = () => {
       throw new RangeError('not a status')
     }
-    const relay = createStreamRelay({
-      response: Object.assign(new PassThrough(), { writeHead }) as unknown as ServerResponse,
-      guard: createConnectionGuard({ logger: createQuietLogger() }),
-      isResumable: true,
-      onChunk: () => {},
-    })
-    expect(await relay.relay(message, [], {} as RegisteredServer)).to.equal('broken')
+    const rejectedInputs = { record: () => {} }
+    const guard = createConnectionGuard({ logger: createQuietLogger() })
+    const relay = createStreamRelay(
+      { guard, rejectedInputs },
+      {
+        response: Object.assign(new PassThrough(), { writeHead }) as unknown as ServerResponse,
+        isResumable: true,
+        onChunk: () => {},
+      },
+    )
+    expect(await relay.relay(message, [], {} as RegisteredServer)).to.equal('not a status')
     expect(message.destroyed).to.equal(true)
     expect(relay.hasBegun()).to.equal(false)
     agent.destroy()
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -104,8 +104,8 @@
   const status = message.statusCode ?? 0
   const isStream = (message.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)
   if (isStream && status < MIN_CLIENT_ERROR_STATUS) {
-    const bodyResult = await relay.relay(message, headers, server)
-    if (bodyResult === 'broken') return { kind: 'lost', reason: 'the response stream broke off' }
+    const problem = await relay.relay(message, headers, server)
+    if (problem !== undefined) return { kind: 'lost', reason: problem }
     if (!isFinished()) relay.finish()
     return { kind: 'answered', status, isFramed: isFramed(message) }
   }
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -90,6 +90,8 @@
   const backpressure = createBackpressure()
   const limits = createServerLimits()
   const rejectedInputs = createRejectedInputs({ logger, timers })
+  const rejected = metrics.counter('rejected_inputs', 'Inputs that could not be used, by source')
+  rejectedInputs.entries.subscribe(({ source }) => rejected.add(1, { source }))
   const guard = createConnectionGuard({ logger, metrics })
   const agent = createKeepAliveAgent({ idleMs: BACKEND_IDLE_MS, marginMs: BACKEND_IDLE_MARGIN_MS })
   const liveness = createLivenessMonitor({
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -4,13 +4,10 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RegisteredServer } from '@spoolgate/control'
-import type { ConnectionGuard } from '@spoolgate/core'
+import type { ConnectionGuard, RejectedInputs } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
 import { createSseEventBuffer, type SseEventBuffer } from './sseEventBuffer.js'
 
-/** Whether a response body was received completely. */
-export type BodyResult = 'whole' | 'broken'
-
 /** Detects whether a response body arrived completely. */
 interface CompletionWatch {
   isComplete(): boolean
@@ -74,27 +71,37 @@
   response.end(body)
 }
 
+const BROKEN_STREAM = 'the response stream broke off'
+
 /** The response stream of one caller, across all attempts that supply its events. */
 export interface StreamRelay {
   /** Whether the response head has been sent to the caller. */
   hasBegun(): boolean
   /** ID of the last complete event that was forwarded; undefined before the first. */
   lastEventId(): string | undefined
-  /** Forwards the events of one backend response, which `server` sent, until it ends or breaks off. */
+  /**
+   * Forwards the events of one backend response, which `server` sent, until it ends or breaks off. Resolves to why it
+   * broke off; undefined for a whole one.
+   */
   relay(
     message: IncomingMessage,
     headers: HeaderList,
     server: RegisteredServer,
-  ): Promise<BodyResult>
+  ): Promise<string | undefined>
   /** Ends the response to the caller. */
   finish(): void
 }
 
+/** What all relays of a router share. */
+export interface RelayContext {
+  /** Runs the listeners of the responses. */
+  readonly guard: ConnectionGuard
+  readonly rejectedInputs: Pick<RejectedInputs, 'record'>
+}
+
 /** Options of {@link createStreamRelay}. */
 export interface StreamRelayOptions {
   readonly response: ServerResponse
-  /** Runs the listeners of the responses. */
-  readonly guard: ConnectionGuard
   /** Whether another attempt may resume a broken stream; if so, only complete events are forwarded. */
   readonly isResumable: boolean
   /** Called with the sender of each chunk before it is forwarded. */
@@ -102,8 +109,10 @@
 }
 
 /** Creates a relay whose response has not started. */
-export function createStreamRelay(options: StreamRelayOptions): StreamRelay {
-  const { response, guard, isResumable, onChunk } = options
+export function createStreamRelay(
+  { guard, rejectedInputs }: RelayContext,
+  { response, isResumable, onChunk }: StreamRelayOptions,
+): StreamRelay {
   let lastId: string | undefined
   let hasBegun = false
 
@@ -136,23 +145,28 @@
     lastEventId: () => lastId,
     relay: (message, headers, server) =>
       new Promise((resolve) => {
-        const eventBuffer = createSseEventBuffer()
+        const eventBuffer = createSseEventBuffer({ isResumable })
         const watch = watchCompletion(message)
-        const abandon = () => {
+        const abandon = (reason: string) => {
           message.destroy()
-          resolve('broken')
+          resolve(reason)
         }
-        const handleData = (chunk: Buffer) =>
+        const handleData = (chunk: Buffer) => {
           forward(message, headers, server, takeForwardable(eventBuffer, chunk))
+          const problem = eventBuffer.findProblem()
+          if (problem === undefined) return
+          rejectedInputs.record({ source: 'streamEvent', from: server.id, reason: problem })
+          abandon(problem)
+        }
         const handleEnd = () => {
           const isComplete = watch.isComplete() && !eventBuffer.hasPartialEvent()
           if (isComplete) startResponse(message, headers)
-          resolve(isComplete ? 'whole' : 'broken')
+          resolve(isComplete ? undefined : BROKEN_STREAM)
         }
         message.on('data', guard.wrap('response.data', handleData, abandon))
         message.on('end', guard.wrap('response.end', handleEnd, abandon))
-        message.on('error', () => resolve('broken'))
-        message.on('close', () => resolve('broken'))
+        message.on('error', () => resolve(BROKEN_STREAM))
+        message.on('close', () => resolve(BROKEN_STREAM))
       }),
     finish: () => response.end(),
   }
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -106,9 +106,8 @@
     this.timings = createRequestTimings(context, plan)
     this.fingerprint = hashRequest(plan, body)
     this.sharedParts = listSharedParts(plan.call.prompt)
-    this.relay = createStreamRelay({
+    this.relay = createStreamRelay(context, {
       response,
-      guard: context.guard,
       isResumable: plan.route.repeatability === 'resumable',
       onChunk: (server) => this.recordChunk(server),
     })
