fix(router): bound the size of an event that a stream buffers

Cause: bytes of a stream are kept until their event ends. A server that never ends one took the memory of the router, and with it the process.

Change: a response whose event exceeds 4 MiB counts as broken off, with its reason in the log.

--- a/packages/router/src/direct/sseEventBuffer.ts
+++ b/packages/router/src/direct/sseEventBuffer.ts
@@ -21,6 +21,8 @@
 
 const EMPTY = Buffer.alloc(0)
 const EVENT_ID = /^id: ?[\t ]*(.*?)[\t ]*$/gm
+/** Maximum size of an event, in bytes; a server that never ends one must not take the memory of the process. */
+const MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 /** Returns the offset after the last complete event; 0 if there is none. */
 function findLastEventEnd(data: Buffer): number {
@@ -53,6 +55,8 @@
       const data = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
       const end = findLastEventEnd(data)
       pending = data.subarray(end)
+      if (pending.length > MAX_EVENT_BYTES)
+        problem = `an event is longer than ${MAX_EVENT_BYTES} bytes`
       if (end === 0) return EMPTY
       return data.subarray(0, readEventIds(data.subarray(0, end)))
     },
