fix(core): escape control characters in log lines

Cause: values were quoted for spaces, quotes and backslashes only. An escape sequence that a server wrote as an ID or a reason reached the terminal of an operator as it came; JSON leaves the second set of controls, separators of lines and marks of direction unescaped.

Change: such a value is quoted, and each of these characters is written as \\uXXXX, which stays JSON.

Measured: the new test on: '\x1b[2J' stood in the line raw; now escaped, and read back the same.

--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -41,14 +41,26 @@
 
 const CONSOLA_LEVELS: Record<LogLevel, number> = { quiet: -1, error: 0, warn: 1, info: 3, debug: 4 }
 
-const NEEDS_QUOTES = /[\s="\\]/
+/** Characters that a terminal or a reader of lines acts on: controls of both sets, separators and directions. */
+const CONTROLS = '\\0-\\x1f\\x7f-\\x9f\\u200e\\u200f\\u2028-\\u202e\\u2066-\\u2069\\ufeff'
+const NEEDS_QUOTES = new RegExp(`[\\s="\\\\${CONTROLS}]|\\p{Surrogate}`, 'u')
+const ALL_CONTROLS = new RegExp(`[${CONTROLS}]`, 'g')
+
+function encodeControl(character: string): string {
+  return `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`
+}
+
+/** Quotes a text so that what came from outside is read as text, on a terminal as well; it stays JSON. */
+function formatQuoted(text: string): string {
+  return JSON.stringify(text).replace(ALL_CONTROLS, encodeControl)
+}
 
 /** Formats one value of a key=value pair. */
 export function formatLogValue(value: unknown): string {
   if (value === undefined || value === null) return '-'
   if (typeof value === 'number' && !Number.isInteger(value)) return value.toFixed(3)
   const text = typeof value === 'object' ? JSON.stringify(value) : String(value)
-  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text
+  return text === '' || NEEDS_QUOTES.test(text) ? formatQuoted(text) : text
 }
 
 /** Formats one event as a line of key=value pairs. */
