fix: share cached parts by epochs in which no team changes its isolation

Cause: the scope of cached parts was the word 'shared', or the name of an isolated team, and the weights version. Engines and stores do not say who made a part, so what a team left among the shared parts stayed there when it became isolated; and the name of a team could be the word. A stream that began before the change was resumed with the scope of the table that it was planned by.

Change: the state machine of control keeps the epoch of the shared parts: the teams that shared, and those that were isolated, in all tables since the version that began it, also those that are no longer in the table. A table by which one of them changes sides begins the next epoch. The version that began the epoch goes to routers with the table, and into the scope; an isolated team's scope is a digest of its name. So what two routers may share is decided by their tables alone: whatever table each of them holds, the parts of an epoch come from teams that share by that table as well. Routers take the scope from the table in force when a request is written, so that resumed and queued requests follow. Changes that leave each team on its side, new isolated teams among them, cost the others nothing.

Assertions on the stored table name the new field; they are as strict as before.

--- a/packages/control/src/__tests__/cacheWatch.spec.ts
+++ b/packages/control/src/__tests__/cacheWatch.spec.ts
@@ -4,7 +4,12 @@
   toServerName,
   type TimerService,
 } from '@spoolgate/core'
-import { formatCacheScope, formatStoreId, hashPromptPart } from '@spoolgate/routing'
+import {
+  formatCacheScope,
+  formatSharedOwner,
+  formatStoreId,
+  hashPromptPart,
+} from '@spoolgate/routing'
 import { expect } from 'chai'
 import { NEVER, type Observable } from 'rxjs'
 import {
@@ -21,8 +26,8 @@
 
 const ENGINE = { kind: 'engine', id: 'e1', address: 'a:1' } as const
 const STORE = { kind: 'store', address: 's:1', epoch: 7 } as const
-const V1 = formatCacheScope(undefined, 1)
-const V2 = formatCacheScope(undefined, 2)
+const V1 = formatCacheScope(formatSharedOwner(1), 1)
+const V2 = formatCacheScope(formatSharedOwner(1), 2)
 
 function createEntry(scope: string, id: string, tokens: number): CacheEntry {
   return { scope, id, tokens }
--- a/packages/control/src/__tests__/feedFixtures.ts
+++ b/packages/control/src/__tests__/feedFixtures.ts
@@ -1,6 +1,6 @@
 /** State of the simulated fleets of feed tests: routing tables, engines and their cache content. */
 import { createRandomSource, toServerName } from '@spoolgate/core'
-import { formatCacheScope } from '@spoolgate/routing'
+import { formatCacheScope, formatSharedOwner } from '@spoolgate/routing'
 import { createCacheDirectory } from '../registry/cacheDirectory.js'
 import { createControlStateMachine } from '../state/controlMachine.js'
 import { buildServerIdentity } from '../state/serverState.js'
@@ -55,7 +55,7 @@
   partsPerEngine,
 }: Pick<FeedSimulationOptions, 'engines' | 'partsPerEngine'>) {
   const directory = createCacheDirectory()
-  const scope = formatCacheScope(undefined, 4)
+  const scope = formatCacheScope(formatSharedOwner(1), 4)
   for (let index = 0; index < engines; index += 1) {
     const location = { kind: 'engine', id: `i-${1e9 + index}`, address: 'a' } as const
     const parts = Array.from({ length: partsPerEngine }, (_, part) => ({
--- a/packages/control/src/__tests__/largeEntries.spec.ts
+++ b/packages/control/src/__tests__/largeEntries.spec.ts
@@ -59,7 +59,11 @@
     await put(2, changed)
     await group.run(500)
     for (const { machine: other } of group.members.values()) {
-      expect(other.table.current()).to.deep.equal({ version: 2, document: changed })
+      expect(other.table.current()).to.deep.equal({
+        version: 2,
+        document: changed,
+        sharedSince: 2,
+      })
     }
   })
 })
--- a/packages/control/src/__tests__/registryState.spec.ts
+++ b/packages/control/src/__tests__/registryState.spec.ts
@@ -73,7 +73,7 @@
     expect(table.put(put(4, 'four')).isNewer).to.equal(true)
     expect(table.put(put(3, 'three'))).to.deep.equal({ isNewer: false, version: 4 })
     expect(table.put(put(4, 'forged'))).to.deep.equal({ isNewer: false, version: 4 })
-    expect(table.current()).to.deep.equal({ version: 4, document: 'four' })
+    expect(table.current()).to.deep.equal({ version: 4, document: 'four', sharedSince: 4 })
   })
 
   it('restores the same document from a snapshot', () => {
@@ -81,7 +81,11 @@
     table.put(put(9, '{"a": 1 }'))
     const restored = createTableState()
     restored.load(JSON.parse(JSON.stringify(table.save())))
-    expect(restored.current()).to.deep.equal({ version: 9, document: '{"a": 1 }' })
+    expect(restored.current()).to.deep.equal({
+      version: 9,
+      document: '{"a": 1 }',
+      sharedSince: 9,
+    })
   })
 })
 
--- a/packages/control/src/__tests__/tableWriter.spec.ts
+++ b/packages/control/src/__tests__/tableWriter.spec.ts
@@ -29,7 +29,7 @@
     const { puts, proposed, table } = createWriter()
     await Promise.all([2, 5, 6].map((version) => puts.put(buildTable(version))))
     expect(proposed.map(({ update }) => update.base)).to.deep.equal([null, 2, 5])
-    expect(table.current()).to.deep.equal(buildTable(6))
+    expect(table.current()).to.deep.equal({ ...buildTable(6), sharedSince: 6 })
   })
 
   it('that are not newer than the current version are acknowledged without a log entry', async () => {
@@ -49,7 +49,7 @@
     await puts.put(buildTable(2))
     expect(await puts.put(buildTable(7))).to.include({ isNewer: true, version: 7 })
     expect(proposed.map(({ update }) => update.base)).to.deep.equal([null, 2, null])
-    expect(table.current()).to.deep.equal(buildTable(7))
+    expect(table.current()).to.deep.equal({ ...buildTable(7), sharedSince: 7 })
   })
 
   it('continue after one whose outcome is unknown', async () => {
@@ -74,8 +74,8 @@
     const saved = JSON.parse(JSON.stringify(state.save())) as never
     const other = createTableState()
     other.load(saved)
-    expect(other.current()).to.deep.equal(buildTable(3))
+    expect(other.current()).to.deep.equal({ ...buildTable(3), sharedSince: 3 })
     other.load(buildTable(2))
-    expect(other.current()).to.deep.equal(buildTable(2))
+    expect(other.current()).to.deep.equal({ ...buildTable(2), sharedSince: 2 })
   })
 })
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -162,10 +162,11 @@
     const startedAt = timers.now()
     const next = applyTableUpdate(heldTable, update)
     if (!next) return false
-    index = buildTableIndex(decodeTable(next.document))
+    index = buildTableIndex(decodeTable(next.document), next.sharedSince)
     heldTable = next
     logger.info('table.inForce', {
       version: next.version,
+      sharedSince: next.sharedSince,
       routes: index.table.routes.length,
       base: update.base,
       bytes: measureUpdate(update),
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -47,6 +47,7 @@
 import { createWeightsRollout } from './weightsRollout.js'
 import { createVersionGate } from './versionGate.js'
 import { startVersionRetention } from './versionRetention.js'
+import { createTableDecoder } from '../table/tableDecoder.js'
 import { createTableHistory } from '../table/tableHistory.js'
 
 /** Options of {@link createRegistryControl}. */
@@ -131,7 +132,8 @@
   const metrics = createMetrics('control')
   const invariants = createInvariants({ logger, metrics })
   const electionMs = options.electionMs ?? DEFAULT_ELECTION_MS
-  const machine = createControlStateMachine()
+  const decoder = createTableDecoder(options.decodeTable, logger)
+  const machine = createControlStateMachine({ listTeams: decoder.listTeams })
   const client = createHttpClient()
   const { dataFolder } = options
   const folder = typeof dataFolder === 'string' ? await openDataFolder(dataFolder) : dataFolder
@@ -193,7 +195,7 @@
   const stopping = new Subject<void>()
   const table = createDecodedTable({
     table: machine.table,
-    decodeTable: options.decodeTable,
+    decodeTable: decoder.decode,
     logger,
   })
   const rejectedInputs = metrics.counter(
--- a/packages/control/src/state/controlMachine.ts
+++ b/packages/control/src/state/controlMachine.ts
@@ -75,6 +75,7 @@
   type PutTableResult,
   type SavedTable,
   type TableState,
+  type TableStateOptions,
 } from './tableState.js'
 import {
   createWeightsState,
@@ -158,12 +159,12 @@
 }
 
 /** Creates an empty state machine. */
-export function createControlStateMachine(): ControlStateMachine {
+export function createControlStateMachine(options: TableStateOptions = {}): ControlStateMachine {
   const config = createConfigState()
   const claims = createClaimState()
   const orders = createOrderState()
   const versions = new Subject<number>()
-  const table = createTableState()
+  const table = createTableState(options)
   const weights = createWeightsState()
   const servers = createServerState()
   const softwareVersions = createSoftwareVersionState()
--- a/packages/control/src/state/tableState.ts
+++ b/packages/control/src/state/tableState.ts
@@ -1,7 +1,8 @@
 /**
  * Replicated routing table of the operators. The document is stored as it was sent, so that reading it returns the
- * same text. The highest version is in force.
+ * same text. The highest version is in force. With it goes the epoch of the cached parts that teams share.
  */
+import { buildNextEpoch, type CacheEpoch, type TeamIsolation } from '../table/cacheEpoch.js'
 import {
   applyTableUpdate,
   buildTableUpdate,
@@ -40,8 +41,20 @@
   readonly isBaseMissing?: boolean
 }
 
-/** Table as stored in a snapshot; before version 0.4, the version with its full document. */
-export type SavedTable = TableUpdate | VersionedTable
+/**
+ * Table as stored in a snapshot; before version 0.4, the version with its full document. The epoch is absent before
+ * version 0.12, and where it is unknown.
+ */
+export type SavedTable = (TableUpdate | VersionedTable) & { readonly cacheEpoch?: CacheEpoch }
+
+/** Options of {@link createTableState}. */
+export interface TableStateOptions {
+  /**
+   * Lists the teams of a document; undefined if it has none that can be read.
+   * @default undefined, the teams are unknown: no parts are shared across versions
+   */
+  readonly listTeams?: (document: string) => readonly TeamIsolation[] | undefined
+}
 
 /** Current routing table. */
 export interface TableState {
@@ -61,9 +74,15 @@
 }
 
 /** Creates a state without a routing table. */
-export function createTableState(): TableState {
+export function createTableState({ listTeams }: TableStateOptions = {}): TableState {
   let current: VersionedTable | undefined
+  let epoch: CacheEpoch | undefined
 
+  /** Installs a table; an epoch that is unknown consists of the table alone. */
+  const install = ({ version, document }: VersionedTable, next: CacheEpoch | undefined) => {
+    epoch = next
+    current = { version, document, sharedSince: next?.sharedSince ?? version }
+  }
   const buildNextTable = (command: PutTable): VersionedTable | undefined => {
     if ('update' in command) return applyTableUpdate(current, command.update)
     return { version: command.version, document: command.document }
@@ -75,12 +94,19 @@
       if (current && command.version <= before) return { isNewer: false, version: before }
       const next = buildNextTable(command)
       if (!next) return { isNewer: false, version: before, isBaseMissing: true }
-      current = next
+      install(next, buildNextEpoch(epoch, next.version, listTeams?.(next.document)))
       return { isNewer: true, version: next.version }
     },
-    save: () => (current ? buildTableUpdate(undefined, current) : null),
+    save: () => {
+      if (!current) return null
+      const { version, document } = current
+      const update = buildTableUpdate(undefined, { version, document })
+      return epoch ? { ...update, cacheEpoch: epoch } : update
+    },
     load: (saved) => {
-      current = saved ? toVersionedTable(saved) : undefined
+      current = undefined
+      epoch = undefined
+      if (saved) install(toVersionedTable(saved), saved.cacheEpoch)
     },
   }
 }
--- a/packages/control/src/table/tableUpdate.ts
+++ b/packages/control/src/table/tableUpdate.ts
@@ -13,6 +13,11 @@
 export interface VersionedTable {
   readonly version: number
   readonly document: string
+  /**
+   * Version with which the epoch of the cached parts began that teams share under this table, see `CacheEpoch`. Undefined
+   * if it is unknown: before the table is applied, and from instances before version 0.12.
+   */
+  readonly sharedSince?: number
 }
 
 /** Version number that represents the absence of a table. */
@@ -27,6 +32,8 @@
   readonly packed: string
   /** Truncated SHA-256 of the document, in base64. */
   readonly digest: string
+  /** As that of the table; outside of the log, where each instance finds it when it applies the entry. */
+  readonly sharedSince?: number
 }
 
 /**
@@ -59,12 +66,13 @@
   before: VersionedTable | undefined,
   after: VersionedTable,
 ): TableUpdate {
-  const { version, document } = after
+  const { version, document, sharedSince } = after
   return {
     version,
     base: before?.version ?? null,
     packed: encodePacked(before ? buildTextPatch(before.document, document) : document),
     digest: hashDocument(document),
+    ...(sharedSince !== undefined && { sharedSince }),
   }
 }
 
@@ -76,13 +84,14 @@
   held: VersionedTable | undefined,
   update: TableUpdate,
 ): VersionedTable | undefined {
-  const { version, base, packed, digest } = update
+  const { version, base, packed, digest, sharedSince } = update
   if (base !== null && base !== held?.version) return undefined
   try {
     const content = decodePacked(packed)
     const document =
       typeof content === 'string' ? content : applyTextPatch(held?.document ?? '', content)
-    return hashDocument(document) === digest ? { version, document } : undefined
+    if (hashDocument(document) !== digest) return undefined
+    return { version, document, ...(sharedSince !== undefined && { sharedSince }) }
   } catch {
     // A corrupt update is not reported as an error: the caller recovers by requesting the full table.
     return undefined
--- a/packages/router/src/__tests__/prefixLocations.spec.ts
+++ b/packages/router/src/__tests__/prefixLocations.spec.ts
@@ -5,7 +5,7 @@
   type ReachableStore,
 } from '@spoolgate/control'
 import { createManualTimerService, toBackendServerId, toServerName } from '@spoolgate/core'
-import { formatCacheScope, formatStoreId } from '@spoolgate/routing'
+import { formatCacheScope, formatSharedOwner, formatStoreId } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { buildPlacement, createPrefixCacheIndex } from '../direct/prefixCacheIndex.js'
 import { createServerStats } from '../direct/serverStats.js'
@@ -13,7 +13,7 @@
 
 const STORE = { address: 's:1', epoch: 5 }
 const STORES = ['s:1', 's:2', 's:3'].map((address) => ({ address, epoch: 5 }))
-const SCOPE = formatCacheScope(undefined, 1)
+const SCOPE = formatCacheScope(formatSharedOwner(1), 1)
 const SHARED = [
   { id: 'outer', tokens: 2_000 },
   { id: 'inner', tokens: 3_000 },
--- a/packages/router/src/__tests__/serverRanking.spec.ts
+++ b/packages/router/src/__tests__/serverRanking.spec.ts
@@ -1,6 +1,6 @@
 import type { ServerLoads } from '@spoolgate/control'
 import { createManualTimerService } from '@spoolgate/core'
-import { formatCacheScope } from '@spoolgate/routing'
+import { formatCacheScope, formatSharedOwner } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { rankServers } from '../direct/serverRanking.js'
 import { buildView, createRankingContext, createEngineServer, GROUP } from './rankingFixtures.js'
@@ -28,7 +28,7 @@
         view: buildView(servers, loads),
         group: GROUP,
         prompt,
-        formatScope: () => formatCacheScope(undefined, 1),
+        formatScope: () => formatCacheScope(formatSharedOwner(1), 1),
         excluded: new Set(),
         hall: 'h',
         now: timers.now(),
--- a/packages/router/src/__tests__/speedRanking.spec.ts
+++ b/packages/router/src/__tests__/speedRanking.spec.ts
@@ -1,6 +1,6 @@
 import type { BackendServerId } from '@spoolgate/core'
 import { createManualTimerService } from '@spoolgate/core'
-import { formatCacheScope } from '@spoolgate/routing'
+import { formatCacheScope, formatSharedOwner } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { createEnginePartition } from '../direct/enginePartition.js'
 import { rankServers } from '../direct/serverRanking.js'
@@ -35,7 +35,7 @@
         view: buildView(servers, loads),
         group: GROUP,
         prompt,
-        formatScope: () => formatCacheScope(undefined, 1),
+        formatScope: () => formatCacheScope(formatSharedOwner(1), 1),
         excluded: new Set(),
         hall: 'h',
         now: timers.now(),
--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -1,6 +1,6 @@
 import type { FleetView, ServerLoads } from '@spoolgate/control'
 import { createManualTimerService } from '@spoolgate/core'
-import { formatCacheScope } from '@spoolgate/routing'
+import { formatCacheScope, formatSharedOwner } from '@spoolgate/routing'
 import { expect } from 'chai'
 import { LOADING_MS, rankServers } from '../direct/serverRanking.js'
 import { createNoServer } from '../direct/serverSelection.js'
@@ -30,7 +30,7 @@
         view: buildOutdatedView(['idle', 'busy'], { [busy]: queued }),
         group: GROUP,
         prompt: PROMPT,
-        formatScope: () => formatCacheScope(undefined, 1),
+        formatScope: () => formatCacheScope(formatSharedOwner(1), 1),
         excluded: new Set(),
         hall: 'h',
         now: timers.now(),
--- a/packages/router/src/direct/callPlan.ts
+++ b/packages/router/src/direct/callPlan.ts
@@ -1,7 +1,7 @@
 /** Resolves a request to its route, server group, team, deadline and priority. */
 import type { FleetView } from '@spoolgate/control'
 import { SpoolgateError } from '@spoolgate/core'
-import { chooseTarget, formatCacheScope, type RouteRule, type TeamEntry } from '@spoolgate/routing'
+import { chooseTarget, type CacheOwner, type RouteRule, type TeamEntry } from '@spoolgate/routing'
 import type { CallPlan } from './callTypes.js'
 import type { DirectCall } from './protocols.js'
 import type { DirectContext } from './directContext.js'
@@ -87,7 +87,13 @@
   }
 }
 
-/** Formats the scope within which cached prompt parts are shared: weights version, and team if it is isolated. */
-export function formatCallScope(team: TeamEntry | undefined, version: number): string {
-  return formatCacheScope(team?.isIsolated ? team.id : undefined, version)
+/**
+ * Finds with whom a request shares cached parts. The routing table in force decides, not the one that the request was
+ * planned by: it may have waited since, or resume a stream that began long before.
+ */
+export function findCacheOwner(
+  { feed }: Pick<DirectContext, 'feed'>,
+  { view, team }: Pick<CallPlan, 'view' | 'team'>,
+): CacheOwner {
+  return (feed.current() ?? view).index.findCacheOwner(team?.id)
 }
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -5,7 +5,8 @@
   type AnsweredOutcome,
   type AttemptOutcome,
 } from './attemptOutcome.js'
-import { formatCallScope } from './callPlan.js'
+import { formatCacheScope } from '@spoolgate/routing'
+import { findCacheOwner } from './callPlan.js'
 import type { CallPlan } from './callTypes.js'
 import { recordEngineWork } from './engineCost.js'
 import type { Candidate } from './serverRanking.js'
@@ -52,6 +53,7 @@
     version: best.version,
     weightsAgeMs: best.supersededAt && Math.round(now - best.supersededAt),
     team: plan.team?.id,
+    cacheOwner: prompt && findCacheOwner({ feed }, plan),
     shared: prompt?.parts.slice(0, -1).map(({ id, tokens }) => `${id}:${tokens}`),
     fetchFrom: best.fetchFrom,
     saveTo: best.saveTo?.address,
@@ -78,14 +80,16 @@
 
 /** Builds the fields of a send that depend on the chosen server. */
 export function buildSendFields(
-  { call, team }: CallPlan,
+  context: Pick<DirectContext, 'feed'>,
+  plan: CallPlan,
   { server, version, fetchFrom, saveTo }: Candidate,
 ): Omit<BackendRequest, 'bodyBytes' | 'leftMs' | 'priority' | 'lastEventId'> {
+  const cacheOwner = findCacheOwner(context, plan)
   return {
-    call,
+    call: plan.call,
     server,
-    team: team?.id,
-    cacheScope: version === undefined ? undefined : formatCallScope(team, version),
+    team: plan.team?.id,
+    cacheScope: version === undefined ? undefined : formatCacheScope(cacheOwner, version),
     weightsVersion: version,
     fetchFrom,
     saveTo: saveTo?.address,
@@ -120,7 +124,7 @@
     prompt,
     matchedTokens,
   )
-  const scope = formatCallScope(plan.team, version)
+  const scope = formatCacheScope(findCacheOwner(context, plan), version)
   context.prefixCache.recordOwnPlacement(buildPlacement(server.id, version, scope, prompt.parts))
   if (!saveTo) return
   const shared = prompt.parts.slice(0, -1)
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -247,7 +247,7 @@
     this.mayHaveRun = true
     this.timings.recordWrite()
     return context.backend.encodeHeaders({
-      ...buildSendFields(plan, candidate),
+      ...buildSendFields(context, plan, candidate),
       bodyBytes: this.body.length,
       leftMs,
       priority: relay.hasBegun() ? plan.priority : resolveSendPriority(plan, firstPartMs),
--- a/packages/router/src/direct/serverSelection.ts
+++ b/packages/router/src/direct/serverSelection.ts
@@ -1,7 +1,8 @@
 /** Selects the backend server for the next send of a request, or finds that none can take it. */
 import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
 import type { BackendServerId, SoftwareVersion } from '@spoolgate/core'
-import { formatCallScope } from './callPlan.js'
+import { formatCacheScope } from '@spoolgate/routing'
+import { findCacheOwner } from './callPlan.js'
 import type { CallLog, CallPlan } from './callTypes.js'
 import { LOADING_MS, rankServers, type Candidate } from './serverRanking.js'
 import type { DirectContext } from './directContext.js'
@@ -146,11 +147,12 @@
   { sends, sentTo, excluded, pinnedVersion }: SendHistory,
 ): Candidate[] {
   if (sends >= MAX_SENDS) return []
+  const cacheOwner = findCacheOwner(context, plan)
   const ranked = rankServers(context, {
     view: context.feed.current() ?? plan.view,
     group: plan.group,
     prompt: plan.call.prompt,
-    formatScope: (version) => formatCallScope(plan.team, version),
+    formatScope: (version) => formatCacheScope(cacheOwner, version),
     excluded,
     hall: context.hall,
     now: context.timers.now(),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,14 @@
-export { formatCacheScope, formatStoreId, hashPromptPart, parseScopeVersion } from './cacheScope.js'
+export {
+  formatCacheScope,
+  formatSharedOwner,
+  formatStoreId,
+  formatTeamOwner,
+  hashPromptPart,
+  hashTeam,
+  parseScopeVersion,
+  type CacheOwner,
+  type TeamDigest,
+} from './cacheScope.js'
 export { MAX_PROMPT_LEVELS, renderPrompt, type PromptText } from './promptText.js'
 export {
   buildPrefixChain,
--- a/packages/routing/src/table/tableIndex.ts
+++ b/packages/routing/src/table/tableIndex.ts
@@ -1,5 +1,6 @@
 /** Lookups in one version of the routing table. */
-import type { RandomSource } from '@spoolgate/core'
+import type { RandomSource, TeamId } from '@spoolgate/core'
+import { formatSharedOwner, formatTeamOwner, type CacheOwner } from '../cacheScope.js'
 import type { RouteRule, RoutingTable, ServerGroup, TeamEntry } from './routingTable.js'
 
 /** An index of a routing table; built once per version. */
@@ -10,6 +11,11 @@
   /** Finds the team that a key belongs to. */
   findTeam(key: string): TeamEntry | undefined
   findGroup(name: string): ServerGroup | undefined
+  /**
+   * Finds with whom the requests of a team share cached parts. Those without a team share with all teams that are not
+   * isolated; a team that is no longer in the table shares with nobody.
+   */
+  findCacheOwner(team: TeamId | undefined): CacheOwner
 }
 
 /** Removes the port from a host header and converts it to lower case. */
@@ -17,8 +23,23 @@
   return host.replace(/:\d+$/, '').toLowerCase()
 }
 
-/** Builds the index of a table. */
-export function buildTableIndex(table: RoutingTable): TableIndex {
+function createCacheOwners(teams: readonly TeamEntry[], sharedSince: number) {
+  const shared = formatSharedOwner(sharedSince)
+  const owners = new Map<TeamId, CacheOwner>()
+  for (const { id, isIsolated } of teams) {
+    if (isIsolated) owners.set(id, formatTeamOwner(id))
+    else if (!owners.has(id)) owners.set(id, shared)
+  }
+  return (team: TeamId | undefined): CacheOwner =>
+    team === undefined ? shared : (owners.get(team) ?? formatTeamOwner(team))
+}
+
+/**
+ * Builds the index of a table.
+ * @param sharedSince version since which teams share cached parts without a change of who does; the table's own if it is
+ *   unknown, so that nothing is shared across tables
+ */
+export function buildTableIndex(table: RoutingTable, sharedSince = table.version): TableIndex {
   const byHost = new Map<string, RouteRule[]>()
   for (const route of table.routes) {
     const host = toHostName(route.host)
@@ -39,6 +60,7 @@
       byHost.get(toHostName(host))?.find(({ pathPrefix }) => path.startsWith(pathPrefix)),
     findTeam: (key) => teams.get(key),
     findGroup: (name) => groups.get(name),
+    findCacheOwner: createCacheOwners(table.teams ?? [], sharedSince),
   }
 }
 
--- a/packages/spoolgate/src/node/bench/rankingBench.ts
+++ b/packages/spoolgate/src/node/bench/rankingBench.ts
@@ -13,7 +13,12 @@
   type RankingInput,
   type ServerSpeeds,
 } from '@spoolgate/router'
-import { createBackpressure, formatCacheScope, type ServerGroup } from '@spoolgate/routing'
+import {
+  createBackpressure,
+  formatCacheScope,
+  formatSharedOwner,
+  type ServerGroup,
+} from '@spoolgate/routing'
 import { findPercentile, toRounded } from './statistics.js'
 
 /** Options of {@link runRankingBench}. */
@@ -118,7 +123,7 @@
       promptTokens: TOKENS,
       maxTokens: 13,
     },
-    formatScope: () => formatCacheScope(undefined, 1),
+    formatScope: () => formatCacheScope(formatSharedOwner(1), 1),
     excluded: new Set(),
     hall: 'hall',
     now: timers.now(),
