fix(router): take back a weights version that a server does not have

Cause: the highest version that a server ever stated was expected of it with each request, and refused with 421 each time. Only the order of responses was a reason to keep the highest.

Change: a lower version in the response to a request that was sent after the higher one had arrived shows that the higher one was wrong, and replaces it. It costs one refused request at each router.

--- a/packages/router/src/__tests__/weightsExpiry.spec.ts
+++ b/packages/router/src/__tests__/weightsExpiry.spec.ts
@@ -78,9 +78,9 @@
     watch('old').unsubscribe()
     timers.advance(9_000)
     expect(withdrawn).to.deep.equal([])
-    serverStats.recordVersion(createEngineServer('updated').id, 'm', 2)
+    serverStats.recordVersion(createEngineServer('updated').id, 'm', 2, 0)
     // An answer for another model says nothing about this one.
-    serverStats.recordVersion(createEngineServer('old').id, 'other', 9)
+    serverStats.recordVersion(createEngineServer('old').id, 'other', 9, 0)
     timers.advance(999)
     expect(withdrawn).to.deep.equal(['old', 'old', 'gone'])
     timers.advance(5_000)
--- a/packages/router/src/direct/responseHead.ts
+++ b/packages/router/src/direct/responseHead.ts
@@ -32,7 +32,7 @@
   recordResponseSignals(context, call, server, { ...head, sentAt })
   const { model } = call.prompt ?? {}
   if (model !== undefined && head.weightsVersion !== undefined)
-    serverStats.recordVersion(server.id, model, head.weightsVersion)
+    serverStats.recordVersion(server.id, model, head.weightsVersion, sentAt)
   if (head.isNotExecuted) {
     message.resume()
     const reason = head.isOtherServer ? 'otherServer' : `status${message.statusCode}`
--- a/packages/router/src/direct/serverStats.ts
+++ b/packages/router/src/direct/serverStats.ts
@@ -29,9 +29,9 @@
   /** Prompt tokens and maximum generated tokens of the calls in progress at a server. */
   findKvTokens(server: BackendServerId): number
   listLoads(): ServerLoads
-  /** Records the weights version of a model that a server stated in a response. */
-  recordVersion(server: BackendServerId, model: string, version: number): void
-  /** Finds the highest weights version that a server was seen with; 0 for none. */
+  /** Records the weights version of a model that a server stated in the response to a request, which was sent at `sentAt`. */
+  recordVersion(server: BackendServerId, model: string, version: number, sentAt: number): void
+  /** Finds the newest weights version that a server was seen with; 0 for none. */
   findVersion(server: BackendServerId, model: string): number
   /** Moving average of the ratio of calls that a server failed, from 0 to 1. */
   findFailureRate(server: BackendServerId): number
@@ -45,6 +45,12 @@
 const FAILURE_WEIGHT = 0.1
 const NO_LOAD: ServerLoad = { calls: 0, promptTokens: 0 }
 
+/** A weights version, and when a server stated it. */
+interface StatedVersion {
+  readonly version: number
+  readonly statedAt: number
+}
+
 function formatVersionKey(server: BackendServerId, model: string): string {
   return `${server} ${model}`
 }
@@ -60,7 +66,7 @@
   const loads = new Map<BackendServerId, ServerLoad>()
   const kvLoads = new Map<BackendServerId, number>()
   const lastActivityAt = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
-  const versions = new LRUCache<string, number>({ max: MAX_VERSIONS })
+  const versions = new LRUCache<string, StatedVersion>({ max: MAX_VERSIONS })
   const failureRates = new LRUCache<BackendServerId, number>({ max: MAX_SERVERS })
 
   const addLoad = (server: BackendServerId, calls: number, promptTokens: number) => {
@@ -112,11 +118,16 @@
     findLoad: (server) => loads.get(server) ?? NO_LOAD,
     findKvTokens: (server) => kvLoads.get(server) ?? 0,
     listLoads: () => Object.fromEntries(loads),
-    recordVersion: (server, model, version) => {
+    recordVersion: (server, model, version, sentAt) => {
       const key = formatVersionKey(server, model)
-      if (version > (versions.get(key) ?? 0)) versions.set(key, version)
+      const stated = versions.get(key)
+      // Responses can arrive out of order, but a server does not go back: if it states a lower version to a request
+      // that was sent after the higher one had arrived, the higher one was wrong.
+      const isUsed = !stated || version > stated.version || sentAt > stated.statedAt
+      if (isUsed && version !== stated?.version)
+        versions.set(key, { version, statedAt: timers.now() })
     },
-    findVersion: (server, model) => versions.get(formatVersionKey(server, model)) ?? 0,
+    findVersion: (server, model) => versions.get(formatVersionKey(server, model))?.version ?? 0,
     findFailureRate: (server) => failureRates.get(server) ?? 0,
   }
 }
