fix(core): report what cannot be sent or read of another process as a typed error

Cause: Node throws for a URL, a port or a header field that it cannot send, and callers of the client got that error in place of ConnectionError, which says that nothing was sent. An error body whose kind is the name of an inherited property ('toString') became an error without a status, and the response to the caller could not be sent.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -112,7 +112,7 @@
 /** Reads an error back from a body that another process of the fleet wrote. */
 export function parseErrorBody(body: unknown): SpoolgateError {
   const error = (body as Partial<ErrorBody> | undefined)?.error
-  if (!error || !(error.code in ERROR_KINDS)) {
+  if (!error || !Object.hasOwn(ERROR_KINDS, error.code)) {
     return new SpoolgateError('internal', 'unreadable error answer; check that versions match')
   }
   return new SpoolgateError(error.code, error.message, {
--- a/packages/core/src/httpClient.ts
+++ b/packages/core/src/httpClient.ts
@@ -107,7 +107,16 @@
   const sendOnce = (request: HttpRequest): Promise<IncomingMessage> =>
     new Promise((resolve, reject) => {
       let timedOut = false
-      const outgoing = startRequest(request)
+      let outgoing: ClientRequest
+      try {
+        outgoing = startRequest(request)
+      } catch (cause) {
+        // Node throws for a URL, port or header field that it cannot send.
+        reject(
+          new ConnectionError(cause instanceof Error ? cause.message : String(cause), true, false),
+        )
+        return
+      }
       const timeout =
         request.timeoutMs === undefined
           ? undefined
