fix(router): close a stream that broke off when the server that resumes it fails

Cause: the request was marked as finished, and then the failure of the second server was forwarded, whose head cannot follow the one that was sent. What threw was handled as an error of a finished request.

Change: once a head was sent, a failure ends the request as a lost connection does: its connection is closed at once.

--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -376,8 +376,8 @@
   private handleFailed(candidate: Candidate, outcome: FailedOutcome): boolean {
     this.excluded.add(candidate.server.id)
     if (this.takeRetry()) return false
-    // The request ran, so a status that says that it was not run must not be forwarded.
-    if (NOT_RUN_STATUSES.has(outcome.status)) {
+    // The request ran, so a status that says that it was not run must not be forwarded, nor can a head follow another.
+    if (NOT_RUN_STATUSES.has(outcome.status) || this.relay.hasBegun()) {
       this.finishWithError(createOutcomeUnknownError('the backend server failed'))
       return true
     }
