fix: keep cached blocks of teams apart by configuration, also in the path with sidecars

The same fault as in the direct path: teams with cacheScope 'shared' used the word as the owner of their blocks, so that what a team left stayed there when it stopped sharing, and a team called 'shared' that does not share used the blocks of those that do.

Change: the owner is 'team:' and the id, or 'shared:' and a digest of the ids of all teams that share. A block under it was computed for one of them, whatever came in between, without any state. Sharing is opt-in here, so a new team that does not share changes nothing; where one joins or leaves, the others compute their blocks again. Routers and sidecars find it by one function, and a sidecar declines a scope that its configuration does not give, as before.

--- a/packages/router/src/server/callerRequest.ts
+++ b/packages/router/src/server/callerRequest.ts
@@ -9,7 +9,12 @@
   type CallerKeyring,
   type TeamId,
 } from '@spoolgate/core'
-import { buildPrefixChain, renderPrompt, type PrefixChain } from '@spoolgate/routing'
+import {
+  buildPrefixChain,
+  findFleetCacheOwner,
+  renderPrompt,
+  type PrefixChain,
+} from '@spoolgate/routing'
 
 /** Headers that callers may send. */
 export const CALLER_HEADERS = {
@@ -85,7 +90,7 @@
   if (!model) {
     throw new SpoolgateError('unknownModel', `no model "${String(request.model)}"; see /v1/models`)
   }
-  const owner = team.parameters.cacheScope === 'shared' ? 'shared' : team.id
+  const owner = findFleetCacheOwner(fleet, team.id)
   const { weightsVersion } = model
   const scope = { owner, model: model.id, adapter: '', weightsVersion }
   return {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,4 @@
+export { findFleetCacheOwner } from './fleetCacheOwner.js'
 export {
   formatCacheScope,
   formatSharedOwner,
--- a/packages/sidecar/src/__tests__/queuedCalls.spec.ts
+++ b/packages/sidecar/src/__tests__/queuedCalls.spec.ts
@@ -157,7 +157,7 @@
       request: toRequestId(request),
       attempt: toAttemptNumber(1),
       team: toTeamId(TEAM),
-      scope: formatCacheSalt({ owner: TEAM, model: 'm', adapter: '', weightsVersion }),
+      scope: formatCacheSalt({ owner: `team:${TEAM}`, model: 'm', adapter: '', weightsVersion }),
       weightsVersion,
       configVersion: toConfigVersion(1),
       method: 'POST',
--- a/packages/sidecar/src/calls/admission.ts
+++ b/packages/sidecar/src/calls/admission.ts
@@ -2,6 +2,7 @@
 import type { Fleet } from '@spoolgate/config'
 import type { Incarnation, TeamId } from '@spoolgate/core'
 import {
+  findFleetCacheOwner,
   formatCacheSalt,
   type CallHeader,
   type Decline,
@@ -30,11 +31,11 @@
 type Check = (call: CallHeader, facts: AdmissionFacts) => boolean
 
 function findScope(team: TeamId, facts: AdmissionFacts): string | undefined {
-  const found = facts.fleet?.teams.get(team)
-  if (!found || facts.serves === undefined) return undefined
-  const owner = found.parameters.cacheScope === 'shared' ? 'shared' : team
+  const { fleet, serves } = facts
+  if (!fleet?.teams.has(team) || serves === undefined) return undefined
+  const owner = findFleetCacheOwner(fleet, team)
   const { weightsVersion } = facts.backend
-  return formatCacheSalt({ owner, model: facts.serves, adapter: '', weightsVersion })
+  return formatCacheSalt({ owner, model: serves, adapter: '', weightsVersion })
 }
 
 /** Checks in the order in which they are made; the first that holds gives the reason. */
