feat(bench): what isolating a team costs the others

spoolgate bench isolation simulates engines that keep the parts which all teams use, before and after a change of side, and measures the change at control. docs/CAPACITY.md takes its figures.

--- a/packages/spoolgate/src/node/cli/benchCommands.ts
+++ b/packages/spoolgate/src/node/cli/benchCommands.ts
@@ -5,6 +5,7 @@
 import { runHeartbeatBench } from '../bench/heartbeatBench.js'
 import { runOverheadBench } from '../bench/overheadBench.js'
 import { ROUTING_ARMS, runRoutingBench, type RoutingArm } from '../bench/routingBench.js'
+import { runIsolationBench } from '../bench/isolationBench.js'
 import { runPartsBench } from '../bench/partsBench.js'
 import { runRankingBench } from '../bench/rankingBench.js'
 import { runScaleBench } from '../bench/scaleBench.js'
@@ -68,6 +69,23 @@
   handler: (args) => printResult(runRankingBench(args), args.json),
 })
 
+const isolationCommand = command({
+  name: 'isolation',
+  description: 'what isolating a team costs the others; example: spoolgate bench isolation --json',
+  args: {
+    json,
+    engines: option({ long: 'engines', type: number, defaultValue: () => 600 }),
+    teams: option({ long: 'teams', type: number, defaultValue: () => 350 }),
+    parts: option({ long: 'parts', type: number, defaultValue: () => 500 }),
+    partTokens: option({ long: 'part-tokens', type: number, defaultValue: () => 1_500 }),
+    requestsPerSecond: option({ long: 'requests', type: number, defaultValue: () => 5_300 }),
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 30 }),
+    changes: option({ long: 'changes', type: number, defaultValue: () => 860 }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
+  },
+  handler: (args) => printResult(runIsolationBench(args), args.json),
+})
+
 const partsCommand = command({
   name: 'parts',
   description: 'what the quarantine of prompt parts costs; example: spoolgate bench parts --json',
@@ -171,6 +189,7 @@
     overhead: overheadCommand,
     routing: routingCommand,
     scale: scaleCommand,
+    isolation: isolationCommand,
     parts: partsCommand,
     ranking: rankingCommand,
     control: controlCommand,
