--- a/packages/control/src/table/cacheEpoch.ts
+++ b/packages/control/src/table/cacheEpoch.ts
@@ -1,8 +1,8 @@
 /**
  * Epochs of the cached prompt parts that teams share. Engines and stores do not say which team made a part, so the parts
- * of a team cannot be separated from those of others. A team therefore never changes between sharing and isolation within an
- * epoch: the table that changes it begins the next one, whose parts lie under another cache scope. Whatever table a
- * router holds, the parts of its epoch come from teams that share by that table as well.
+ * of a team cannot be separated from those of others. A team therefore never changes between sharing and isolation
+ * within an epoch: the table that changes it begins the next one, whose parts lie under another cache scope. Whatever
+ * table a router holds, the parts of its epoch come from teams that share by that table as well.
  */
 import { hashTeam, type TeamDigest, type TeamEntry } from '@spoolgate/routing'
 
