--- a/packages/router/src/direct/callPlan.ts
+++ b/packages/router/src/direct/callPlan.ts
@@ -88,8 +88,8 @@
 }
 
 /**
- * Finds with whom a request shares cached parts. The routing table in force decides, not the one that the request was
- * planned by: it may have waited since, or resume a stream that began long before.
+ * Finds the owner of the cached parts that a request may use, by the routing table in force: the request may have waited
+ * since it was planned, or resume a stream that began under an earlier table.
  */
 export function findCacheOwner(
   { feed }: Pick<DirectContext, 'feed'>,
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -131,7 +131,7 @@
   context.prefixCache.recordOwnPlacement(buildPlacement(saveTo.id, version, scope, shared))
 }
 
-/** What a request is to the quarantines. */
+/** Identity of a request and of its shared prompt parts in the quarantines. */
 export interface SuspectedContent {
   readonly fingerprint: RequestFingerprint
   readonly sharedParts: readonly PromptPartId[]
--- a/packages/router/src/limits/serverLimits.ts
+++ b/packages/router/src/limits/serverLimits.ts
@@ -41,7 +41,7 @@
   recordAcknowledged(observed: ObservedLimits): void
 }
 
-/** Minimum rate to a limited server, in requests per second: without requests, nobody would see a withdrawn limit. */
+/** Minimum rate to a limited server, in requests per second: without requests, no response could withdraw the limit. */
 const MIN_RATE = 0.5
 /** Time without a response after which a limited server is probed, in ms. */
 const PROBE_AFTER_MS = 2_000
--- a/packages/routing/src/fleetCacheOwner.ts
+++ b/packages/routing/src/fleetCacheOwner.ts
@@ -1,7 +1,7 @@
 /**
- * With whom a team shares cached blocks, by the configuration. Those that share do so under a digest of all their ids: a
- * block under it was computed for one of them, whichever configurations were in force before or in between. Where one
- * joins or leaves, the others compute their blocks again; a team that does not share changes nothing for them.
+ * Owners of cached blocks, by the configuration. Teams that share blocks have one owner, named by a digest of their ids,
+ * so that each block of it was computed for one of them under any configuration. If a team joins or leaves them, the
+ * others compute their blocks again. A team that does not share has an owner of its own.
  */
 import { createHash } from 'node:crypto'
 import type { Fleet } from '@spoolgate/config'
--- a/packages/routing/src/table/tableIndex.ts
+++ b/packages/routing/src/table/tableIndex.ts
@@ -12,8 +12,8 @@
   findTeam(key: string): TeamEntry | undefined
   findGroup(name: string): ServerGroup | undefined
   /**
-   * Finds with whom the requests of a team share cached parts. Those without a team share with all teams that are not
-   * isolated; a team that is no longer in the table shares with nobody.
+   * Finds the owner of the cached parts of a team's requests. Requests without a team have the owner of all teams that
+   * are not isolated; a team that was removed from the table has an owner of its own.
    */
   findCacheOwner(team: TeamId | undefined): CacheOwner
 }
@@ -36,8 +36,8 @@
 
 /**
  * Builds the index of a table.
- * @param sharedSince version since which teams share cached parts without a change of who does; the table's own if it is
- *   unknown, so that nothing is shared across tables
+ * @param sharedSince version that began the epoch of shared parts, see `CacheEpoch` in control; the table's own version if
+ *   it is unknown, so that nothing is shared across tables
  */
 export function buildTableIndex(table: RoutingTable, sharedSince = table.version): TableIndex {
   const byHost = new Map<string, RouteRule[]>()
--- a/packages/sidecar/src/backend/cacheIndex.ts
+++ b/packages/sidecar/src/backend/cacheIndex.ts
@@ -21,7 +21,7 @@
   incarnation(): Incarnation | undefined
   /** Number of the last event that was applied. */
   lastSequence(): number
-  /** Starts anew for an incarnation. */
+  /** Clears the index for a new incarnation. */
   reset(incarnation: Incarnation): void
   /** Applies events in order; after a gap nothing more is applied until a snapshot. */
   apply(events: readonly CacheEvent[], now: number): ApplyOutcome
--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -91,8 +91,8 @@
       headers: { 'content-type': header.contentType, 'x-request-id': header.request },
       body,
       signal: call.signal,
-      // A kept-alive connection may be closing at the other end, and then nobody can tell whether
-      // the call arrived; an unrepeatable call gets a connection of its own.
+      // A kept-alive connection may be closing at the other end, which leaves the outcome unknown;
+      // an unrepeatable call therefore gets a new connection.
       isFresh: header.dispatch !== undefined,
     })
     await relayAnswer(message, options)
--- a/packages/sidecar/src/calls/dispatches.ts
+++ b/packages/sidecar/src/calls/dispatches.ts
@@ -1,6 +1,6 @@
 /**
- * Dispatches of unrepeatable requests at this incarnation. A dispatch that was asked about before
- * it arrived is barred for good, so that "never seen" stays true.
+ * Dispatches of unrepeatable requests at this incarnation. A dispatch that is queried before it
+ * arrives is barred permanently, so that the reply "never seen" stays true.
  */
 import type { Dispatch, DispatchState, EndFrame } from '@spoolgate/routing'
 import type { Call } from './call.js'
--- a/packages/spoolgate/src/node/bench/isolationBench.ts
+++ b/packages/spoolgate/src/node/bench/isolationBench.ts
@@ -16,12 +16,12 @@
   readonly requestsPerSecond: number
   /** Time that is simulated before and after the change, in s. */
   readonly seconds: number
-  /** Changes of the configuration a day, each of which may change the side of a team. */
+  /** Changes per day that isolate a team or end its isolation. */
   readonly changes: number
   readonly seed: number
 }
 
-/** Costs; tokens are those of parts that all teams use, times processor time. */
+/** Costs. Tokens are counted for the parts that all teams use; times are wall time. */
 export interface IsolationBenchResult {
   /** Share of tokens found on the engine that a request came to, in the same time before and after the change. */
   readonly foundBefore: number
@@ -32,9 +32,9 @@
   readonly reread: number
   /** Tokens that engines fetched from others because of it. */
   readonly moved: number
-  /** Part of all tokens of these prompts that a day's changes have read once more, if each changes a side. */
+  /** Ratio of the tokens that a day's changes cause to be read again to all tokens of these parts. */
   readonly rereadOfDay: number
-  /** Change that changes a side, at each control instance; decoding the document is not counted. */
+  /** Time of such a change at each control instance, without decoding the document. */
   readonly changeP50Us: number
   readonly changeP99Us: number
   /** What a snapshot holds for it. */
--- a/packages/spoolgate/src/node/load/caller.ts
+++ b/packages/spoolgate/src/node/load/caller.ts
@@ -119,7 +119,7 @@
 
 function toFailure(cause: unknown, team: string, request: string | undefined): CallReport {
   const error = cause instanceof SpoolgateError ? cause : undefined
-  // A connection that was never made is as good as a refusal: nobody got the request.
+  // Without a connection the request was not sent, so it counts as refused.
   const isUnsent = cause instanceof ConnectionError && cause.neverSent
   return {
     kind: error?.notRun || isUnsent ? 'refused' : 'failed',
--- a/packages/spoolgate/src/node/soak/receipts.ts
+++ b/packages/spoolgate/src/node/soak/receipts.ts
@@ -72,8 +72,8 @@
     return undefined
   }
   /**
-   * Checks refusals that say not run. Of two sends at the same time one may be refused truly while
-   * the other goes on and runs, so the word is only held against the sends of a round together.
+   * Checks refusals that promise that the request did not run. Of two concurrent sends one may be
+   * refused while the other runs, so the promise is checked for all sends of a round together.
    */
   const checkRefusals = (body: string, replies: readonly (Reply | undefined)[]) => {
     const isRefusedByAll = replies.every((reply) => reply?.body.error?.not_run)
