--- a/packages/core/src/fieldValue.ts
+++ b/packages/core/src/fieldValue.ts
@@ -13,6 +13,21 @@
 const OUTER_WHITE_SPACE = /^[\t ]|[\t ]$/
 const LONE_SURROGATE = /\p{Surrogate}/u
 
+/** A name of a field (RFC 9110, section 5.6.2). */
+const FIELD_NAME = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/
+
+/**
+ * Explains why a head cannot be relayed: Node's parser accepts some names of fields that its writer rejects.
+ * @param rawHeaders names and values in turn, as Node gives them
+ */
+export function findFieldNameProblem(rawHeaders: readonly string[]): string | undefined {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (!FIELD_NAME.test(rawHeaders[index]))
+      return `${JSON.stringify(rawHeaders[index])} is not the name of a header field`
+  }
+  return undefined
+}
+
 /** Explains why a field cannot carry bytes, given in Latin-1, unchanged; undefined if it can. */
 export function findFieldBytesProblem(bytes: string): string | undefined {
   if (bytes === '') return 'is empty'
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -78,6 +78,7 @@
 export {
   encodeFieldText,
   findFieldBytesProblem,
+  findFieldNameProblem,
   findFieldTextProblem,
   MAX_FIELD_VALUE_BYTES,
 } from './fieldValue.js'
