fix: wait for a port that another process holds

Cause: each server listened once and rejected with EADDRINUSE. Now all servers open their port in one place, which tries again with backoff (50 ms to 1 s) as long as the port is held or the address is not up, and logs start.waiting with the reason and the remedy each time. Other errors, such as a port that the user may not open, still end the start. An error of the server later on, which had no listener and ended the process, is logged.

--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -10,12 +10,13 @@
   type ServerResponse,
 } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
-import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import type { Subscription } from 'rxjs'
 import { createConnectionEnds } from './connectionEnds.js'
 import { createConnectionGuard } from './connectionGuard.js'
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
 import { isSameSecret } from './keys.js'
+import { openPort } from './openPort.js'
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
 import { createTurnQueue } from './turnQueue.js'
@@ -252,16 +253,6 @@
   return createTlsServer({ ...settings, ...readTlsOptions(options.tls) })
 }
 
-function waitUntilListening(server: Server | TlsServer, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => {
-      server.removeListener('error', reject)
-      resolve()
-    })
-  })
-}
-
 /** Creates a server and waits until it listens. */
 export async function createHttpServer(options: HttpServerOptions): Promise<HttpServer> {
   const server = createServerFor(options)
@@ -316,11 +307,10 @@
       () => response.destroy(),
     ),
   )
-  await waitUntilListening(server, options.host, options.port)
+  const port = await openPort(server, options)
   const tlsWatch: Subscription | undefined = options.tls
     ? watchTlsFiles(server as TlsServer, options.tls, options)
     : undefined
-  const { port } = server.address() as AddressInfo
   const scheme = options.tls ? 'https' : 'http'
 
   const waitForIdle = (drainMs: number): Promise<void> =>
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,8 @@
   type LoggerOptions,
   type LogLevel,
 } from './logger.js'
+export { waitForStartup, type StartupProblem, type StartupWaitOptions } from './startupWait.js'
+export { openPort, type PortOptions } from './openPort.js'
 export { removeOldest } from './removeOldest.js'
 export { createTurnQueue, type TurnQueue } from './turnQueue.js'
 export { createRejectedInputs, type RejectedInputs, type RejectedInput } from './rejectedInputs.js'
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -13,6 +13,7 @@
   createRandomSource,
   createTurnQueue,
   createUniqueId,
+  openPort,
   readBody,
   toSpoolgateError,
   waitFor,
@@ -47,7 +48,6 @@
 import { openStreamSetup } from '../streams/streamSetup.js'
 import type { DirectRouterOptions } from './directRouterOptions.js'
 import { serveCall } from './serveCall.js'
-import { startListening } from './startListening.js'
 import { createEngineAdmission } from './engineAdmission.js'
 import { createEnginePartition } from './enginePartition.js'
 import { createServiceTimes } from './serviceTimes.js'
@@ -318,7 +318,7 @@
   }
   const callerServer = createCallerServer({ feed, shutdown, guard, handleRequest })
   const { server } = callerServer
-  const port = await startListening(server, options.host, options.port)
+  const port = await openPort(server, options)
   logger.info('router.listening', { port, seeds: options.seeds() })
 
   return {
