fix(control): start beside a damaged log, and wait for a disk that refuses writes

One bit flipped in the middle of the log ended control at each start, for good: the platform started it again and again, and the group had one member less until somebody emptied the folder. A disk that refused writes did the same for as long as it lasted.

Cause: both are errors of the start, which ended the process; ending changes neither. The log cannot be cut there, since what follows was acknowledged. Now the files are set aside under damaged-*, and the instance starts as one whose disk was lost, which the group tolerates: a new name, no vote, the log from the others. A disk is tried with a write first and waited for (start.waiting), since a full one can be read and truncated and would end the process later.

--- /dev/null
+++ b/packages/control/src/log/controlDisk.ts
@@ -0,0 +1,87 @@
+/**
+ * The disk of a control instance at its start. A disk that refuses writes is waited for. A log that is damaged in the
+ * middle is set aside and the instance starts like one whose disk was lost: it gets a new name, may not vote, and
+ * copies the log from the group. Starting with the damaged log could lose what it acknowledged, and ending would
+ * repeat at each start.
+ */
+import { waitForStartup, type Logger, type TimerService } from '@spoolgate/core'
+import { openIdentity, type IdentityOptions, type MemberIdentity } from '../group/identity.js'
+import { openDataFolder, type DataFolder } from './dataFolder.js'
+import { openLogStore, type LogStore } from './logStore.js'
+import { DamagedDataError } from './records.js'
+
+/** Options of {@link openControlDisk}. */
+export interface ControlDiskOptions extends Omit<IdentityOptions, 'folder'> {
+  /** Path of the data folder, or a folder implementation supplied by a test. */
+  readonly dataFolder: string | DataFolder
+  readonly logger: Logger
+  readonly timers: TimerService
+  /** Called when a write or sync failed later on; the process must then end. */
+  readonly onFailure: (cause: unknown) => void
+}
+
+/** What the disk holds. */
+export interface ControlDisk {
+  readonly identity: MemberIdentity
+  readonly store: LogStore
+}
+
+/** Name of a file that shows whether the disk takes writes, and its size in bytes. */
+const PROBE_FILE = 'probe'
+const PROBE_BYTES = 4_096
+const ASIDE_PREFIX = 'damaged-'
+
+/** Checks that the disk takes writes: a full one can be read and truncated, and would end the process later. */
+async function checkWritable(folder: DataFolder): Promise<void> {
+  await folder.write(PROBE_FILE, Buffer.alloc(PROBE_BYTES))
+  await folder.remove(PROBE_FILE)
+}
+
+/** Renames all files, replacing those that were set aside before. */
+async function removeDamaged(folder: DataFolder): Promise<readonly string[]> {
+  const names = (await folder.list()).filter((name) => !name.startsWith(ASIDE_PREFIX))
+  for (const name of names) await folder.rename(name, `${ASIDE_PREFIX}${name}`)
+  await folder.sync()
+  return names
+}
+
+async function loadDisk(folder: DataFolder, options: ControlDiskOptions): Promise<ControlDisk> {
+  const { logger, onFailure } = options
+  const identity = await openIdentity({ ...options, folder })
+  return { identity, store: await openLogStore({ folder, logger, onFailure }) }
+}
+
+async function openOnce(options: ControlDiskOptions): Promise<ControlDisk> {
+  const { dataFolder, logger } = options
+  const folder = typeof dataFolder === 'string' ? await openDataFolder(dataFolder) : dataFolder
+  await checkWritable(folder)
+  try {
+    return await loadDisk(folder, options)
+  } catch (cause) {
+    if (!(cause instanceof DamagedDataError)) throw cause
+    const files = await removeDamaged(folder)
+    logger.error('disk.damaged', {
+      reason: cause.message,
+      setAside: files.map((name) => `${ASIDE_PREFIX}${name}`),
+      remedy: 'check the disk; this instance copies the log from the group as after a lost disk',
+    })
+    return loadDisk(folder, { ...options, isFirstStart: false })
+  }
+}
+
+/** Opens the disk, once it can be written. */
+export function openControlDisk(options: ControlDiskOptions): Promise<ControlDisk> {
+  const { logger, timers } = options
+  return waitForStartup({
+    what: 'data folder',
+    attempt: () => openOnce(options),
+    findProblem: (cause) => {
+      const { code, message } = cause as NodeJS.ErrnoException
+      const remedy =
+        'free space on the disk, mount it, or correct the path and rights of the folder'
+      return code === undefined ? undefined : { reason: message, remedy }
+    },
+    logger,
+    timers,
+  })
+}
--- a/packages/control/src/log/dataFolder.ts
+++ b/packages/control/src/log/dataFolder.ts
@@ -74,9 +74,14 @@
     sync: syncFolder,
     openAppend: async (name, length) => {
       const handle = await open(join(path, name), 'a')
-      await handle.truncate(length)
-      await handle.sync()
-      await syncFolder()
+      try {
+        await handle.truncate(length)
+        await handle.sync()
+        await syncFolder()
+      } catch (cause) {
+        await handle.close()
+        throw cause
+      }
       return createAppendFile(handle)
     },
   }
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -2,9 +2,9 @@
  * Durable Raft state of a control instance in one data folder: term, vote, log entries and the last
  * snapshot. Uses group commit: writes that arrive during a sync are batched into the next one.
  */
-import { SpoolgateError, type Logger } from '@spoolgate/core'
+import type { Logger } from '@spoolgate/core'
 import type { AppendFile, DataFolder } from './dataFolder.js'
-import { encodeRecord, parseRecords } from './records.js'
+import { DamagedDataError, encodeRecord, parseRecords } from './records.js'
 
 /** One entry of the replicated log. */
 export interface LogEntry {
@@ -143,8 +143,7 @@
   const data = await folder.read(name)
   const record = data && parseRecords(data, name).payloads[0]
   if (record) return record as Snapshot
-  throw new SpoolgateError(
-    'internal',
+  throw new DamagedDataError(
     `${name} is missing or damaged; move the data folder away and let this member rejoin the group`,
   )
 }
--- a/packages/control/src/log/records.ts
+++ b/packages/control/src/log/records.ts
@@ -9,6 +9,13 @@
 const HEADER_BYTES = 12
 const LENGTH_BYTES = 4
 
+/** Data on the disk that was synced and has changed since; reading on would lose what was acknowledged. */
+export class DamagedDataError extends SpoolgateError {
+  constructor(message: string) {
+    super('internal', message)
+  }
+}
+
 /** Result of scanning a record file. */
 export interface ScannedRecords {
   readonly payloads: readonly unknown[]
@@ -50,7 +57,7 @@
 
 /**
  * Scans a file of records.
- * @throws SpoolgateError `internal` when a damaged record is followed by a complete one: it was synced,
+ * @throws DamagedDataError when a damaged record is followed by a complete one: it was synced,
  * so truncating it would lose acknowledged data.
  */
 export function parseRecords(data: Buffer, file: string): ScannedRecords {
@@ -64,8 +71,7 @@
   }
   const nextRecord = offset < data.length ? findRecordAfter(data, offset + 1) : undefined
   if (nextRecord !== undefined) {
-    throw new SpoolgateError(
-      'internal',
+    throw new DamagedDataError(
       `${file}: damaged at byte ${offset} with complete records from byte ${nextRecord}; ` +
         'move the data folder away and let this member rejoin the group to copy the log from the others',
     )
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -21,9 +21,8 @@
 import { createPartCoordinator } from '../parts/partCoordinator.js'
 import { createMembershipManager } from '../group/membershipManager.js'
 import { createMembershipRoutes } from '../group/membershipRoutes.js'
-import { openIdentity } from '../group/identity.js'
-import { openDataFolder, type DataFolder } from '../log/dataFolder.js'
-import { openLogStore } from '../log/logStore.js'
+import { openControlDisk } from '../log/controlDisk.js'
+import type { DataFolder } from '../log/dataFolder.js'
 import { createRaftMember } from '../raft/member.js'
 import type { RaftMember } from '../raft/types.js'
 import { createRaftRoute } from '../server/groupRoutes.js'
@@ -135,8 +134,6 @@
   const decoder = createTableDecoder(options.decodeTable, logger)
   const machine = createControlStateMachine({ listTeams: decoder.listTeams })
   const client = createHttpClient()
-  const { dataFolder } = options
-  const folder = typeof dataFolder === 'string' ? await openDataFolder(dataFolder) : dataFolder
   const connections = metrics.counter('connections_opened', 'Connections opened to this instance')
   const recordConnection = () => connections.add(1)
   const server = await createHttpServer({
@@ -150,15 +147,13 @@
   })
   const { url } = server
   const seeds = options.seeds()
-  const identity = await openIdentity({
-    folder,
+  const { identity, store } = await openControlDisk({
+    dataFolder: options.dataFolder,
     url,
     seeds: seeds.length > 0 ? seeds : [url],
     isFirstStart: options.isFirstStart,
-  })
-  const store = await openLogStore({
-    folder,
     logger,
+    timers,
     onFailure: (cause) => {
       logger.error('disk.failed', { reason: String(cause), remedy: 'replace or empty the disk' })
       options.onFailure?.(cause)
