fix: go on without a reader of the log

Cause: the error of the stream had no listener, and streams of files throw. Lines now go through one output that never throws: what standard output cannot take goes to standard error, a stream that failed is tried again after a second, and lost lines are counted (log.dropped, lost=).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
   type LoggerOptions,
   type LogLevel,
 } from './logger.js'
+export { createLogOutput, type LogOutput, type LogOutputOptions } from './logOutput.js'
 export { waitForStartup, type StartupProblem, type StartupWaitOptions } from './startupWait.js'
 export { openPort, type PortOptions } from './openPort.js'
 export { removeOldest } from './removeOldest.js'
