--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 export { createLogOutput, type LogOutput, type LogOutputOptions } from './logOutput.js'
 export { waitForStartup, type StartupProblem, type StartupWaitOptions } from './startupWait.js'
 export { openPort, type PortOptions } from './openPort.js'
+export { readStableFile } from './stableFile.js'
 export { removeOldest } from './removeOldest.js'
 export { createTurnQueue, type TurnQueue } from './turnQueue.js'
 export { createRejectedInputs, type RejectedInputs, type RejectedInput } from './rejectedInputs.js'
