fix: let no signal, exception or exit end a process without a last line

A SIGHUP in the first 150 ms of a process ended it (14 of 32), a second SIGTERM ended it amid its planned stop (6 of 6, nothing of the stop done), SIGUSR2 and SIGQUIT ended it at any time, and an exception left a stack trace of the minified bundle on standard error.

Cause: what a process needs to stay alive was scattered. Listeners for signals were added after all modules were loaded and the settings read, and removed with the first stop. Now the entry listens to signals before it loads the rest of the program, and core decides in one place for router, control, sidecar and npm start what each signal does (a table), what ends a process (another), and writes process.end with the reason, the remedy and the status as the last line. Exceptions still end the process. At a terminal SIGHUP stops the program, elsewhere it reloads.

Node itself gives each signal its default action until it runs the first line of the entry: 4 of 32 ended by a SIGHUP 0 and 25 ms after their start, before that nothing of ours runs.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,19 @@
   type LogLevel,
 } from './logger.js'
 export { createLogOutput, type LogOutput, type LogOutputOptions } from './logOutput.js'
+export {
+  createProcessLifecycle,
+  DAEMON_SIGNALS,
+  PROCESS_ENDS,
+  StartupRefusal,
+  TERMINAL_SIGNALS,
+  type ProcessEndKind,
+  type ProcessLifecycle,
+  type ProcessLifecycleOptions,
+  type RunningProgram,
+  type SignalAction,
+} from './processLifecycle.js'
+export { type HandledSignal, type ProcessSignals } from './processSignals.js'
 export { waitForStartup, type StartupProblem, type StartupWaitOptions } from './startupWait.js'
 export { openPort, type PortOptions } from './openPort.js'
 export { readStableFile } from './stableFile.js'
--- a/packages/spoolgate/bin/spoolgate.js
+++ b/packages/spoolgate/bin/spoolgate.js
@@ -1,4 +1,10 @@
 #!/usr/bin/env node
-import { runCli } from '../dist/node/cli/cli.js'
+import { installSignals } from '@spoolgate/core/signals'
 
-await runCli(process.argv.slice(2))
+/** Commands that run until they are stopped; their signals are listened to before the rest is loaded. */
+const DAEMONS = new Set(['router', 'sidecar', 'control', 'dev'])
+
+const args = process.argv.slice(2)
+if (DAEMONS.has(args[0])) installSignals()
+const { runCli } = await import('../dist/node/cli/cli.js')
+await runCli(args)
--- a/packages/spoolgate/src/node/cli/exit.ts
+++ b/packages/spoolgate/src/node/cli/exit.ts
@@ -1,4 +1,4 @@
-/** How commands end: exit codes and planned stops. */
+/** How commands end: exit codes and messages. */
 
 /** Exit codes of the command. */
 export const EXIT_CODES = { ok: 0, failedRun: 1, badUse: 2 } as const
@@ -8,18 +8,13 @@
   constructor(
     message: string,
     readonly exitCode: number,
+    /** Whether waiting may help, as with a file that is still to be written. */
+    readonly mayPass = false,
   ) {
     super(message)
   }
 }
 
-/** Waits for SIGTERM or SIGINT. */
-export function waitForStop(): Promise<string> {
-  return new Promise((resolve) => {
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => resolve(signal))
-  })
-}
-
 /** Prints to standard output. */
 export function printLine(text: string): void {
   process.stdout.write(`${text}\n`)
--- a/packages/spoolgate/src/node/cli/settings.ts
+++ b/packages/spoolgate/src/node/cli/settings.ts
@@ -1,7 +1,7 @@
 /** Reading of settings and keys for the commands that start daemons. */
 import { existsSync, readFileSync } from 'node:fs'
 import { formatProblems, loadSettings, type InstanceSettings } from '@spoolgate/config'
-import { createLogger, createTimerService } from '@spoolgate/core'
+import { createLogger, type TimerService } from '@spoolgate/core'
 import { CliError, EXIT_CODES } from './exit.js'
 
 /** Reads a key from a file. */
@@ -10,10 +10,11 @@
     throw new CliError(
       `${file}: no such key file; write a long random text into it`,
       EXIT_CODES.badUse,
+      true,
     )
   }
   const key = readFileSync(file, 'utf8').trim()
-  if (key === '') throw new CliError(`${file}: the key file is empty`, EXIT_CODES.badUse)
+  if (key === '') throw new CliError(`${file}: the key file is empty`, EXIT_CODES.badUse, true)
   return key
 }
 
@@ -33,13 +34,16 @@
 }
 
 /** Creates the parts that every daemon takes from its settings. */
-export function createDaemonParts(settings: InstanceSettings) {
+export function createDaemonParts(
+  settings: InstanceSettings,
+  { timers, write }: { readonly timers: TimerService; readonly write: (line: string) => void },
+) {
   const { instance, logLevel, role, listen, processKeyFile, tls } = settings
   return {
     ...listen,
     tls,
     processKey: readKeyFile(processKeyFile),
-    logger: createLogger({ level: logLevel, base: { role, instance } }),
-    timers: createTimerService(),
+    logger: createLogger({ level: logLevel, base: { role, instance }, write }),
+    timers,
   }
 }
