--- a/packages/sidecar/src/__tests__/queuedCalls.spec.ts
+++ b/packages/sidecar/src/__tests__/queuedCalls.spec.ts
@@ -79,6 +79,7 @@
       const answer = Object.assign(Readable.from([Buffer.from('data: [DONE]\n\n')]), {
         statusCode: 200,
         headers: { 'content-type': 'text/event-stream' },
+        rawHeaders: ['Content-Type', 'text/event-stream'],
       })
       answers.push(() => resolve(answer as unknown as IncomingMessage))
     })
