fix: bound the memory that a process holds for others

The platform kills a process beyond its limit, and with it every request that it serves.

Cause: nothing added up what is held, and a body that could never be passed on was read to its end. Large holds may use three quarters of it, so small requests go on; at the bound a body waits for 250 ms, owners that stood still for a second make room, and the rest is refused with 503 and Retry-After (noRoom, not run) or costs the attempt. One answer may take a quarter: a longer one of a known length is passed on as it arrives, one without a length is given up. The rest of a body that nobody needs is read for a second and 256 KiB, then its connection is closed. Gauges: held_bytes, held_peak_bytes, held_limit_bytes, hold_refusals, hold_evictions, resident_bytes, resident_peak_bytes.

--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -3,6 +3,7 @@
  * holds the routing table, weights and servers, serves the feed to routers, and rolls out weights.
  */
 import {
+  addMemoryGauges,
   createDaemonRoutes,
   createHttpClient,
   createHttpServer,
@@ -11,6 +12,7 @@
   createRandomSource,
   type CloseReport,
   type Logger,
+  type MemoryBudget,
   type RejectedInputs,
   type Route,
   type TimerService,
@@ -75,6 +77,8 @@
   readonly weightsExpireMs: number
   /** Permitted overrun of team limits. */
   readonly quotaTolerance: QuotaTolerance
+  /** Budget whose gauges are among the metrics. */
+  readonly memory?: MemoryBudget
   /** Records external input that was rejected. */
   readonly rejectedInputs: RejectedInputs
   readonly logger: Logger
@@ -129,6 +133,7 @@
 ): Promise<RegistryControl> {
   const { logger, timers, instance } = options
   const metrics = createMetrics('control')
+  if (options.memory) addMemoryGauges(metrics, options.memory)
   const invariants = createInvariants({ logger, metrics })
   const electionMs = options.electionMs ?? DEFAULT_ELECTION_MS
   const decoder = createTableDecoder(options.decodeTable, logger)
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -33,6 +33,7 @@
   streamNotResumable: { status: 503, type: 'overloaded_error', notRun: true },
   quarantined: { status: 503, type: 'overloaded_error', notRun: true },
   instanceStopping: { status: 503, type: 'overloaded_error', notRun: true },
+  noRoom: { status: 503, type: 'overloaded_error', notRun: true },
   controlUnavailable: { status: 503, type: 'overloaded_error', notRun: true },
   notLeader: { status: 421, type: 'api_error', notRun: true },
   backendFailed: { status: 502, type: 'api_error', notRun: false },
--- a/packages/core/src/httpBody.ts
+++ b/packages/core/src/httpBody.ts
@@ -1,6 +1,7 @@
-/** Reading of HTTP bodies with a bound on size and on time. */
+/** Reading of HTTP bodies with bounds on size, time and memory. */
 import type { IncomingMessage } from 'node:http'
 import { SpoolgateError } from './errors.js'
+import { findMessageHold, type MemoryHold } from './memoryBudget.js'
 
 /** Bounds on a body that is read whole. */
 export interface BodyLimits {
@@ -13,31 +14,78 @@
 /** Bounds between processes of the fleet. */
 export const INTERNAL_BODY_LIMITS: BodyLimits = { maxBytes: 64 * 1024 * 1024, timeoutMs: 30_000 }
 
+/** Bounds on the rest of a body that nobody needs; beyond them its connection is closed. */
+const MAX_DISCARDED_BYTES = 256 * 1024
+const DISCARD_MS = 1_000
+/** Seconds after which a sender that found no room may try again. */
+const ROOM_RETRY_AFTER_S = 0.5
+
+/** Ends a body that nobody needs: reads a short rest, so that its connection can be used again, or closes that. */
+export function closeBody(message: IncomingMessage): void {
+  if (message.complete && message.readableLength === 0) return void message.resume()
+  let size = 0
+  const timeout = setTimeout(() => message.destroy(), DISCARD_MS)
+  message.on('data', (chunk: Buffer) => {
+    size += chunk.length
+    if (size > MAX_DISCARDED_BYTES) message.destroy()
+  })
+  message.on('error', () => {})
+  for (const end of ['end', 'close'] as const) message.once(end, () => clearTimeout(timeout))
+  message.resume()
+}
+
 /**
- * Reads a body whole.
- * @throws SpoolgateError `oversizeBody`, `bodyTimeout`, or `malformedBody` when the sender left.
+ * Reads a body whole. It counts in the hold of its message, if there is one.
+ * @throws SpoolgateError `oversizeBody`, `bodyTimeout`, `noRoom`, or `malformedBody` when the sender left.
  */
 export function readBody(message: IncomingMessage, limits: BodyLimits): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
+    const hold = findMessageHold(message)
     let size = 0
-    const fail = (error: SpoolgateError) => {
+    let isSettled = false
+    const settle = () => {
+      isSettled = true
       clearTimeout(timeout)
+      hold?.setEviction(undefined)
       message.removeAllListeners('data')
-      message.resume()
+    }
+    const fail = (error: SpoolgateError) => {
+      if (isSettled) return
+      settle()
+      chunks.length = 0
+      hold?.resize(0)
+      closeBody(message)
       reject(error)
     }
-    const timeout = setTimeout(() => {
+    const failLate = () =>
       fail(new SpoolgateError('bodyTimeout', `send the body within ${limits.timeoutMs} ms`))
-    }, limits.timeoutMs)
+    const failRoom = () => {
+      const remedy = 'too much is being sent to this process at the moment; try again'
+      fail(new SpoolgateError('noRoom', remedy, { retryAfterSeconds: ROOM_RETRY_AFTER_S }))
+    }
+    /** Holds the sender back until there is room. */
+    const waitForRoom = async (held: MemoryHold) => {
+      message.pause()
+      const isHeld = await held.waitForRoom(size)
+      if (isSettled) held.resize(0)
+      else if (isHeld) message.resume()
+      else failRoom()
+    }
+    const timeout = setTimeout(failLate, limits.timeoutMs)
+    hold?.setEviction(failLate)
     message.on('data', (chunk: Buffer) => {
       size += chunk.length
+      if (size > limits.maxBytes) {
+        fail(new SpoolgateError('oversizeBody', `send at most ${limits.maxBytes} bytes`))
+        return
+      }
       chunks.push(chunk)
-      if (size <= limits.maxBytes) return
-      fail(new SpoolgateError('oversizeBody', `send at most ${limits.maxBytes} bytes`))
+      if (hold && !hold.resize(size)) void waitForRoom(hold)
     })
     message.on('end', () => {
-      clearTimeout(timeout)
+      if (isSettled) return
+      settle()
       resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
     })
     const failCut = () =>
--- a/packages/core/src/httpClient.ts
+++ b/packages/core/src/httpClient.ts
@@ -3,6 +3,7 @@
 import { Agent, request as requestPlain, type ClientRequest, type IncomingMessage } from 'node:http'
 import { Agent as TlsAgent, request as requestTls } from 'node:https'
 import { parseErrorBody, SpoolgateError } from './errors.js'
+import { addMessageHold, type MemoryBudget } from './memoryBudget.js'
 import { INTERNAL_BODY_LIMITS, readBody, readJson } from './httpBody.js'
 
 /** Options of {@link createHttpClient}. */
@@ -22,6 +23,11 @@
    * @default unlimited
    */
   readonly maxConnections?: number
+  /**
+   * Memory budget in which the bodies of answers count.
+   * @default undefined, they are bounded one by one
+   */
+  readonly memory?: MemoryBudget
 }
 
 /** One request. */
@@ -126,6 +132,11 @@
             }, request.timeoutMs)
       outgoing.on('response', (message) => {
         clearTimeout(timeout)
+        if (options.memory) {
+          const hold = options.memory.open()
+          addMessageHold(message, hold)
+          message.once('close', hold.close)
+        }
         resolve(message)
       })
       outgoing.on('error', (cause) => {
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -18,6 +18,7 @@
 import { isSameSecret } from './keys.js'
 import { openPort } from './openPort.js'
 import type { Logger } from './logger.js'
+import { addMessageHold, type MemoryBudget } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
 import { createTurnQueue } from './turnQueue.js'
 import { waitFor, type TimerService } from './timers.js'
@@ -70,6 +71,11 @@
    * @default undefined, they are only logged
    */
   readonly metrics?: Pick<Metrics, 'counter'>
+  /**
+   * Memory budget in which the bodies of requests count.
+   * @default undefined, they are bounded one by one
+   */
+  readonly memory?: MemoryBudget
   /** Clock and timers; TLS files are checked for changes by it. */
   readonly timers: TimerService
   /**
@@ -286,6 +292,11 @@
     }
     if (!ends.take(request, response, onEnd)) return
     active.add(response)
+    if (options.memory) {
+      const hold = options.memory.open()
+      addMessageHold(request, hold)
+      response.once('close', hold.close)
+    }
     dispatch(request, response)
       .catch((cause) => sendError(response, cause))
       .catch((cause) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -65,6 +65,15 @@
   type StoredCallerKey,
 } from './keys.js'
 export {
+  addMemoryGauges,
+  addMessageHold,
+  createMemoryBudget,
+  findBudgetBytes,
+  type MemoryBudget,
+  type MemoryHold,
+} from './memoryBudget.js'
+export {
+  closeBody,
   INTERNAL_BODY_LIMITS,
   parseJsonBody,
   readBody,
--- /dev/null
+++ b/packages/core/src/memoryBudget.ts
@@ -0,0 +1,188 @@
+/**
+ * One bound on the bytes that a process holds for others: bodies of callers and of servers, and parts of events. Small
+ * holds may use all of it and larger ones only a part, so that a few uploads cannot keep out everything else. At the
+ * bound a hold waits briefly; holds that have stood still for a while make room first.
+ */
+import type { IncomingMessage } from 'node:http'
+import { Subject } from 'rxjs'
+import type { Metrics } from './metrics.js'
+import type { TimerService } from './timers.js'
+
+/** Options of {@link createMemoryBudget}. */
+export interface MemoryBudgetOptions {
+  /** Bytes of all holds together. */
+  readonly limitBytes: number
+  readonly timers: TimerService
+}
+
+/** Bytes that one request, response or event takes of the budget. */
+export interface MemoryHold {
+  bytes(): number
+  /** Sets the size; returns false if there is no room, and leaves it as it was. */
+  resize(bytes: number): boolean
+  /** Resizes, and waits for room for a while if there is none; false if none came, or if it was closed meanwhile. */
+  waitForRoom(bytes: number): Promise<boolean>
+  /**
+   * Sets what ends the owner if it stands still while others need room; undefined for one that is at work.
+   * @default undefined
+   */
+  setEviction(evict: (() => void) | undefined): void
+  /** Gives everything back. */
+  close(): void
+}
+
+/** See {@link createMemoryBudget}. */
+export interface MemoryBudget {
+  readonly limitBytes: number
+  /** Largest size of one hold: a body that is longer can never be held. */
+  readonly maxHoldBytes: number
+  open(): MemoryHold
+  usedBytes(): number
+  peakBytes(): number
+  /** Holds that found no room, and those that were evicted. */
+  counts(): { readonly refused: number; readonly evicted: number }
+}
+
+/** Size up to which a hold may use the whole budget, in bytes. */
+const SMALL_HOLD_BYTES = 64 * 1024
+/** Part of the budget that larger holds may use. */
+const LARGE_HOLDS_RATIO = 0.75
+/** Part of the budget that one hold may use. */
+const MAX_HOLD_RATIO = 0.25
+/** Time for which a hold waits for room, in ms. */
+const ROOM_WAIT_MS = 250
+/** Time without a change after which an owner that can be evicted counts as standing still, in ms. */
+const STALLED_MS = 1_000
+
+interface OpenHold {
+  bytes: number
+  changedAt: number
+  evict: (() => void) | undefined
+}
+
+/** Creates an empty budget. */
+export function createMemoryBudget({ limitBytes, timers }: MemoryBudgetOptions): MemoryBudget {
+  const holds = new Set<OpenHold>()
+  const released = new Subject<void>()
+  let used = 0
+  let peak = 0
+  let refused = 0
+  let evicted = 0
+
+  const setBytes = (hold: OpenHold, bytes: number) => {
+    const isSmaller = bytes < hold.bytes
+    used += bytes - hold.bytes
+    peak = Math.max(peak, used)
+    hold.bytes = bytes
+    hold.changedAt = timers.now()
+    if (isSmaller) released.next()
+  }
+  const hasRoom = (hold: OpenHold, bytes: number) => {
+    if (bytes <= hold.bytes) return true
+    const ratio = bytes <= SMALL_HOLD_BYTES ? 1 : LARGE_HOLDS_RATIO
+    return used + bytes - hold.bytes <= limitBytes * ratio
+  }
+  const isStalled = ({ evict, changedAt }: OpenHold) =>
+    evict !== undefined && timers.now() - changedAt >= STALLED_MS
+  /** Evicts owners that stand still until there is room, those with the most bytes first. */
+  const evictStalled = (hold: OpenHold, bytes: number) => {
+    const stalled = [...holds].filter((other) => other !== hold && isStalled(other))
+    stalled.sort((one, other) => other.bytes - one.bytes)
+    for (const { evict } of stalled) {
+      if (hasRoom(hold, bytes)) return
+      evicted += 1
+      evict?.()
+    }
+  }
+  const resize = (hold: OpenHold, bytes: number): boolean => {
+    if (!holds.has(hold)) return false
+    if (!hasRoom(hold, bytes)) evictStalled(hold, bytes)
+    if (!hasRoom(hold, bytes)) return false
+    setBytes(hold, bytes)
+    return true
+  }
+  const waitForRoom = (hold: OpenHold, bytes: number): Promise<boolean> =>
+    new Promise((resolve) => {
+      const settle = (isHeld: boolean) => {
+        timeout.unsubscribe()
+        releases.unsubscribe()
+        if (!isHeld) refused += 1
+        resolve(isHeld)
+      }
+      const timeout = timers.after(ROOM_WAIT_MS).subscribe(() => settle(resize(hold, bytes)))
+      const releases = released.subscribe(() => {
+        if (!holds.has(hold)) settle(false)
+        else if (resize(hold, bytes)) settle(true)
+      })
+    })
+  return {
+    limitBytes,
+    maxHoldBytes: limitBytes * MAX_HOLD_RATIO,
+    open: () => {
+      const hold: OpenHold = { bytes: 0, changedAt: timers.now(), evict: undefined }
+      holds.add(hold)
+      return {
+        bytes: () => hold.bytes,
+        resize: (bytes) => resize(hold, bytes),
+        waitForRoom: (bytes) =>
+          resize(hold, bytes) ? Promise.resolve(true) : waitForRoom(hold, bytes),
+        setEviction: (evict) => {
+          hold.evict = evict
+          hold.changedAt = timers.now()
+        },
+        close: () => {
+          if (!holds.delete(hold)) return
+          hold.evict = undefined
+          setBytes(hold, 0)
+        },
+      }
+    },
+    usedBytes: () => used,
+    peakBytes: () => peak,
+    counts: () => ({ refused, evicted }),
+  }
+}
+
+const holdsOfMessages = new WeakMap<IncomingMessage, MemoryHold>()
+
+/** Makes the body that is read of a message count in a hold, which the caller closes. */
+export function addMessageHold(message: IncomingMessage, hold: MemoryHold): void {
+  holdsOfMessages.set(message, hold)
+}
+
+/** Finds the hold of a message; undefined if what is read of it is not counted. */
+export function findMessageHold(message: IncomingMessage): MemoryHold | undefined {
+  return holdsOfMessages.get(message)
+}
+
+/** Memory of a process before it holds anything for others, in MB: code, heap, and views of large fleets. */
+const BASE_MEMORY_MB = 120
+/** Part of the memory beyond that for what is held; the rest is for copies and for what is not collected yet. */
+const HELD_RATIO = 0.3
+const MIN_LIMIT_BYTES = 8 * 1024 * 1024
+const BYTES_PER_MB = 1_000_000
+
+/** Returns the budget of a process that may use `memoryMb` MB, in bytes. */
+export function findBudgetBytes(memoryMb: number): number {
+  return Math.max(MIN_LIMIT_BYTES, (memoryMb - BASE_MEMORY_MB) * BYTES_PER_MB * HELD_RATIO)
+}
+
+const BYTES_PER_KIB = 1_024
+
+/** Adds gauges of the budget, and of the memory of the whole process. */
+export function addMemoryGauges(metrics: Pick<Metrics, 'gauge'>, budget: MemoryBudget): void {
+  const gauges: readonly [name: string, description: string, read: () => number][] = [
+    ['held_bytes', 'Bytes held for bodies and events', budget.usedBytes],
+    ['held_peak_bytes', 'Most bytes held at a time', budget.peakBytes],
+    ['held_limit_bytes', 'Bound on the bytes held', () => budget.limitBytes],
+    ['hold_refusals', 'Holds that found no room', () => budget.counts().refused],
+    ['hold_evictions', 'Holds that stood still and made room', () => budget.counts().evicted],
+    ['resident_bytes', 'Resident memory of the process', () => process.memoryUsage.rss()],
+    [
+      'resident_peak_bytes',
+      'Most resident memory so far',
+      () => process.resourceUsage().maxRSS * BYTES_PER_KIB,
+    ],
+  ]
+  for (const [name, description, read] of gauges) metrics.gauge(name, description, read)
+}
--- a/packages/router/src/__tests__/responseRelay.spec.ts
+++ b/packages/router/src/__tests__/responseRelay.spec.ts
@@ -1,10 +1,23 @@
-import { get, type Agent, type IncomingMessage, type ServerResponse } from 'node:http'
+import {
+  createServer as createHttpServer,
+  get,
+  type Agent,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { PassThrough } from 'node:stream'
 import type { RegisteredServer } from '@spoolgate/control'
-import { createConnectionGuard, createKeepAliveAgent, createQuietLogger } from '@spoolgate/core'
+import {
+  createConnectionGuard,
+  createKeepAliveAgent,
+  createMemoryBudget,
+  createQuietLogger,
+  createTimerService,
+} from '@spoolgate/core'
 import { expect } from 'chai'
-import { createStreamRelay, readResponseBody } from '../direct/responseRelay.js'
+import { relayResponse, type AttemptOutcome } from '../direct/attemptOutcome.js'
+import { createStreamRelay, readResponseBody, type StreamRelay } from '../direct/responseRelay.js'
 
 type ConnectionScript = (socket: Socket, turn: number) => void
 
@@ -26,6 +39,15 @@
   })
 }
 
+const memory = createMemoryBudget({ limitBytes: 1_000_000, timers: createTimerService() })
+
+/** Reads a body; undefined if it is not whole. */
+async function readWhole(message: IncomingMessage): Promise<Buffer | undefined> {
+  const { maxHoldBytes: maxBytes } = memory
+  const read = await readResponseBody(message, { hold: memory.open(), maxBytes })
+  return read.kind === 'whole' ? read.body : undefined
+}
+
 describe('reading response bodies of backend servers', () => {
   let server: Server
   let agent: Agent
@@ -42,7 +64,7 @@
     server = await startScriptedServer((socket) => {
       socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it')
     })
-    const body = await readResponseBody(await sendGet(server, agent))
+    const body = await readWhole(await sendGet(server, agent))
     expect(body?.toString()).to.equal('all of it')
   })
 
@@ -54,7 +76,7 @@
     })
     const message = await sendGet(server, agent)
     message.once('data', () => setImmediate(reset))
-    expect(await readResponseBody(message)).to.equal(undefined)
+    expect(await readWhole(message)).to.equal(undefined)
   })
 
   it('rejects it as truncated also when the reset arrives together with the last bytes', async () => {
@@ -63,14 +85,14 @@
         setImmediate(() => socket.resetAndDestroy()),
       )
     })
-    expect(await readResponseBody(await sendGet(server, agent))).to.equal(undefined)
+    expect(await readWhole(await sendGet(server, agent))).to.equal(undefined)
   })
 
   it('rejects a response as truncated when bytes are missing', async () => {
     server = await startScriptedServer((socket) => {
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf')
     })
-    expect(await readResponseBody(await sendGet(server, agent))).to.equal(undefined)
+    expect(await readWhole(await sendGet(server, agent))).to.equal(undefined)
   })
 
   it('does not use a surplus response as the response to the next request', async () => {
@@ -81,11 +103,11 @@
       first.closed ??= new Promise((resolve) => socket.once('close', resolve))
       socket.write(format('right'))
     })
-    await readResponseBody(await sendGet(server, agent))
+    await readWhole(await sendGet(server, agent))
     await new Promise((resolve) => setImmediate(resolve))
     first.socket?.write(format('wrong'))
     await first.closed
-    const body = await readResponseBody(await sendGet(server, agent))
+    const body = await readWhole(await sendGet(server, agent))
     expect(body?.toString()).to.equal('right')
   })
 })
@@ -104,7 +126,7 @@
     const rejectedInputs = { record: () => {} }
     const guard = createConnectionGuard({ logger: createQuietLogger() })
     const relay = createStreamRelay(
-      { guard, rejectedInputs },
+      { guard, rejectedInputs, memory },
       {
         response: Object.assign(new PassThrough(), { writeHead }) as unknown as ServerResponse,
         isResumable: true,
@@ -118,3 +140,58 @@
     server.close()
   })
 })
+
+describe('relaying a response that is too long to be held', () => {
+  const BODY = 'x'.repeat(600_000)
+  /** Relays what a scripted server sends; resolves to the outcome, and to what a caller gets. */
+  const relayScript = async (script: ConnectionScript) => {
+    const server = await startScriptedServer(script)
+    const agent = createKeepAliveAgent({ idleMs: 5_000, marginMs: 100 })
+    let outcome: Promise<AttemptOutcome> | undefined
+    const relayTo = async (response: ServerResponse) =>
+      relayResponse({
+        message: await sendGet(server, agent),
+        server: {} as RegisteredServer,
+        headers: [],
+        response,
+        relay: {} as StreamRelay,
+        memory: { hold: memory.open(), maxBytes: memory.maxHoldBytes },
+        isFinished: () => false,
+      })
+    const front = createHttpServer((_, response) => {
+      outcome = relayTo(response)
+      void outcome.then(({ kind }) => {
+        if (kind !== 'answered') response.destroy()
+      })
+    })
+    await new Promise<void>((resolve) => front.listen(0, '127.0.0.1', resolve))
+    const { port } = front.address() as AddressInfo
+    const body = await fetch(`http://127.0.0.1:${port}`).then(
+      (response) => response.text().catch(() => undefined),
+      () => undefined,
+    )
+    const kind = (await outcome)?.kind
+    for (const each of [server, front]) each.close()
+    front.closeAllConnections()
+    agent.destroy()
+    return { kind, isWhole: body === BODY }
+  }
+
+  it('passes on one of a known length as it arrives', async () => {
+    const head = `HTTP/1.1 200 OK\r\nContent-Length: ${BODY.length}\r\n\r\n`
+    const result = await relayScript((socket) => socket.end(head + BODY))
+    expect(result).to.deep.equal({ kind: 'answered', isWhole: true })
+  })
+
+  it('does not let one of a known length look whole that breaks off', async () => {
+    const head = `HTTP/1.1 200 OK\r\nContent-Length: ${BODY.length + 1}\r\n\r\n`
+    const result = await relayScript((socket) => socket.end(head + BODY))
+    expect(result).to.deep.equal({ kind: 'cut', isWhole: false })
+  })
+
+  it('closes the connection of one that does not say how long it is', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n'
+    const result = await relayScript((socket) => socket.end(head + BODY))
+    expect(result).to.deep.equal({ kind: 'lost', isWhole: false })
+  })
+})
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -4,7 +4,9 @@
 import {
   isFramed,
   readResponseBody,
+  relayLongBody,
   sendBufferedResponse,
+  type BodyMemory,
   type StreamRelay,
 } from './responseRelay.js'
 import type { HeaderList, BackoffSignal } from './protocols.js'
@@ -57,6 +59,8 @@
   | { readonly kind: 'forbidden'; readonly reason: string }
   /** It is unknown whether the request ran, or its stream broke off. */
   | { readonly kind: 'lost'; readonly reason: string }
+  /** A response that was too long to be held broke off while it was relayed. */
+  | { readonly kind: 'cut'; readonly reason: string }
 
 /** What each outcome says about its server. */
 export const SERVER_OUTCOMES: Readonly<Record<AttemptOutcome['kind'], CallOutcome>> = {
@@ -68,6 +72,7 @@
   notRun: 'none',
   failed: 'failed',
   lost: 'failed',
+  cut: 'failed',
   abandoned: 'none',
 }
 
@@ -79,12 +84,20 @@
   'notRun',
 ])
 
+/** Outcomes of attempts whose connection was lost. */
+export const CONNECTION_LOSSES: ReadonlySet<AttemptOutcome['kind']> = new Set([
+  'lost',
+  'cut',
+  'abandoned',
+])
+
 /** Statuses that tell callers that the request was not run; forwarded only when the server itself guarantees that. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** Lowest status of an error response. */
 export const MIN_CLIENT_ERROR_STATUS = 400
 const MIN_SERVER_ERROR_STATUS = 500
 const EVENT_STREAM_TYPE = 'text/event-stream'
+const LONG_CUT = 'a long response broke off while it was relayed'
 
 /** Options of {@link relayResponse}. */
 export interface RelayResponseOptions {
@@ -94,27 +107,40 @@
   readonly headers: HeaderList
   readonly response: ServerResponse
   readonly relay: StreamRelay
+  readonly memory: BodyMemory
   /** Whether the request has been completed in the meantime. */
   readonly isFinished: () => boolean
 }
 
 /** Relays a response to the caller; failures are returned instead. */
 export async function relayResponse(options: RelayResponseOptions): Promise<AttemptOutcome> {
-  const { message, server, headers, response, relay, isFinished } = options
+  const { message, server, headers, relay, isFinished } = options
   const status = message.statusCode ?? 0
   const isStream = (message.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)
-  if (isStream && status < MIN_CLIENT_ERROR_STATUS) {
-    const problem = await relay.relay(message, headers, server)
-    if (problem !== undefined) return { kind: 'lost', reason: problem }
-    if (!isFinished()) relay.finish()
-    return { kind: 'answered', status, isFramed: isFramed(message) }
+  if (!isStream || status >= MIN_CLIENT_ERROR_STATUS) return relayBody(options, status)
+  const problem = await relay.relay(message, headers, server)
+  if (problem !== undefined) return { kind: 'lost', reason: problem }
+  if (!isFinished()) relay.finish()
+  return { kind: 'answered', status, isFramed: isFramed(message) }
+}
+
+/** Relays a response that is not a stream: once it is whole, or as it arrives if it is too long for that. */
+async function relayBody(options: RelayResponseOptions, status: number): Promise<AttemptOutcome> {
+  const { message, headers, response, memory, isFinished } = options
+  const isFailure = status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)
+  if (!isFailure && Number(message.headers['content-length'] ?? 0) > memory.maxBytes) {
+    const isWhole = !isFinished() && (await relayLongBody(message, headers, response))
+    return isWhole
+      ? { kind: 'answered', status, isFramed: true }
+      : { kind: 'cut', reason: LONG_CUT }
   }
-  const body = await readResponseBody(message)
-  if (!body) return { kind: 'lost', reason: 'the response broke off' }
-  const forward = () => sendBufferedResponse(response, status, headers, body)
-  if (status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)) {
-    return { kind: 'failed', status, reason: `status ${status}`, forward }
+  const read = await readResponseBody(message, memory)
+  if (read.kind === 'broken') return { kind: 'lost', reason: read.reason }
+  const forward = () => {
+    sendBufferedResponse(response, status, headers, read.body)
+    memory.hold.setEviction(() => response.destroy())
   }
+  if (isFailure) return { kind: 'failed', status, reason: `status ${status}`, forward }
   if (!isFinished()) forward()
   return { kind: 'answered', status, isFramed: isFramed(message) }
 }
--- a/packages/router/src/direct/directContext.ts
+++ b/packages/router/src/direct/directContext.ts
@@ -4,6 +4,7 @@
   ConnectionGuard,
   KeepAliveAgent,
   Logger,
+  MemoryBudget,
   RejectedInputs,
   RandomSource,
   TimerService,
@@ -58,6 +59,7 @@
     PartSetup,
     'recordRequest' | 'findRefusal' | 'recordAnswered' | 'waitForVerdict'
   >
+  readonly memory: MemoryBudget
   readonly timers: TimerService
   /** Queue that spreads sends over event loop turns. */
   readonly turns: TurnQueue
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -5,14 +5,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createCrashReportBuffer, createFeedClient, type FeedClient } from '@spoolgate/control'
 import {
+  addMemoryGauges,
+  addMessageHold,
   createConnectionGuard,
   createHttpClient,
   createKeepAliveAgent,
+  createMemoryBudget,
   createMetrics,
   createRejectedInputs,
   createRandomSource,
   createTurnQueue,
   createUniqueId,
+  findBudgetBytes,
   openPort,
   readBody,
   toSpoolgateError,
@@ -79,11 +83,15 @@
 /** Idle timeout of connections to backend servers, and the margin before the servers' own timeout, in ms. */
 const BACKEND_IDLE_MS = 30_000
 const BACKEND_IDLE_MARGIN_MS = 1_200
+const DEFAULT_MEMORY_MB = 512
 
 /** Creates a router and waits until it is listening. */
 export async function createDirectRouter(options: DirectRouterOptions): Promise<DirectRouter> {
   const { timers, logger, caller } = options
   const metrics = createMetrics('router')
+  const memory =
+    options.memory ?? createMemoryBudget({ limitBytes: findBudgetBytes(DEFAULT_MEMORY_MB), timers })
+  addMemoryGauges(metrics, memory)
   const client = createHttpClient()
   const random = createRandomSource(options.seed ?? Date.now() % 2 ** 31)
   const serverStats = createServerStats(timers, () => engineAdmission?.admission.runWaiting())
@@ -254,6 +262,7 @@
     crashDetector,
     quarantine,
     parts,
+    memory,
     timers,
     turns: createTurnQueue(),
     random,
@@ -277,6 +286,12 @@
     })
   }
 
+  /** Opens a hold that is closed with the response. */
+  const openHold = (response: ServerResponse) => {
+    const hold = memory.open()
+    response.once('close', hold.close)
+    return hold
+  }
   const handleRequest = async (
     request: IncomingMessage,
     response: ServerResponse,
@@ -293,12 +308,14 @@
       tracked.recordPlan(plan)
       const { maxBodyBytes } = plan.view.index.table.bounds
       const timeoutMs = Math.min(BODY_TIMEOUT_MS, shutdown.findBodyTimeoutMs())
+      addMessageHold(request, openHold(response))
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs })
       if (response.destroyed) return
       // Refuse only after the body has been read: closing a connection with unread bytes may lose the response.
       const refusal = shutdown.findRefusal(plan)
       if (refusal) throw refusal
-      await serveCall(context, plan, body, response)
+      const answerMemory = { hold: openHold(response), maxBytes: memory.maxHoldBytes }
+      await serveCall(context, plan, body, response, answerMemory)
     } catch (cause) {
       const error = toSpoolgateError(cause)
       logger.info('call.refused', {
--- a/packages/router/src/direct/directRouterOptions.ts
+++ b/packages/router/src/direct/directRouterOptions.ts
@@ -1,5 +1,5 @@
 /** Options of the direct router. */
-import type { Logger, TimerService } from '@spoolgate/core'
+import type { Logger, MemoryBudget, TimerService } from '@spoolgate/core'
 import type { RoutingTable, ServerGroup } from '@spoolgate/routing'
 import type { DirectAdmissionOptions } from './engineAdmission.js'
 import type { BackendProtocol, CallerProtocol } from './protocols.js'
@@ -31,6 +31,11 @@
    * @default undefined: beside several software versions, a stream is resumed only at the router that began it
    */
   readonly peers?: PeerEndpoint
+  /**
+   * Budget of the bodies and events that this process holds.
+   * @default that of a process with 512 MB
+   */
+  readonly memory?: MemoryBudget
   readonly logger: Logger
   readonly timers: TimerService
   /**
--- a/packages/router/src/direct/responseHead.ts
+++ b/packages/router/src/direct/responseHead.ts
@@ -1,6 +1,6 @@
 /** Evaluates the head of a backend response before any of the response is forwarded. */
 import type { IncomingMessage } from 'node:http'
-import { findResponseProblem } from '@spoolgate/core'
+import { closeBody, findResponseProblem } from '@spoolgate/core'
 import { recordResponseSignals } from './responseSignals.js'
 import type { CallPlan } from './callTypes.js'
 import type { Candidate } from './serverRanking.js'
@@ -34,7 +34,7 @@
   if (model !== undefined && head.weightsVersion !== undefined)
     serverStats.recordVersion(server.id, model, head.weightsVersion, sentAt)
   if (head.isNotExecuted) {
-    message.resume()
+    closeBody(message)
     const reason = head.isOtherServer ? 'otherServer' : `status${message.statusCode}`
     return { kind: 'notRun', reason, version: head.weightsVersion, backoff: head.backoff }
   }
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -3,8 +3,9 @@
  * truncated one can still be retried or turned into an error response. Events of a stream are forwarded as they arrive.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { pipeline } from 'node:stream/promises'
 import type { RegisteredServer } from '@spoolgate/control'
-import type { ConnectionGuard, RejectedInputs } from '@spoolgate/core'
+import type { ConnectionGuard, MemoryBudget, MemoryHold, RejectedInputs } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
 import { createSseEventBuffer, type SseEventBuffer } from './sseEventBuffer.js'
 
@@ -38,18 +39,71 @@
   }
 }
 
-/** Reads the whole body; returns undefined if it is truncated. */
-export function readResponseBody(message: IncomingMessage): Promise<Buffer | undefined> {
+/** A body that was read whole, or why it was not. */
+export type ResponseBody =
+  | { readonly kind: 'whole'; readonly body: Buffer }
+  | { readonly kind: 'broken'; readonly reason: string }
+
+/** Where a body counts, and how long it may become. */
+export interface BodyMemory {
+  readonly hold: MemoryHold
+  readonly maxBytes: number
+}
+
+/** Reads the whole body, unless it is truncated, too long or finds no room; then its connection is closed. */
+export function readResponseBody(
+  message: IncomingMessage,
+  { hold, maxBytes }: BodyMemory,
+): Promise<ResponseBody> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     const watch = watchCompletion(message)
-    message.on('data', (chunk: Buffer) => chunks.push(chunk))
-    message.on('end', () => resolve(watch.isComplete() ? Buffer.concat(chunks) : undefined))
-    message.on('error', () => resolve(undefined))
-    message.on('close', () => resolve(undefined))
+    let size = 0
+    const fail = (reason: string) => {
+      chunks.length = 0
+      hold.resize(0)
+      message.destroy()
+      resolve({ kind: 'broken', reason })
+    }
+    const waitForRoom = async () => {
+      message.pause()
+      if (await hold.waitForRoom(size)) message.resume()
+      else fail('there is no room for the response at the moment')
+    }
+    message.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > maxBytes) return fail(`the response is longer than ${maxBytes} bytes`)
+      chunks.push(chunk)
+      if (!hold.resize(size)) void waitForRoom()
+    })
+    message.on('end', () => {
+      if (watch.isComplete()) resolve({ kind: 'whole', body: Buffer.concat(chunks) })
+      else fail(BROKEN_BODY)
+    })
+    message.on('error', () => fail(BROKEN_BODY))
+    message.on('close', () => resolve({ kind: 'broken', reason: BROKEN_BODY }))
   })
 }
 
+/**
+ * Relays a body of a known length that is too long to be held. A body that breaks off closes the caller's connection.
+ * @returns whether it was relayed whole
+ */
+export async function relayLongBody(
+  message: IncomingMessage,
+  headers: HeaderList,
+  response: ServerResponse,
+): Promise<boolean> {
+  const length: [string, string] = ['Content-Length', String(message.headers['content-length'])]
+  writeHead(response, message.statusCode ?? 200, [...headers, length])
+  try {
+    await pipeline(message, response)
+    return true
+  } catch {
+    return false
+  }
+}
+
 /** Writes the status line and headers; a header field may occur more than once. */
 function writeHead(response: ServerResponse, status: number, headers: HeaderList): void {
   response.writeHead(
@@ -71,6 +125,7 @@
   response.end(body)
 }
 
+const BROKEN_BODY = 'the response broke off'
 const BROKEN_STREAM = 'the response stream broke off'
 
 /** The response stream of one caller, across all attempts that supply its events. */
@@ -97,6 +152,8 @@
   /** Runs the listeners of the responses. */
   readonly guard: ConnectionGuard
   readonly rejectedInputs: Pick<RejectedInputs, 'record'>
+  /** Where parts of events count, and what a slow caller has not read. */
+  readonly memory: Pick<MemoryBudget, 'open'>
 }
 
 /** Options of {@link createStreamRelay}. */
@@ -110,7 +167,7 @@
 
 /** Creates a relay whose response has not started. */
 export function createStreamRelay(
-  { guard, rejectedInputs }: RelayContext,
+  { guard, rejectedInputs, memory }: RelayContext,
   { response, isResumable, onChunk }: StreamRelayOptions,
 ): StreamRelay {
   let lastId: string | undefined
@@ -126,6 +183,7 @@
     message: IncomingMessage,
     headers: HeaderList,
     server: RegisteredServer,
+    hold: MemoryHold,
     data: Buffer,
   ) => {
     if (data.length === 0) return
@@ -133,7 +191,11 @@
     startResponse(message, headers)
     if (response.write(data)) return
     message.pause()
-    response.once('drain', () => message.resume())
+    hold.setEviction(() => response.destroy())
+    response.once('drain', () => {
+      hold.setEviction(undefined)
+      message.resume()
+    })
   }
   const takeForwardable = (eventBuffer: SseEventBuffer, chunk: Buffer) => {
     const completeEvents = eventBuffer.add(chunk)
@@ -147,26 +209,35 @@
       new Promise((resolve) => {
         const eventBuffer = createSseEventBuffer({ isResumable })
         const watch = watchCompletion(message)
+        const hold = memory.open()
+        const settle = (reason: string | undefined) => {
+          hold.close()
+          resolve(reason)
+        }
         const abandon = (reason: string) => {
           message.destroy()
-          resolve(reason)
+          settle(reason)
         }
         const handleData = (chunk: Buffer) => {
-          forward(message, headers, server, takeForwardable(eventBuffer, chunk))
+          forward(message, headers, server, hold, takeForwardable(eventBuffer, chunk))
           const problem = eventBuffer.findProblem()
-          if (problem === undefined) return
-          rejectedInputs.record({ source: 'streamEvent', from: server.id, reason: problem })
-          abandon(problem)
+          if (problem !== undefined) {
+            rejectedInputs.record({ source: 'streamEvent', from: server.id, reason: problem })
+            return abandon(problem)
+          }
+          const heldBytes = eventBuffer.partialBytes() + response.writableLength
+          if (heldBytes !== hold.bytes() && !hold.resize(heldBytes))
+            abandon('there is no room for a part of an event at the moment')
         }
         const handleEnd = () => {
           const isComplete = watch.isComplete() && !eventBuffer.hasPartialEvent()
           if (isComplete) startResponse(message, headers)
-          resolve(isComplete ? undefined : BROKEN_STREAM)
+          settle(isComplete ? undefined : BROKEN_STREAM)
         }
         message.on('data', guard.wrap('response.data', handleData, abandon))
         message.on('end', guard.wrap('response.end', handleEnd, abandon))
-        message.on('error', () => resolve(BROKEN_STREAM))
-        message.on('close', () => resolve(BROKEN_STREAM))
+        message.on('error', () => settle(BROKEN_STREAM))
+        message.on('close', () => settle(BROKEN_STREAM))
       }),
     finish: () => response.end(),
   }
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -1,4 +1,5 @@
 /** Records server choices and attempts: for the log, the metrics and later choices of all routers. */
+import type { RegisteredServer } from '@spoolgate/control'
 import type { BackendServerId, PromptPartId, RequestFingerprint } from '@spoolgate/core'
 import {
   MIN_CLIENT_ERROR_STATUS,
@@ -149,3 +150,20 @@
   if (status < MIN_CLIENT_ERROR_STATUS)
     parts.recordAnswered({ server, parts: sharedParts, isFramed })
 }
+
+/** Records for the quarantines that the connection to a server was lost while it worked on a request. */
+export function recordInterrupted(
+  { crashDetector }: Pick<DirectContext, 'crashDetector'>,
+  { group }: CallPlan,
+  server: RegisteredServer,
+  { fingerprint, sharedParts }: SuspectedContent,
+  { round, sentAt }: { readonly round: number; readonly sentAt: number },
+): void {
+  crashDetector.recordInterrupted(server, {
+    request: fingerprint,
+    round,
+    group: group.name,
+    parts: sharedParts,
+    sentAt,
+  })
+}
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -12,9 +12,13 @@
   SoftwareVersion,
   SpoolgateError,
 } from '@spoolgate/core'
-import type { Subscription } from 'rxjs'
 import { checkResponseHead } from './responseHead.js'
-import { createStreamRelay, isCallerDisconnected, type StreamRelay } from './responseRelay.js'
+import {
+  createStreamRelay,
+  isCallerDisconnected,
+  type BodyMemory,
+  type StreamRelay,
+} from './responseRelay.js'
 import { createRequestTimings, type RequestTimings } from './requestTimings.js'
 import { isProofFresh, resolveSendPriority } from './callPlan.js'
 import type { CallLog, CallPlan } from './callTypes.js'
@@ -29,6 +33,7 @@
   createOutcomeUnknownError,
 } from './errorResponses.js'
 import {
+  CONNECTION_LOSSES,
   SERVER_OUTCOMES,
   NOT_RUN_STATUSES,
   NOT_STARTED_OUTCOMES,
@@ -48,6 +53,7 @@
   formatCall,
   formatSendEnd,
   recordAnswered,
+  recordInterrupted,
   recordSend,
 } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
@@ -62,11 +68,12 @@
   plan: CallPlan,
   body: Buffer,
   response: ServerResponse,
+  memory: BodyMemory,
 ): Promise<void> {
   const pinned = await context.streams.resolvePin(plan, (event, fields) =>
     context.logger.info(event, { ...formatCall(context, plan), ...fields }),
   )
-  const servedCall = new ServedCall(context, pinned.plan, body, response, pinned.version)
+  const servedCall = new ServedCall(context, pinned.plan, body, response, memory, pinned.version)
   await servedCall.run()
 }
 
@@ -78,7 +85,6 @@
   mayHaveRun = false
   private isFinished = false
   private currentAttempt: SendAttempt | undefined
-  private timeout: Subscription | undefined
   sends = 0
   private trackedCall: TrackedCall | undefined
   /** When the last chunk of the response arrived, in ms of the monotonic clock. */
@@ -101,6 +107,8 @@
     private readonly plan: CallPlan,
     readonly body: Buffer,
     private readonly response: ServerResponse,
+    /** Where the body of the current response counts until the caller has it. */
+    private readonly memory: BodyMemory,
     public pinnedVersion: SoftwareVersion | undefined,
   ) {
     this.timings = createRequestTimings(context, plan)
@@ -119,7 +127,7 @@
     const finished = new Promise<void>((resolve) => {
       this.resolveFinished = resolve
     })
-    this.timeout = watchCaller(context, response, leftMs, {
+    const timeout = watchCaller(context, response, leftMs, {
       onLeft: () => this.finish('callerLeft'),
       onDeadline: () => this.handleDeadline(),
     })
@@ -131,7 +139,7 @@
       )
     })
     await Promise.race([work, finished])
-    this.timeout.unsubscribe()
+    timeout.unsubscribe()
   }
 
   isCallerGone = () => isCallerDisconnected(this.response)
@@ -174,7 +182,7 @@
     if (this.isFinished) return
     // The crash detector distinguishes a crashed server from a slow one, which still accepts connections.
     if (this.trackedCall?.hasNoServerActivity()) this.recordConnectionLoss()
-    if (this.relay.hasBegun()) {
+    if (this.response.headersSent) {
       this.finish('timedOutInStream')
       this.response.destroy()
       return
@@ -187,7 +195,7 @@
     if (this.isFinished) return
     this.context.instruments.refusals.add(1, { kind: error.kind })
     this.finish(error.kind)
-    if (this.relay.hasBegun()) this.response.destroy()
+    if (this.response.headersSent) this.response.destroy()
     else this.context.caller.sendRefusal(this.response, this.plan.call, error)
   }
 
@@ -215,21 +223,15 @@
 
   /** Runs an admitted attempt and records its outcome for the quarantine. */
   private async runAdmittedAttempt({ candidate, round }: AdmittedAttempt): Promise<AttemptOutcome> {
-    const { crashDetector } = this.context
+    const { context, plan } = this
     const { server } = candidate
     this.recordConnectionLoss = () =>
-      crashDetector.recordInterrupted(server, {
-        request: this.fingerprint,
-        round,
-        group: this.plan.group.name,
-        parts: this.sharedParts,
-        sentAt: this.sentAt,
-      })
+      recordInterrupted(context, plan, server, this, { round, sentAt: this.sentAt })
     const outcome = await this.sendWithWatch(candidate)
-    const isConnectionLost = outcome.kind === 'lost' || outcome.kind === 'abandoned'
+    const isConnectionLost = CONNECTION_LOSSES.has(outcome.kind)
     // A connection that this router closed itself says nothing about the server.
     if (isConnectionLost && !this.isFinished) this.recordConnectionLoss()
-    if (outcome.kind === 'answered') recordAnswered(this.context, server.id, this, outcome)
+    if (outcome.kind === 'answered') recordAnswered(context, server.id, this, outcome)
     return outcome
   }
 
@@ -321,10 +323,11 @@
   }
 
   private relayToCaller(message: IncomingMessage, server: RegisteredServer) {
-    const { response, relay } = this
-    const headers = this.context.backend.listAnswerHeaders(message)
-    const isFinished = () => this.isFinished
-    return relayResponse({ message, server, headers, response, relay, isFinished })
+    const { response, relay, memory, context } = this
+    const headers = context.backend.listAnswerHeaders(message)
+    memory.hold.resize(0)
+    const parts = { message, server, headers, response, relay, memory }
+    return relayResponse({ ...parts, isFinished: () => this.isFinished })
   }
 
   /** Handles the outcome of an attempt; returns true once the request has its final response. */
@@ -334,8 +337,9 @@
       this.writeLog('call.sendEnded', formatSendEnd(candidate, outcome, this.relay.lastEventId()))
     switch (outcome.kind) {
       case 'answered':
+      case 'cut':
         this.timings.recordPlainResponse()
-        this.finish('answered')
+        this.finish(outcome.kind)
         return true
       case 'notSent':
         this.context.liveness.recordUnreachable(candidate.server)
@@ -352,8 +356,7 @@
         return this.handleNotRun(candidate, outcome)
       case 'failed':
         return this.handleFailed(candidate, outcome)
-      case 'withdrawn':
-      case 'lost':
+      default:
         return this.handleLost(candidate, outcome.reason)
     }
   }
--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import {
   ConnectionError,
+  closeBody,
   findResponseProblem,
   INTERNAL_BODY_LIMITS,
   readBody,
@@ -62,7 +63,7 @@
     return
   }
   if (status >= adapter.failureStatus) {
-    message.resume()
+    closeBody(message)
     call.finish({ outcome: 'failed', reason: `backend server answered ${status}` })
     return
   }
