fix(router): resume streams after all routers were lost at once

Cause: the version that began a stream was known to four routers' memory only, and the routers were killed together. Now routers with a disk write the records that they have or get to it, gathered for 100 ms, and load them at their start; every router sends its records to two such routers as well, always the same, gathered for up to a second by the size of the fleet. No first event waits for either. Whoever takes a stream up asks them in its second round. A record is what it was before, so nothing can be continued at another version by it; a record that is lost costs a refusal, as before. Only groups with several versions cause any of this.

Not measured: processor time at that size; streams that began within the last second may be refused.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,4 @@
+export { encodeRecord, parseRecords } from './log/records.js'
 export { openDataFolder, type AppendFile, type DataFolder } from './log/dataFolder.js'
 export {
   createControlServer,
--- a/packages/control/src/log/records.ts
+++ b/packages/control/src/log/records.ts
@@ -25,6 +25,7 @@
   readonly tornBytes: number
 }
 
+/** Encodes one record; the payload must be JSON. */
 export function encodeRecord(payload: unknown): Buffer {
   const body = Buffer.from(JSON.stringify(payload))
   const header = Buffer.alloc(HEADER_BYTES)
--- a/packages/control/src/registry/feed.ts
+++ b/packages/control/src/registry/feed.ts
@@ -118,6 +118,8 @@
   /** Whether the leader has led for long enough to know all routers. */
   readonly isComplete: boolean
   readonly urls: readonly string[]
+  /** Those of them that keep records on a disk; absent before version 0.10. */
+  readonly durableUrls?: readonly string[]
 }
 
 /** Engine time that requests of a rank and team need soon; ranks and weights are those of the routers' admission. */
@@ -179,6 +181,8 @@
   readonly versionsSeen?: number
   /** Address at which other routers reach this one; absent if they cannot. */
   readonly peerUrl?: string
+  /** Whether this router keeps records of streams on a disk. */
+  readonly isPeerDurable?: boolean
   /** Revision, within the term, of this router's list of peers. */
   readonly peersSeen?: number
   /** Maximum time that the leader may hold the poll, in ms. */
--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -89,6 +89,11 @@
    * @default undefined, they do not
    */
   readonly peerUrl?: string
+  /**
+   * Whether this router keeps records of streams on a disk.
+   * @default false
+   */
+  readonly isPeerDurable?: boolean
 }
 
 /** Evidence about parts of prompts, held until the leader acknowledges it. */
@@ -149,6 +154,8 @@
   viewPosition(): ViewPosition
   /** Addresses at which routers exchange the records of their streams, that of this one included. */
   listPeers(): readonly string[]
+  /** Those of them that keep records on a disk. */
+  listDurablePeers(): readonly string[]
   /** URL of the instance that answered last; undefined while none responds. */
   leaderUrl(): string | undefined
   /** Emits after each change of the table, the weights, the servers, the software versions or the peers. */
@@ -230,6 +237,7 @@
       router: options.router,
       ...position,
       peerUrl: options.peerUrl,
+      isPeerDurable: options.isPeerDurable,
       blame: blame.report,
       parts: parts.report,
       limits: limits.reports,
@@ -356,6 +364,7 @@
     viewAgeMs: () => timers.promiseNow() - appliedAt,
     viewPosition: replica.position,
     listPeers: replica.listPeers,
+    listDurablePeers: replica.listDurablePeers,
     leaderUrl: () => leader,
     changes,
     close: async () => {
--- a/packages/control/src/registry/feedSource.ts
+++ b/packages/control/src/registry/feedSource.ts
@@ -245,8 +245,8 @@
     options.quotas.reset(leadingTerm)
     currentTerm = leadingTerm
   }
-  const recordVersions = ({ router, peerUrl, versionsSeen }: FeedRequest) => {
-    if (peerUrl !== undefined) peers.record(peerUrl)
+  const recordVersions = ({ router, peerUrl, isPeerDurable, versionsSeen }: FeedRequest) => {
+    if (peerUrl !== undefined) peers.record(peerUrl, isPeerDurable ?? false)
     if (versionsSeen !== undefined && leadingTerm !== undefined)
       options.versionGate.recordPoll(router, versionsSeen, leadingTerm)
   }
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -52,6 +52,8 @@
   readonly loads: ServerLoads
 }
 
+const NO_URLS: readonly string[] = []
+
 /** A router's position in the feed: versions, revisions and cursors of what it has received. */
 export type FeedPosition = Pick<
   FeedRequest,
@@ -90,6 +92,8 @@
   countRouters(): number
   /** Addresses at which routers exchange the records of their streams; empty until they are needed. */
   listPeers(): readonly string[]
+  /** Those of them that keep records on a disk. */
+  listDurablePeers(): readonly string[]
   /**
    * Applies a reply; true if it contained a new table, weights, servers, software versions or peers.
    * @param sentLoads loads of this router in the poll of the reply
@@ -218,6 +222,7 @@
     listControl: () => control,
     countRouters: () => routers,
     listPeers: () => peers.urls,
+    listDurablePeers: () => peers.durableUrls ?? NO_URLS,
     applyTable: (update) => {
       if (!installTable(update)) return false
       position = { ...position, tableVersion: update.version }
--- a/packages/control/src/registry/peerDirectory.ts
+++ b/packages/control/src/registry/peerDirectory.ts
@@ -13,8 +13,11 @@
 export interface PeerDirectory {
   /** Clears the list at the start of a term. */
   reset(): void
-  /** Records a poll of the router at an address; a restarted router has the address that it had. */
-  record(url: string): void
+  /**
+   * Records a poll of the router at an address; a restarted router has the address that it had.
+   * @param isDurable whether it keeps records on a disk
+   */
+  record(url: string, isDurable: boolean): void
   /** Revision of the list, which changes once a second at most. */
   revision(): number
   buildUpdate(): PeersUpdate
@@ -26,21 +29,26 @@
 /** Creates an empty list. */
 export function createPeerDirectory({ timers, routerLifeMs }: PeerDirectoryOptions): PeerDirectory {
   const polledAt = new Map<string, number>()
+  const durable = new Set<string>()
   let startedAt = timers.now()
   let refreshedAt = -Infinity
   let update: PeersUpdate = { isComplete: false, urls: [] }
   let revision = 0
 
-  const isSame = ({ isComplete, urls }: PeersUpdate) =>
+  const isEqual = (one: readonly string[], other: readonly string[] = []) =>
+    one.length === other.length && one.every((url, index) => url === other[index])
+  const isSame = ({ isComplete, urls, durableUrls }: Required<PeersUpdate>) =>
     isComplete === update.isComplete &&
-    urls.length === update.urls.length &&
-    urls.every((url, index) => url === update.urls[index])
+    isEqual(urls, update.urls) &&
+    isEqual(durableUrls, update.durableUrls)
   const refresh = () => {
     const now = timers.now()
     if (now - refreshedAt < REFRESH_PERIOD_MS) return
     refreshedAt = now
     for (const [url, at] of polledAt) if (now - at > routerLifeMs) polledAt.delete(url)
-    const next = { isComplete: now - startedAt >= routerLifeMs, urls: [...polledAt.keys()].sort() }
+    const urls = [...polledAt.keys()].sort()
+    const durableUrls = urls.filter((url) => durable.has(url))
+    const next = { isComplete: now - startedAt >= routerLifeMs, urls, durableUrls }
     if (isSame(next)) return
     update = next
     revision += 1
@@ -51,7 +59,11 @@
       startedAt = timers.now()
       refreshedAt = -Infinity
     },
-    record: (url) => void polledAt.set(url, timers.now()),
+    record: (url, isDurable) => {
+      polledAt.set(url, timers.now())
+      if (isDurable) durable.add(url)
+      else durable.delete(url)
+    },
     revision: () => {
       refresh()
       return revision
--- /dev/null
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -0,0 +1,121 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { openDataFolder, type DataFolder } from '@spoolgate/control'
+import {
+  createManualTimerService,
+  createMetrics,
+  createQuietLogger,
+  createTimerService,
+  toSoftwareVersion,
+  type HttpClient,
+} from '@spoolgate/core'
+import { expect } from 'chai'
+import { createDurableCopies, DURABLE_COPIES } from '../streams/durableCopies.js'
+import { openRecordJournal } from '../streams/recordJournal.js'
+import { TAKEN_STATUS } from '../streams/recordMessages.js'
+import { createStreamRecords, hashStreamKey } from '../streams/streamRecords.js'
+
+const VERSION = toSoftwareVersion('v1')
+const ROUTERS = 410
+const DURABLE_ROUTERS = 6
+/** Streams that a router of a large fleet begins, per second. */
+const STREAMS_PER_SECOND = 13
+
+const buildRecord = (id: string, ttlMs = 10_000) => ({
+  key: hashStreamKey(undefined, id),
+  group: 'g',
+  version: VERSION,
+  ttlMs,
+})
+
+describe('records of streams on a disk', () => {
+  const timers = createTimerService()
+  let path: string
+
+  beforeEach(() => {
+    path = mkdtempSync(join(tmpdir(), 'spoolgate-journal-'))
+  })
+  afterEach(() => rmSync(path, { recursive: true, force: true }))
+
+  const open = (folder: string | DataFolder = path) => {
+    const records = createStreamRecords(timers)
+    const common = { timers, logger: createQuietLogger(), metrics: createMetrics('router') }
+    const journal = openRecordJournal({ folder, records, ...common })
+    const add = (id: string, ttlMs?: number) => {
+      records.add(buildRecord(id, ttlMs))
+      journal.add(buildRecord(id, ttlMs))
+    }
+    const find = (id: string) => records.find(hashStreamKey(undefined, id))?.version
+    const close = async () => {
+      await journal.close()
+      records.close()
+    }
+    return { add, find, close, loaded: journal.loaded }
+  }
+
+  it('are found by the next process until their time is over', async () => {
+    for (const id of ['first', 'second']) {
+      const journal = open()
+      await journal.loaded
+      journal.add(id)
+      journal.add(`short ${id}`, 1)
+      await journal.close()
+    }
+    const journal = open()
+    await journal.loaded
+    const found = ['first', 'second', 'short first', 'short second'].map(journal.find)
+    expect(found).to.deep.equal([VERSION, VERSION, undefined, undefined])
+    await journal.close()
+  })
+
+  it('do not end or delay anything when the disk refuses writes', async () => {
+    const folder = await openDataFolder(path)
+    const refuse = () => Promise.reject(new Error('no space left'))
+    const journal = open({ ...folder, write: refuse, openAppend: refuse })
+    journal.add('first')
+    await journal.close()
+    expect(journal.find('first')).to.equal(VERSION)
+  })
+})
+
+describe('copies of stream records at routers with a disk', () => {
+  it('reach enough of them in a large fleet, in few messages', async () => {
+    const timers = createManualTimerService()
+    const urls = Array.from({ length: ROUTERS }, (_, index) => `http://10.0.0.${index}:7341`)
+    const durable = urls.slice(0, DURABLE_ROUTERS)
+    const messages = new Map<string, number>()
+    const copies = new Map<string, number>()
+    const send = async ({ url, body }: { url: string; body?: unknown }): Promise<unknown> => {
+      const { origin } = new URL(url)
+      messages.set(origin, (messages.get(origin) ?? 0) + 1)
+      const { records } = JSON.parse(String(body)) as { records: [key: string][] }
+      for (const [key] of records) copies.set(key, (copies.get(key) ?? 0) + 1)
+      return { statusCode: TAKEN_STATUS, resume: () => {} }
+    }
+    const senders = urls.map((ownUrl) =>
+      createDurableCopies({
+        ownUrl,
+        listDurable: () => durable,
+        listPeers: () => urls,
+        client: { send } as Pick<HttpClient, 'send'>,
+        timers,
+        logger: createQuietLogger(),
+        countMessage: () => {},
+      }),
+    )
+    for (let number = 0; number < STREAMS_PER_SECOND; number += 1) {
+      for (const [index, sender] of senders.entries()) sender.add(buildRecord(`${index}:${number}`))
+      timers.advance(1_000 / STREAMS_PER_SECOND)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    timers.advance(1_000)
+    for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    timers.advance(1_000)
+    for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    expect(copies.size).to.equal(ROUTERS * STREAMS_PER_SECOND)
+    expect(new Set(copies.values())).to.deep.equal(new Set([DURABLE_COPIES]))
+    // A message to each holder in each second and each of 410 routers would be 410 a second.
+    expect(Math.max(...messages.values())).to.be.below(ROUTERS)
+  })
+})
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -157,9 +157,11 @@
     logger,
     findLeaderUrl: () => feed.leaderUrl(),
   })
-  const streamSetup = await openStreamSetup({ peers: options.peers, timers, logger, metrics })
+  const { peers, recordFolder: folder } = options
+  const streamSetup = await openStreamSetup({ peers, folder, timers, logger, metrics })
   const feed: FeedClient = createFeedClient({
     peerUrl: streamSetup.peerUrl,
+    isPeerDurable: folder !== undefined,
     router: options.instance,
     seeds: options.seeds,
     client,
--- a/packages/router/src/direct/directRouterOptions.ts
+++ b/packages/router/src/direct/directRouterOptions.ts
@@ -31,6 +31,11 @@
    * @default undefined: beside several software versions, a stream is resumed only at the router that began it
    */
   readonly peers?: PeerEndpoint
+  /**
+   * Folder on a disk, where records of streams outlive this router.
+   * @default undefined: they are lost when all routers that hold them are
+   */
+  readonly recordFolder?: string
   /**
    * Budget of the bodies and events that this process holds.
    * @default that of a process with 512 MB
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -25,6 +25,8 @@
   TAKEN_STATUS,
 } from './recordMessages.js'
 import { createRecordLookup, type LookupResult } from './recordLookup.js'
+import { createDurableCopies } from './durableCopies.js'
+import { openRecordJournal, type RecordJournal } from './recordJournal.js'
 import { createRecordSender } from './recordSender.js'
 import type { StreamRecord, StreamRecords } from './streamRecords.js'
 
@@ -41,6 +43,10 @@
   readonly records: StreamRecords
   /** Lists the URLs of all routers, that of this one included. */
   readonly listPeers: () => readonly string[]
+  /** Lists the URLs of those that keep records on a disk. */
+  readonly listDurable: () => readonly string[]
+  /** Folder on the disk of this router; undefined if it has none. */
+  readonly folder: string | undefined
   readonly timers: TimerService
   readonly logger: Logger
   readonly metrics: Pick<Metrics, 'counter'>
@@ -64,10 +70,15 @@
 const HAND_OVER_MS = 150
 
 /** Creates the routes with which a router takes the records of others and answers lookups. */
-export function createRecordRoutes(records: StreamRecords): Route[] {
+export function createRecordRoutes(
+  records: Pick<StreamRecords, 'add' | 'find'>,
+  journal?: Pick<RecordJournal, 'add'>,
+): Route[] {
   const takeRecords = async ({ request, response }: HttpExchange) => {
-    for (const record of decodeRecords(await readJson(request, INTERNAL_BODY_LIMITS)))
+    for (const record of decodeRecords(await readJson(request, INTERNAL_BODY_LIMITS))) {
       records.add(record)
+      journal?.add(record)
+    }
     response.sendDate = false
     response.writeHead(TAKEN_STATUS).end()
   }
@@ -84,10 +95,14 @@
 
 /** Opens the exchange; resolves once it is listening. */
 export async function openRecordExchange(options: RecordExchangeOptions): Promise<RecordExchange> {
-  const { endpoint, records, listPeers, timers, logger, metrics } = options
+  const { endpoint, records, listPeers, listDurable, folder, timers, logger, metrics } = options
+  const journal =
+    folder === undefined
+      ? undefined
+      : openRecordJournal({ folder, records, timers, logger, metrics })
   const server = await createHttpServer({
     ...endpoint,
-    routes: createRecordRoutes(records),
+    routes: createRecordRoutes(records, journal),
     logger,
     metrics,
     timers,
@@ -95,27 +110,31 @@
   const client = createHttpClient({ maxConnections: CONNECTIONS_PER_PEER })
   const messages = metrics.counter('record_messages', 'Messages with stream records, by outcome')
   const sent = metrics.counter('records_sent', 'Stream records in them, by outcome')
-  const sender = createRecordSender({
-    ownUrl: server.url,
-    listPeers,
-    client,
-    logger,
-    countMessage: (outcome, count) => {
-      messages.add(1, { outcome })
-      sent.add(count, { outcome })
-    },
-  })
-  const find = createRecordLookup({ ownUrl: server.url, listPeers, client, timers, logger })
+  const countMessage = (outcome: 'sent' | 'failed', count: number) => {
+    messages.add(1, { outcome })
+    sent.add(count, { outcome })
+  }
+  const common = { ownUrl: server.url, listPeers, client, timers, logger, countMessage }
+  const sender = createRecordSender(common)
+  const copies = createDurableCopies({ ...common, listDurable })
   return {
     url: server.url,
-    send: sender.send,
-    find,
+    send: (record) => {
+      sender.send(record)
+      copies.add(record)
+      journal?.add(record)
+    },
+    find: createRecordLookup({ ...common, listDurable }),
     close: async () => {
       const handedOver = records.list()
       if (listPeers().length > 0) handedOver.forEach(sender.send)
       await Promise.race([sender.waitUntilIdle(), waitFor(timers, HAND_OVER_MS)])
       logger.info('streams.handedOver', { records: handedOver.length, peers: listPeers().length })
       await server.close(0)
+      await Promise.race([
+        Promise.all([copies.close(), journal?.close()]),
+        waitFor(timers, HAND_OVER_MS),
+      ])
       client.close()
     },
   }
--- a/packages/router/src/streams/recordLookup.ts
+++ b/packages/router/src/streams/recordLookup.ts
@@ -15,6 +15,11 @@
 export interface RecordLookupOptions {
   readonly ownUrl: string
   readonly listPeers: () => readonly string[]
+  /**
+   * Lists the URLs of the routers that keep records on a disk.
+   * @default none
+   */
+  readonly listDurable?: () => readonly string[]
   readonly client: Pick<HttpClient, 'sendJson'>
   readonly timers: TimerService
   readonly logger: Logger
@@ -35,6 +40,8 @@
 const ANSWER_TIMEOUT_MS = 250
 /** Time until the second round, in ms; a record may be on its way while its stream is resumed already. */
 const SECOND_ROUND_MS = 100
+/** Maximum routers with a disk that are asked, since each may have the record after all routers were lost. */
+const MAX_DURABLE_ASKED = 12
 
 /** Resolves with the first record that any holder has, or undefined once all have answered or failed. */
 function findFirst(
@@ -51,7 +58,7 @@
 
 /** Creates a lookup. */
 export function createRecordLookup(options: RecordLookupOptions): RecordLookup {
-  const { ownUrl, listPeers, client, timers, logger } = options
+  const { ownUrl, listPeers, listDurable = () => [], client, timers, logger } = options
 
   return async (key, maxWaitMs) => {
     const holders = rankHolders(key, listPeers(), ownUrl)
@@ -82,8 +89,9 @@
     const isTimeLeft = endsAt - timers.now() > SECOND_ROUND_MS
     if (!record && isTimeLeft && holders.length > 0) {
       await waitFor(timers, SECOND_ROUND_MS)
+      const durable = listDurable().filter((url) => url !== ownUrl)
       // Those that replace failed holders are asked as well.
-      record = await askAll(holders)
+      record = await askAll([...new Set([...holders, ...durable.slice(0, MAX_DURABLE_ASKED)])])
     }
     return { record, asked: asked.size, answered: answered.size }
   }
--- a/packages/router/src/streams/recordSender.ts
+++ b/packages/router/src/streams/recordSender.ts
@@ -42,6 +42,25 @@
 /** Maximum records that wait for one holder. */
 const MAX_WAITING = 1_024
 
+/**
+ * Sends records to a router.
+ * @throws ConnectionError, or the error that it answered
+ */
+export async function sendRecords(
+  client: Pick<HttpClient, 'send'>,
+  url: string,
+  records: readonly StreamRecord[],
+): Promise<void> {
+  const answer = await client.send({
+    method: 'POST',
+    url: `${url}${RECORDS_PATH}`,
+    body: JSON.stringify({ records: records.map(encodeRecord) }),
+    timeoutMs: SEND_TIMEOUT_MS,
+  })
+  if (answer.statusCode !== TAKEN_STATUS) throw await readErrorAnswer(answer)
+  answer.resume()
+}
+
 /** Creates a sender. */
 export function createRecordSender(options: RecordSenderOptions): RecordSender {
   const { ownUrl, listPeers, client, logger, countMessage } = options
@@ -50,14 +69,8 @@
 
   const sendBatch = async (url: string, batch: readonly Transfer[]) => {
     try {
-      const answer = await client.send({
-        method: 'POST',
-        url: `${url}${RECORDS_PATH}`,
-        body: JSON.stringify({ records: batch.map(({ record }) => encodeRecord(record)) }),
-        timeoutMs: SEND_TIMEOUT_MS,
-      })
-      if (answer.statusCode !== TAKEN_STATUS) throw await readErrorAnswer(answer)
-      answer.resume()
+      const records = batch.map(({ record }) => record)
+      await sendRecords(client, url, records)
       countMessage('sent', batch.length)
     } catch (cause) {
       countMessage('failed', batch.length)
--- a/packages/router/src/streams/streamRecords.ts
+++ b/packages/router/src/streams/streamRecords.ts
@@ -39,6 +39,8 @@
 
 /** Maximum number of records: 330 streams a second that may be resumed for a minute; 5 MB. */
 export const MAX_STREAM_RECORDS = 20_000
+/** Maximum of a router that keeps those of many others on its disk; 10 MB. */
+export const MAX_DURABLE_RECORDS = 40_000
 const REMOVAL_PERIOD_MS = 10_000
 /** Base64 characters of 6 bits each: 120 bits. */
 const KEY_CHARACTERS = 20
@@ -57,7 +59,10 @@
 }
 
 /** Creates an empty record. */
-export function createStreamRecords(timers: TimerService): StreamRecords {
+export function createStreamRecords(
+  timers: TimerService,
+  maxRecords = MAX_STREAM_RECORDS,
+): StreamRecords {
   const records = new Map<StreamKey, StoredRecord>()
 
   const toRecord = ({ key, group, version, expiresAt }: StoredRecord): StreamRecord => ({
@@ -84,7 +89,7 @@
         expiresAt: Math.max(expiresAt, known?.expiresAt ?? expiresAt),
         isUnsent,
       })
-      removeOldest(records, MAX_STREAM_RECORDS)
+      removeOldest(records, maxRecords)
     },
     find: (key) => {
       const stored = records.get(key)
--- a/packages/router/src/streams/streamSetup.ts
+++ b/packages/router/src/streams/streamSetup.ts
@@ -3,12 +3,14 @@
 import type { Logger, Metrics, TimerService } from '@spoolgate/core'
 import { openRecordExchange, type PeerEndpoint } from './recordExchange.js'
 import { createStreamContinuity, type StreamContinuity } from './streamContinuity.js'
-import { createStreamRecords } from './streamRecords.js'
+import { createStreamRecords, MAX_DURABLE_RECORDS, MAX_STREAM_RECORDS } from './streamRecords.js'
 
 /** Options of {@link openStreamSetup}. */
 export interface StreamSetupOptions {
   /** Undefined if the router has no exchange with others. */
   readonly peers: PeerEndpoint | undefined
+  /** Folder on the disk of this router, where records outlive its process; undefined if it has none. */
+  readonly folder: string | undefined
   readonly timers: TimerService
   readonly logger: Logger
   readonly metrics: Metrics
@@ -26,14 +28,25 @@
 
 /** Opens the exchange of records, if the router has one. */
 export async function openStreamSetup(options: StreamSetupOptions): Promise<StreamSetup> {
-  const { peers: endpoint, timers, logger, metrics } = options
-  const records = createStreamRecords(timers)
+  const { peers: endpoint, folder, timers, logger, metrics } = options
+  const isDurable = folder !== undefined
+  const records = createStreamRecords(timers, isDurable ? MAX_DURABLE_RECORDS : MAX_STREAM_RECORDS)
   let followed: FeedClient | undefined
   let continuity: StreamContinuity | undefined
   const listPeers = () => followed?.listPeers() ?? []
+  const listDurable = () => followed?.listDurablePeers() ?? []
   const exchange =
     endpoint &&
-    (await openRecordExchange({ endpoint, records, listPeers, timers, logger, metrics }))
+    (await openRecordExchange({
+      endpoint,
+      records,
+      listPeers,
+      listDurable,
+      folder,
+      timers,
+      logger,
+      metrics,
+    }))
   metrics.gauge('stream_records', 'Records of streams that may be resumed', records.count)
   return {
     peerUrl: exchange?.url,
