feat: a memory budget for the project's own routers and sidecars

What spoolgate router and spoolgate sidecar hold for others was bounded body by body. Bodies of requests at both, and of a backend server's plain answers at a sidecar, count in a budget now that follows from the new setting memoryMb (512 by default), as on the platform; the gauges are the same. Control's own interface reads bodies only from holders of a key and shares its address with the group's messages, which must not be refused: it stays as it was. What a router of this path buffers of an answer that is no stream is bounded by the sidecar's body limit only.

--- a/packages/config/src/instanceSchema.ts
+++ b/packages/config/src/instanceSchema.ts
@@ -27,6 +27,11 @@
     .enum(['quiet', 'error', 'warn', 'info', 'debug'])
     .default('info')
     .describe('Lowest level of log lines.'),
+  memoryMb: z
+    .int()
+    .positive()
+    .default(512)
+    .describe('Memory that this process may use, in MB; what it holds for others follows from it.'),
   drainMs: z
     .int()
     .positive()
--- a/packages/router/src/server/routerServer.ts
+++ b/packages/router/src/server/routerServer.ts
@@ -1,5 +1,6 @@
 /** The router process, which accepts callers' requests. It keeps no state that a restart must preserve. */
 import {
+  addMemoryGauges,
   createConnectionGuard,
   createDaemonRoutes,
   createHttpClient,
@@ -16,6 +17,7 @@
   type HttpExchange,
   type Invariants,
   type Logger,
+  type MemoryBudget,
   type Metrics,
   type TimerService,
   type TlsFiles,
@@ -49,6 +51,11 @@
   readonly processKey: string
   readonly logger: Logger
   readonly timers: TimerService
+  /**
+   * Budget of the bodies that this process holds.
+   * @default undefined, they are bounded one by one
+   */
+  readonly memory?: MemoryBudget
   /** @default undefined, plain HTTP */
   readonly tls?: TlsFiles
   /** @default { maxBytes: 4194304, timeoutMs: 10000 } */
@@ -132,6 +139,7 @@
 export async function createRouter(options: RouterOptions): Promise<Router> {
   const { logger, timers, processKey } = options
   const metrics = createMetrics('router')
+  if (options.memory) addMemoryGauges(metrics, options.memory)
   const invariants = createInvariants({ logger, metrics, fatal: options.isFatal })
   const client = createHttpClient({ key: processKey, caFile: options.tls?.caFile })
   const { instance, sources } = options
@@ -191,6 +199,7 @@
     logger,
     metrics,
     timers,
+    memory: options.memory,
     headersTimeoutMs: options.headersTimeoutMs,
     maxHeaderBytes: options.maxHeaderBytes,
     routes: [
--- a/packages/sidecar/src/server/sidecarServer.ts
+++ b/packages/sidecar/src/server/sidecarServer.ts
@@ -1,5 +1,6 @@
 /** The process beside a backend server: the only way in to it. */
 import {
+  addMemoryGauges,
   createDaemonRoutes,
   createHttpClient,
   createHttpServer,
@@ -15,6 +16,7 @@
   type Incarnation,
   type Invariants,
   type Logger,
+  type MemoryBudget,
   type TimerService,
   type TlsFiles,
 } from '@spoolgate/core'
@@ -49,6 +51,11 @@
   readonly processKey: string
   readonly logger: Logger
   readonly timers: TimerService
+  /**
+   * Budget of the bodies that this process holds.
+   * @default undefined, they are bounded one by one
+   */
+  readonly memory?: MemoryBudget
   /** @default undefined, plain HTTP */
   readonly tls?: TlsFiles
   /** @default 32 */
@@ -100,9 +107,10 @@
   const adapter = BACKEND_ADAPTERS[options.adapter]
   const { logger } = options
   const metrics = createMetrics('sidecar')
+  if (options.memory) addMemoryGauges(metrics, options.memory)
   const invariants = createInvariants({ logger, metrics, fatal: options.isFatal })
   const client = createHttpClient({ key: processKey, caFile: options.tls?.caFile })
-  const backendClient = createHttpClient()
+  const backendClient = createHttpClient({ memory: options.memory })
   const control = createControlClient({ urls: options.sources, client, timers })
   const config = createConfigFollower({
     node: options.server,
@@ -178,6 +186,7 @@
     logger,
     metrics,
     timers,
+    memory: options.memory,
     routes: [
       ...createDaemonRoutes({ metrics, findUnreadyReason }),
       ...config.createRoutes(processKey),
--- a/packages/spoolgate/src/node/cli/settings.ts
+++ b/packages/spoolgate/src/node/cli/settings.ts
@@ -1,7 +1,12 @@
 /** Reading of settings and keys for the commands that start daemons. */
 import { existsSync, readFileSync } from 'node:fs'
 import { formatProblems, loadSettings, type InstanceSettings } from '@spoolgate/config'
-import { createLogger, type TimerService } from '@spoolgate/core'
+import {
+  createLogger,
+  createMemoryBudget,
+  findBudgetBytes,
+  type TimerService,
+} from '@spoolgate/core'
 import { CliError, EXIT_CODES } from './exit.js'
 
 /** Reads a key from a file. */
@@ -38,12 +43,13 @@
   settings: InstanceSettings,
   { timers, write }: { readonly timers: TimerService; readonly write: (line: string) => void },
 ) {
-  const { instance, logLevel, role, listen, processKeyFile, tls } = settings
+  const { instance, logLevel, role, listen, processKeyFile, memoryMb, tls } = settings
   return {
     ...listen,
     tls,
     processKey: readKeyFile(processKeyFile),
     logger: createLogger({ level: logLevel, base: { role, instance }, write }),
     timers,
+    memory: createMemoryBudget({ limitBytes: findBudgetBytes(memoryMb), timers }),
   }
 }
