fix(router): bound the memory of heads that are not complete

Node keeps each head until it is complete, up to the maximum of 32 KiB, and checks the timeout of heads every 30 s only. The budget did not see them.

Now heads together may take a quarter of the budget, checked ten times a second once there are enough connections to reach it; those with the longest heads are closed, whose requests nobody has read.

--- a/packages/router/src/direct/callerServer.ts
+++ b/packages/router/src/direct/callerServer.ts
@@ -2,14 +2,19 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { FeedClient } from '@spoolgate/control'
-import type { ConnectionGuard } from '@spoolgate/core'
+import type { ConnectionGuard, Logger, MemoryBudget, TimerService } from '@spoolgate/core'
 import type { GracefulShutdown, TrackedRequest } from './gracefulShutdown.js'
+import { startHeadWatch } from './headWatch.js'
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions {
   readonly feed: Pick<FeedClient, 'changes'>
   readonly shutdown: Pick<GracefulShutdown, 'track'>
   readonly guard: ConnectionGuard
+  /** Budget of which heads that are not complete may take a part. */
+  readonly memory: MemoryBudget
+  readonly timers: TimerService
+  readonly logger: Logger
   /** Serves a request; a rejected promise closes its connection. */
   readonly handleRequest: (
     request: IncomingMessage,
@@ -33,7 +38,8 @@
 
 /** Creates the server. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const { feed, shutdown, guard } = options
+  const { feed, shutdown, guard, memory, timers, logger } = options
+  const heads = startHeadWatch({ memory, maxHeadBytes: MAX_HEADER_BYTES, timers, logger })
   const sockets = new Set<Socket>()
   const server = createServer({
     headersTimeout: INITIAL_HEADERS_TIMEOUT_MS,
@@ -44,11 +50,13 @@
   })
   server.on('connection', (socket: Socket) => {
     sockets.add(socket)
+    heads.addConnection(socket)
     socket.once('close', () => sockets.delete(socket))
   })
   server.on('request', (request, response) => {
     const abandon = () => void response.destroy()
     const handle = () => {
+      response.once('close', heads.recordRequest(request.socket).finish)
       const tracked = shutdown.track(request, response)
       if (!tracked) return
       options.handleRequest(request, response, tracked).catch((cause) => {
@@ -68,6 +76,7 @@
     close: () => {
       for (const socket of sockets) socket.destroy()
       boundsSubscription.unsubscribe()
+      heads.close()
     },
   }
 }
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -335,7 +335,8 @@
       else response.destroy()
     }
   }
-  const callerServer = createCallerServer({ feed, shutdown, guard, handleRequest })
+  const serverParts = { feed, shutdown, guard, memory, timers, logger }
+  const callerServer = createCallerServer({ ...serverParts, handleRequest })
   const { server } = callerServer
   const port = await openPort(server, options)
   logger.info('router.listening', { port, seeds: options.seeds() })
