fix: close the hold of a response whose caller has left already

Found by reading again: the hold of a body is closed with its response, but a caller may leave while the router waits for its first table, and a response that is closed already tells nobody. Each such request left an empty hold behind for as long as the process lived, and every search for holds to evict went over them. No bytes were kept.

--- a/packages/core/src/__tests__/memoryBudget.spec.ts
+++ b/packages/core/src/__tests__/memoryBudget.spec.ts
@@ -1,5 +1,7 @@
+import { EventEmitter } from 'node:events'
+import type { ServerResponse } from 'node:http'
 import { expect } from 'chai'
-import { createMemoryBudget } from '../memoryBudget.js'
+import { createMemoryBudget, openResponseHold } from '../memoryBudget.js'
 import { createManualTimerService } from '../timers.js'
 
 const LIMIT_BYTES = 1_000_000
@@ -46,6 +48,21 @@
     expect(budget.usedBytes()).to.equal(700_000)
   })
 
+  // Each caller that left before its body was read left a hold behind.
+  it('closes the hold of a response at once when its caller has left already', () => {
+    const { budget } = prepare()
+    const open = (destroyed: boolean) => {
+      const response = Object.assign(new EventEmitter(), { destroyed })
+      return { response, hold: openResponseHold(budget, response as unknown as ServerResponse) }
+    }
+    expect(open(true).hold.resize(1)).to.equal(false)
+    const { response, hold } = open(false)
+    expect(hold.resize(1)).to.equal(true)
+    response.emit('close')
+    expect(budget.usedBytes()).to.equal(0)
+    expect(hold.resize(1)).to.equal(false)
+  })
+
   // A caller that stops sending held its part until the time for a body was over.
   it('evicts the owner that stands still when another needs room, and none that is at work', () => {
     const { budget, timers } = prepare()
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -18,7 +18,7 @@
 import { isSameSecret } from './keys.js'
 import { openPort } from './openPort.js'
 import type { Logger } from './logger.js'
-import { addMessageHold, type MemoryBudget } from './memoryBudget.js'
+import { addMessageHold, openResponseHold, type MemoryBudget } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
 import { createTurnQueue } from './turnQueue.js'
 import { waitFor, type TimerService } from './timers.js'
@@ -292,11 +292,7 @@
     }
     if (!ends.take(request, response, onEnd)) return
     active.add(response)
-    if (options.memory) {
-      const hold = options.memory.open()
-      addMessageHold(request, hold)
-      response.once('close', hold.close)
-    }
+    if (options.memory) addMessageHold(request, openResponseHold(options.memory, response))
     dispatch(request, response)
       .catch((cause) => sendError(response, cause))
       .catch((cause) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -69,6 +69,7 @@
   addMessageHold,
   createMemoryBudget,
   findBudgetBytes,
+  openResponseHold,
   type MemoryBudget,
   type MemoryHold,
 } from './memoryBudget.js'
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -3,7 +3,7 @@
  * holds may use all of it and larger ones only a part, so that a few uploads cannot keep out everything else. At the
  * bound a hold waits briefly; holds that have stood still for a while make room first.
  */
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Subject } from 'rxjs'
 import type { Metrics } from './metrics.js'
 import type { TimerService } from './timers.js'
@@ -150,6 +150,17 @@
   holdsOfMessages.set(message, hold)
 }
 
+/** Opens a hold that is closed with a response, or at once if its caller has left already. */
+export function openResponseHold(
+  budget: Pick<MemoryBudget, 'open'>,
+  response: Pick<ServerResponse, 'destroyed' | 'once'>,
+): MemoryHold {
+  const hold = budget.open()
+  if (response.destroyed) hold.close()
+  else response.once('close', hold.close)
+  return hold
+}
+
 /** Finds the hold of a message; undefined if what is read of it is not counted. */
 export function findMessageHold(message: IncomingMessage): MemoryHold | undefined {
   return holdsOfMessages.get(message)
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -18,6 +18,7 @@
   createUniqueId,
   findBudgetBytes,
   openPort,
+  openResponseHold,
   readBody,
   toSpoolgateError,
   waitFor,
@@ -288,12 +289,6 @@
     })
   }
 
-  /** Opens a hold that is closed with the response. */
-  const openHold = (response: ServerResponse) => {
-    const hold = memory.open()
-    response.once('close', hold.close)
-    return hold
-  }
   const handleRequest = async (
     request: IncomingMessage,
     response: ServerResponse,
@@ -310,13 +305,14 @@
       tracked.recordPlan(plan)
       const { maxBodyBytes } = plan.view.index.table.bounds
       const timeoutMs = Math.min(BODY_TIMEOUT_MS, shutdown.findBodyTimeoutMs())
-      addMessageHold(request, openHold(response))
+      addMessageHold(request, openResponseHold(memory, response))
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs })
       if (response.destroyed) return
       // Refuse only after the body has been read: closing a connection with unread bytes may lose the response.
       const refusal = shutdown.findRefusal(plan)
       if (refusal) throw refusal
-      const answerMemory = { hold: openHold(response), maxBytes: memory.maxHoldBytes }
+      const answerHold = openResponseHold(memory, response)
+      const answerMemory = { hold: answerHold, maxBytes: memory.maxHoldBytes }
       await serveCall(context, plan, body, response, answerMemory)
     } catch (cause) {
       const error = toSpoolgateError(cause)
