docs: comments of the memory budget in the terms of the field

Reasons that callers have beside its thresholds, and stalled, drain and reuse in place of figures of speech.

--- a/packages/core/src/httpBody.ts
+++ b/packages/core/src/httpBody.ts
@@ -14,13 +14,13 @@
 /** Bounds between processes of the fleet. */
 export const INTERNAL_BODY_LIMITS: BodyLimits = { maxBytes: 64 * 1024 * 1024, timeoutMs: 30_000 }
 
-/** Bounds on the rest of a body that nobody needs; beyond them its connection is closed. */
+/** Bounds on draining an unneeded body; beyond them its connection is closed. */
 const MAX_DISCARDED_BYTES = 256 * 1024
 const DISCARD_MS = 1_000
 /** Seconds after which a sender that found no room may try again. */
 const ROOM_RETRY_AFTER_S = 0.5
 
-/** Ends a body that nobody needs: reads a short rest, so that its connection can be used again, or closes that. */
+/** Drains an unneeded body, so that its connection can be reused; closes the connection if the rest is long. */
 export function closeBody(message: IncomingMessage): void {
   if (message.complete && message.readableLength === 0) return void message.resume()
   let size = 0
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -1,7 +1,7 @@
 /**
  * One bound on the bytes that a process holds for others: bodies of callers and of servers, and parts of events. Small
  * holds may use all of it and larger ones only a part, so that a few uploads cannot keep out everything else. At the
- * bound a hold waits briefly; holds that have stood still for a while make room first.
+ * bound a hold waits briefly, after stalled holds were evicted.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Subject } from 'rxjs'
@@ -23,7 +23,7 @@
   /** Resizes, and waits for room for a while if there is none; false if none came, or if it was closed meanwhile. */
   waitForRoom(bytes: number): Promise<boolean>
   /**
-   * Sets what ends the owner if it stands still while others need room; undefined for one that is at work.
+   * Sets what ends the owner if it stalls while others need room; undefined for one that is being served.
    * @default undefined
    */
   setEviction(evict: (() => void) | undefined): void
@@ -43,15 +43,15 @@
   counts(): { readonly refused: number; readonly evicted: number }
 }
 
-/** Size up to which a hold may use the whole budget, in bytes. */
+/** Size up to which a hold may use the whole budget, in bytes; most requests and answers are smaller. */
 const SMALL_HOLD_BYTES = 64 * 1024
-/** Part of the budget that larger holds may use. */
+/** Part of the budget that larger holds may use; the rest stays free for small ones. */
 const LARGE_HOLDS_RATIO = 0.75
 /** Part of the budget that one hold may use. */
 const MAX_HOLD_RATIO = 0.25
-/** Time for which a hold waits for room, in ms. */
+/** Time for which a hold waits for room, in ms; short enough that a refused caller can still retry elsewhere. */
 const ROOM_WAIT_MS = 250
-/** Time without a change after which an owner that can be evicted counts as standing still, in ms. */
+/** Time without progress after which an owner counts as stalled, in ms; senders on sound links pause for less. */
 const STALLED_MS = 1_000
 
 interface OpenHold {
@@ -84,7 +84,7 @@
   }
   const isStalled = ({ evict, changedAt }: OpenHold) =>
     evict !== undefined && timers.now() - changedAt >= STALLED_MS
-  /** Evicts owners that stand still until there is room, those with the most bytes first. */
+  /** Evicts stalled owners until there is room, those with the most bytes first. */
   const evictStalled = (hold: OpenHold, bytes: number) => {
     const stalled = [...holds].filter((other) => other !== hold && isStalled(other))
     stalled.sort((one, other) => other.bytes - one.bytes)
