feat(core): count the ends of connections and the requests without an answer

A connection that ended with requests on it left no line but callerLeft and no count, so that bytes behind a request, a half close, a reset at a planned stop and a caller's own leaving could not be told apart. One tracker now serves the router's callers and all servers of the core package: connections_ended and requests_unanswered by end, and a line request.unanswered for each request that was read whole. No change of what happens to a request.

--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -46,7 +46,7 @@
 /** What a relay and a member of the control group both offer. */
 export interface ControlRelay extends Pick<
   RegistryControl,
-  'url' | 'table' | 'renderMetrics' | 'recordConnection'
+  'url' | 'table' | 'metrics' | 'renderMetrics' | 'recordConnection'
 > {
   /** Runs operations at the leader. */
   readonly operations: Pick<RegistryControl['operations'], 'run'>
@@ -143,6 +143,7 @@
     operations: createLoggedOperations({ operations, logger, metrics }),
     // A relay holds no table, so that each read returns the leader's.
     table: createTableAccess({ operator: operations, table: { current: () => undefined } }),
+    metrics,
     renderMetrics: metrics.render,
     recordConnection,
     close: async (drainMs) => {
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -13,6 +13,7 @@
   type CloseReport,
   type Logger,
   type MemoryBudget,
+  type Metrics,
   type RejectedInputs,
   type Route,
   type TimerService,
@@ -111,6 +112,8 @@
   readonly operations: FleetOperationRunner
   /** Operators' access to the routing table. */
   readonly table: TableAccess
+  /** Registry of this instance, for its other servers. */
+  readonly metrics: Pick<Metrics, 'counter'>
   renderMetrics(): Promise<string>
   /** Counts a connection to another address of this instance. */
   recordConnection(): void
@@ -333,6 +336,7 @@
     machine,
     operations: { ...operations, run },
     table: createTableAccess({ operator: operations, table: machine.table }),
+    metrics,
     renderMetrics: metrics.render,
     recordConnection,
     close: async (drainMs) => {
--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -1,73 +1,43 @@
-/**
- * The ends of kept connections in a planned stop. A connection ends after the answers in flight on
- * it, and nothing that comes later is taken from it, since nothing could carry its answer.
- */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+/** The ways in which a server's connection ends. */
 import type { Socket } from 'node:net'
-import type { Logger } from './logger.js'
 
-/** Ends of the connections of one server; see {@link createConnectionEnds}. */
-export interface ConnectionEnds {
-  /**
-   * Takes a request that has arrived; false when its connection was promised to end before it.
-   * @param onEnd called once its answer is closed, or its connection is.
-   */
-  take(request: IncomingMessage, response: ServerResponse, onEnd: () => void): boolean
-  /** From now on each connection ends after the answers in flight on it. */
-  start(): void
+/** What ended a connection, and what that means for its requests. */
+export const CONNECTION_ENDS = {
+  plannedStop: 'the process was asked to stop',
+  announced: 'an answer said `Connection: close`',
+  idle: 'no request came for the idle timeout',
+  headTimeout: 'the head of a request did not arrive in time',
+  malformed: 'bytes that are no request, or a request that breaks off',
+  oversizeHead: 'the head of a request is too long',
+  unsupported: 'CONNECT, which no server here offers',
+  callerClosed: 'the other side closed or reset it',
+  answerCut: 'an answer broke off: its source failed, or its time was over',
+  memory: 'others needed the memory that it held',
+  processEnd: 'the process ended',
+} as const satisfies Record<string, string>
+
+/** Name of a way to end. */
+export type ConnectionEnd = keyof typeof CONNECTION_ENDS
+
+/** Ends that Node's HTTP server reports, by the code of its error. */
+const ENDS_OF_ERRORS: Readonly<Record<string, ConnectionEnd>> = {
+  HPE_HEADER_OVERFLOW: 'oversizeHead',
+  HPE_CLOSED_CONNECTION: 'announced',
+  ERR_HTTP_REQUEST_TIMEOUT: 'headTimeout',
 }
+const PARSER_ERROR = /^HPE_/
 
-/** Creates the ends of a server that runs. */
-export function createConnectionEnds(logger: Logger): ConnectionEnds {
-  /** What ends each of the answers in flight on a connection. */
-  const underWay = new WeakMap<Socket, Set<() => void>>()
-  /** Connections of which an answer, or their own end, has said that nothing follows. */
-  const ending = new WeakSet<Socket>()
-  /** Connections whose late request was logged: one line each. */
-  const reported = new WeakSet<Socket>()
-  let isStopping = false
+/** Finds the end that an error of Node's HTTP server stands for. */
+export function findEndOfError(cause: Error | null): ConnectionEnd | undefined {
+  if (!cause) return undefined
+  const code = (cause as NodeJS.ErrnoException).code ?? ''
+  return ENDS_OF_ERRORS[code] ?? (PARSER_ERROR.test(code) ? 'malformed' : 'callerClosed')
+}
 
-  const openUnderWay = (socket: Socket) => {
-    const answers = new Set<() => void>()
-    underWay.set(socket, answers)
-    // An answer that waits behind another one gets no event from Node when its connection closes.
-    socket.once('close', () => {
-      for (const end of [...answers]) end()
-    })
-    return answers
-  }
-  const recordLate = ({ socket, headers, url }: IncomingMessage) => {
-    if (reported.has(socket)) return
-    reported.add(socket)
-    logger.info('call.onEndedConnection', { host: headers.host, target: url?.split('?', 1)[0] })
-  }
-  return {
-    take: (request, response, onEnd) => {
-      const { socket } = request
-      if (ending.has(socket)) {
-        recordLate(request)
-        request.resume()
-        return false
-      }
-      if (isStopping) {
-        ending.add(socket)
-        response.setHeader('connection', 'close')
-      }
-      const answers = underWay.get(socket) ?? openUnderWay(socket)
-      const end = () => {
-        if (!answers.delete(end)) return
-        onEnd()
-        // The head of an answer that began before the stop could not say that the connection ends.
-        if (!isStopping || answers.size > 0) return
-        ending.add(socket)
-        socket.end()
-      }
-      answers.add(end)
-      response.once('close', end)
-      return true
-    },
-    start: () => {
-      isStopping = true
-    },
-  }
+/** Finds the end of a closed connection from its socket, if no one recorded it. */
+export function findEndOfSocket(socket: Socket, hasRequests: boolean): ConnectionEnd {
+  const end = findEndOfError(socket.errored)
+  if (end !== undefined) return end
+  if (socket.readableEnded) return 'callerClosed'
+  return hasRequests ? 'answerCut' : 'idle'
 }
--- /dev/null
+++ b/packages/core/src/connectionTracker.ts
@@ -0,0 +1,166 @@
+/**
+ * Tracks the connections of an HTTP server and the requests on them. A connection that ends in a planned stop ends after
+ * the answers in flight on it; nothing that comes later is taken from it, since nothing could carry its answer.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { Server as TlsServer } from 'node:tls'
+import { findEndOfSocket, type ConnectionEnd } from './connectionEnds.js'
+import type { LogFields, Logger } from './logger.js'
+import type { Metrics } from './metrics.js'
+import type { TimerService } from './timers.js'
+
+/** Options of {@link createConnectionTracker}. */
+export interface ConnectionTrackerOptions {
+  readonly logger: Logger
+  readonly timers: TimerService
+  /**
+   * Registry that counts the ends of connections, and the requests without an answer.
+   * @default undefined, they are only logged
+   */
+  readonly metrics?: Pick<Metrics, 'counter'>
+}
+
+/** Callbacks of the owner of a request. */
+export interface RequestOwner {
+  /** Called once the answer is closed, or the connection is. */
+  readonly onEnd: () => void
+  /**
+   * Describes the request in the log.
+   * @default undefined, by its host and target
+   */
+  readonly describe?: () => LogFields
+}
+
+/** Connections of one server; see {@link createConnectionTracker}. */
+export interface ConnectionTracker {
+  /** Tracks all connections of a server. */
+  watchServer(server: Server): void
+  /** Takes a request that has arrived; false when its connection was promised to end before it. */
+  take(request: IncomingMessage, response: ServerResponse, owner: RequestOwner): boolean
+  /** From now on each connection ends after the answers in flight on it. */
+  startStop(): void
+  /** Closes a connection at once. */
+  destroy(socket: Socket, end: ConnectionEnd): void
+  /** Closes all connections at once. */
+  close(): void
+}
+
+interface TakenRequest {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly owner: RequestOwner
+  readonly takenAt: number
+}
+
+interface Connection {
+  readonly socket: Socket
+  /** Requests whose answer is not complete, in the order of the connection. */
+  readonly inFlight: Set<TakenRequest>
+  /** What ends it, once that is known. */
+  end: ConnectionEnd | undefined
+  /** Whether an answer, or its own end, has said that nothing follows. */
+  isEnding: boolean
+  /** Whether a late request was logged: one line each. */
+  hasLate: boolean
+}
+
+/** Creates a tracker. */
+export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
+  const { logger, timers, metrics } = options
+  const connections = new Map<Socket, Connection>()
+  const ended = metrics?.counter('connections_ended', 'Connections that ended, by end')
+  const unanswered = metrics?.counter(
+    'requests_unanswered',
+    'Requests that were read whole and ended without a whole answer, by end of their connection',
+  )
+  let isStopping = false
+
+  const recordUnanswered = ({ request, response, owner, takenAt }: TakenRequest, end: string) => {
+    unanswered?.add(1, { end })
+    logger.info('request.unanswered', {
+      end,
+      host: request.headers.host,
+      target: request.url?.split('?', 1)[0],
+      ms: Math.round(timers.now() - takenAt),
+      hasBegun: response.headersSent,
+      ...owner.describe?.(),
+    })
+  }
+  const isUnanswered = ({ request, response }: TakenRequest) =>
+    request.complete && !response.writableFinished
+  const handleClose = (connection: Connection) => {
+    const { socket, inFlight } = connection
+    connections.delete(socket)
+    const open = [...inFlight].filter(isUnanswered)
+    const end = connection.end ?? findEndOfSocket(socket, inFlight.size > 0)
+    ended?.add(1, { end })
+    for (const taken of open) recordUnanswered(taken, end)
+    // An answer that waits behind another one gets no event from Node when its connection closes.
+    for (const taken of [...inFlight]) finish(connection, taken)
+  }
+  const openConnection = (socket: Socket): Connection => {
+    const known = connections.get(socket)
+    if (known) return known
+    const connection: Connection = {
+      socket,
+      inFlight: new Set(),
+      end: undefined,
+      isEnding: false,
+      hasLate: false,
+    }
+    connections.set(socket, connection)
+    socket.prependOnceListener('close', () => handleClose(connection))
+    return connection
+  }
+  const recordLate = (connection: Connection, { headers, url }: IncomingMessage) => {
+    if (connection.hasLate) return
+    connection.hasLate = true
+    logger.info('call.onEndedConnection', { host: headers.host, target: url?.split('?', 1)[0] })
+  }
+  const finish = (connection: Connection, taken: TakenRequest) => {
+    if (!connection.inFlight.delete(taken)) return
+    taken.owner.onEnd()
+    // The head of an answer that began before the stop could not say that the connection ends.
+    if (!isStopping || connection.inFlight.size > 0) return
+    connection.isEnding = true
+    connection.end ??= 'plannedStop'
+    connection.socket.end()
+  }
+  return {
+    watchServer: (server) => {
+      server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', openConnection)
+    },
+    take: (request, response, owner) => {
+      const connection = openConnection(request.socket)
+      if (connection.isEnding) {
+        recordLate(connection, request)
+        request.resume()
+        return false
+      }
+      if (isStopping) {
+        connection.isEnding = true
+        connection.end ??= 'plannedStop'
+        response.setHeader('connection', 'close')
+      }
+      const taken = { request, response, owner, takenAt: timers.now() }
+      connection.inFlight.add(taken)
+      response.once('close', () => finish(connection, taken))
+      return true
+    },
+    startStop: () => {
+      isStopping = true
+    },
+    destroy: (socket, end) => {
+      const connection = connections.get(socket)
+      if (connection) connection.end ??= end
+      socket.destroy()
+    },
+    close: () => {
+      for (const connection of connections.values()) {
+        connection.end ??= 'processEnd'
+        connection.socket.destroy()
+      }
+    },
+  }
+}
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -12,7 +12,7 @@
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
 import { Server as NetServer, type Socket } from 'node:net'
 import type { Subscription } from 'rxjs'
-import { createConnectionEnds } from './connectionEnds.js'
+import { createConnectionTracker } from './connectionTracker.js'
 import { createConnectionGuard } from './connectionGuard.js'
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
 import { isSameSecret } from './keys.js'
@@ -67,7 +67,7 @@
   readonly routes: readonly Route[]
   readonly logger: Logger
   /**
-   * Registry that counts connections ended by an unexpected error.
+   * Registry that counts the ends of connections.
    * @default undefined, they are only logged
    */
   readonly metrics?: Pick<Metrics, 'counter'>
@@ -271,7 +271,8 @@
   const active = new Set<ServerResponse>()
   const sockets = new Set<Socket>()
   const closedTraffic = { received: 0, sent: 0 }
-  const ends = createConnectionEnds(options.logger)
+  const connections = createConnectionTracker(options)
+  connections.watchServer(server)
   const guard = createConnectionGuard(options)
   let isClosing = false
   let notifyIdle: () => void = () => {}
@@ -290,7 +291,7 @@
       active.delete(response)
       if (active.size === 0) notifyIdle()
     }
-    if (!ends.take(request, response, onEnd)) return
+    if (!connections.take(request, response, { onEnd })) return
     active.add(response)
     if (options.memory) addMessageHold(request, openResponseHold(options.memory, response))
     dispatch(request, response)
@@ -346,7 +347,7 @@
     addRoutes,
     close: async (drainMs) => {
       isClosing = true
-      ends.start()
+      connections.startStop()
       tlsWatch?.unsubscribe()
       // Node's own close also cuts idle connections at once, and with them a request that a caller
       // is just sending on one. They stay for a moment, and what arrives is still served.
@@ -359,7 +360,7 @@
       server.closeIdleConnections()
       await waitForIdle(drainMs)
       const abandoned = active.size
-      for (const socket of sockets) socket.destroy()
+      connections.close()
       await closed
       return { abandoned }
     },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -94,6 +94,7 @@
   type Route,
   type TlsFiles,
   type TrafficCount,
+  type HttpServerOptions,
 } from './httpServer.js'
 export {
   createKeepAliveAgent,
@@ -116,7 +117,12 @@
   type HttpClient,
   type HttpRequest,
 } from './httpClient.js'
-export { createConnectionEnds, type ConnectionEnds } from './connectionEnds.js'
+export { type ConnectionEnd } from './connectionEnds.js'
+export {
+  createConnectionTracker,
+  type ConnectionTracker,
+  type ConnectionTrackerOptions,
+} from './connectionTracker.js'
 export {
   createConnectionGuard,
   type ConnectionGuard,
--- a/packages/router/src/__tests__/gracefulShutdown.spec.ts
+++ b/packages/router/src/__tests__/gracefulShutdown.spec.ts
@@ -1,6 +1,7 @@
 import { EventEmitter } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
+  createConnectionTracker,
   createLogger,
   createManualTimerService,
   createQuietLogger,
@@ -41,7 +42,12 @@
     cutOffCount = 0
     const logger = createLogger({ write: (line) => lines.push(line) })
     const cutOff = { add: (count: number) => (cutOffCount += count) } as unknown as Counter
-    shutdown = createGracefulShutdown({ timers, logger, cutOff })
+    shutdown = createGracefulShutdown({
+      timers,
+      logger,
+      connections: createConnectionTracker({ timers, logger }),
+      cutOff,
+    })
   })
 
   /** Lists the log lines of one event, without time and level. */
@@ -119,7 +125,12 @@
   const timers = createManualTimerService()
   const cutOff = { add: () => {} } as unknown as Counter
   const logger = createQuietLogger()
-  const shutdown = createGracefulShutdown({ timers, logger, cutOff })
+  const shutdown = createGracefulShutdown({
+    timers,
+    logger,
+    connections: createConnectionTracker({ timers, logger }),
+    cutOff,
+  })
   const createPlan = (limitMs: number) => ({ deadline: timers.now() + limitMs }) as CallPlan
 
   it('accepts every request while no shutdown is in progress', () => {
--- a/packages/router/src/direct/callerServer.ts
+++ b/packages/router/src/direct/callerServer.ts
@@ -2,7 +2,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { FeedClient } from '@spoolgate/control'
-import type { ConnectionGuard, Logger, MemoryBudget, TimerService } from '@spoolgate/core'
+import type {
+  ConnectionGuard,
+  ConnectionTracker,
+  Logger,
+  MemoryBudget,
+  TimerService,
+} from '@spoolgate/core'
 import type { GracefulShutdown, TrackedRequest } from './gracefulShutdown.js'
 import { startHeadWatch } from './headWatch.js'
 
@@ -10,6 +16,7 @@
 export interface CallerServerOptions {
   readonly feed: Pick<FeedClient, 'changes'>
   readonly shutdown: Pick<GracefulShutdown, 'track'>
+  readonly connections: Pick<ConnectionTracker, 'watchServer' | 'destroy' | 'close'>
   readonly guard: ConnectionGuard
   /** Budget of which heads that are not complete may take a part. */
   readonly memory: MemoryBudget
@@ -38,9 +45,14 @@
 
 /** Creates the server. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const { feed, shutdown, guard, memory, timers, logger } = options
-  const heads = startHeadWatch({ memory, maxHeadBytes: MAX_HEADER_BYTES, timers, logger })
-  const sockets = new Set<Socket>()
+  const { feed, shutdown, connections, guard, memory, timers, logger } = options
+  const heads = startHeadWatch({
+    memory,
+    connections,
+    maxHeadBytes: MAX_HEADER_BYTES,
+    timers,
+    logger,
+  })
   const server = createServer({
     headersTimeout: INITIAL_HEADERS_TIMEOUT_MS,
     keepAliveTimeout: INITIAL_KEEP_ALIVE_MS,
@@ -48,11 +60,8 @@
     requestTimeout: 0,
     noDelay: true,
   })
-  server.on('connection', (socket: Socket) => {
-    sockets.add(socket)
-    heads.addConnection(socket)
-    socket.once('close', () => sockets.delete(socket))
-  })
+  connections.watchServer(server)
+  server.on('connection', (socket: Socket) => heads.addConnection(socket))
   server.on('request', (request, response) => {
     const abandon = () => void response.destroy()
     const handle = () => {
@@ -74,7 +83,7 @@
   return {
     server,
     close: () => {
-      for (const socket of sockets) socket.destroy()
+      connections.close()
       boundsSubscription.unsubscribe()
       heads.close()
     },
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -8,6 +8,7 @@
   addMemoryGauges,
   addMessageHold,
   createConnectionGuard,
+  createConnectionTracker,
   createHttpClient,
   createKeepAliveAgent,
   createMemoryBudget,
@@ -201,7 +202,9 @@
     },
   })
   const instruments = createInstruments(metrics)
-  const shutdown = createGracefulShutdown({ timers, logger, cutOff: instruments.cutOff })
+  const connections = createConnectionTracker({ timers, logger, metrics })
+  const { cutOff } = instruments
+  const shutdown = createGracefulShutdown({ timers, logger, connections, cutOff })
   const restartDetector = createRestartDetector({
     views: feed.changes,
     agent,
@@ -331,7 +334,7 @@
       else response.destroy()
     }
   }
-  const serverParts = { feed, shutdown, guard, memory, timers, logger }
+  const serverParts = { feed, shutdown, connections, guard, memory, timers, logger }
   const callerServer = createCallerServer({ ...serverParts, handleRequest })
   const { server } = callerServer
   const port = await openPort(server, options)
--- a/packages/router/src/direct/gracefulShutdown.ts
+++ b/packages/router/src/direct/gracefulShutdown.ts
@@ -4,9 +4,9 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
-  createConnectionEnds,
   SpoolgateError,
   waitFor,
+  type ConnectionTracker,
   type Counter,
   type LogFields,
   type Logger,
@@ -53,6 +53,8 @@
 export interface GracefulShutdownOptions {
   readonly timers: TimerService
   readonly logger: Logger
+  /** Connections of the callers. */
+  readonly connections: Pick<ConnectionTracker, 'take' | 'startStop'>
   /** Counts the requests that were cut off by a shutdown. */
   readonly cutOff: Counter
 }
@@ -84,9 +86,8 @@
 
 /** Creates the graceful shutdown of a running router. */
 export function createGracefulShutdown(options: GracefulShutdownOptions): GracefulShutdown {
-  const { timers, logger, cutOff } = options
+  const { timers, logger, connections, cutOff } = options
   const inProgress = new Set<RequestInProgress>()
-  const connectionEnds = createConnectionEnds(logger)
   let startedAt: number | undefined
   let stopsAt = Infinity
 
@@ -122,8 +123,11 @@
         call: undefined,
         plan: undefined,
       }
-      if (!connectionEnds.take(request, response, () => inProgress.delete(tracked)))
-        return undefined
+      const isTaken = connections.take(request, response, {
+        onEnd: () => inProgress.delete(tracked),
+        describe: () => ({ request: tracked.call?.id, route: tracked.plan?.route.name }),
+      })
+      if (!isTaken) return undefined
       inProgress.add(tracked)
       return {
         recordCall: (call) => {
@@ -135,7 +139,7 @@
       }
     },
     start: (drainMs) => {
-      connectionEnds.start()
+      connections.startStop()
       startedAt = timers.now()
       stopsAt = startedAt + drainMs
       logger.info('router.stopping', {
--- a/packages/router/src/direct/headWatch.ts
+++ b/packages/router/src/direct/headWatch.ts
@@ -3,11 +3,12 @@
  * may hold one. The connections with the longest of them are closed first; none of these requests has been read.
  */
 import type { Socket } from 'node:net'
-import type { Logger, MemoryBudget, TimerService } from '@spoolgate/core'
+import type { ConnectionTracker, Logger, MemoryBudget, TimerService } from '@spoolgate/core'
 
 /** Options of {@link startHeadWatch}. */
 export interface HeadWatchOptions {
   readonly memory: Pick<MemoryBudget, 'open' | 'maxHoldBytes'>
+  readonly connections: Pick<ConnectionTracker, 'destroy'>
   /** Maximum size of a head, in bytes. */
   readonly maxHeadBytes: number
   readonly timers: Pick<TimerService, 'every'>
@@ -35,19 +36,19 @@
 /** Starts to watch connections. */
 export function startHeadWatch(options: HeadWatchOptions): HeadWatch {
   const { memory, maxHeadBytes, timers, logger } = options
-  const connections = new Map<Socket, Connection>()
+  const watched = new Map<Socket, Connection>()
   const hold = memory.open()
 
   const measureHead = (socket: Socket, { requests, readBefore }: Connection) =>
     requests === 0 ? socket.bytesRead - readBefore : 0
   const measureHeads = () => {
     let total = 0
-    for (const [socket, connection] of connections) total += measureHead(socket, connection)
+    for (const [socket, connection] of watched) total += measureHead(socket, connection)
     return total
   }
   const isWithinBound = (total: number) => total <= memory.maxHoldBytes && hold.resize(total)
   const closeLongest = (bytes: number) => {
-    const heads = [...connections].map(([socket, connection]) => ({
+    const heads = [...watched].map(([socket, connection]) => ({
       socket,
       bytes: measureHead(socket, connection),
     }))
@@ -58,23 +59,23 @@
       if (isWithinBound(total)) break
       total -= head.bytes
       closed += 1
-      head.socket.destroy()
+      options.connections.destroy(head.socket, 'memory')
     }
     logger.warn('connections.closed', { reason: 'incomplete heads', closed, bytes })
   }
   const subscription = timers.every(CHECK_MS).subscribe(() => {
     // Fewer connections cannot hold more than the bound.
-    const isBoundInReach = connections.size * maxHeadBytes > memory.maxHoldBytes
+    const isBoundInReach = watched.size * maxHeadBytes > memory.maxHoldBytes
     const total = isBoundInReach ? measureHeads() : 0
     if (!isWithinBound(total)) closeLongest(total)
   })
   return {
     addConnection: (socket) => {
-      connections.set(socket, { requests: 0, readBefore: 0 })
-      socket.once('close', () => connections.delete(socket))
+      watched.set(socket, { requests: 0, readBefore: 0 })
+      socket.once('close', () => watched.delete(socket))
     },
     recordRequest: (socket) => {
-      const connection = connections.get(socket)
+      const connection = watched.get(socket)
       if (connection) connection.requests += 1
       return {
         finish: () => {
