fix(core): do not take a response for whole whose connection was reset

Processes that read a response without a length or chunks (also HTTP/1.0, and any Transfer-Encoding that does not end in chunked) took each beginning of its body for the whole of it when the connection was reset: a sidecar passed it on as a finished answer, and control and its clients read it as an answer. The direct router did so for a Transfer-Encoding other than chunked.

Cause: Node reports a reset as the end of a body that ends with its connection, and swallows the error. Only the direct router knew; readBody and readTextStream resolved on `end`, and readTextStream also on `close` without an end.

Now one watch per message in core says whether a body is whole, from the moment the head is received, and readBody, readTextStream, the stream relay and the buffered relay all ask it. It takes 204, 304 and answers to HEAD for framed, and leaves no listener on a kept socket. A response that broke off is a ConnectionError, not the malformedBody of a request, whose kind promises that nothing ran; an error answer without its body keeps its status in the error.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -128,3 +128,16 @@
   const message = cause instanceof Error ? cause.message : String(cause)
   return new SpoolgateError('internal', message)
 }
+
+/** Why a request got no whole answer. */
+export class ConnectionError extends Error {
+  constructor(
+    message: string,
+    /** True when no byte can have reached the other side: the connection was never made. */
+    readonly neverSent: boolean,
+    /** True when the wait ended by the request's own time limit. */
+    readonly timedOut: boolean,
+  ) {
+    super(message)
+  }
+}
--- a/packages/core/src/httpBody.ts
+++ b/packages/core/src/httpBody.ts
@@ -1,7 +1,8 @@
 /** Reading of HTTP bodies with bounds on size, time and memory. */
 import type { IncomingMessage } from 'node:http'
-import { SpoolgateError } from './errors.js'
+import { ConnectionError, SpoolgateError } from './errors.js'
 import { findMessageHold, type MemoryHold } from './memoryBudget.js'
+import { CUT_REASONS, watchCompletion, type CutReason } from './responseCompletion.js'
 
 /** Bounds on a body that is read whole. */
 export interface BodyLimits {
@@ -34,14 +35,22 @@
   message.resume()
 }
 
+/** Creates the error of a message that broke off: the sender of a request may repeat it, a response is lost. */
+function createCutError({ statusCode }: IncomingMessage, cut: CutReason): Error {
+  if (typeof statusCode === 'number') return new ConnectionError(CUT_REASONS[cut], false, false)
+  return new SpoolgateError('malformedBody', 'the body was cut; send it again')
+}
+
 /**
  * Reads a body whole. It counts in the hold of its message, if there is one.
- * @throws SpoolgateError `oversizeBody`, `bodyTimeout`, `noRoom`, or `malformedBody` when the sender left.
+ * @throws SpoolgateError `oversizeBody`, `bodyTimeout`, `noRoom`, or `malformedBody` when the sender of a request left;
+ *   ConnectionError when a response broke off.
  */
 export function readBody(message: IncomingMessage, limits: BodyLimits): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
     const hold = findMessageHold(message)
+    const watch = watchCompletion(message)
     let size = 0
     let isSettled = false
     const settle = () => {
@@ -50,7 +59,7 @@
       hold?.setEviction(undefined)
       message.removeAllListeners('data')
     }
-    const fail = (error: SpoolgateError) => {
+    const fail = (error: Error) => {
       if (isSettled) return
       settle()
       chunks.length = 0
@@ -83,15 +92,14 @@
       chunks.push(chunk)
       if (hold && !hold.resize(size)) void waitForRoom(hold)
     })
+    const failCut = () => fail(createCutError(message, watch.findCut() ?? 'ended'))
     message.on('end', () => {
       if (isSettled) return
+      if (watch.findCut() !== undefined) return failCut()
       settle()
       resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
     })
-    const failCut = () =>
-      fail(new SpoolgateError('malformedBody', 'the body was cut; send it again'))
-    message.on('error', failCut)
-    message.on('aborted', failCut)
+    for (const event of ['error', 'aborted', 'close'] as const) message.on(event, failCut)
   })
 }
 
--- a/packages/core/src/httpClient.ts
+++ b/packages/core/src/httpClient.ts
@@ -2,9 +2,10 @@
 import { readFileSync } from 'node:fs'
 import { Agent, request as requestPlain, type ClientRequest, type IncomingMessage } from 'node:http'
 import { Agent as TlsAgent, request as requestTls } from 'node:https'
-import { parseErrorBody, SpoolgateError } from './errors.js'
+import { ConnectionError, parseErrorBody, SpoolgateError } from './errors.js'
 import { addMessageHold, type MemoryBudget } from './memoryBudget.js'
 import { INTERNAL_BODY_LIMITS, readBody, readJson } from './httpBody.js'
+import { watchCompletion } from './responseCompletion.js'
 
 /** Options of {@link createHttpClient}. */
 export interface HttpClientOptions {
@@ -50,19 +51,6 @@
   readonly isFresh?: boolean
 }
 
-/** Why a request got no answer. */
-export class ConnectionError extends Error {
-  constructor(
-    message: string,
-    /** True when no byte can have reached the other side: the connection was never made. */
-    readonly neverSent: boolean,
-    /** True when the wait ended by the request's own time limit. */
-    readonly timedOut: boolean,
-  ) {
-    super(message)
-  }
-}
-
 /** A client with kept-alive connections. */
 export interface HttpClient {
   /**
@@ -72,7 +60,7 @@
   send(request: HttpRequest): Promise<IncomingMessage>
   /**
    * Sends JSON and reads JSON.
-   * @throws ConnectionError when there is no answer, SpoolgateError for an error answer.
+   * @throws ConnectionError when there is no whole answer, SpoolgateError for an error answer.
    */
   sendJson<T>(request: Omit<HttpRequest, 'body'> & { readonly json?: unknown }): Promise<T>
   close(): void
@@ -132,6 +120,7 @@
             }, request.timeoutMs)
       outgoing.on('response', (message) => {
         clearTimeout(timeout)
+        watchCompletion(message)
         if (options.memory) {
           const hold = options.memory.open()
           addMessageHold(message, hold)
@@ -165,8 +154,8 @@
 
 /** Reads the typed error of an answer with an error status. */
 export async function readErrorAnswer(message: IncomingMessage): Promise<SpoolgateError> {
-  const body = await readBody(message, INTERNAL_BODY_LIMITS)
   try {
+    const body = await readBody(message, INTERNAL_BODY_LIMITS)
     return parseErrorBody(JSON.parse(body.toString('utf8')))
   } catch {
     return new SpoolgateError(
--- a/packages/core/src/httpTextStream.ts
+++ b/packages/core/src/httpTextStream.ts
@@ -1,5 +1,7 @@
 /** Reading of HTTP bodies as text while they come, on the path of every token. */
 import type { IncomingMessage } from 'node:http'
+import { ConnectionError } from './errors.js'
+import { CUT_REASONS, watchCompletion } from './responseCompletion.js'
 
 /**
  * Reads a body piece by piece. A promise that `onText` returns holds the body back until it settles.
@@ -12,6 +14,9 @@
   onText: (text: string) => Promise<void> | undefined | void,
 ): Promise<Error | undefined> {
   return new Promise((resolve, reject) => {
+    const watch = watchCompletion(message)
+    const createCutError = () =>
+      new ConnectionError(CUT_REASONS[watch.findCut() ?? 'ended'], false, false)
     message.setEncoding('utf8')
     message.on('data', (text: string) => {
       try {
@@ -25,8 +30,8 @@
         reject(cause)
       }
     })
-    message.on('end', () => resolve(undefined))
-    message.on('error', resolve)
-    message.on('close', () => resolve(undefined))
+    message.on('end', () => resolve(watch.findCut() && createCutError()))
+    for (const event of ['error', 'close'] as const)
+      message.on(event, () => resolve(createCutError()))
   })
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './ids.js'
 export {
+  ConnectionError,
   ERROR_KINDS,
   SpoolgateError,
   formatErrorBody,
@@ -103,6 +104,14 @@
 } from './keepAliveAgent.js'
 export { readTextStream } from './httpTextStream.js'
 export { findResponseProblem } from './responseStatus.js'
+export {
+  CUT_REASONS,
+  isFramed,
+  isResetError,
+  watchCompletion,
+  type CompletionWatch,
+  type CutReason,
+} from './responseCompletion.js'
 export {
   encodeFieldText,
   findFieldBytesProblem,
@@ -111,7 +120,6 @@
   MAX_FIELD_VALUE_BYTES,
 } from './fieldValue.js'
 export {
-  ConnectionError,
   createHttpClient,
   readErrorAnswer,
   type HttpClient,
--- /dev/null
+++ b/packages/core/src/responseCompletion.ts
@@ -0,0 +1,71 @@
+/** Whether the body of a message arrived whole, which Node alone does not say of a body that ends with its connection. */
+import type { ClientRequest, IncomingMessage } from 'node:http'
+
+/** Why a message is not whole: its connection ended too early, or was reset. */
+export type CutReason = 'ended' | 'reset'
+
+/** What to log of a response that broke off in its body. */
+export const CUT_REASONS: Readonly<Record<CutReason, string>> = {
+  ended: 'the response broke off in its body',
+  reset: 'the connection was reset within the response body',
+}
+
+/** Watches one message; see {@link watchCompletion}. */
+export interface CompletionWatch {
+  /** Explains why the body is not whole; undefined if it is. Valid once the message has ended, failed or closed. */
+  findCut(): CutReason | undefined
+}
+
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+const FINAL_CHUNKED = /(^|,)[\t ]*chunked[\t ]*$/i
+
+type ReceivedMessage = Pick<IncomingMessage, 'headers' | 'statusCode'> & { req?: ClientRequest }
+
+/**
+ * Whether a message itself shows where its body ends: it has a length, chunks or, by its kind, no body. The body of any
+ * other response ends with its connection (RFC 9112, section 6.3).
+ */
+export function isFramed(message: Pick<IncomingMessage, 'headers' | 'statusCode'>): boolean {
+  const { headers, statusCode, req } = message as ReceivedMessage
+  const isRequest = statusCode === null || statusCode === undefined
+  if (isRequest || BODILESS_STATUSES.has(statusCode) || req?.method === 'HEAD') return true
+  const coding = headers['transfer-encoding']
+  return coding === undefined ? headers['content-length'] !== undefined : FINAL_CHUNKED.test(coding)
+}
+
+/** Returns whether an error of a socket says that the other side reset the connection. */
+export function isResetError(cause: unknown): boolean {
+  return (cause as NodeJS.ErrnoException | null)?.code === 'ECONNRESET'
+}
+
+const watches = new WeakMap<IncomingMessage, CompletionWatch>()
+
+/**
+ * Watches for the end of a body. To be called before the first wait after the head has arrived; later calls return the
+ * same watch. Node reports a connection reset as the end of a body that ends with its connection: it swallows the
+ * error, or, if the reset arrives together with the last bytes, raises none. Only a socket that was reset no longer has
+ * a remote address when it emits `end`.
+ */
+export function watchCompletion(message: IncomingMessage): CompletionWatch {
+  const found = watches.get(message)
+  if (found) return found
+  const { socket } = message
+  const isDelimitedByClose = !isFramed(message)
+  let isReset = false
+  const observeEnd = () => {
+    isReset = socket.remoteAddress === undefined
+  }
+  if (isDelimitedByClose) {
+    socket.prependOnceListener('end', observeEnd)
+    message.once('close', () => socket.removeListener('end', observeEnd))
+  }
+  const watch: CompletionWatch = {
+    findCut: () => {
+      const isBroken = isDelimitedByClose && (isReset || socket.errored !== null)
+      if (message.complete && !isBroken) return undefined
+      return isReset || isResetError(socket.errored) ? 'reset' : 'ended'
+    },
+  }
+  watches.set(message, watch)
+  return watch
+}
--- a/packages/router/src/__tests__/relayRepeatable.spec.ts
+++ b/packages/router/src/__tests__/relayRepeatable.spec.ts
@@ -64,7 +64,8 @@
     const frames = answers[headers.length - 1]()
     return Object.assign(Readable.from([Buffer.from(frames)]), {
       statusCode: 200,
-      headers: { [HINTS_HEADER]: JSON.stringify(HINTS) },
+      headers: { [HINTS_HEADER]: JSON.stringify(HINTS), 'transfer-encoding': 'chunked' },
+      complete: true,
     }) as unknown as IncomingMessage
   }
   const relay = (deadline: number | undefined) => {
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -1,8 +1,8 @@
 /** Outcomes of one attempt at a backend server, and the relay of its response up to that outcome. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RegisteredServer } from '@spoolgate/control'
+import { isFramed } from '@spoolgate/core'
 import {
-  isFramed,
   readResponseBody,
   relayLongBody,
   sendBufferedResponse,
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -5,40 +5,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pipeline } from 'node:stream/promises'
 import type { RegisteredServer } from '@spoolgate/control'
-import type { ConnectionGuard, MemoryBudget, MemoryHold, RejectedInputs } from '@spoolgate/core'
+import {
+  CUT_REASONS,
+  watchCompletion,
+  type CompletionWatch,
+  type ConnectionGuard,
+  type MemoryBudget,
+  type MemoryHold,
+  type RejectedInputs,
+} from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
 import { createSseEventBuffer, type SseEventBuffer } from './sseEventBuffer.js'
 
-/** Detects whether a response body arrived completely. */
-interface CompletionWatch {
-  isComplete(): boolean
-}
-
-/** Whether the length or the chunks of a response show where it ends; any other ends with its connection. */
-export function isFramed({ headers }: Pick<IncomingMessage, 'headers'>): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
-/**
- * Watches for the end of a response body. A body with neither Content-Length nor chunked encoding ends when its
- * connection closes, and Node also reports a connection reset as such an end: it swallows the error, or, if the reset
- * arrives together with the last bytes, raises none. Only a socket that was reset no longer has a remote address when
- * it emits `end`.
- */
-function watchCompletion(message: IncomingMessage): CompletionWatch {
-  const { socket } = message
-  const hasFrame = isFramed(message)
-  let isReset = false
-  if (!hasFrame) {
-    socket.prependOnceListener('end', () => {
-      isReset = socket.remoteAddress === undefined
-    })
-  }
-  return {
-    isComplete: () => message.complete && (hasFrame || (!isReset && socket.errored === null)),
-  }
-}
-
 /** A body that was read whole, or why it was not. */
 export type ResponseBody =
   | { readonly kind: 'whole'; readonly body: Buffer }
@@ -76,12 +54,12 @@
       chunks.push(chunk)
       if (!hold.resize(size)) void waitForRoom()
     })
+    const failCut = () => fail(describeCut(watch))
     message.on('end', () => {
-      if (watch.isComplete()) resolve({ kind: 'whole', body: Buffer.concat(chunks) })
-      else fail(BROKEN_BODY)
+      if (watch.findCut() === undefined) resolve({ kind: 'whole', body: Buffer.concat(chunks) })
+      else failCut()
     })
-    message.on('error', () => fail(BROKEN_BODY))
-    message.on('close', () => resolve({ kind: 'broken', reason: BROKEN_BODY }))
+    for (const event of ['error', 'close'] as const) message.on(event, failCut)
   })
 }
 
@@ -125,8 +103,10 @@
   response.end(body)
 }
 
-const BROKEN_BODY = 'the response broke off'
-const BROKEN_STREAM = 'the response stream broke off'
+/** Explains why a response that is not whole broke off. */
+function describeCut(watch: CompletionWatch): string {
+  return CUT_REASONS[watch.findCut() ?? 'ended']
+}
 
 /** The response stream of one caller, across all attempts that supply its events. */
 export interface StreamRelay {
@@ -214,6 +194,7 @@
           hold.close()
           resolve(reason)
         }
+        const settleCut = () => settle(describeCut(watch))
         const abandon = (reason: string) => {
           message.destroy()
           settle(reason)
@@ -230,14 +211,13 @@
             abandon('there is no room for a part of an event at the moment')
         }
         const handleEnd = () => {
-          const isComplete = watch.isComplete() && !eventBuffer.hasPartialEvent()
-          if (isComplete) startResponse(message, headers)
-          settle(isComplete ? undefined : BROKEN_STREAM)
+          if (watch.findCut() !== undefined || eventBuffer.hasPartialEvent()) return settleCut()
+          startResponse(message, headers)
+          settle(undefined)
         }
         message.on('data', guard.wrap('response.data', handleData, abandon))
         message.on('end', guard.wrap('response.end', handleEnd, abandon))
-        message.on('error', () => settle(BROKEN_STREAM))
-        message.on('close', () => settle(BROKEN_STREAM))
+        for (const event of ['error', 'close'] as const) message.on(event, settleCut)
       }),
     finish: () => response.end(),
   }
--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -9,7 +9,7 @@
   type IncomingMessage,
 } from 'node:http'
 import type { Socket } from 'node:net'
-import type { ConnectionGuard, TimerService } from '@spoolgate/core'
+import { watchCompletion, type ConnectionGuard, type TimerService } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
 
 /** What all attempts of a router share. */
@@ -128,6 +128,7 @@
     }
     clientRequest.on('response', (message) => {
       hasResponse = true
+      watchCompletion(message)
       resolve({ kind: 'head', message })
     })
     clientRequest.on('error', (cause) => {
--- a/packages/sidecar/src/__tests__/queuedCalls.spec.ts
+++ b/packages/sidecar/src/__tests__/queuedCalls.spec.ts
@@ -78,8 +78,9 @@
       sent.push(request)
       const answer = Object.assign(Readable.from([Buffer.from('data: [DONE]\n\n')]), {
         statusCode: 200,
-        headers: { 'content-type': 'text/event-stream' },
-        rawHeaders: ['Content-Type', 'text/event-stream'],
+        headers: { 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' },
+        rawHeaders: ['Content-Type', 'text/event-stream', 'Transfer-Encoding', 'chunked'],
+        complete: true,
       })
       answers.push(() => resolve(answer as unknown as IncomingMessage))
     })
