fix(router): do not end a stream as whole that its connection ended before any event

A replica that closed its connection right after a head with neither length nor chunks gave callers of streams a 200 with an empty body, framed as whole; one that did so when it was to resume a stream ended it after the events of the first replica.

Cause: the end of the connection is the only frame of such an answer, and it was believed for an event stream without a single event. That is now a stream that broke off: it is sent to another server where the route allows it, else the caller gets a 502, or the stream breaks off. A stream with a length or chunks may still be empty, as the rest of one that was resumed after its last event.

--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -7,6 +7,7 @@
 import type { RegisteredServer } from '@spoolgate/control'
 import {
   CUT_REASONS,
+  isFramed,
   watchCompletion,
   type CompletionWatch,
   type ConnectionGuard,
@@ -108,6 +109,9 @@
   return CUT_REASONS[watch.findCut() ?? 'ended']
 }
 
+/** A stream has at least one event; one that only its connection ends shows the loss of all of them in no other way. */
+const EMPTY_STREAM = 'the response stream ended with its connection before its first event'
+
 /** The response stream of one caller, across all attempts that supply its events. */
 export interface StreamRelay {
   /** Whether the response head has been sent to the caller. */
@@ -199,7 +203,9 @@
           message.destroy()
           settle(reason)
         }
+        let isEmpty = true
         const handleData = (chunk: Buffer) => {
+          isEmpty = false
           forward(message, headers, server, hold, takeForwardable(eventBuffer, chunk))
           const problem = eventBuffer.findProblem()
           if (problem !== undefined) {
@@ -212,6 +218,7 @@
         }
         const handleEnd = () => {
           if (watch.findCut() !== undefined || eventBuffer.hasPartialEvent()) return settleCut()
+          if (isEmpty && !isFramed(message)) return settle(EMPTY_STREAM)
           startResponse(message, headers)
           settle(undefined)
         }
