fix(core): end a request whose answer switches protocols

A server that answered 101 to a request of the HTTP client left it without an end: a sidecar's call, and all that control asks of replicas without a time limit, waited until the other side or the process ended. A 101 without an Upgrade field was taken for the final answer.

Cause: Node closes the connection of a 101 that nobody handles, and emits neither response nor error, only close, to which the client did not listen.

The client now rejects with the close, and with every head that is not one of a final response; the sidecar's own check of that moves there with it.

Evidence: 'fails when its answer switches protocols' ran into its time limit of 3 s before (and, without Upgrade, resolved with the 101); both pass now. The direct router listened to close already. An answer that comes while none is due reaches nobody on a kept connection of this client either: that test passed before and stays.

--- a/packages/core/src/__tests__/httpClient.spec.ts
+++ b/packages/core/src/__tests__/httpClient.spec.ts
@@ -1,9 +1,13 @@
 import { expect } from 'chai'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import {
+  ConnectionError,
   createHttpClient,
   createHttpServer,
   createQuietLogger,
   createTimerService,
+  INTERNAL_BODY_LIMITS,
+  readBody,
   sendJson,
   type HttpExchange,
 } from '../index.js'
@@ -73,3 +77,48 @@
     await started.server.close(0)
   })
 })
+
+describe('a request of the HTTP client', () => {
+  // Node closes such a connection without an error, and the request waited without end.
+  for (const fields of ['Connection: upgrade\r\nUpgrade: x\r\n', ''])
+    it(`fails when its answer switches protocols${fields === '' ? ' to none' : ''}`, async () => {
+      const server = createServer((socket) => {
+        socket.on('error', () => {})
+        socket.once('data', () => socket.end(`HTTP/1.1 101 Switching\r\n${fields}\r\n`))
+      })
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+      const client = createHttpClient()
+      const { port } = server.address() as AddressInfo
+      const outcome = await client
+        .send({ method: 'GET', url: `http://127.0.0.1:${port}` })
+        .catch((cause: unknown) => cause)
+      expect(outcome).to.be.instanceOf(ConnectionError)
+      client.close()
+      server.close()
+    })
+})
+
+describe('a kept connection of the HTTP client', () => {
+  it('gives nobody an answer that came while none was due', async () => {
+    const format = (text: string) => `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n${text}`
+    const first: { socket?: Socket; closed?: Promise<unknown> } = {}
+    const server = createServer((socket) => {
+      socket.on('error', () => {})
+      first.socket ??= socket
+      first.closed ??= new Promise((resolve) => socket.once('close', resolve))
+      socket.on('data', () => socket.write(format('right')))
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const client = createHttpClient()
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+    const read = async () =>
+      String(await readBody(await client.send({ method: 'GET', url }), INTERNAL_BODY_LIMITS))
+    expect(await read()).to.equal('right')
+    await new Promise((resolve) => setImmediate(resolve))
+    await new Promise<void>((resolve) => first.socket?.write(format('wrong'), () => resolve()))
+    await new Promise((resolve) => setImmediate(resolve))
+    expect(await read()).to.equal('right')
+    client.close()
+    server.close()
+  })
+})
--- a/packages/core/src/httpClient.ts
+++ b/packages/core/src/httpClient.ts
@@ -6,6 +6,7 @@
 import { addMessageHold, type MemoryBudget } from './memoryBudget.js'
 import { INTERNAL_BODY_LIMITS, readBody, readJson } from './httpBody.js'
 import { watchCompletion } from './responseCompletion.js'
+import { findResponseProblem } from './responseStatus.js'
 
 /** Options of {@link createHttpClient}. */
 export interface HttpClientOptions {
@@ -121,6 +122,12 @@
       outgoing.on('response', (message) => {
         clearTimeout(timeout)
         watchCompletion(message)
+        const problem = findResponseProblem(message)
+        if (problem !== undefined) {
+          message.destroy()
+          reject(new ConnectionError(problem, false, false))
+          return
+        }
         if (options.memory) {
           const hold = options.memory.open()
           addMessageHold(message, hold)
@@ -132,6 +139,11 @@
         clearTimeout(timeout)
         reject(toConnectionError(cause, timedOut))
       })
+      // Node closes the connection of a response that switches protocols without an error.
+      outgoing.on('close', () => {
+        clearTimeout(timeout)
+        reject(new ConnectionError('the connection closed', false, timedOut))
+      })
       outgoing.end(request.body)
     })
 
--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -3,7 +3,6 @@
 import {
   ConnectionError,
   closeBody,
-  findResponseProblem,
   INTERNAL_BODY_LIMITS,
   readBody,
   readTextStream,
@@ -56,12 +55,6 @@
 async function relayAnswer(message: IncomingMessage, options: RunCallOptions): Promise<void> {
   const { call, adapter } = options
   const status = message.statusCode ?? 0
-  const problem = findResponseProblem(message)
-  if (problem !== undefined) {
-    message.destroy()
-    call.finish({ outcome: 'failed', reason: problem })
-    return
-  }
   if (status >= adapter.failureStatus) {
     closeBody(message)
     call.finish({ outcome: 'failed', reason: `backend server answered ${status}` })
