fix(router): reset the connection of a caller of HTTP/1.0 whose stream breaks off

A caller of HTTP/1.0 whose stream broke off, or ran past its deadline, saw a whole answer: the events so far and a plain end of the connection.

Cause: such a caller gets no chunks, so that the end of the connection is the end of the answer, and the router closed the connection of a broken stream as it does for HTTP/1.1, where the missing last chunk shows it. Such a connection is now reset. A whole stream still ends plainly.

--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -104,6 +104,16 @@
   response.end(body)
 }
 
+/**
+ * Closes the connection of a response that cannot be completed. Callers of HTTP/1.0 take the end of the connection for
+ * that of the response unless it is reset.
+ */
+export function closeBrokenResponse(response: ServerResponse): void {
+  const { socket, req } = response
+  if (req.httpVersion === '1.0' && socket && !socket.writableEnded) socket.resetAndDestroy()
+  else response.destroy()
+}
+
 /** Explains why a response that is not whole broke off. */
 function describeCut(watch: CompletionWatch): string {
   return CUT_REASONS[watch.findCut() ?? 'ended']
@@ -175,7 +185,7 @@
     startResponse(message, headers)
     if (response.write(data)) return
     message.pause()
-    hold.setEviction(() => response.destroy())
+    hold.setEviction(() => closeBrokenResponse(response))
     response.once('drain', () => {
       hold.setEviction(undefined)
       message.resume()
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -14,6 +14,7 @@
 } from '@spoolgate/core'
 import { checkResponseHead } from './responseHead.js'
 import {
+  closeBrokenResponse,
   createStreamRelay,
   isCallerDisconnected,
   type BodyMemory,
@@ -184,8 +185,7 @@
     if (this.trackedCall?.hasNoServerActivity()) this.recordConnectionLoss()
     if (this.response.headersSent) {
       this.finish('timedOutInStream')
-      this.response.destroy()
-      return
+      return closeBrokenResponse(this.response)
     }
     this.finishWithError(createTimeoutError(this.mayHaveRun))
   }
@@ -195,7 +195,7 @@
     if (this.isFinished) return
     this.context.instruments.refusals.add(1, { kind: error.kind })
     this.finish(error.kind)
-    if (this.response.headersSent) this.response.destroy()
+    if (this.response.headersSent) closeBrokenResponse(this.response)
     else this.context.caller.sendRefusal(this.response, this.plan.call, error)
   }
 
