fix(router): forward the length that a response without a body states

Callers of HEAD, and of requests answered 304, were given Content-Length: 0 in place of the length that the server had stated, and those answered 204 a length that RFC 9110 (8.6) forbids there.

Cause: a buffered response is sent with the length of what was read, which is 0 for a response that has no body by its kind. Such a response now keeps the length that it states, or has none.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -106,6 +106,7 @@
 export { findResponseProblem } from './responseStatus.js'
 export {
   CUT_REASONS,
+  isBodiless,
   isFramed,
   isResetError,
   watchCompletion,
--- a/packages/core/src/responseCompletion.ts
+++ b/packages/core/src/responseCompletion.ts
@@ -19,16 +19,22 @@
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
 const FINAL_CHUNKED = /(^|,)[\t ]*chunked[\t ]*$/i
 
-type ReceivedMessage = Pick<IncomingMessage, 'headers' | 'statusCode'> & { req?: ClientRequest }
+type ReceivedMessage = Pick<IncomingMessage, 'statusCode'> & { req?: ClientRequest }
+
+/** Whether a response has no body by its kind, whatever length it states. */
+export function isBodiless(message: Pick<IncomingMessage, 'statusCode'>): boolean {
+  const { statusCode, req } = message as ReceivedMessage
+  return BODILESS_STATUSES.has(statusCode ?? 0) || req?.method === 'HEAD'
+}
 
 /**
  * Whether a message itself shows where its body ends: it has a length, chunks or, by its kind, no body. The body of any
  * other response ends with its connection (RFC 9112, section 6.3).
  */
 export function isFramed(message: Pick<IncomingMessage, 'headers' | 'statusCode'>): boolean {
-  const { headers, statusCode, req } = message as ReceivedMessage
+  const { headers, statusCode } = message
   const isRequest = statusCode === null || statusCode === undefined
-  if (isRequest || BODILESS_STATUSES.has(statusCode) || req?.method === 'HEAD') return true
+  if (isRequest || isBodiless(message)) return true
   const coding = headers['transfer-encoding']
   return coding === undefined ? headers['content-length'] !== undefined : FINAL_CHUNKED.test(coding)
 }
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -137,7 +137,7 @@
   const read = await readResponseBody(message, memory)
   if (read.kind === 'broken') return { kind: 'lost', reason: read.reason }
   const forward = () => {
-    sendBufferedResponse(response, status, headers, read.body)
+    sendBufferedResponse(response, message, headers, read.body)
     memory.hold.setEviction(() => response.destroy())
   }
   if (isFailure) return { kind: 'failed', status, reason: `status ${status}`, forward }
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -7,6 +7,7 @@
 import type { RegisteredServer } from '@spoolgate/control'
 import {
   CUT_REASONS,
+  isBodiless,
   isFramed,
   watchCompletion,
   type CompletionWatch,
@@ -91,16 +92,18 @@
   )
 }
 
-/** Sends a buffered response with the length of its body. */
+/** Sends a buffered response with the length of its body; one that has none by its kind keeps the length that it states. */
 export function sendBufferedResponse(
   response: ServerResponse,
-  status: number,
+  message: IncomingMessage,
   headers: HeaderList,
   body: Buffer,
 ): void {
   const isLength = ([name]: readonly [string, string]) => name.toLowerCase() === 'content-length'
   const fields = headers.filter((field) => !isLength(field))
-  writeHead(response, status, [...fields, ['Content-Length', String(body.length)]])
+  const length = isBodiless(message) ? message.headers['content-length'] : String(body.length)
+  if (length !== undefined) fields.push(['Content-Length', length])
+  writeHead(response, message.statusCode ?? 200, fields)
   response.end(body)
 }
 
