fix(sidecar): pass on the head of an answer only with a part of its body

When an engine's stream ended before its first event, or a plain answer broke off, the router behind the sidecar had the head already: the caller of a stream got a 200 with an error event in place of an error, where nothing of the stream existed.

Cause: the head was sent on before anything of the body was known. A stream's head now goes with its first event, a plain answer's with its body.

Evidence: 4 new cases (length, chunks, neither; a plain answer cut short) passed a head on before, none does now; the whole stream still has its head first.

--- a/packages/sidecar/src/__tests__/callRunner.spec.ts
+++ b/packages/sidecar/src/__tests__/callRunner.spec.ts
@@ -47,6 +47,35 @@
       expect(statuses).to.deep.equal([])
     })
 
+  // The head was passed on before it, and a router began a stream for its caller.
+  for (const [what, rest] of Object.entries({
+    'a length': 'Content-Length: 14\r\n\r\n',
+    chunks: 'Transfer-Encoding: chunked\r\n\r\n',
+    'neither, to its end': '\r\n',
+  }))
+    it(`fails, and passes on no head, when a stream with ${what} ends before its first event`, async () => {
+      const { end, statuses } = await runAgainst(
+        `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n${rest}`,
+      )
+      expect(end).to.include({ outcome: 'failed' })
+      expect(statuses).to.deep.equal([])
+    })
+
+  it('fails, and passes on no head, when a plain answer breaks off', async () => {
+    const { end, statuses } = await runAgainst('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhalf')
+    expect(end).to.include({ outcome: 'failed' })
+    expect(end?.reason).to.include('broke off in its body')
+    expect(statuses).to.deep.equal([])
+  })
+
+  it('passes on a whole stream, its head first', async () => {
+    const { end, statuses } = await runAgainst(
+      'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\ndata: [DONE]\n\n',
+    )
+    expect(end).to.include({ outcome: 'finished' })
+    expect(statuses).to.deep.equal([200])
+  })
+
   it('passes on the status of a final response', async () => {
     const { end, statuses } = await runAgainst(
       'HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno',
--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -8,7 +8,7 @@
   readTextStream,
   type HttpClient,
 } from '@spoolgate/core'
-import type { BodyFrame } from '@spoolgate/routing'
+import type { BodyFrame, HeadFrame } from '@spoolgate/routing'
 import { createParser } from 'eventsource-parser'
 import type { BackendAdapter } from '../backend/adapters.js'
 import type { Call } from './call.js'
@@ -34,14 +34,21 @@
   return Buffer.from(text, 'utf8').equals(body) ? { text } : { base64: body.toString('base64') }
 }
 
-/** Relays an event stream; returns whether it ended with its final marker. */
-async function relayEvents(message: IncomingMessage, options: RunCallOptions): Promise<boolean> {
+/** Relays an event stream from its first event on; returns whether it ended with its final marker. */
+async function relayEvents(
+  message: IncomingMessage,
+  head: HeadFrame,
+  options: RunCallOptions,
+): Promise<boolean> {
   const { call, onFirstToken } = options
   let isFirst = true
   let isDone = false
   const parser = createParser({
     onEvent: (event) => {
-      if (isFirst) onFirstToken()
+      if (isFirst) {
+        call.sendHead(head)
+        onFirstToken()
+      }
       isFirst = false
       if (event.data === DONE_MARKER) isDone = true
       call.sendData(event.data)
@@ -61,15 +68,16 @@
     return
   }
   const contentType = message.headers['content-type'] ?? 'application/octet-stream'
-  call.sendHead({ status, contentType })
+  const head: HeadFrame = { status, contentType }
   if (contentType.startsWith(EVENT_STREAM)) {
-    const isDone = await relayEvents(message, options)
+    const isDone = await relayEvents(message, head, options)
     if (isDone) call.finish({ outcome: 'finished' })
     else call.finish({ outcome: 'failed', reason: 'stream ended without its final marker' })
     return
   }
   const body = await readBody(message, INTERNAL_BODY_LIMITS)
   options.onFirstToken()
+  call.sendHead(head)
   call.sendBody(toBodyFrame(body))
   call.finish({ outcome: 'finished' })
 }
