fix(router): try another server when a sidecar's decline breaks off

A caller whose request a sidecar declined got the error of the broken decline, and no other server was tried, when the connection ended within the decline's body.

Cause: the body was read without regard to its loss, and the error ended the request.

Evidence: the new test failed with 'the response broke off in its body' before; the request is answered by the second server now.

--- a/packages/router/src/__tests__/relayRepeatable.spec.ts
+++ b/packages/router/src/__tests__/relayRepeatable.spec.ts
@@ -46,6 +46,8 @@
   let timers: ManualTimerService
   /** Frames of each attempt, and what happens before they are read. */
   let answers: (() => string)[]
+  /** What the heads of the attempts have beside their usual fields. */
+  let respond: readonly Partial<IncomingMessage>[]
   let headers: CallHeader[]
   let written: string
   let ejections: string[]
@@ -54,6 +56,7 @@
   beforeEach(() => {
     timers = createManualTimerService()
     headers = []
+    respond = []
     written = ''
     ejections = []
     retries = 0
@@ -66,6 +69,8 @@
       statusCode: 200,
       headers: { [HINTS_HEADER]: JSON.stringify(HINTS), 'transfer-encoding': 'chunked' },
       complete: true,
+      socket: { errored: null },
+      ...respond[headers.length - 1],
     }) as unknown as IncomingMessage
   }
   const relay = (deadline: number | undefined) => {
@@ -169,6 +174,15 @@
     expect(written).to.include('[DONE]')
   })
 
+  // The error of the cut body reached the caller as that of its own request.
+  it('tries another server when a decline breaks off', async () => {
+    answers = [() => '{"decl', formatWhole]
+    respond = [{ statusCode: 409, complete: false }]
+    await relay(undefined)
+    expect(ejections).to.deep.equal(['e0 failed', 'e1 ok'])
+    expect(written).to.include('[DONE]')
+  })
+
   it('refuses as not run what every server declined after a wait', async () => {
     const declined = { decline: { declined: 'notReady' }, hints: HINTS } as const
     const end = { outcome: 'failed', reason: 'notReady', notRun: true, declined } as const
--- a/packages/router/src/relay/attempt.ts
+++ b/packages/router/src/relay/attempt.ts
@@ -8,6 +8,7 @@
   INTERNAL_BODY_LIMITS,
   readErrorAnswer,
   readJson,
+  toSpoolgateError,
   waitFor,
   type HttpClient,
   type Invariants,
@@ -157,6 +158,16 @@
   }
 }
 
+/** Reads why a sidecar declined a call; only a decline has its head, so that the call did not start whatever its body. */
+async function readDecline(response: IncomingMessage): Promise<AttemptResult> {
+  try {
+    const decline = (await readJson(response, INTERNAL_BODY_LIMITS)) as Decline
+    return { kind: 'declined', decline, hints: parseHints(response) }
+  } catch (cause) {
+    return { kind: 'lost', reason: toSpoolgateError(cause).message, notRun: true }
+  }
+}
+
 /** Runs one attempt to its end; cancels it at the sidecar if the signal aborts. */
 export async function runAttempt(
   deps: AttemptDependencies,
@@ -168,10 +179,8 @@
     if (response.kind === 'cancelled') cancelAttempt(deps, sidecarUrl, header)
     return response
   }
-  if (response.statusCode === DECLINED_STATUS && HINTS_HEADER in response.headers) {
-    const decline = (await readJson(response, INTERNAL_BODY_LIMITS)) as Decline
-    return { kind: 'declined', decline, hints: parseHints(response) }
-  }
+  if (response.statusCode === DECLINED_STATUS && HINTS_HEADER in response.headers)
+    return readDecline(response)
   if (response.statusCode !== 200) {
     const error = await readErrorAnswer(response)
     return { kind: 'failed', reason: error.message, notRun: error.notRun }
