fix(core): end connections without a reset

Callers saw their connection reset, and lost answers that they had not read yet, when a server closed while bytes were on their way: after an answer with Connection: close, at an idle timeout, at a planned stop and at the end of the process. Cause: Node destroys the socket right after the last answer or at the timeout, and the kernel resets a connection that is closed with unread bytes. Now a connection is ended first, what still arrives is discarded for a second at most (200 ms at the end of a process), and only then it is closed. A connection counts as idle only if nothing arrives in one more turn of the event loop; Node's own list of idle connections is used, since only its parsers know which wait between two requests.

Four tests of connectionEnds.spec fail before (write EPIPE one round trip after the end) and pass now: announced close at router and operators' server, idle timeout, planned stop. plannedStop, goneCallers, idleConnections, core, tls pass.

--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -6,9 +6,11 @@
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:tls'
 import { findEndOfSocket, type ConnectionEnd } from './connectionEnds.js'
+import { closeLingering } from './lingeringClose.js'
 import type { LogFields, Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
-import type { TimerService } from './timers.js'
+import { waitFor, type TimerService } from './timers.js'
+import { createTurnQueue } from './turnQueue.js'
 
 /** Options of {@link createConnectionTracker}. */
 export interface ConnectionTrackerOptions {
@@ -42,10 +44,15 @@
   startStop(): void
   /** Closes a connection at once. */
   destroy(socket: Socket, end: ConnectionEnd): void
-  /** Closes all connections at once. */
-  close(): void
+  /** Ends the connections of a server on which nothing is in flight and no part of a request has arrived. */
+  closeIdle(server: Server): Promise<void>
+  /** Closes all connections; resolves once they are closed. */
+  close(): Promise<void>
 }
 
+/** Maximum time that the end of a process waits for the other sides of idle connections, in ms. */
+const END_LINGER_MS = 200
+
 interface TakenRequest {
   readonly request: IncomingMessage
   readonly response: ServerResponse
@@ -74,7 +81,9 @@
     'requests_unanswered',
     'Requests that were read whole and ended without a whole answer, by end of their connection',
   )
+  const turns = createTurnQueue()
   let isStopping = false
+  let notifyClosed = () => {}
 
   const recordUnanswered = ({ request, response, owner, takenAt }: TakenRequest, end: string) => {
     unanswered?.add(1, { end })
@@ -98,6 +107,19 @@
     for (const taken of open) recordUnanswered(taken, end)
     // An answer that waits behind another one gets no event from Node when its connection closes.
     for (const taken of [...inFlight]) finish(connection, taken)
+    if (connections.size === 0) notifyClosed()
+  }
+  const endConnection = (connection: Connection, end: ConnectionEnd) => {
+    connection.isEnding = true
+    connection.end ??= end
+    closeLingering(connection.socket, timers)
+  }
+  /** Ends a connection, unless a request arrives in the next turn of the event loop. */
+  const endIdle = async (connection: Connection, end: ConnectionEnd) => {
+    const { socket, inFlight } = connection
+    const readBytes = socket.bytesRead
+    await turns.take()
+    if (inFlight.size === 0 && socket.bytesRead === readBytes) endConnection(connection, end)
   }
   const openConnection = (socket: Socket): Connection => {
     const known = connections.get(socket)
@@ -111,6 +133,8 @@
     }
     connections.set(socket, connection)
     socket.prependOnceListener('close', () => handleClose(connection))
+    // Node calls this after an answer that ends the connection.
+    socket.destroySoon = () => endConnection(connection, isStopping ? 'plannedStop' : 'announced')
     return connection
   }
   const recordLate = (connection: Connection, { headers, url }: IncomingMessage) => {
@@ -123,13 +147,23 @@
     taken.owner.onEnd()
     // The head of an answer that began before the stop could not say that the connection ends.
     if (!isStopping || connection.inFlight.size > 0) return
-    connection.isEnding = true
-    connection.end ??= 'plannedStop'
-    connection.socket.end()
+    endConnection(connection, 'plannedStop')
+  }
+  /** Lists the connections between two requests, which only Node's parsers know. */
+  const listIdle = (server: Server): Connection[] => {
+    const idle: Connection[] = []
+    for (const connection of connections.values()) {
+      const { socket } = connection
+      socket.destroy = () => (idle.push(connection), socket)
+    }
+    server.closeIdleConnections()
+    for (const { socket } of connections.values()) Reflect.deleteProperty(socket, 'destroy')
+    return idle
   }
   return {
     watchServer: (server) => {
       server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', openConnection)
+      server.on('timeout', (socket) => void endIdle(openConnection(socket), 'idle'))
     },
     take: (request, response, owner) => {
       const connection = openConnection(request.socket)
@@ -156,11 +190,24 @@
       if (connection) connection.end ??= end
       socket.destroy()
     },
-    close: () => {
+    closeIdle: async (server) => {
+      // Timers run before sockets are read: what has arrived meanwhile is not idle.
+      await turns.take()
+      for (const connection of listIdle(server)) endConnection(connection, 'plannedStop')
+    },
+    close: async () => {
       for (const connection of connections.values()) {
+        if (connection.inFlight.size === 0) {
+          endConnection(connection, 'processEnd')
+          continue
+        }
         connection.end ??= 'processEnd'
         connection.socket.destroy()
       }
+      if (connections.size === 0) return
+      const closed = new Promise<void>((resolve) => (notifyClosed = resolve))
+      await Promise.race([closed, waitFor(timers, END_LINGER_MS)])
+      for (const { socket } of connections.values()) socket.destroy()
     },
   }
 }
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -20,7 +20,6 @@
 import type { Logger } from './logger.js'
 import { addMessageHold, openResponseHold, type MemoryBudget } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
-import { createTurnQueue } from './turnQueue.js'
 import { waitFor, type TimerService } from './timers.js'
 
 /** One request with its response. */
@@ -355,12 +354,10 @@
         NetServer.prototype.close.call(server, () => resolve()),
       )
       await waitFor(options.timers, Math.min(drainMs, IDLE_GRACE_MS))
-      // Timers run before sockets are read: what has arrived meanwhile is not idle.
-      await createTurnQueue().take()
-      server.closeIdleConnections()
+      await connections.closeIdle(server)
       await waitForIdle(drainMs)
       const abandoned = active.size
-      connections.close()
+      await connections.close()
       await closed
       return { abandoned }
     },
--- a/packages/router/src/direct/callerServer.ts
+++ b/packages/router/src/direct/callerServer.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers: its connections, and the bounds that the routing table in force sets on them. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import type { FeedClient } from '@spoolgate/control'
 import type {
   ConnectionGuard,
@@ -16,7 +16,7 @@
 export interface CallerServerOptions {
   readonly feed: Pick<FeedClient, 'changes'>
   readonly shutdown: Pick<GracefulShutdown, 'track'>
-  readonly connections: Pick<ConnectionTracker, 'watchServer' | 'destroy' | 'close'>
+  readonly connections: Pick<ConnectionTracker, 'watchServer' | 'closeIdle' | 'destroy' | 'close'>
   readonly guard: ConnectionGuard
   /** Budget of which heads that are not complete may take a part. */
   readonly memory: MemoryBudget
@@ -33,8 +33,10 @@
 /** A server that does not listen yet. */
 export interface CallerServer {
   readonly server: Server
-  /** Cuts all connections. */
-  close(): void
+  /** Stops listening, and ends idle connections. */
+  stopListening(): Promise<void>
+  /** Closes all connections. */
+  close(): Promise<void>
 }
 
 /** Maximum size of the request headers, in bytes: twice what routing tables allow, which is checked later. */
@@ -82,8 +84,13 @@
   })
   return {
     server,
-    close: () => {
-      connections.close()
+    stopListening: async () => {
+      // Node's own close would also reset idle connections on which a request is arriving.
+      NetServer.prototype.close.call(server)
+      await connections.closeIdle(server)
+    },
+    close: async () => {
+      await connections.close()
       boundsSubscription.unsubscribe()
       heads.close()
     },
