fix(router): look for a stream's record until all routers are known and answered

What callers saw: after all routers were killed at once beside a release, a stream that was taken up got 503 (`call.notResumed reason=notFound`, asked=0 to 3) although its record was on the disk of a router that was still starting, or that the new leader did not list yet.

Cause: a lookup asked twice, 0.1 s apart, and took a refused connection or an empty list of routers for the answer that nobody has the record.

Now rounds go on each 0.1 s to those that have not answered, until the leader's list is complete and all of it answered, or the limit of the lookup is over: a quarter of the time left to the request, 2.5 s at most. Where all answer, it ends after two rounds as before.

--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -156,6 +156,8 @@
   listPeers(): readonly string[]
   /** Those of them that keep records on a disk. */
   listDurablePeers(): readonly string[]
+  /** Whether these lists came from a leader that has led for long enough to know all routers. */
+  isPeerListComplete(): boolean
   /** URL of the instance that answered last; undefined while none responds. */
   leaderUrl(): string | undefined
   /** Emits after each change of the table, the weights, the servers, the software versions or the peers. */
@@ -365,6 +367,7 @@
     viewPosition: replica.position,
     listPeers: replica.listPeers,
     listDurablePeers: replica.listDurablePeers,
+    isPeerListComplete: replica.isPeerListComplete,
     leaderUrl: () => leader,
     changes,
     close: async () => {
--- a/packages/control/src/registry/fleetReplica.ts
+++ b/packages/control/src/registry/fleetReplica.ts
@@ -94,6 +94,8 @@
   listPeers(): readonly string[]
   /** Those of them that keep records on a disk. */
   listDurablePeers(): readonly string[]
+  /** Whether these lists came from a leader that has led for long enough to know all routers. */
+  isPeerListComplete(): boolean
   /**
    * Applies a reply; true if it contained a new table, weights, servers, software versions or peers.
    * @param sentLoads loads of this router in the poll of the reply
@@ -223,6 +225,7 @@
     countRouters: () => routers,
     listPeers: () => peers.urls,
     listDurablePeers: () => peers.durableUrls ?? NO_URLS,
+    isPeerListComplete: () => peers.isComplete,
     applyTable: (update) => {
       if (!installTable(update)) return false
       position = { ...position, tableVersion: update.version }
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -45,6 +45,8 @@
   readonly listPeers: () => readonly string[]
   /** Lists the URLs of those that keep records on a disk. */
   readonly listDurable: () => readonly string[]
+  /** Whether these lists contain all routers. */
+  readonly isListComplete: () => boolean
   /** Folder on the disk of this router; undefined if it has none. */
   readonly folder: string | undefined
   readonly timers: TimerService
@@ -96,6 +98,7 @@
 /** Opens the exchange; resolves once it is listening. */
 export async function openRecordExchange(options: RecordExchangeOptions): Promise<RecordExchange> {
   const { endpoint, records, listPeers, listDurable, folder, timers, logger, metrics } = options
+  const { isListComplete } = options
   const journal =
     folder === undefined
       ? undefined
@@ -124,7 +127,7 @@
       copies.add(record)
       journal?.add(record)
     },
-    find: createRecordLookup({ ...common, listDurable }),
+    find: createRecordLookup({ ...common, listDurable, isListComplete }),
     close: async () => {
       const handedOver = records.list()
       if (listPeers().length > 0) handedOver.forEach(sender.send)
--- a/packages/router/src/streams/recordLookup.ts
+++ b/packages/router/src/streams/recordLookup.ts
@@ -20,6 +20,11 @@
    * @default none
    */
   readonly listDurable?: () => readonly string[]
+  /**
+   * Whether the lists contain all routers; a leader that was just elected does not know them yet.
+   * @default true
+   */
+  readonly isListComplete?: () => boolean
   readonly client: Pick<HttpClient, 'sendJson'>
   readonly timers: TimerService
   readonly logger: Logger
@@ -33,13 +38,16 @@
   readonly answered: number
 }
 
-/** Finds a record at other routers; `maxWaitMs` bounds the time that it takes. */
+/**
+ * Finds a record at other routers; `maxWaitMs` bounds the time that it takes. Resolves without a record once the lists are
+ * complete and all routers that may have it answered: those that just started may not be reachable yet.
+ */
 export type RecordLookup = (key: StreamKey, maxWaitMs: number) => Promise<LookupResult>
 
 /** Time within which a router answers, in ms. */
 const ANSWER_TIMEOUT_MS = 250
-/** Time until the second round, in ms; a record may be on its way while its stream is resumed already. */
-const SECOND_ROUND_MS = 100
+/** Time between two rounds, in ms; a record may be on its way while its stream is resumed already. */
+const ROUND_PERIOD_MS = 100
 /** Maximum routers with a disk that are asked, since each may have the record after all routers were lost. */
 const MAX_DURABLE_ASKED = 12
 
@@ -59,9 +67,15 @@
 /** Creates a lookup. */
 export function createRecordLookup(options: RecordLookupOptions): RecordLookup {
   const { ownUrl, listPeers, listDurable = () => [], client, timers, logger } = options
+  const { isListComplete = () => true } = options
+  /** Lists the holders of a record, those that replace failed ones, and routers with a disk. */
+  const listCandidates = (key: StreamKey) => {
+    const durable = listDurable().filter((url) => url !== ownUrl)
+    const holders = rankHolders(key, listPeers(), ownUrl)
+    return [...new Set([...holders, ...durable.slice(0, MAX_DURABLE_ASKED)])]
+  }
 
   return async (key, maxWaitMs) => {
-    const holders = rankHolders(key, listPeers(), ownUrl)
     const endsAt = timers.now() + maxWaitMs
     const asked = new Set<string>()
     const answered = new Set<string>()
@@ -85,13 +99,18 @@
       }
     }
     const askAll = (urls: readonly string[]) => findFirst(urls.map(askHolder))
-    let record = await askAll(holders.slice(0, RECORD_COPIES))
-    const isTimeLeft = endsAt - timers.now() > SECOND_ROUND_MS
-    if (!record && isTimeLeft && holders.length > 0) {
-      await waitFor(timers, SECOND_ROUND_MS)
-      const durable = listDurable().filter((url) => url !== ownUrl)
-      // Those that replace failed holders are asked as well.
-      record = await askAll([...new Set([...holders, ...durable.slice(0, MAX_DURABLE_ASKED)])])
+    const isTimeLeft = () => endsAt - timers.now() > ROUND_PERIOD_MS
+    let record = await askAll(listCandidates(key).slice(0, RECORD_COPIES))
+    // Those that answered in the first round are asked once more.
+    const missing = new Set<string>()
+    let unanswered = listCandidates(key)
+    while (!record && isTimeLeft() && (unanswered.length > 0 || !isListComplete())) {
+      await waitFor(timers, ROUND_PERIOD_MS)
+      unanswered = listCandidates(key).filter((url) => !missing.has(url))
+      for (const url of unanswered) answered.delete(url)
+      record = await askAll(unanswered)
+      for (const url of unanswered) if (answered.has(url)) missing.add(url)
+      unanswered = listCandidates(key).filter((url) => !missing.has(url))
     }
     return { record, asked: asked.size, answered: answered.size }
   }
--- a/packages/router/src/streams/streamContinuity.ts
+++ b/packages/router/src/streams/streamContinuity.ts
@@ -61,8 +61,8 @@
 const RECORD_MARGIN_MS = 5_000
 /** Time for which a caller without a limit may resume its stream, in ms. */
 const DEFAULT_RECORD_MS = 120_000
-/** Maximum time for finding a record, in ms. */
-const MAX_LOOKUP_MS = 700
+/** Maximum time for finding a record, in ms: routers that were lost together take seconds to find each other. */
+const MAX_LOOKUP_MS = 2_500
 /** Fraction of the time left to a request that finding a record may take. */
 const LOOKUP_RATIO = 0.25
 /** Retry-After of a stream whose record may still arrive, and of one that cannot be resumed, in s. */
--- a/packages/router/src/streams/streamSetup.ts
+++ b/packages/router/src/streams/streamSetup.ts
@@ -35,6 +35,7 @@
   let continuity: StreamContinuity | undefined
   const listPeers = () => followed?.listPeers() ?? []
   const listDurable = () => followed?.listDurablePeers() ?? []
+  const isListComplete = () => followed?.isPeerListComplete() ?? false
   const exchange =
     endpoint &&
     (await openRecordExchange({
@@ -42,6 +43,7 @@
       records,
       listPeers,
       listDurable,
+      isListComplete,
       folder,
       timers,
       logger,
