fix(router): answer lookups of stream records once the disk has been read

What callers saw: a stream that was taken up within moments of a restart of all routers was refused, although its record lay on a disk.

Cause: a router listens before it has read the records of its earlier process, and answered lookups in that time that it has none (0.44 s on a busy machine, from router.listening to streams.journalLoaded). It also ignored the records on its own disk for streams that were taken up at itself.

Evidence: in recordLookup.spec a lookup comes while the disk is being read; before, its answer was empty.

--- a/packages/router/src/__tests__/recordLookup.spec.ts
+++ b/packages/router/src/__tests__/recordLookup.spec.ts
@@ -1,8 +1,17 @@
-import { createManualTimerService, createQuietLogger, toSoftwareVersion } from '@spoolgate/core'
+import {
+  createHttpClient,
+  createHttpServer,
+  createManualTimerService,
+  createMetrics,
+  createQuietLogger,
+  createTimerService,
+  toSoftwareVersion,
+} from '@spoolgate/core'
 import { expect } from 'chai'
+import { createRecordRoutes } from '../streams/recordExchange.js'
 import { createRecordLookup, type LookupResult } from '../streams/recordLookup.js'
-import { encodeRecord } from '../streams/recordMessages.js'
-import { hashStreamKey } from '../streams/streamRecords.js'
+import { encodeRecord, LOOKUP_PATH } from '../streams/recordMessages.js'
+import { createStreamRecords, hashStreamKey } from '../streams/streamRecords.js'
 
 const OWN = 'http://10.0.0.1:7341'
 const DURABLE = 'http://10.0.0.2:7341'
@@ -75,4 +84,31 @@
     expect(version).to.equal(undefined)
     expect(ms).to.be.within(MAX_WAIT_MS / 2, MAX_WAIT_MS)
   })
+
+  it('is not told that there is none while a disk is still being read', async () => {
+    const timers = createTimerService()
+    const records = createStreamRecords(timers)
+    let finishLoading = () => {}
+    const loaded = new Promise<void>((resolve) => (finishLoading = resolve))
+    const server = await createHttpServer({
+      host: '127.0.0.1',
+      port: 0,
+      routes: createRecordRoutes(records, { add: () => {}, loaded }),
+      logger: createQuietLogger(),
+      metrics: createMetrics('router'),
+      timers,
+    })
+    const client = createHttpClient()
+    const url = `${server.url}${LOOKUP_PATH}`
+    const sent = client.sendJson({ method: 'POST', url, json: { keys: [RECORD.key] } })
+    // A second request on its own connection is answered after the first one was taken up.
+    await client.sendJson({ method: 'POST', url, json: { keys: 1 } }).catch(() => {})
+    records.add(RECORD)
+    finishLoading()
+    const answer = (await sent) as { records: (readonly [string])[] }
+    expect(answer.records.map(([key]) => key)).to.deep.equal([RECORD.key])
+    client.close()
+    records.close()
+    await server.close(0)
+  })
 })
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -71,10 +71,13 @@
 /** Time that a router which stops takes to send its records, in ms; less than its margin before it is killed. */
 const HAND_OVER_MS = 150
 
-/** Creates the routes with which a router takes the records of others and answers lookups. */
+/**
+ * Creates the routes with which a router takes the records of others and answers lookups. Lookups wait for the records
+ * that an earlier process left on the disk.
+ */
 export function createRecordRoutes(
   records: Pick<StreamRecords, 'add' | 'find'>,
-  journal?: Pick<RecordJournal, 'add'>,
+  journal?: Pick<RecordJournal, 'add' | 'loaded'>,
 ): Route[] {
   const takeRecords = async ({ request, response }: HttpExchange) => {
     for (const record of decodeRecords(await readJson(request, INTERNAL_BODY_LIMITS))) {
@@ -86,6 +89,7 @@
   }
   const findRecords = async ({ request, response }: HttpExchange) => {
     const keys = decodeLookup(await readJson(request, INTERNAL_BODY_LIMITS))
+    await journal?.loaded
     const found = keys.map(records.find).filter((record) => record !== undefined)
     sendJson(response, 200, { records: found.map(encodeRecord) })
   }
@@ -120,6 +124,7 @@
   const common = { ownUrl: server.url, listPeers, client, timers, logger, countMessage }
   const sender = createRecordSender(common)
   const copies = createDurableCopies({ ...common, listDurable })
+  const lookup = createRecordLookup({ ...common, listDurable, isListComplete })
   return {
     url: server.url,
     send: (record) => {
@@ -127,7 +132,13 @@
       copies.add(record)
       journal?.add(record)
     },
-    find: createRecordLookup({ ...common, listDurable, isListComplete }),
+    find: async (key, maxWaitMs) => {
+      const startedAt = timers.now()
+      if (journal) await Promise.race([journal.loaded, waitFor(timers, maxWaitMs)])
+      const record = records.find(key)
+      if (record) return { record, asked: 0, answered: 0 }
+      return lookup(key, maxWaitMs - (timers.now() - startedAt))
+    },
     close: async () => {
       const handedOver = records.list()
       if (listPeers().length > 0) handedOver.forEach(sender.send)
