--- a/eslint.config.js
+++ b/eslint.config.js
@@ -142,7 +142,7 @@
       '@typescript-eslint/no-floating-promises': 'error',
     },
   },
-  { files: ['.ci/**/*.{js,cjs}'], rules: HOUSE_RULES },
+  { files: ['.ci/**/*.{js,cjs}', 'deploy/**/*.js'], rules: HOUSE_RULES },
   { files: ['**/*.cjs'], rules: { '@typescript-eslint/no-require-imports': 'off' } },
   {
     files: ['packages/**/*.ts'],
