fix(control): list routers that poll a new leader without waiting a second

What callers saw: after all routers were killed at once, streams that were taken up got `call.notResumed reason=notFound asked=0` or asked=1 in the first second, though routers with their records were running again.

Cause: the leader refreshed its list of routers once a second, whatever their number. The first poll of a term made a list of one router, and it stood for a second while the others polled.

Evidence: peerDirectory.spec, six routers that poll 10 ms apart: after 150 ms the list held 1 of 6, now 6.

The period follows the number of routers now, 2.5 ms each and 1 s at most. 410 routers have a list of 10 KB once a second, as before; six have 150 bytes at most 20 times a second, and only while routers come or go.

--- a/packages/control/src/registry/peerDirectory.ts
+++ b/packages/control/src/registry/peerDirectory.ts
@@ -18,13 +18,18 @@
    * @param isDurable whether it keeps records on a disk
    */
   record(url: string, isDurable: boolean): void
-  /** Revision of the list, which changes once a second at most. */
+  /** Revision of the list, which changes once a second at most in a large fleet. */
   revision(): number
   buildUpdate(): PeersUpdate
 }
 
-/** Minimum time between two revisions, in ms: 410 addresses take 10 KB for each router. */
-const REFRESH_PERIOD_MS = 1_000
+/**
+ * Minimum time between two revisions, in ms: per router, since the list of 410 addresses takes 10 KB for each of them, and
+ * its bounds.
+ */
+const REFRESH_MS_PER_ROUTER = 2.5
+const MIN_REFRESH_MS = 50
+const MAX_REFRESH_MS = 1_000
 
 /** Creates an empty list. */
 export function createPeerDirectory({ timers, routerLifeMs }: PeerDirectoryOptions): PeerDirectory {
@@ -43,7 +48,8 @@
     isEqual(durableUrls, update.durableUrls)
   const refresh = () => {
     const now = timers.now()
-    if (now - refreshedAt < REFRESH_PERIOD_MS) return
+    const periodMs = Math.max(MIN_REFRESH_MS, polledAt.size * REFRESH_MS_PER_ROUTER)
+    if (now - refreshedAt < Math.min(MAX_REFRESH_MS, periodMs)) return
     refreshedAt = now
     for (const [url, at] of polledAt) if (now - at > routerLifeMs) polledAt.delete(url)
     const urls = [...polledAt.keys()].sort()
