fix(router): write records of streams within milliseconds where the disk is fast

What callers saw: streams that had begun up to a quarter of a second before all routers were killed were refused afterwards (measured: begun 217 and 246 ms before).

Evidence: durableRecords.spec, a disk that takes 1 ms for a write: a record was written 100 ms after it came, now within 20 ms; a disk that takes 200 ms still gets a write every 100 ms and more.

No first event waits for it, as before.

--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -69,6 +69,46 @@
     await journal.close()
   })
 
+  // A killed process takes along what it had not written yet.
+  it('are written within milliseconds, unless the disk is slow', async () => {
+    const opened = await openDataFolder(path)
+    const manual = createManualTimerService()
+    const state = { writeMs: 1, written: 0 }
+    const openAppend: DataFolder['openAppend'] = () =>
+      Promise.resolve({
+        append: () => Promise.resolve(void (state.written += 1)),
+        sync: () => Promise.resolve(manual.advance(state.writeMs)),
+        close: () => Promise.resolve(),
+      } as unknown as Awaited<ReturnType<DataFolder['openAppend']>>)
+    const journal = openRecordJournal({
+      folder: { ...opened, openAppend },
+      records: createStreamRecords(manual),
+      timers: manual,
+      logger: createQuietLogger(),
+      metrics: createMetrics('router'),
+    })
+    await journal.loaded
+    /** Adds a record; returns the time after which it is written, in ms. */
+    const measureWrite = async (id: string) => {
+      const { written } = state
+      journal.add(buildRecord(id))
+      let waitedMs = 0
+      for (let turn = 0; state.written === written && turn < 2_000; turn += 1) {
+        await new Promise((resolve) => setImmediate(resolve))
+        if (turn % 10 !== 9) continue
+        manual.advance(1)
+        waitedMs += 1
+      }
+      return waitedMs
+    }
+    await measureWrite('first')
+    expect(await measureWrite('soon')).to.be.at.most(20)
+    state.writeMs = 200
+    await measureWrite('slow')
+    expect(await measureWrite('later')).to.be.at.least(90)
+    await journal.close()
+  })
+
   it('do not end or delay anything when the disk refuses writes', async () => {
     const folder = await openDataFolder(path)
     const refuse = () => Promise.reject(new Error('no space left'))
--- a/packages/router/src/streams/recordJournal.ts
+++ b/packages/router/src/streams/recordJournal.ts
@@ -41,8 +41,13 @@
 
 const JOURNAL_FILE = 'streams'
 const JOURNAL_TEMPORARY_FILE = 'streams.new'
-/** Time for which records are gathered before they are written, in ms. */
-const GATHER_MS = 100
+/**
+ * Time for which records are gathered before they are written, in ms: a multiple of the time that the last write took, so
+ * that the disk is idle for most of the time, and its bounds.
+ */
+const GATHER_WRITES = 4
+const MIN_GATHER_MS = 5
+const MAX_GATHER_MS = 100
 /** Time without writes after a failure of the disk, in ms. */
 const FAILURE_PAUSE_MS = 5_000
 /** Size beyond which the file is rewritten without expired records, in bytes. */
@@ -60,6 +65,7 @@
   let fileBytes = 0
   let writing: Promise<void> | undefined
   let isClosed = false
+  let gatherMs = MIN_GATHER_MS
 
   const toEntry = ({ key, group, version, ttlMs }: StreamRecord): StoredEntry => [
     key,
@@ -108,14 +114,17 @@
   const writeBatch = async (batch: readonly StreamRecord[]) => {
     if (!file || fileBytes > MAX_JOURNAL_BYTES) await rewrite()
     const data = encodeBatch(batch.map(toEntry))
+    const startedAt = timers.now()
     await file?.append(data)
     await file?.sync()
+    const writeMs = timers.now() - startedAt
+    gatherMs = Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, writeMs * GATHER_WRITES))
     fileBytes += data.length
   }
   const writePending = async () => {
     await loaded
     while (pending.length > 0) {
-      if (!isClosed) await waitFor(timers, GATHER_MS)
+      if (!isClosed) await waitFor(timers, gatherMs)
       const batch = pending
       pending = []
       try {
