fix(router): send records of a small fleet to routers with a disk at once

Cause: records were gathered for 50 ms at least, though the bound on messages that gathering is for, 2.5 ms per router of the fleet, allows 15 ms for six.

Evidence: durableRecords.spec, six routers: after 20 ms no copy had been sent, now both.

The minimum is 5 ms; the messages at each router with a disk stay bounded by the time per router as before (400 a second over all of a fleet's routers, twice that for the two copies), and nothing changes from 20 routers on.

--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -120,6 +120,29 @@
 })
 
 describe('copies of stream records at routers with a disk', () => {
+  it('are sent within milliseconds in a small fleet', async () => {
+    const timers = createManualTimerService()
+    const urls = Array.from({ length: 6 }, (_, index) => `http://10.0.0.${index}:7341`)
+    const sent: string[] = []
+    const send = ({ url }: { url: string }): Promise<unknown> => {
+      sent.push(url)
+      return Promise.resolve({ statusCode: TAKEN_STATUS, resume: () => {} })
+    }
+    const copies = createDurableCopies({
+      ownUrl: urls[5],
+      listDurable: () => urls.slice(0, 2),
+      listPeers: () => urls,
+      client: { send } as Pick<HttpClient, 'send'>,
+      timers,
+      logger: createQuietLogger(),
+      countMessage: () => {},
+    })
+    copies.add(buildRecord('a'))
+    timers.advance(20)
+    for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+    expect(sent).to.have.length(DURABLE_COPIES)
+  })
+
   it('reach enough of them in a large fleet, in few messages', async () => {
     const timers = createManualTimerService()
     const urls = Array.from({ length: ROUTERS }, (_, index) => `http://10.0.0.${index}:7341`)
--- a/packages/router/src/streams/durableCopies.ts
+++ b/packages/router/src/streams/durableCopies.ts
@@ -39,7 +39,7 @@
 export const DURABLE_COPIES = 2
 /** Time for which records are gathered, in ms: per router, since their messages meet at few others, and its bounds. */
 const GATHER_MS_PER_ROUTER = 2.5
-const MIN_GATHER_MS = 50
+const MIN_GATHER_MS = 5
 const MAX_GATHER_MS = 1_000
 /** Maximum records that wait. */
 const MAX_PENDING = 4_096
