fix(control): send the first poll of a router after its client exists

What callers saw: a router that starts gets its first table later than it could; `control.searching` shows "internal: Cannot access 'feed' before initialization" as the answer of a control instance that was never asked.

Cause: the client polled while it was being created, and the report of the first poll refers to the client (number of routers, views).

Evidence: the line in the logs of a restart of all routers; feedClientStart.spec, where the first poll was not sent before and is sent now.

--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -358,7 +358,8 @@
       }
     }
   }
-  const running = run()
+  // The options of the first poll may refer to the client that is returned here.
+  const running = Promise.resolve().then(run)
   return {
     current: replica.view,
     // Counts suspension: the table may have been replaced while this machine was suspended.
