--- a/packages/control/src/log/controlDisk.ts
+++ b/packages/control/src/log/controlDisk.ts
@@ -37,9 +37,13 @@
   await folder.remove(PROBE_FILE)
 }
 
-/** Renames all files, replacing those that were set aside before. */
+/** Sets all files aside in place of those that were set aside before, so that these never fill the disk. */
 async function removeDamaged(folder: DataFolder): Promise<readonly string[]> {
-  const names = (await folder.list()).filter((name) => !name.startsWith(ASIDE_PREFIX))
+  const names: string[] = []
+  for (const name of await folder.list()) {
+    if (name.startsWith(ASIDE_PREFIX)) await folder.remove(name)
+    else names.push(name)
+  }
   for (const name of names) await folder.rename(name, `${ASIDE_PREFIX}${name}`)
   await folder.sync()
   return names
