fix(control): take a voter that may not vote in again

What operators saw: control instances were killed one after the other and their files damaged, 1.8 to 2.6 s apart; then all ran and nobody was elected. One voter said `mayNotVote` while its own lines said `kind=voter mayVote=false`.

Cause: a member that lost its log and kept its name may not vote before it is added as a learner again. It still received the log and acknowledged it, so that the leader saw a healthy voter and did nothing: for good, each election needed a majority of voters of which one could not vote. A voter in this state takes away one of the losses that the group is to bear, and no line said so.

Evidence: lostProof.spec, three voters, one of which loses its disk and keeps its name while a leader is there for 0.8 s; then the leader is lost. Before: no leader ever, though two of three run. Now one is elected.

A follower says in its replies whether it may vote. The leader makes a voter that may not a learner (`group.change reason=mayNotVote`), and promotes learners only once they may vote. The way back is the one that an operator had to take by hand; what may vote and when is as before. Replies of older versions say nothing, and nothing changes for them.

Where no leader is left to do this, nobody is elected as before.

--- a/packages/control/src/__tests__/groupPlan.spec.ts
+++ b/packages/control/src/__tests__/groupPlan.spec.ts
@@ -55,6 +55,14 @@
     expect(findMembershipStep(buildInput(kinds))?.members.d.kind).to.equal('voter')
   })
 
+  it('makes a voter that may not vote a learner, and no learner a voter that may not', () => {
+    const barred = { silentMs: 0, isCaughtUp: false, isBarred: true }
+    const step = findMembershipStep(buildInput(fullGroup, { c: barred }))
+    expect([step?.members.c.kind, step?.reason]).to.deep.equal(['learner', 'mayNotVote'])
+    const learner = buildInput({ a: 'voter', b: 'voter', c: 'learner' }, { c: barred })
+    expect(findMembershipStep(learner)).to.equal(undefined)
+  })
+
   it('replaces a silent voter with a learner, one step at a time', () => {
     const views = { c: SILENT }
     const first = findMembershipStep(buildInput({ ...fullGroup, d: 'learner' }, views))
--- a/packages/control/src/__tests__/groupSteps.ts
+++ b/packages/control/src/__tests__/groupSteps.ts
@@ -1,5 +1,5 @@
 /** Applies the membership plan to an in-memory group, as the leader's membership manager does. */
-import { findMembershipStep, type MembershipPlanInput } from '../group/groupPlan.js'
+import { findMembershipStep, measureHealth, type MembershipPlanInput } from '../group/groupPlan.js'
 import type { TestGroup, TestMember } from './group.js'
 
 /** Options of {@link createMembershipDriver}. */
@@ -31,7 +31,7 @@
   const leaderships = new Map<string, { readonly term: number; readonly since: number }>()
 
   const buildPlanInput = (leader: TestMember, since: number): MembershipPlanInput => {
-    const { members, commitIndex } = leader.member.status()
+    const { members } = leader.member.status()
     const joiners = [...group.members.values()]
       .filter((other) => !(other.name in members) && isLinked(group, leader, other))
       .map(({ name, url }) => ({ name, url }))
@@ -42,10 +42,7 @@
       targetVoters,
       findHealth: (name) => {
         if (name === leader.name) return { silentMs: 0, isCaughtUp: true }
-        const found = leader.member.listFollowers().find((follower) => follower.name === name)
-        const receivedAt = Math.max(found?.confirmedAt ?? -Infinity, since)
-        const isCaughtUp = (found?.matchIndex ?? 0) >= commitIndex
-        return { silentMs: leader.timers.now() - receivedAt, isCaughtUp }
+        return measureHealth(leader.member, name, { now: leader.timers.now(), since })
       },
     }
   }
--- a/packages/control/src/__tests__/lostProof.spec.ts
+++ b/packages/control/src/__tests__/lostProof.spec.ts
@@ -7,6 +7,7 @@
   type TestGroup,
   type TestMember,
 } from './group.js'
+import { createMembershipDriver } from './groupSteps.js'
 
 /** Builds a command whose effect is visible in the state: a table version. */
 function buildTable(version: number) {
@@ -98,3 +99,22 @@
     await group.close()
   })
 })
+
+describe('a voter that lost its disk and kept its name', () => {
+  it('is taken in again, so that its vote is not missing once another voter is lost', async () => {
+    const group = await createTestGroup(['a', 'b', 'c'])
+    const leader = await group.waitForLeader()
+    const [emptied, other] = ['a', 'b', 'c'].filter((name) => name !== leader.name)
+    await group.losePower([emptied])
+    await group.start(emptied, { isFounding: false })
+    const steps = createMembershipDriver({ group, targetVoters: 3 })
+    for (let turn = 0; turn < 40; turn += 1) {
+      await group.run(ELECTION_MS / 5)
+      steps.apply()
+    }
+    expect(leader.member.status().members[emptied].kind).to.equal('voter')
+    group.frozenMembers.add(leader.name)
+    expect((await group.waitForLeader(leader.name)).name).to.be.oneOf([emptied, other])
+    await group.close()
+  })
+})
--- a/packages/control/src/group/groupPlan.ts
+++ b/packages/control/src/group/groupPlan.ts
@@ -3,13 +3,16 @@
  * planned one at a time, because a membership change affects one member.
  */
 import type { MemberInfo, MemberMap } from '../raft/messages.js'
+import type { RaftMember } from '../raft/types.js'
 
 /** Health of a member, as seen by the leader. */
 export interface MemberHealth {
   /** Time since the member last confirmed the leader, in ms; 0 for the leader itself. */
   readonly silentMs: number
-  /** Whether the member stores all committed entries. */
+  /** Whether the member stores all committed entries and, as far as it is known, may vote. */
   readonly isCaughtUp: boolean
+  /** Whether the member said that it may not vote. */
+  readonly isBarred?: boolean
 }
 
 /** Request of an instance to join the group. */
@@ -57,6 +60,25 @@
 
 type Entry = readonly [string, MemberInfo]
 
+/**
+ * Measures the health of another member.
+ * @param since when this leader was elected, in ms of its clock: it has received no messages before
+ */
+export function measureHealth(
+  leader: Pick<RaftMember, 'status' | 'listFollowers'>,
+  name: string,
+  { now, since }: { readonly now: number; readonly since: number },
+): MemberHealth {
+  const found = leader.listFollowers().find((follower) => follower.name === name)
+  const isBarred = found?.mayVote === false
+  const isLevel = (found?.matchIndex ?? 0) >= leader.status().commitIndex
+  return {
+    silentMs: now - Math.max(found?.confirmedAt ?? -Infinity, since),
+    isCaughtUp: isLevel && !isBarred,
+    isBarred,
+  }
+}
+
 function removeMember(members: MemberMap, name: string): MemberMap {
   return Object.fromEntries(Object.entries(members).filter(([other]) => other !== name))
 }
@@ -98,6 +120,12 @@
     const view = findHealth(name)
     return kind === 'learner' && view.isCaughtUp && view.silentMs < MAX_PROMOTION_SILENCE_MS
   })
+  // As a learner that holds what is committed it may vote again.
+  const barred = voters.find(([name]) => name !== leader && findHealth(name).isBarred === true)
+  if (barred) {
+    const next = applyKind(members, barred, 'learner')
+    return { members: next, member: barred[0], reason: 'mayNotVote' }
+  }
   const activeVoters = voters.length - silent.length
   if (promotable && activeVoters < targetVoters && voters.length <= targetVoters) {
     return {
--- a/packages/control/src/group/membershipManager.ts
+++ b/packages/control/src/group/membershipManager.ts
@@ -13,7 +13,12 @@
 import type { RaftMember } from '../raft/types.js'
 import { createFaultToleranceReport } from './faultToleranceReport.js'
 import { createLeaderAnnouncer } from './leaderAnnouncer.js'
-import { findMembershipStep, type JoinRequest, type MemberHealth } from './groupPlan.js'
+import {
+  findMembershipStep,
+  measureHealth,
+  type JoinRequest,
+  type MemberHealth,
+} from './groupPlan.js'
 
 /** Path of requests to join the group. */
 export const JOIN_PATH = '/group/join'
@@ -70,13 +75,8 @@
     return [...joinRequests.values()].map(({ joiner }) => joiner)
   }
   const findHealth = (name: string): MemberHealth => {
-    const { commitIndex } = member.status()
     if (name === options.name) return { silentMs: 0, isCaughtUp: true }
-    const found = member.listFollowers().find((follower) => follower.name === name)
-    // A new leader measures silence from its election, because it has received no messages yet.
-    const receivedAt = Math.max(found?.confirmedAt ?? -Infinity, leadingSince)
-    const isCaughtUp = (found?.matchIndex ?? 0) >= commitIndex
-    return { silentMs: timers.now() - receivedAt, isCaughtUp }
+    return measureHealth(member, name, { now: timers.now(), since: leadingSince })
   }
   const runLeaderCheck = async () => {
     const { term, hasLease, members } = member.status()
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -8,6 +8,7 @@
 import type { VoteState, LeaseHolder, LogEntry } from '../log/logStore.js'
 import { createAppliedLog } from './appliedLog.js'
 import { createElectionReport } from './electionReport.js'
+import { createEntryAppend } from './entryAppend.js'
 import { countChangedMembers, countMajority } from './quorum.js'
 import type {
   AppendReply,
@@ -274,22 +275,7 @@
     if (known?.name === leaderName && known.term === leaderTerm) return
     await saveVoteState({ leaseHolder: { name: leaderName, term: leaderTerm } })
   }
-  const appendEntries = async (request: AppendRequest) => {
-    const isStored = (entry: LogEntry) =>
-      entry.index <= store.baseIndex() || store.findTerm(entry.index) === entry.term
-    const added = request.entries.filter((entry) => !isStored(entry))
-    if (added.length === 0) return
-    if (added[0].index <= store.lastIndex()) {
-      invariants.assert('logKeepsCommitted', added[0].index > commitIndex(), () => ({
-        from: added[0].index,
-        commitIndex: commitIndex(),
-      }))
-      void store.truncate(added[0].index)
-      membership.reload()
-    }
-    added.forEach(membership.observe)
-    await store.append(added)
-  }
+  const appendEntries = createEntryAppend({ store, membership, invariants, commitIndex })
   const processAppend = async (request: AppendRequest): Promise<AppendReply> => {
     if (!(await acceptLeader(request))) return { term: term(), isAccepted: false, index: 0 }
     const { previousIndex, previousTerm, entries } = request
@@ -299,7 +285,7 @@
       const index = Math.max(store.baseIndex() + 1, Math.min(previousIndex, store.lastIndex() + 1))
       return { term: term(), isAccepted: false, index }
     }
-    await appendEntries(request)
+    await appendEntries(request.entries)
     const matched = previousIndex + entries.length
     await applied.advance(Math.min(request.commitIndex, matched))
     // An entry committed in the sender's own term implies that all earlier membership changes are committed.
@@ -369,7 +355,11 @@
       await propose({ group: 'members', members: next } satisfies GroupCommand)
     },
     handleVote: (request) => enqueue(() => processVote(request)),
-    handleAppend: (request) => enqueue(() => processAppend(request)),
+    handleAppend: (request) =>
+      enqueue(async () => ({
+        ...(await processAppend(request)),
+        mayVote: store.voteState().mayVote,
+      })),
     handleInstall: (request) => enqueue(() => processInstall(request)),
     close: async () => {
       isClosed = true
--- a/packages/control/src/raft/messages.ts
+++ b/packages/control/src/raft/messages.ts
@@ -70,6 +70,8 @@
   readonly isAccepted: boolean
   /** Last matching index if accepted; otherwise the next index that the leader should try. */
   readonly index: number
+  /** Whether the follower may vote; absent in replies of older versions of this program. */
+  readonly mayVote?: boolean
 }
 
 /** Replaces a follower's log by a snapshot (Raft's InstallSnapshot). */
--- a/packages/control/src/raft/replicator.ts
+++ b/packages/control/src/raft/replicator.ts
@@ -71,6 +71,7 @@
   confirmedAt: number
   /** The same on the clock that includes suspended time. */
   leaseConfirmedAt: number
+  mayVote: boolean | undefined
   /** Aborts the wait for the next heartbeat. */
   wakeController: AbortController
 }
@@ -137,6 +138,7 @@
     if (reply.term > term) return options.onHigherTerm(reply.term)
     peer.confirmedAt = sentAt
     peer.leaseConfirmedAt = leaseSentAt
+    peer.mayVote = reply.mayVote
     if (!reply.isAccepted) {
       peer.nextIndex = Math.max(1, reply.index)
       return
@@ -172,6 +174,7 @@
         matchIndex: 0,
         confirmedAt: -Infinity,
         leaseConfirmedAt: -Infinity,
+        mayVote: undefined,
         wakeController: new AbortController(),
       }
       peers.set(member, peer)
@@ -198,6 +201,7 @@
         name: member,
         matchIndex: peer.matchIndex,
         confirmedAt: peer.confirmedAt,
+        mayVote: peer.mayVote,
       })),
     close: () => {
       isClosed = true
--- a/packages/control/src/raft/types.ts
+++ b/packages/control/src/raft/types.ts
@@ -80,6 +80,8 @@
   readonly matchIndex: number
   /** Send time of the last acknowledged message, in ms of the leader's monotonic clock. */
   readonly confirmedAt: number
+  /** Whether it may vote, as it replied last; undefined before, and with older versions of this program. */
+  readonly mayVote: boolean | undefined
 }
 
 /** A running member. */
