fix(router): do not take the list of a restarting fleet for a complete one

Cause: the leader calls its list complete once it has led for 3 s, and leaves out routers that did not poll for 3 s; a fleet that takes longer to come back has a list that is complete and nearly empty.

Evidence: streamSetup.spec, a router that just started and is told that no other one exists: it refused at once, now after the lookup's own limit; 5 s after its start it refuses at once as before.

--- a/packages/router/src/streams/streamSetup.ts
+++ b/packages/router/src/streams/streamSetup.ts
@@ -5,6 +5,9 @@
 import { createStreamContinuity, type StreamContinuity } from './streamContinuity.js'
 import { createStreamRecords, MAX_DURABLE_RECORDS, MAX_STREAM_RECORDS } from './streamRecords.js'
 
+/** Time after its start for which a router expects others that started with it to be missing in its lists, in ms. */
+const SETTLE_MS = 5_000
+
 /** Options of {@link openStreamSetup}. */
 export interface StreamSetupOptions {
   /** Undefined if the router has no exchange with others. */
@@ -35,7 +38,9 @@
   let continuity: StreamContinuity | undefined
   const listPeers = () => followed?.listPeers() ?? []
   const listDurable = () => followed?.listDurablePeers() ?? []
-  const isListComplete = () => followed?.isPeerListComplete() ?? false
+  const settledAt = timers.now() + SETTLE_MS
+  const isListComplete = () =>
+    timers.now() >= settledAt && (followed?.isPeerListComplete() ?? false)
   const exchange =
     endpoint &&
     (await openRecordExchange({
