fix(core): answer whole requests before what cannot be read behind them

Callers got 400, 408 or 431 in the place of the answer that they awaited first, or a stream that broke off, or no answer at all (CONNECT), when bytes that cannot be read followed a whole request on the connection; the request had begun at its server, and 408 promises that it had not. Cause: nothing listened to clientError and connect, so Node wrote its own answer at once and destroyed the connection with all requests on it.

The tracker now ends such a connection after the answers in flight: then one refusal of what could not be read (400, 408, 431, 501), then a lingering close. A request whose body breaks off is refused in its own turn, and a body that is too long to be discarded no longer takes earlier answers with it.

--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -12,6 +12,7 @@
   unsupported: 'CONNECT, which no server here offers',
   callerClosed: 'the other side closed or reset it',
   answerCut: 'an answer broke off: its source failed, or its time was over',
+  longBody: 'the rest of a body that is not read is too long',
   memory: 'others needed the memory that it held',
   processEnd: 'the process ended',
 } as const satisfies Record<string, string>
@@ -27,6 +28,20 @@
 }
 const PARSER_ERROR = /^HPE_/
 
+/** Status lines of the answers to requests that could not be read; no such request has run. */
+const REFUSALS: Partial<Record<ConnectionEnd, string>> = {
+  headTimeout: '408 Request Timeout',
+  malformed: '400 Bad Request',
+  oversizeHead: '431 Request Header Fields Too Large',
+  unsupported: '501 Not Implemented',
+}
+
+/** Formats the answer to a request that could not be read; undefined if its connection ends without one. */
+export function formatRefusal(end: ConnectionEnd): string | undefined {
+  const status = REFUSALS[end]
+  return status && `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
+}
+
 /** Finds the end that an error of Node's HTTP server stands for. */
 export function findEndOfError(cause: Error | null): ConnectionEnd | undefined {
   if (!cause) return undefined
--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -5,7 +5,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:tls'
-import { findEndOfSocket, type ConnectionEnd } from './connectionEnds.js'
+import {
+  findEndOfError,
+  findEndOfSocket,
+  formatRefusal,
+  type ConnectionEnd,
+} from './connectionEnds.js'
+import { installBodyEnd } from './httpBody.js'
 import { closeLingering } from './lingeringClose.js'
 import type { LogFields, Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
@@ -66,12 +72,22 @@
   readonly inFlight: Set<TakenRequest>
   /** What ends it, once that is known. */
   end: ConnectionEnd | undefined
+  /** The request that was taken last. */
+  latest: IncomingMessage | undefined
+  /** Answer to what could not be read, which follows all others. */
+  refusal: string | undefined
   /** Whether an answer, or its own end, has said that nothing follows. */
   isEnding: boolean
   /** Whether a late request was logged: one line each. */
   hasLate: boolean
 }
 
+/** Lets the reader of a body know that the rest of it does not come, as when its connection closes. */
+function cancelBody(request: IncomingMessage): void {
+  request.aborted = true
+  request.emit('aborted')
+}
+
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
   const { logger, timers, metrics } = options
@@ -114,6 +130,44 @@
     connection.end ??= end
     closeLingering(connection.socket, timers)
   }
+  /** Ends a connection once its whole requests are answered; a request that could not be read is refused after them. */
+  const endAfterAnswers = (connection: Connection, end: ConnectionEnd) => {
+    const { latest, inFlight, isEnding } = connection
+    const isBodyBroken = latest !== undefined && !latest.complete && !latest.aborted
+    if (isBodyBroken && end !== 'longBody') cancelBody(latest)
+    if (isEnding) return
+    connection.isEnding = true
+    connection.end = end
+    // A request whose body breaks off has an answer of its own.
+    if (latest === undefined || latest.complete) connection.refusal = formatRefusal(end)
+    if (inFlight.size === 0) endAnswered(connection, end)
+  }
+  const endAnswered = (connection: Connection, end: ConnectionEnd) => {
+    const { socket, refusal } = connection
+    if (refusal !== undefined && socket.writable) socket.write(refusal)
+    connection.refusal = undefined
+    endConnection(connection, end)
+  }
+  const handleClientError = (cause: Error, socket: Socket) => {
+    const connection = connections.get(socket)
+    const end = findEndOfError(cause)
+    if (!connection || !end || end === 'callerClosed') return void socket.destroy()
+    endAfterAnswers(connection, end)
+  }
+  /** Ends a connection on which Node has given up its parser. */
+  const handleConnect = (_: IncomingMessage, socket: Socket) => {
+    const connection = openConnection(socket)
+    socket.on('error', (cause) => logger.info('connection.reset', { reason: cause.message }))
+    socket.on('drain', () => [...connection.inFlight][0]?.response.emit('drain'))
+    endAfterAnswers(connection, 'unsupported')
+    socket.resume()
+  }
+  /** Says in the head of an answer that the connection ends after it, if nothing else is to be answered. */
+  const announceEnd = (connection: Connection, taken: TakenRequest) => {
+    const isLast = [...connection.inFlight].at(-1) === taken
+    if (connection.end === undefined || connection.refusal !== undefined || !isLast) return
+    if (!taken.response.headersSent) taken.response.setHeader('connection', 'close')
+  }
   /** Ends a connection, unless a request arrives in the next turn of the event loop. */
   const endIdle = async (connection: Connection, end: ConnectionEnd) => {
     const { socket, inFlight } = connection
@@ -128,6 +182,8 @@
       socket,
       inFlight: new Set(),
       end: undefined,
+      latest: undefined,
+      refusal: undefined,
       isEnding: false,
       hasLate: false,
     }
@@ -145,9 +201,10 @@
   const finish = (connection: Connection, taken: TakenRequest) => {
     if (!connection.inFlight.delete(taken)) return
     taken.owner.onEnd()
-    // The head of an answer that began before the stop could not say that the connection ends.
-    if (!isStopping || connection.inFlight.size > 0) return
-    endConnection(connection, 'plannedStop')
+    if (connection.inFlight.size > 0 || connection.socket.destroyed) return
+    // The head of an answer that began before the end was known could not say that the connection ends.
+    const end = connection.end ?? (isStopping ? 'plannedStop' : undefined)
+    if (end !== undefined) endAnswered(connection, end)
   }
   /** Lists the connections between two requests, which only Node's parsers know. */
   const listIdle = (server: Server): Connection[] => {
@@ -164,6 +221,8 @@
     watchServer: (server) => {
       server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', openConnection)
       server.on('timeout', (socket) => void endIdle(openConnection(socket), 'idle'))
+      server.on('clientError', handleClientError)
+      server.on('connect', handleConnect)
     },
     take: (request, response, owner) => {
       const connection = openConnection(request.socket)
@@ -179,6 +238,13 @@
       }
       const taken = { request, response, owner, takenAt: timers.now() }
       connection.inFlight.add(taken)
+      connection.latest = request
+      installBodyEnd(request, () => endAfterAnswers(connection, 'longBody'))
+      const { writeHead } = response
+      response.writeHead = ((...head: Parameters<typeof writeHead>) => {
+        announceEnd(connection, taken)
+        return writeHead.apply(response, head)
+      }) as typeof writeHead
       response.once('close', () => finish(connection, taken))
       return true
     },
--- a/packages/core/src/httpBody.ts
+++ b/packages/core/src/httpBody.ts
@@ -21,14 +21,26 @@
 /** Seconds after which a sender that found no room may try again. */
 const ROOM_RETRY_AFTER_S = 0.5
 
-/** Drains an unneeded body, so that its connection can be reused; closes the connection if the rest is long. */
+const abandonments = new WeakMap<IncomingMessage, () => void>()
+
+/**
+ * Sets what ends the connection of a message whose body is too long to be discarded.
+ * @default the message is destroyed, and its connection with it
+ */
+export function installBodyEnd(message: IncomingMessage, abandon: () => void): void {
+  abandonments.set(message, abandon)
+}
+
+/** Drains an unneeded body, so that its connection can be reused; ends the connection if the rest is long. */
 export function closeBody(message: IncomingMessage): void {
-  if (message.complete && message.readableLength === 0) return void message.resume()
+  if (message.aborted || (message.complete && message.readableLength === 0))
+    return void message.resume()
+  const abandon = abandonments.get(message) ?? (() => void message.destroy())
   let size = 0
-  const timeout = setTimeout(() => message.destroy(), DISCARD_MS)
+  const timeout = setTimeout(abandon, DISCARD_MS)
   message.on('data', (chunk: Buffer) => {
     size += chunk.length
-    if (size > MAX_DISCARDED_BYTES) message.destroy()
+    if (size > MAX_DISCARDED_BYTES) abandon()
   })
   message.on('error', () => {})
   for (const end of ['end', 'close'] as const) message.once(end, () => clearTimeout(timeout))
@@ -100,6 +112,7 @@
       resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
     })
     for (const event of ['error', 'aborted', 'close'] as const) message.on(event, failCut)
+    if (message.aborted) failCut()
   })
 }
 
