fix(core): answer all requests of a connection in a planned stop

Cause: the first answer after the signal announced the end of its connection, whatever had been read behind it. The end is now announced when the head of an answer is written, and only if nothing else is in flight on the connection; otherwise it ends after the last.

--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -1,6 +1,7 @@
 /**
- * Tracks the connections of an HTTP server and the requests on them. A connection that ends in a planned stop ends after
- * the answers in flight on it; nothing that comes later is taken from it, since nothing could carry its answer.
+ * Tracks the connections of an HTTP server and the requests on them. However a connection ends, the whole requests that were
+ * taken from it are answered first, unless its other side is gone. In a planned stop the last of these answers announces
+ * the end; nothing that comes later is taken, since nothing could carry its answer.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -46,7 +47,7 @@
   watchServer(server: Server): void
   /** Takes a request that has arrived; false when its connection was promised to end before it. */
   take(request: IncomingMessage, response: ServerResponse, owner: RequestOwner): boolean
-  /** From now on each connection ends after the answers in flight on it. */
+  /** From now on each connection ends once the requests that were taken from it are answered. */
   startStop(): void
   /** Closes a connection at once. */
   destroy(socket: Socket, end: ConnectionEnd): void
@@ -163,10 +164,13 @@
     socket.resume()
   }
   /** Says in the head of an answer that the connection ends after it, if nothing else is to be answered. */
-  const announceEnd = (connection: Connection, taken: TakenRequest) => {
-    const isLast = [...connection.inFlight].at(-1) === taken
-    if (connection.end === undefined || connection.refusal !== undefined || !isLast) return
-    if (!taken.response.headersSent) taken.response.setHeader('connection', 'close')
+  const announceEnd = (connection: Connection, { response }: TakenRequest) => {
+    const { inFlight, end, refusal } = connection
+    const isOver = isStopping || end !== undefined
+    if (!isOver || refusal !== undefined || inFlight.size > 1 || response.headersSent) return
+    connection.isEnding = true
+    connection.end ??= 'plannedStop'
+    response.setHeader('connection', 'close')
   }
   /** Ends a connection, unless a request arrives in the next turn of the event loop. */
   const endIdle = async (connection: Connection, end: ConnectionEnd) => {
@@ -231,11 +235,6 @@
         request.resume()
         return false
       }
-      if (isStopping) {
-        connection.isEnding = true
-        connection.end ??= 'plannedStop'
-        response.setHeader('connection', 'close')
-      }
       const taken = { request, response, owner, takenAt: timers.now() }
       connection.inFlight.add(taken)
       connection.latest = request
