feat(router): count answers of backend servers that were not whole

A log line of a lost answer had Node's message only, and no metric told an answer without a byte from one whose head or body broke off, nor an end from a reset.

answers_cut counts them by part (none, head, body) and by how the connection ended (ended, reset, invalid, failed); call.sendEnded has the same as cut=PART:END, and says so in its reason.

--- a/packages/core/src/responseCompletion.ts
+++ b/packages/core/src/responseCompletion.ts
@@ -39,9 +39,9 @@
   return coding === undefined ? headers['content-length'] !== undefined : FINAL_CHUNKED.test(coding)
 }
 
-/** Returns whether an error of a socket says that the other side reset the connection. */
-export function isResetError(cause: unknown): boolean {
-  return (cause as NodeJS.ErrnoException | null)?.code === 'ECONNRESET'
+/** Whether an error says that the other side reset the connection; Node uses its code for other ends without a system call. */
+export function isResetError(cause: NodeJS.ErrnoException | null): boolean {
+  return cause?.code === 'ECONNRESET' && cause.syscall !== undefined
 }
 
 const watches = new WeakMap<IncomingMessage, CompletionWatch>()
--- a/packages/router/src/__tests__/responseRelay.spec.ts
+++ b/packages/router/src/__tests__/responseRelay.spec.ts
@@ -133,7 +133,9 @@
         onChunk: () => {},
       },
     )
-    expect(await relay.relay(message, [], {} as RegisteredServer)).to.equal('not a status')
+    expect(await relay.relay(message, [], {} as RegisteredServer)).to.deep.equal({
+      reason: 'not a status',
+    })
     expect(message.destroyed).to.equal(true)
     expect(relay.hasBegun()).to.equal(false)
     agent.destroy()
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -9,6 +9,7 @@
   type BodyMemory,
   type StreamRelay,
 } from './responseRelay.js'
+import type { BrokenResponse } from './responseCut.js'
 import type { HeaderList, BackoffSignal } from './protocols.js'
 import type { CallOutcome } from './serverStats.js'
 
@@ -58,9 +59,9 @@
   /** No byte was sent: the deadline has passed, the caller has disconnected, or the routing table is too old. */
   | { readonly kind: 'forbidden'; readonly reason: string }
   /** It is unknown whether the request ran, or its stream broke off. */
-  | { readonly kind: 'lost'; readonly reason: string }
+  | (BrokenResponse & { readonly kind: 'lost' })
   /** A response that was too long to be held broke off while it was relayed. */
-  | { readonly kind: 'cut'; readonly reason: string }
+  | (BrokenResponse & { readonly kind: 'cut' })
 
 /** What each outcome says about its server. */
 export const SERVER_OUTCOMES: Readonly<Record<AttemptOutcome['kind'], CallOutcome>> = {
@@ -97,7 +98,8 @@
 export const MIN_CLIENT_ERROR_STATUS = 400
 const MIN_SERVER_ERROR_STATUS = 500
 const EVENT_STREAM_TYPE = 'text/event-stream'
-const LONG_CUT = 'a long response broke off while it was relayed'
+
+const FINISHED: BrokenResponse = { reason: 'the request ended before its response' }
 
 /** Options of {@link relayResponse}. */
 export interface RelayResponseOptions {
@@ -118,8 +120,8 @@
   const status = message.statusCode ?? 0
   const isStream = (message.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)
   if (!isStream || status >= MIN_CLIENT_ERROR_STATUS) return relayBody(options, status)
-  const problem = await relay.relay(message, headers, server)
-  if (problem !== undefined) return { kind: 'lost', reason: problem }
+  const broken = await relay.relay(message, headers, server)
+  if (broken) return { kind: 'lost', ...broken }
   if (!isFinished()) relay.finish()
   return { kind: 'answered', status, isFramed: isFramed(message) }
 }
@@ -129,13 +131,11 @@
   const { message, headers, response, memory, isFinished } = options
   const isFailure = status >= MIN_SERVER_ERROR_STATUS || NOT_RUN_STATUSES.has(status)
   if (!isFailure && Number(message.headers['content-length'] ?? 0) > memory.maxBytes) {
-    const isWhole = !isFinished() && (await relayLongBody(message, headers, response))
-    return isWhole
-      ? { kind: 'answered', status, isFramed: true }
-      : { kind: 'cut', reason: LONG_CUT }
+    const broken = isFinished() ? FINISHED : await relayLongBody(message, headers, response)
+    return broken ? { kind: 'cut', ...broken } : { kind: 'answered', status, isFramed: true }
   }
   const read = await readResponseBody(message, memory)
-  if (read.kind === 'broken') return { kind: 'lost', reason: read.reason }
+  if (read.kind === 'broken') return { ...read, kind: 'lost' }
   const forward = () => {
     sendBufferedResponse(response, message, headers, read.body)
     memory.hold.setEviction(() => response.destroy())
--- a/packages/router/src/direct/instruments.ts
+++ b/packages/router/src/direct/instruments.ts
@@ -7,6 +7,7 @@
   readonly refusals: Counter
   readonly cutOff: Counter
   readonly sends: Counter
+  readonly answersCut: Counter
   readonly withdrawals: Counter
   readonly quotaRefusals: Counter
   readonly firstPartMs: Histogram
@@ -25,6 +26,10 @@
     refusals: metrics.counter('refusals', 'Requests that this router refused, by kind'),
     cutOff: metrics.counter('cut_off', 'Requests that a planned stop of this router cut off'),
     sends: metrics.counter('sends', 'Sends to backend servers, by group'),
+    answersCut: metrics.counter(
+      'answers_cut',
+      'Responses of backend servers that were not whole, by part (none, head, body) and end of the connection',
+    ),
     withdrawals: metrics.counter(
       'withdrawals',
       'Requests withdrawn from engines whose weights expired before they began',
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -6,23 +6,21 @@
 import { pipeline } from 'node:stream/promises'
 import type { RegisteredServer } from '@spoolgate/control'
 import {
-  CUT_REASONS,
   isBodiless,
   isFramed,
   watchCompletion,
-  type CompletionWatch,
   type ConnectionGuard,
   type MemoryBudget,
   type MemoryHold,
   type RejectedInputs,
 } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
+import { describeBodyCut, type BrokenResponse } from './responseCut.js'
 import { createSseEventBuffer, type SseEventBuffer } from './sseEventBuffer.js'
 
 /** A body that was read whole, or why it was not. */
 export type ResponseBody =
-  | { readonly kind: 'whole'; readonly body: Buffer }
-  | { readonly kind: 'broken'; readonly reason: string }
+  { readonly kind: 'whole'; readonly body: Buffer } | (BrokenResponse & { readonly kind: 'broken' })
 
 /** Where a body counts, and how long it may become. */
 export interface BodyMemory {
@@ -39,12 +37,13 @@
     const chunks: Buffer[] = []
     const watch = watchCompletion(message)
     let size = 0
-    const fail = (reason: string) => {
+    const failBroken = (broken: BrokenResponse) => {
       chunks.length = 0
       hold.resize(0)
       message.destroy()
-      resolve({ kind: 'broken', reason })
+      resolve({ kind: 'broken', ...broken })
     }
+    const fail = (reason: string) => failBroken({ reason })
     const waitForRoom = async () => {
       message.pause()
       if (await hold.waitForRoom(size)) message.resume()
@@ -56,7 +55,7 @@
       chunks.push(chunk)
       if (!hold.resize(size)) void waitForRoom()
     })
-    const failCut = () => fail(describeCut(watch))
+    const failCut = () => failBroken(describeBodyCut(watch))
     message.on('end', () => {
       if (watch.findCut() === undefined) resolve({ kind: 'whole', body: Buffer.concat(chunks) })
       else failCut()
@@ -67,23 +66,28 @@
 
 /**
  * Relays a body of a known length that is too long to be held. A body that breaks off closes the caller's connection.
- * @returns whether it was relayed whole
+ * @returns why it broke off; undefined for one that was relayed whole
  */
 export async function relayLongBody(
   message: IncomingMessage,
   headers: HeaderList,
   response: ServerResponse,
-): Promise<boolean> {
+): Promise<BrokenResponse | undefined> {
   const length: [string, string] = ['Content-Length', String(message.headers['content-length'])]
   writeHead(response, message.statusCode ?? 200, [...headers, length])
   try {
     await pipeline(message, response)
-    return true
+    return undefined
   } catch {
-    return false
+    const watch = watchCompletion(message)
+    const { cut } = describeBodyCut(watch)
+    // A whole message broke off at the caller.
+    return { reason: LONG_CUT, cut: watch.findCut() && cut }
   }
 }
 
+const LONG_CUT = 'a long response broke off while it was relayed'
+
 /** Writes the status line and headers; a header field may occur more than once. */
 function writeHead(response: ServerResponse, status: number, headers: HeaderList): void {
   response.writeHead(
@@ -117,13 +121,11 @@
   else response.destroy()
 }
 
-/** Explains why a response that is not whole broke off. */
-function describeCut(watch: CompletionWatch): string {
-  return CUT_REASONS[watch.findCut() ?? 'ended']
-}
-
 /** A stream has at least one event; one that only its connection ends shows the loss of all of them in no other way. */
-const EMPTY_STREAM = 'the response stream ended with its connection before its first event'
+const EMPTY_STREAM: BrokenResponse = {
+  reason: 'the response stream ended with its connection before its first event',
+  cut: { part: 'body', end: 'ended' },
+}
 
 /** The response stream of one caller, across all attempts that supply its events. */
 export interface StreamRelay {
@@ -139,7 +141,7 @@
     message: IncomingMessage,
     headers: HeaderList,
     server: RegisteredServer,
-  ): Promise<string | undefined>
+  ): Promise<BrokenResponse | undefined>
   /** Ends the response to the caller. */
   finish(): void
 }
@@ -207,14 +209,14 @@
         const eventBuffer = createSseEventBuffer({ isResumable })
         const watch = watchCompletion(message)
         const hold = memory.open()
-        const settle = (reason: string | undefined) => {
+        const settle = (broken?: BrokenResponse) => {
           hold.close()
-          resolve(reason)
+          resolve(broken)
         }
-        const settleCut = () => settle(describeCut(watch))
+        const settleCut = () => settle(describeBodyCut(watch))
         const abandon = (reason: string) => {
           message.destroy()
-          settle(reason)
+          settle({ reason })
         }
         let isEmpty = true
         const handleData = (chunk: Buffer) => {
@@ -233,7 +235,7 @@
           if (watch.findCut() !== undefined || eventBuffer.hasPartialEvent()) return settleCut()
           if (isEmpty && !isFramed(message)) return settle(EMPTY_STREAM)
           startResponse(message, headers)
-          settle(undefined)
+          settle()
         }
         message.on('data', guard.wrap('response.data', handleData, abandon))
         message.on('end', guard.wrap('response.end', handleEnd, abandon))
--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -11,6 +11,7 @@
 import type { Socket } from 'node:net'
 import { watchCompletion, type ConnectionGuard, type TimerService } from '@spoolgate/core'
 import type { HeaderList } from './protocols.js'
+import { describeHeadCut, type BrokenResponse } from './responseCut.js'
 
 /** What all attempts of a router share. */
 export interface AttemptContext {
@@ -47,7 +48,7 @@
   /** The request was withdrawn from the server, which has sent nothing; it may have run. */
   | { readonly kind: 'withdrawn'; readonly reason: string }
   /** The server may have run the request. */
-  | { readonly kind: 'lost'; readonly reason: string }
+  | (BrokenResponse & { readonly kind: 'lost' })
 
 /** An attempt in progress. */
 export interface SendAttempt {
@@ -78,8 +79,15 @@
   let outgoing: ClientRequest | undefined
 
   const result = new Promise<AttemptResult>((resolve) => {
+    /** Bytes that the connection had read before the request. */
+    let readBefore = 0
     const resolveFailure = (reason: string) =>
       resolve({ kind: isWritten ? 'lost' : 'notSent', reason })
+    const resolveError = (cause: NodeJS.ErrnoException) => {
+      if (!isWritten) return resolveFailure(cause.message)
+      const headBytes = (outgoing?.socket?.bytesRead ?? 0) - readBefore
+      resolve({ kind: 'lost', ...describeHeadCut(cause, headBytes) })
+    }
     outgoing = startRequest({
       host,
       port: Number(port),
@@ -109,6 +117,7 @@
       }
       for (const [name, value] of mergeRepeatedFields(headers)) clientRequest.setHeader(name, value)
       isWritten = true
+      readBefore = clientRequest.socket?.bytesRead ?? 0
       clientRequest.end(options.body)
     }
     const guardedWrite = guard.wrap('request.write', write, (reason) => {
@@ -133,7 +142,7 @@
     })
     clientRequest.on('error', (cause) => {
       connectTimer.unsubscribe()
-      resolveFailure(cause.message)
+      resolveError(cause)
     })
     clientRequest.on('close', () => resolveFailure('the connection closed'))
   })
--- a/packages/router/src/direct/sendRecord.ts
+++ b/packages/router/src/direct/sendRecord.ts
@@ -12,6 +12,7 @@
 import { recordEngineWork } from './engineCost.js'
 import type { Candidate } from './serverRanking.js'
 import type { BackendRequest } from './protocols.js'
+import type { StreamRelay } from './responseRelay.js'
 import type { DirectContext } from './directContext.js'
 import { buildPlacement } from './prefixCacheIndex.js'
 
@@ -62,20 +63,27 @@
   }
 }
 
-/** Builds the log fields of an attempt without a complete response; `lastEventId` is of the last event forwarded. */
-export function formatSendEnd(
+/**
+ * Counts an attempt whose response was not whole, and builds the log fields of one without a complete response,
+ * with the ID of the last event forwarded.
+ */
+export function recordSendEnd(
+  { instruments }: Pick<DirectContext, 'instruments'>,
   { server }: Candidate,
   outcome: Exclude<AttemptOutcome, { kind: 'answered' }>,
-  lastEventId: string | undefined,
+  relay: Pick<StreamRelay, 'lastEventId'>,
 ): Record<string, unknown> {
   const { kind, reason } = outcome
+  const cut = 'cut' in outcome ? outcome.cut : undefined
+  if (cut) instruments.answersCut.add(1, { ...cut })
   return {
     server: server.id,
     softwareVersion: server.softwareVersion,
     end: kind,
     reason,
+    cut: cut && `${cut.part}:${cut.end}`,
     backoff: kind === 'notRun' ? outcome.backoff : undefined,
-    lastEventId,
+    lastEventId: relay.lastEventId(),
   }
 }
 
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -52,10 +52,10 @@
 import {
   buildSendFields,
   formatCall,
-  formatSendEnd,
   recordAnswered,
   recordInterrupted,
   recordSend,
+  recordSendEnd,
 } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
 import { findRetryRefusal, isRetryable, takeRetry } from './retryRules.js'
@@ -334,7 +334,7 @@
   private async handleOutcome(candidate: Candidate, outcome: AttemptOutcome): Promise<boolean> {
     this.trackedCall?.finish(SERVER_OUTCOMES[outcome.kind])
     if (outcome.kind !== 'answered')
-      this.writeLog('call.sendEnded', formatSendEnd(candidate, outcome, this.relay.lastEventId()))
+      this.writeLog('call.sendEnded', recordSendEnd(this.context, candidate, outcome, this.relay))
     switch (outcome.kind) {
       case 'answered':
       case 'cut':
