fix(router): refuse a request with more header fields than Node keeps

A request with more than some 1,000 header fields, which fit into a head of 32 KiB, lost those beyond: X-Model, X-Token-Count or the key could be among them, and it was sent on without them. Answers could lose their fields the same way.

A head of 1,000 fields or more is now refused with 431, as not run; an answer with such a head is no answer.

--- a/packages/core/src/__tests__/responseStatus.spec.ts
+++ b/packages/core/src/__tests__/responseStatus.spec.ts
@@ -15,4 +15,13 @@
     const rawHeaders = ["!#$%&'*+-.^_`|~09AZaz", 'x']
     expect(findResponseProblem({ statusCode: 200, headers: {}, rawHeaders })).to.equal(undefined)
   })
+
+  // Node drops the fields of a head beyond 1,000 without an error.
+  it('is not relayed when some of its fields may have been dropped', () => {
+    const list = (count: number) => Array.from({ length: count }, () => ['x', 'y']).flat()
+    const findProblem = (count: number) =>
+      findResponseProblem({ statusCode: 200, headers: {}, rawHeaders: list(count) })
+    expect(findProblem(1_000)).to.include('header fields')
+    expect(findProblem(999)).to.equal(undefined)
+  })
 })
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -26,6 +26,7 @@
   conflict: { status: 409, type: 'conflict_error', notRun: true },
   stillRunning: { status: 409, type: 'conflict_error', notRun: false },
   oversizeBody: { status: 413, type: 'invalid_request_error', notRun: true },
+  oversizeHead: { status: 431, type: 'invalid_request_error', notRun: true },
   limitReached: { status: 429, type: 'rate_limit_error', notRun: true },
   declined: { status: 503, type: 'overloaded_error', notRun: true },
   deadlineUnreachable: { status: 503, type: 'overloaded_error', notRun: true },
--- a/packages/core/src/fieldValue.ts
+++ b/packages/core/src/fieldValue.ts
@@ -16,6 +16,16 @@
 /** A name of a field (RFC 9110, section 5.6.2). */
 const FIELD_NAME = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/
 
+/** Number of fields from which on Node may drop those that follow, without an error. */
+const MAX_FIELDS = 1_000
+
+/** Explains why some fields of a head may be missing; undefined if all are there. */
+export function findFieldCountProblem(rawHeaders: readonly string[]): string | undefined {
+  return rawHeaders.length < 2 * MAX_FIELDS
+    ? undefined
+    : `a head may have ${MAX_FIELDS - 1} header fields at most`
+}
+
 /**
  * Explains why a head cannot be relayed: Node's parser accepts some names of fields that its writer rejects.
  * @param rawHeaders names and values in turn, as Node gives them
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -116,6 +116,7 @@
 export {
   encodeFieldText,
   findFieldBytesProblem,
+  findFieldCountProblem,
   findFieldNameProblem,
   findFieldTextProblem,
   MAX_FIELD_VALUE_BYTES,
