--- a/packages/router/src/__tests__/directComponents.spec.ts
+++ b/packages/router/src/__tests__/directComponents.spec.ts
@@ -45,6 +45,32 @@
     expect(cutter.lastEventId()).to.equal('1')
     expect(cutter.hasPartialEvent()).to.equal(true)
   })
+
+  it('finds a boundary whose bytes come one by one, or beside long chunks', () => {
+    const long = 'x'.repeat(5_000)
+    for (const boundary of ['\n\n', '\r\n\r\n'])
+      for (const chunks of [
+        ['id: 1', ...boundary],
+        [...'id', long, ...boundary],
+        [boundary[0], `${boundary.slice(1)}id`],
+        ['a', long, `${boundary[0]}`, `${boundary.slice(1)}${long}`],
+      ]) {
+        const cutter = createSseEventBuffer({ isResumable: true })
+        const passed = chunks.map((chunk) => cutter.add(Buffer.from(chunk)).toString()).join('')
+        const text = chunks.join('')
+        expect(passed).to.equal(text.slice(0, text.lastIndexOf(boundary) + boundary.length))
+        expect(cutter.partialBytes()).to.equal(text.length - passed.length)
+      }
+  })
+
+  it('does not copy the long chunks of an event without end', () => {
+    const cutter = createSseEventBuffer({ isResumable: true })
+    const chunks = Array.from({ length: 48 }, () => Buffer.alloc(64 * 1024, 'x'))
+    const before = process.memoryUsage().arrayBuffers
+    for (const chunk of chunks) cutter.add(chunk)
+    expect(process.memoryUsage().arrayBuffers - before).to.be.below(chunks[0].length)
+    expect(cutter.partialBytes()).to.equal(48 * 64 * 1024)
+  })
 })
 
 describe('the retry budget', () => {
