fix(control): compact the log when few entries fill it

What operators would see: a log was compacted after 64 entries whatever their size. 70 configurations of 3,000 routes that have nothing in common took 11.9 MB of the 64 MB that control shares with a router (those that change one field: 1.9 MB); the size of a configuration is bounded by 8 MiB of a request alone. A full disk ends control.

Now the log is also compacted once 8 MiB were added to it. With less nothing changes.

--- a/packages/control/src/__tests__/appliedLog.spec.ts
+++ b/packages/control/src/__tests__/appliedLog.spec.ts
@@ -58,4 +58,17 @@
     membership.reload()
     expect(membership.listCommitGroups(SNAPSHOT_EVERY)).to.deep.include.members([founders, grown])
   })
+
+  it('is taken when few entries have filled the log', async () => {
+    const command = { group: 'noop', text: 'x'.repeat(3 * 1024 * 1024) }
+    for (let index = 0; index < 3; index += 1) await append(command)
+    const saved = waitForSnapshot()
+    void applied.advance(2)
+    await saved
+    expect(store.baseIndex()).to.equal(2)
+    expect(store.addedBytes()).to.equal(0)
+    await append({ group: 'noop' })
+    void applied.advance(4)
+    expect(store.baseIndex()).to.equal(2)
+  })
 })
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -63,6 +63,8 @@
   lastTerm(): number
   /** Index of the last entry on disk. */
   durableIndex(): number
+  /** Bytes that were added to the log file since the last snapshot. */
+  addedBytes(): number
   /** Last index that the snapshot covers; entries up to it are no longer in the log. */
   baseIndex(): number
   /** Term of an entry; undefined if the log does not contain it. */
@@ -157,6 +159,8 @@
   /** Entries after the base; the entry with index i is at position i - base.index - 1. */
   let entries = loaded.entries
   let durableIndex = base.index + entries.length
+  /** Bytes of the log file since it was rewritten. */
+  let addedBytes = loaded.length
   let file: AppendFile = await folder.openAppend(LOG_FILE, loaded.length)
   let pending: { change: LogChange; resolve: () => void }[] = []
   let activeWrite: Promise<void> | undefined
@@ -176,7 +180,9 @@
   const writeBatch = async () => {
     const batch = pending
     pending = []
-    await file.append(encodeRecord(batch.map(({ change }) => change)))
+    const record = encodeRecord(batch.map(({ change }) => change))
+    addedBytes += record.length
+    await file.append(record)
     await file.sync()
     for (const { change, resolve } of batch) {
       if (change.kind === 'append') recordDurable(change.entries)
@@ -218,6 +224,7 @@
     await folder.rename(LOG_TEMPORARY_FILE, LOG_FILE)
     await folder.sync()
     file = await folder.openAppend(LOG_FILE, record.length)
+    addedBytes = 0
   }
   const removeOldSnapshots = async (keptIndex: number) => {
     for (const name of await folder.list()) {
@@ -255,6 +262,7 @@
     lastIndex,
     lastTerm: () => entries.at(-1)?.term ?? base.term,
     durableIndex: () => durableIndex,
+    addedBytes: () => addedBytes,
     baseIndex: () => base.index,
     findTerm,
     listEntries: (from, limit) => {
--- a/packages/control/src/raft/appliedLog.ts
+++ b/packages/control/src/raft/appliedLog.ts
@@ -30,6 +30,9 @@
   install(snapshot: Snapshot): Promise<void>
 }
 
+/** Size of the log from which it is compacted before it has `snapshotEvery` entries, in bytes: an eighth of a small disk. */
+const MAX_LOG_BYTES = 8 * 1024 * 1024
+
 /** Creates the applied log and restores state machine and membership from the stored snapshot, if any. */
 export function createAppliedLog(options: AppliedLogOptions): AppliedLog {
   const { store, machine, membership, proposals, logger } = options
@@ -43,7 +46,9 @@
     membership.reload()
   }
   const compactIfDue = async () => {
-    if (isCompacting || appliedIndex - store.baseIndex() < options.snapshotEvery) return
+    const added = appliedIndex - store.baseIndex()
+    const isDue = added >= options.snapshotEvery || store.addedBytes() >= MAX_LOG_BYTES
+    if (isCompacting || added === 0 || !isDue) return
     isCompacting = true
     const state: SavedState = {
       machine: machine.save(),
