--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -167,6 +167,7 @@
       options.onFailure?.(cause)
     },
   })
+  metrics.gauge('log_bytes', 'Bytes added to the log since the last snapshot', store.addedBytes)
   const member = createRaftMember({
     name: identity.name,
     url,
--- a/packages/core/src/__tests__/memoryBudget.spec.ts
+++ b/packages/core/src/__tests__/memoryBudget.spec.ts
@@ -1,7 +1,8 @@
 import { EventEmitter } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { expect } from 'chai'
-import { createMemoryBudget, openResponseHold } from '../memoryBudget.js'
+import { addMemoryGauges, createMemoryBudget, openResponseHold } from '../memoryBudget.js'
+import { createMetrics } from '../metrics.js'
 import { createManualTimerService } from '../timers.js'
 
 const LIMIT_BYTES = 1_000_000
@@ -85,4 +86,13 @@
     expect(budget.open().resize(200_000)).to.equal(true)
     expect(evicted).to.deep.equal(['stands still'])
   })
+
+  it('shows how near the heap is to its bound, which ends the process without a last line', async () => {
+    const metrics = createMetrics('test')
+    addMemoryGauges(metrics, prepare().budget)
+    const text = await metrics.render()
+    const read = (name: string) => Number(new RegExp(`${name}\\S* (\\d+)`).exec(text)?.[1])
+    expect(read('heap_used_bytes')).to.be.above(0).and.below(read('heap_limit_bytes'))
+    await metrics.close()
+  })
 })
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -4,6 +4,7 @@
  * bound a hold waits briefly, after stalled holds were evicted.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { getHeapStatistics } from 'node:v8'
 import { Subject } from 'rxjs'
 import type { Metrics } from './metrics.js'
 import type { TimerService } from './timers.js'
@@ -188,6 +189,8 @@
     ['held_limit_bytes', 'Bound on the bytes held', () => budget.limitBytes],
     ['hold_refusals', 'Holds that found no room', () => budget.counts().refused],
     ['hold_evictions', 'Holds that stood still and made room', () => budget.counts().evicted],
+    ['heap_used_bytes', 'Used part of the heap', () => getHeapStatistics().used_heap_size],
+    ['heap_limit_bytes', 'Bound on the heap', () => getHeapStatistics().heap_size_limit],
     ['resident_bytes', 'Resident memory of the process', () => process.memoryUsage.rss()],
     [
       'resident_peak_bytes',
