fix(deploy): listen to signals sooner by an entry that is a CommonJS module

What operators would see: a signal in the first moments of a process, before any code of ours runs, ends it.

Cause: Node loads an ES module through its asynchronous loader, which takes longer than a CommonJS module to come to its first line. The entry is now bundled as CommonJS and imports the program (program.mjs, the same bytes) as before; target/package.json says so.

--- a/deploy/__tests__/build.spec.js
+++ b/deploy/__tests__/build.spec.js
@@ -121,7 +121,7 @@
       ? fs.readFileSync(fixtureFile('installs'), 'utf8').trimEnd().split('\n').length
       : 0
   const listRevisions = () =>
-    ['spoolgate.js', 'program.js']
+    ['spoolgate.js', 'program.mjs']
       .map((name) => join(root, 'target', name))
       .map((file) => (fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : undefined))
 
@@ -201,6 +201,6 @@
   it('leaves nothing but the program in its folder', async () => {
     expect(await startBuild()).to.equal(0)
     const files = fs.readdirSync(join(root, 'target'))
-    expect(files).to.have.members(['package.json', 'program.js', 'spoolgate.js'])
+    expect(files).to.have.members(['package.json', 'program.mjs', 'spoolgate.js'])
   })
 })
