feat(control): say when a group cannot elect a leader by itself

What operators saw: after disks of control were damaged one after the other, all instances ran and wrote raft.notElected and raft.notStanding for good, with nothing to tell this from an election that would succeed a moment later.

A vote round now finds out, once every voter has answered, whether enough of them can vote at all: one whose disk is lost, or that may not vote before a leader takes it in, cannot. If that lasts for 3 s, and no instance that answered has a longer log than the candidate, which could hold another group, `group.cannotElect` names each voter, what it lacks and its log position; the metric `group_cannot_elect` is 1, and `spoolgate members list` shows it. Replies to votes carry the position of the log for this.

Evidence: electionReport.spec, four voters that lose power, one of which comes back with another disk and two with empty ones: one line, 1 able of 2 needed; none where a voter is missing, nor where two disks are left and a leader is elected.

Two tests compared whole replies to votes; they compare the position as well now. Nothing about who may vote has changed. Where no member may stand at all (all disks are lost), there are only raft.notStanding lines, as before.

--- a/packages/control/src/__tests__/electionReport.spec.ts
+++ b/packages/control/src/__tests__/electionReport.spec.ts
@@ -4,7 +4,8 @@
   LOW_TOLERANCE_WARNING_DELAY_MS,
   createFaultToleranceReport,
 } from '../group/faultToleranceReport.js'
-import { createElectionReport } from '../raft/electionReport.js'
+import { createElectionReport, DEADLOCK_AFTER_MS } from '../raft/electionReport.js'
+import type { ElectionDeadlock } from '../raft/electionDeadlock.js'
 import type { MemberMap } from '../raft/messages.js'
 import { createTestGroup, ELECTION_MS, type TestGroup } from './group.js'
 
@@ -77,6 +78,40 @@
     expect((await readAnswers(behind))[other]).to.equal('behind')
   })
 
+  /** All lose power; `a` returns with its disk, `b` with another one, and the others as given. */
+  const losePowerAndDisks = async (emptied: readonly string[], away: readonly string[]) => {
+    const disks = await group.losePower(NAMES)
+    for (const name of NAMES.filter((one) => !away.includes(one))) {
+      const isReplaced = name === 'b'
+      const folder = isReplaced || emptied.includes(name) ? undefined : disks.get(name)
+      const start = { url: name, folder, isFounding: false, startedAt: 0 }
+      await group.start(isReplaced ? 'b#new' : name, start)
+    }
+    await group.run(DEADLOCK_AFTER_MS + ELECTION_MS * 20)
+    return listLines(group.logLines, 'group.cannotElect')
+  }
+  const findReported = () => group.members.get('a')?.member.status().cannotElect
+
+  it('says that the group cannot elect a leader by itself, and what each voter lacks', async () => {
+    const lines = await losePowerAndDisks(['c', 'd'], [])
+    expect(lines).to.have.length(1)
+    expect(lines[0]).to.match(/level=error .*member=a able=1 needed=2 /)
+    const voters: ElectionDeadlock['voters'] = findReported()?.voters ?? {}
+    const lacks = Object.values(voters).map((voter) => voter.lacks)
+    const barred = 'permissionToVote'
+    expect(lacks).to.deep.equal([undefined, 'itsDisk', barred, barred])
+    expect(voters.a.position?.index).to.be.greaterThan(voters.c.position?.index ?? Infinity)
+  })
+
+  it('does not say so while a voter is missing, or when a leader can be elected', async () => {
+    expect(await losePowerAndDisks(['c'], ['d'])).to.have.length(0)
+    expect(findReported()).to.equal(undefined)
+    await group.close()
+    group = await createTestGroup(NAMES)
+    await group.waitForLeader()
+    expect(await losePowerAndDisks(['c'], [])).to.have.length(0)
+  })
+
   it('logs why an instance cannot be a candidate', async () => {
     await group.loseDisks(['d'])
     await group.run(ELECTION_MS * 3)
--- a/packages/control/src/__tests__/raft.spec.ts
+++ b/packages/control/src/__tests__/raft.spec.ts
@@ -128,6 +128,7 @@
         endedTerm: term,
         heldBackBy: undefined,
         refusal: 'leaderAlive',
+        position: { index: lastIndex, term },
       })
     }
   })
--- a/packages/control/src/__tests__/raftRestart.spec.ts
+++ b/packages/control/src/__tests__/raftRestart.spec.ts
@@ -123,6 +123,7 @@
       endedTerm: term,
       heldBackBy,
       refusal: 'heldBack',
+      position: { index: 1, term: 1 },
     })
     // The end of an earlier term of the leader does not end the lease of this term.
     expect((await vote({ [old.name]: term - 1 })).isGranted).to.equal(false)
--- a/packages/control/src/raft/electionReport.ts
+++ b/packages/control/src/raft/electionReport.ts
@@ -4,6 +4,7 @@
  * recorded as a metric.
  */
 import type { Histogram, Logger, Metrics, TimerService } from '@spoolgate/core'
+import type { ElectionDeadlock } from './electionDeadlock.js'
 import type { MemberKind, MemberMap } from './messages.js'
 
 /** Options of {@link createElectionReport}. */
@@ -22,6 +23,8 @@
   readonly members: MemberMap
   /** By member: `granted`, the refusal, `lost`, or `silent` with the reason. */
   readonly answers: Readonly<Record<string, string>>
+  /** Why no election can succeed; undefined unless that is certain. */
+  readonly deadlock?: ElectionDeadlock
 }
 
 /** See {@link createElectionReport}. */
@@ -34,8 +37,16 @@
   recordLostVoter(voter: string, url: string, found: string): void
   /** Records the currently known leader; undefined for none. */
   recordLeader(leader: string | undefined): void
+  /** Why the group cannot elect a leader by itself, once that lasts; undefined while it may be able to. */
+  cannotElect(): ElectionDeadlock | undefined
 }
 
+/** Time for which no election can succeed before it is reported, in ms: instances may be starting with their disks. */
+export const DEADLOCK_AFTER_MS = 3_000
+/** Minimum interval between two reports of it, in ms. */
+const DEADLOCK_LINE_INTERVAL_MS = 30_000
+const DEADLOCK_REMEDY =
+  'start an instance with the disk that a voter lacks; the group cannot elect a leader by itself'
 /** Minimum interval between lines of the same content, in ms: one line a second stays readable. */
 const REPEATED_LINE_INTERVAL_MS = 1_000
 /** Minimum interval between lines of different content, in ms: a tenth of the above, for alternating content. */
@@ -51,6 +62,18 @@
   let lastContent: string | undefined
   let lastWrittenAt = -Infinity
   let leaderlessSince: number | undefined = timers.now()
+  let deadlock: ElectionDeadlock | undefined
+  let deadlockSince: number | undefined
+  let deadlockWrittenAt = -Infinity
+  const cannotElect = () =>
+    deadlockSince !== undefined && timers.now() - deadlockSince >= DEADLOCK_AFTER_MS
+      ? deadlock
+      : undefined
+  options.metrics?.gauge(
+    'group_cannot_elect',
+    'Whether the group cannot elect a leader by itself',
+    () => (cannotElect() ? 1 : 0),
+  )
 
   const isDue = (content: string) => {
     const period = content === lastContent ? REPEATED_LINE_INTERVAL_MS : CHANGED_LINE_INTERVAL_MS
@@ -59,9 +82,20 @@
     lastWrittenAt = timers.now()
     return true
   }
+  const recordDeadlock = (found: ElectionDeadlock | undefined) => {
+    deadlock = found
+    deadlockSince = found && (deadlockSince ?? timers.now())
+    const lasting = cannotElect()
+    if (!lasting || timers.now() - deadlockWrittenAt < DEADLOCK_LINE_INTERVAL_MS) return
+    deadlockWrittenAt = timers.now()
+    const remedy = DEADLOCK_REMEDY
+    logger.error('group.cannotElect', { ...lasting, leaderlessMs: leaderlessMs(), remedy })
+  }
   const leaderlessMs = () => timers.now() - (leaderlessSince ?? timers.now())
   return {
-    recordFailedRound: ({ term, isPreVote, members, answers }) => {
+    cannotElect,
+    recordFailedRound: ({ term, isPreVote, members, answers, deadlock: found }) => {
+      recordDeadlock(found)
       const kinds = Object.fromEntries(
         Object.entries(members).map(([name, { kind }]) => [name, kind]),
       )
@@ -85,6 +119,7 @@
       if (leaderlessSince === undefined) return
       leaderlessHistogram?.record(leaderlessMs())
       leaderlessSince = undefined
+      recordDeadlock(undefined)
       lastContent = undefined
     },
   }
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -56,6 +56,7 @@
   let messageQueue: Promise<unknown> = Promise.resolve()
 
   const term = () => store.voteState().term
+  const readPosition = () => ({ index: store.lastIndex(), term: store.lastTerm() })
   const membership = createMembership({ name, store, founders: options.founders })
   const saveVoteState = (change: Partial<VoteState>) =>
     store.saveVoteState({ ...store.voteState(), ...change })
@@ -167,6 +168,7 @@
         endedTerm: findEndedTerm(),
         heldBackBy,
         refusal: heldBackBy && 'heldBack',
+        position: readPosition(),
       },
       request: {
         isPreVote,
@@ -180,7 +182,7 @@
     const isFollowing = leader !== undefined || isClosed
     if (!outcome.isWon && !isFollowing) {
       const members = membership.members()
-      report.recordFailedRound({ term: voteTerm, isPreVote, members, answers: outcome.answers })
+      report.recordFailedRound({ term: voteTerm, isPreVote, members, ...outcome })
     }
     return outcome
   }
@@ -245,6 +247,7 @@
       endedTerm: findEndedTerm(),
       heldBackBy,
       refusal,
+      position: readPosition(),
     })
     const refusal = findRefusal(request)
     if (refusal) return reply(refusal)
@@ -333,6 +336,7 @@
       lastIndex: store.lastIndex(),
       hasLease: hasLease(),
       members: membership.members(),
+      cannotElect: report.cannotElect(),
     }),
     propose: async (command) => propose(command),
     isCurrent,
--- a/packages/control/src/raft/messages.ts
+++ b/packages/control/src/raft/messages.ts
@@ -41,6 +41,12 @@
   /** The voter already voted for another candidate in this term. */
   | 'votedOther'
 
+/** Last entry of a log. */
+export interface LogPosition {
+  readonly index: number
+  readonly term: number
+}
+
 export interface VoteReply {
   /** Name of the replying instance. An instance that lost its disk replies under a new name, not that of the member. */
   readonly voter: string
@@ -52,6 +58,8 @@
   readonly heldBackBy?: LeaseHolder
   /** Undefined when the vote is granted, and in replies of older versions of this program. */
   readonly refusal?: VoteRefusal
+  /** Last entry of the replying instance; undefined in replies of older versions of this program. */
+  readonly position?: LogPosition
 }
 
 /** Sends entries to a follower (Raft's AppendEntries); a heartbeat if there are none. */
--- a/packages/control/src/raft/types.ts
+++ b/packages/control/src/raft/types.ts
@@ -2,6 +2,7 @@
 import type { Invariants, Logger, Metrics, RandomSource, TimerService } from '@spoolgate/core'
 import type { Observable } from 'rxjs'
 import type { LogStore } from '../log/logStore.js'
+import type { ElectionDeadlock } from './electionDeadlock.js'
 import type {
   AppendReply,
   AppendRequest,
@@ -71,6 +72,8 @@
   readonly lastIndex: number
   readonly hasLease: boolean
   readonly members: MemberMap
+  /** Why the group cannot elect a leader by itself; undefined while it may be able to. */
+  readonly cannotElect?: ElectionDeadlock
 }
 
 /** Replication progress of one follower, as its leader knows it. */
--- a/packages/control/src/raft/votes.ts
+++ b/packages/control/src/raft/votes.ts
@@ -1,6 +1,7 @@
 /** Vote rounds: requests votes or pre-votes from all members and counts the replies. */
 import { toSpoolgateError } from '@spoolgate/core'
 import type { LeaseHolder } from '../log/logStore.js'
+import { findDeadlock, type ElectionDeadlock } from './electionDeadlock.js'
 import { countElectionQuorum, countMajority, listOthers, listVoters } from './quorum.js'
 import type { EndedTerms, MemberMap, RaftTransport, VoteReply, VoteRequest } from './messages.js'
 
@@ -29,6 +30,8 @@
   readonly lostVoters: readonly string[]
   /** By member: `granted`, the refusal, `lost`, or `silent` with the reason. */
   readonly answers: Readonly<Record<string, string>>
+  /** Why no election can succeed; undefined unless that is certain. */
+  readonly deadlock?: ElectionDeadlock
 }
 
 /** Ended term of a member whose disk is lost: its process ended, and no instance uses its name again. */
@@ -132,8 +135,11 @@
       }
       settle()
     })
-    const resolveLost = () =>
-      resolve({ isWon: false, endedTerms, lostVoters: [], answers: buildAnswers() })
+    const resolveLost = () => {
+      const { candidate } = request
+      const deadlock = findDeadlock({ groups, lost: listLost(), replies, candidate })
+      resolve({ isWon: false, endedTerms, lostVoters: [], answers: buildAnswers(), deadlock })
+    }
     void Promise.allSettled(requests).then(resolveLost)
   })
 }
