fix(router): keep stream records for routers with a disk until these are known

What callers could see: a stream that began within the first seconds after a restart of all routers is refused after the next loss of all, although it was there for long enough.

Cause: copies for routers with a disk were dropped if none was listed at that moment, or sent to those that were listed only, and never sent again; after a restart the leader's list is nearly empty at first.

Evidence: durableRecords.spec, a list that gets its first router with a disk 0.5 s and its second 1 s after the stream began: before, no copy was sent.

--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -143,6 +143,43 @@
     expect(sent).to.have.length(DURABLE_COPIES)
   })
 
+  it('are sent to those that a new leader lists only after the stream began', async () => {
+    const timers = createManualTimerService()
+    const urls = Array.from({ length: 6 }, (_, index) => `http://10.0.0.${index}:7341`)
+    const state = { listed: [urls[5]], durable: [] as string[], isComplete: false }
+    const reached = new Set<string>()
+    const send = ({ url }: { url: string }): Promise<unknown> => {
+      reached.add(new URL(url).origin)
+      return Promise.resolve({ statusCode: TAKEN_STATUS, resume: () => {} })
+    }
+    const copies = createDurableCopies({
+      ownUrl: urls[5],
+      listDurable: () => state.durable,
+      listPeers: () => state.listed,
+      isListComplete: () => state.isComplete,
+      client: { send } as Pick<HttpClient, 'send'>,
+      timers,
+      logger: createQuietLogger(),
+      countMessage: () => {},
+    })
+    const run = async (ms: number) => {
+      for (let spent = 0; spent < ms; spent += 10) {
+        timers.advance(10)
+        await new Promise((resolve) => setImmediate(resolve))
+      }
+    }
+    copies.add(buildRecord('a'))
+    await run(500)
+    state.durable = urls.slice(0, 1)
+    await run(500)
+    state.durable = urls.slice(0, 2)
+    await run(500)
+    expect([...reached].sort()).to.deep.equal(urls.slice(0, DURABLE_COPIES))
+    state.isComplete = true
+    await run(500)
+    await copies.close()
+  })
+
   it('reach enough of them in a large fleet, in few messages', async () => {
     const timers = createManualTimerService()
     const urls = Array.from({ length: ROUTERS }, (_, index) => `http://10.0.0.${index}:7341`)
--- a/packages/router/src/streams/durableCopies.ts
+++ b/packages/router/src/streams/durableCopies.ts
@@ -21,6 +21,11 @@
   readonly listDurable: () => readonly string[]
   /** Lists the URLs of all routers. */
   readonly listPeers: () => readonly string[]
+  /**
+   * Whether these lists contain all routers; until then records wait for those that are missing.
+   * @default true
+   */
+  readonly isListComplete?: () => boolean
   readonly client: Pick<HttpClient, 'send'>
   readonly timers: TimerService
   readonly logger: Logger
@@ -41,12 +46,15 @@
 const GATHER_MS_PER_ROUTER = 2.5
 const MIN_GATHER_MS = 5
 const MAX_GATHER_MS = 1_000
+/** Time until records are sent again for which too few routers were listed or reached, in ms. */
+const RESEND_MS = 200
 /** Maximum records that wait. */
 const MAX_PENDING = 4_096
 
 /** Creates the copies of one router. */
 export function createDurableCopies(options: DurableCopiesOptions): DurableCopies {
   const { ownUrl, listDurable, listPeers, client, timers, logger, countMessage } = options
+  const { isListComplete = () => true } = options
   const rankKey = toStreamKey(ownUrl)
   const pending: StreamRecord[] = []
   let sending: Promise<void> | undefined
@@ -64,25 +72,29 @@
       return false
     }
   }
-  /** Sends a batch to the first routers that take it. */
+  /** Sends a batch to the first routers that take it; false if they are too few. */
   const sendBatch = async (batch: readonly StreamRecord[]) => {
     let copies = 0
     for (const url of rankHolders(rankKey, listDurable(), ownUrl)) {
-      if (copies === DURABLE_COPIES) return
       if (await sendTo(url, batch)) copies += 1
+      if (copies === DURABLE_COPIES) return true
     }
+    return false
   }
   const sendPending = async () => {
     while (pending.length > 0) {
       const gatherMs = Math.max(MIN_GATHER_MS, listPeers().length * GATHER_MS_PER_ROUTER)
       if (!isClosed) await waitFor(timers, Math.min(MAX_GATHER_MS, gatherMs))
-      await sendBatch(pending.splice(0, MAX_RECORDS_PER_MESSAGE))
+      const batch = pending.splice(0, MAX_RECORDS_PER_MESSAGE)
+      if ((await sendBatch(batch)) || isClosed || isListComplete()) continue
+      pending.unshift(...batch)
+      await waitFor(timers, RESEND_MS)
     }
     sending = undefined
   }
   return {
     add: (record) => {
-      if (isClosed || listDurable().length === 0) return
+      if (isClosed || (listDurable().length === 0 && isListComplete())) return
       if (pending.length >= MAX_PENDING) pending.shift()
       pending.push(record)
       sending ??= sendPending()
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -123,7 +123,7 @@
   }
   const common = { ownUrl: server.url, listPeers, client, timers, logger, countMessage }
   const sender = createRecordSender(common)
-  const copies = createDurableCopies({ ...common, listDurable })
+  const copies = createDurableCopies({ ...common, listDurable, isListComplete })
   const lookup = createRecordLookup({ ...common, listDurable, isListComplete })
   return {
     url: server.url,
