fix(router): answer callers that close their sending half

Cause: Node ends a connection whose other side has sent its last byte, and the router took that for a caller that is gone.

A router has to tell such a caller from one that closed altogether, for which nothing may be run; both look the same until something is written. It sends an interim response (100 Continue) and looks 100 ms later whether a reset came; requests that are not passed on yet wait for that. Where nothing can be sent, a stream goes on if bytes follow within 250 ms, a request that runs and cannot be repeated goes on, any other is refused truthfully. A caller that left is noticed 100 ms later than before if its connection ends without a reset.

--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -12,6 +12,7 @@
   formatRefusal,
   type ConnectionEnd,
 } from './connectionEnds.js'
+import { CALLER_SILENT, startProbe, type HalfClosePolicy } from './halfClose.js'
 import { installBodyEnd } from './httpBody.js'
 import { closeLingering } from './lingeringClose.js'
 import type { LogFields, Logger } from './logger.js'
@@ -28,6 +29,11 @@
    * @default undefined, they are only logged
    */
   readonly metrics?: Pick<Metrics, 'counter'>
+  /**
+   * What becomes of whole requests whose connection is half-closed by its other side.
+   * @default 'leave'
+   */
+  readonly halfClose?: HalfClosePolicy
 }
 
 /** Callbacks of the owner of a request. */
@@ -91,7 +97,7 @@
 
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
-  const { logger, timers, metrics } = options
+  const { logger, timers, metrics, halfClose = 'leave' } = options
   const connections = new Map<Socket, Connection>()
   const ended = metrics?.counter('connections_ended', 'Connections that ended, by end')
   const unanswered = metrics?.counter(
@@ -143,6 +149,15 @@
     if (latest === undefined || latest.complete) connection.refusal = formatRefusal(end)
     if (inFlight.size === 0) endAnswered(connection, end)
   }
+  const handleHalfClose = (connection: Connection) => {
+    endAfterAnswers(connection, 'callerClosed')
+    const [first] = connection.inFlight
+    if (halfClose !== 'probe' || !first || connection.socket.destroyed) return
+    const onSilent = () => {
+      for (const { response } of [...connection.inFlight]) response.emit(CALLER_SILENT)
+    }
+    startProbe(first.response, { timers, onSilent })
+  }
   const endAnswered = (connection: Connection, end: ConnectionEnd) => {
     const { socket, refusal } = connection
     if (refusal !== undefined && socket.writable) socket.write(refusal)
@@ -192,6 +207,7 @@
       hasLate: false,
     }
     connections.set(socket, connection)
+    if (halfClose !== 'leave') socket.once('end', () => handleHalfClose(connection))
     socket.prependOnceListener('close', () => handleClose(connection))
     // Node calls this after an answer that ends the connection.
     socket.destroySoon = () => endConnection(connection, isStopping ? 'plannedStop' : 'announced')
@@ -223,6 +239,7 @@
   }
   return {
     watchServer: (server) => {
+      Object.assign(server, { httpAllowHalfOpen: halfClose !== 'leave' })
       server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', openConnection)
       server.on('timeout', (socket) => void endIdle(openConnection(socket), 'idle'))
       server.on('clientError', handleClientError)
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -15,6 +15,7 @@
 import { createConnectionTracker } from './connectionTracker.js'
 import { createConnectionGuard } from './connectionGuard.js'
 import { formatErrorBody, SpoolgateError, toSpoolgateError } from './errors.js'
+import type { HalfClosePolicy } from './halfClose.js'
 import { isSameSecret } from './keys.js'
 import { openPort } from './openPort.js'
 import type { Logger } from './logger.js'
@@ -92,6 +93,11 @@
    * @default 16384
    */
   readonly maxHeaderBytes?: number
+  /**
+   * What becomes of whole requests whose connection is half-closed by its other side.
+   * @default 'leave', as for processes of the fleet, which close connections altogether
+   */
+  readonly halfClose?: HalfClosePolicy
   /**
    * Called for each new connection.
    * @default no action
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -127,6 +127,7 @@
   type HttpClient,
   type HttpRequest,
 } from './httpClient.js'
+export { CALLER_SILENT, isCallerGone, waitForCaller, type HalfClosePolicy } from './halfClose.js'
 export { type ConnectionEnd } from './connectionEnds.js'
 export {
   createConnectionTracker,
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -202,7 +202,7 @@
     },
   })
   const instruments = createInstruments(metrics)
-  const connections = createConnectionTracker({ timers, logger, metrics })
+  const connections = createConnectionTracker({ timers, logger, metrics, halfClose: 'probe' })
   const { cutOff } = instruments
   const shutdown = createGracefulShutdown({ timers, logger, connections, cutOff })
   const restartDetector = createRestartDetector({
--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -244,11 +244,3 @@
     finish: () => response.end(),
   }
 }
-
-/**
- * Returns whether the caller has closed its connection. The socket shows this a few turns of the event loop before the
- * response is destroyed.
- */
-export function isCallerDisconnected(response: ServerResponse): boolean {
-  return response.destroyed || response.socket?.readableEnded === true
-}
--- a/packages/router/src/direct/retryRules.ts
+++ b/packages/router/src/direct/retryRules.ts
@@ -12,6 +12,14 @@
   return !relay.hasBegun() || route.repeatability === 'resumable'
 }
 
+/** Whether a request may be cancelled for a caller that seems to be gone: one that runs and cannot be repeated may not. */
+export function isCancellable(
+  { route }: CallPlan,
+  { mayHaveRun }: { readonly mayHaveRun: boolean },
+): boolean {
+  return route.isStream || route.repeatability !== 'once' || !mayHaveRun
+}
+
 /** Takes one retry from the budget if the request may be sent to another server now. */
 export function takeRetry(
   { retryBudget }: Pick<DirectContext, 'retryBudget'>,
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -5,18 +5,19 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { findSoftwareVersion, type RegisteredServer } from '@spoolgate/control'
-import type {
-  BackendServerId,
-  PromptPartId,
-  RequestFingerprint,
-  SoftwareVersion,
-  SpoolgateError,
+import {
+  isCallerGone,
+  waitForCaller,
+  type BackendServerId,
+  type PromptPartId,
+  type RequestFingerprint,
+  type SoftwareVersion,
+  type SpoolgateError,
 } from '@spoolgate/core'
 import { checkResponseHead } from './responseHead.js'
 import {
   closeBrokenResponse,
   createStreamRelay,
-  isCallerDisconnected,
   type BodyMemory,
   type StreamRelay,
 } from './responseRelay.js'
@@ -58,7 +59,7 @@
   recordSendEnd,
 } from './sendRecord.js'
 import { startAttempt, type SendAttempt } from './sendAttempt.js'
-import { findRetryRefusal, isRetryable, takeRetry } from './retryRules.js'
+import { findRetryRefusal, isCancellable, isRetryable, takeRetry } from './retryRules.js'
 import { watchRestart, watchWeights } from './attemptWatch.js'
 import { watchCaller } from './callerWatch.js'
 import type { TrackedCall } from './serverStats.js'
@@ -130,6 +131,7 @@
     })
     const timeout = watchCaller(context, response, leftMs, {
       onLeft: () => this.finish('callerLeft'),
+      onSilent: () => isCancellable(plan, this) && this.cancelUnread(),
       onDeadline: () => this.handleDeadline(),
     })
     const work = this.runAttempts().catch((cause) => {
@@ -143,10 +145,8 @@
     timeout.unsubscribe()
   }
 
-  isCallerGone = () => isCallerDisconnected(this.response)
-  recordWait(cancel: () => void): void {
-    this.cancelWait = cancel
-  }
+  isCallerGone = () => isCallerGone(this.response)
+  recordWait = (cancel: () => void) => void (this.cancelWait = cancel)
 
   private recordChunk(server: RegisteredServer): void {
     if (this.pinnedVersion === undefined) this.recordStart(server)
@@ -179,6 +179,9 @@
     context.logger.info(event, { ...formatCall(context, plan), fingerprint, sends, ...fields })
   }
 
+  /** Completes the request of a caller that seems to be gone. */
+  private cancelUnread = () => this.finishWithError(createUnavailableError(this.mayHaveRun))
+
   private handleDeadline(): void {
     if (this.isFinished) return
     // The crash detector distinguishes a crashed server from a slow one, which still accepts connections.
@@ -204,8 +207,10 @@
       // A busy router may read a request and the close of its caller's connection in the same turn of the event loop.
       // Polling the sockets once more before each attempt keeps requests without a caller off the backend servers.
       await this.context.turns.take()
-      if (isCallerDisconnected(this.response)) this.finish('callerLeft')
+      const caller = await waitForCaller(this.response)
+      if (caller === 'left') this.finish('callerLeft')
       if (this.isFinished) return
+      if (caller === 'silent') return this.cancelUnread()
       const refusal = findRetryRefusal(this.context, this.plan, this, this.writeLog)
       if (refusal) return this.finishWithError(refusal)
       const admission = await admitAttempt(this.context, this.plan, this, this.writeLog)
@@ -243,7 +248,7 @@
     const { context, plan, relay } = this
     const leftMs = Math.floor(plan.deadline - context.timers.now())
     const firstPartMs = context.timers.now() - plan.arrivedAt + candidate.expectedMs
-    if (leftMs <= 0 || this.isFinished || isCallerDisconnected(this.response)) return undefined
+    if (leftMs <= 0 || this.isFinished || isCallerGone(this.response)) return undefined
     if (plan.team && !isProofFresh(context)) return undefined
     this.sentTo.add(candidate.server.id)
     this.mayHaveRun = true
@@ -367,12 +372,8 @@
     const hasNewerVersion = (outcome.version ?? 0) > (version ?? Infinity)
     if (!hasNewerVersion) this.excluded.add(server.id)
     if (this.context.retryBudget.takeRetry(this.plan.group.name)) return false
-    this.finishWithError(
-      createUnavailableError(
-        this.mayHaveRun,
-        findGroupRetryAfterSeconds(this.context, this.plan, this.pinnedVersion),
-      ),
-    )
+    const retryAfter = findGroupRetryAfterSeconds(this.context, this.plan, this.pinnedVersion)
+    this.finishWithError(createUnavailableError(this.mayHaveRun, retryAfter))
     return true
   }
 
