fix(core): send no interim response for a request whose body broke off

A half close inside a body was answered by 100 Continue and then 400; the first is of no use. Seen in the probe ('body cut by half close': 100 400).

--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -152,7 +152,7 @@
   const handleHalfClose = (connection: Connection) => {
     endAfterAnswers(connection, 'callerClosed')
     const [first] = connection.inFlight
-    if (halfClose !== 'probe' || !first || connection.socket.destroyed) return
+    if (halfClose !== 'probe' || !first || first.request.aborted) return
     const onSilent = () => {
       for (const { response } of [...connection.inFlight]) response.emit(CALLER_SILENT)
     }
