fix(core): give up a request that waits behind another one when its caller leaves

Cause: Node closes only the answer that is being sent; those that wait behind it get no event, and nobody looked at their socket.

The tracker closes the waiting answers itself when their connection closes, and a caller whose socket is destroyed counts as gone.

--- a/packages/core/src/__tests__/connectionTracker.spec.ts
+++ b/packages/core/src/__tests__/connectionTracker.spec.ts
@@ -21,7 +21,7 @@
   CONNECT: ['CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n', 501],
 }
 
-describe('whole requests with something behind them that cannot be read', () => {
+describe('whole requests on a connection that ends', () => {
   let server: Server
   let tracker: ConnectionTracker
   let caller: Socket
@@ -63,7 +63,7 @@
 
   for (const [name, [bytes, status]] of Object.entries(TAILS)) {
     for (const count of [0, 1, 2]) {
-      it(`are answered first: ${count} before ${name}`, async () => {
+      it(`are answered before what cannot be read: ${count} before ${name}`, async () => {
         let seen: Error | undefined
         server.on('clientError', (cause) => (seen = cause))
         server.on('connect', () => (seen = new Error('connect')))
@@ -78,4 +78,17 @@
       })
     }
   }
+
+  for (const [name, leave] of Object.entries({
+    reset: (socket: Socket) => socket.resetAndDestroy(),
+    closed: (socket: Socket) => socket.destroy(),
+  }))
+    it(`are closed, also behind another one, when their connection is ${name}`, async () => {
+      caller.write(WHOLE.repeat(2))
+      while (held.length < 2) await once(server, 'taken')
+      const closes = held.map((response) => once(response, 'close'))
+      leave(caller)
+      await Promise.all(closes)
+      expect(held.map(({ destroyed }) => destroyed)).to.deep.equal([true, true])
+    })
 })
--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -95,6 +95,13 @@
   request.emit('aborted')
 }
 
+/** Closes an answer that waits behind another one: Node closes only the one in front when their connection closes. */
+function closeWaiting(response: ServerResponse): void {
+  if (response.socket || response.destroyed) return
+  response.destroyed = true
+  response.emit('close')
+}
+
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
   const { logger, timers, metrics, halfClose = 'leave' } = options
@@ -128,8 +135,10 @@
     const end = connection.end ?? findEndOfSocket(socket, inFlight.size > 0)
     ended?.add(1, { end })
     for (const taken of open) recordUnanswered(taken, end)
-    // An answer that waits behind another one gets no event from Node when its connection closes.
-    for (const taken of [...inFlight]) finish(connection, taken)
+    for (const taken of [...inFlight]) {
+      closeWaiting(taken.response)
+      finish(connection, taken)
+    }
     if (connections.size === 0) notifyClosed()
   }
   const endConnection = (connection: Connection, end: ConnectionEnd) => {
--- a/packages/core/src/halfClose.ts
+++ b/packages/core/src/halfClose.ts
@@ -31,8 +31,9 @@
 const halfCloses = new WeakMap<Socket, HalfClose>()
 
 /** Returns whether a caller may be gone: it has closed its connection, or sent its end and is not known to read. */
-export function isCallerGone({ destroyed, req }: ServerResponse): boolean {
-  return destroyed || (req.socket.readableEnded && !halfCloses.get(req.socket)?.isReading)
+export function isCallerGone({ destroyed, req: { socket } }: ServerResponse): boolean {
+  if (destroyed || socket.destroyed) return true
+  return socket.readableEnded && !halfCloses.get(socket)?.isReading
 }
 
 /** Waits until it is known whether the caller of a request still reads; `silent` if nothing shows that it does. */
