fix(core): end a planned stop although a TLS handshake is not over

Cause: only connections whose handshake is over are tracked, and the change that ends connections without a reset no longer closed the others. They are closed at the end of the stop now; no request can be on them.

--- a/packages/core/src/__tests__/tls.spec.ts
+++ b/packages/core/src/__tests__/tls.spec.ts
@@ -1,4 +1,6 @@
+import { once } from 'node:events'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { connect as connectPlain } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { connect, type PeerCertificate } from 'node:tls'
@@ -9,6 +11,7 @@
   createHttpServer,
   createManualTimerService,
   createQuietLogger,
+  createTimerService,
   sendJson,
 } from '../index.js'
 
@@ -65,4 +68,22 @@
     timers.advance(1_000)
     await closing
   })
+
+  it('ends a stop although a connection never begins its handshake', async () => {
+    writeIdentity('first')
+    const server = await createHttpServer({
+      host: '127.0.0.1',
+      port: 0,
+      logger: createQuietLogger(),
+      timers: createTimerService(),
+      tls: { certFile, keyFile },
+      routes: [],
+    })
+    const silent = connectPlain(server.port, '127.0.0.1')
+    await once(silent, 'connect')
+    const closed = once(silent, 'close')
+    silent.on('error', () => {})
+    expect(await server.close(10)).to.deep.equal({ abandoned: 0 })
+    await closed
+  })
 })
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -364,6 +364,8 @@
       await waitForIdle(drainMs)
       const abandoned = active.size
       await connections.close()
+      // Connections whose TLS handshake is not over are not tracked.
+      for (const socket of sockets) socket.destroy()
       await closed
       return { abandoned }
     },
