fix(router): do not count discarded bytes as incomplete heads

Cause: everything that arrives after the last answer of a connection counted as the head of the next request. A connection that this side has ended has no next request.

--- a/packages/router/src/direct/headWatch.ts
+++ b/packages/router/src/direct/headWatch.ts
@@ -39,8 +39,9 @@
   const watched = new Map<Socket, Connection>()
   const hold = memory.open()
 
+  // What arrives on a connection that is being ended is discarded.
   const measureHead = (socket: Socket, { requests, readBefore }: Connection) =>
-    requests === 0 ? socket.bytesRead - readBefore : 0
+    requests === 0 && !socket.writableEnded ? socket.bytesRead - readBefore : 0
   const measureHeads = () => {
     let total = 0
     for (const [socket, connection] of watched) total += measureHead(socket, connection)
