fix(control): keep a voter that may not vote while the others cannot commit

What operators would see: a group of three in which one voter may not vote and one is away loses its leader, though the leader and the voter that may not vote run and store all entries. Nobody is elected until the third returns.

Cause: the leader made the voter a learner without a look at the others. With one of the two remaining voters away, the change is appended, the new group has no majority in touch, and the change is never committed.

Evidence: lostProof.spec, three voters with one away and five with two away, one more with an empty disk under its old name. Now the leader stays and a proposal commits. groupPlan.spec: the plan named the voter, now none.

The voter is demoted only if the voters that remain, may vote and confirmed within MAX_PROMOTION_SILENCE_MS are a majority of the new group. Otherwise the other steps are planned as if it were not barred, and its acknowledgements keep counting.

What remains: a voter that went away less than 600 ms ago still counts as in touch, so that a loss within this time of the demotion has the old outcome.

--- a/packages/control/src/__tests__/groupPlan.spec.ts
+++ b/packages/control/src/__tests__/groupPlan.spec.ts
@@ -63,6 +63,18 @@
     expect(findMembershipStep(learner)).to.equal(undefined)
   })
 
+  it('keeps a voter that may not vote while the other voters in touch are no majority without it', () => {
+    const barred = { silentMs: 0, isCaughtUp: false, isBarred: true }
+    const missing = { silentMs: 600, isCaughtUp: true }
+    const plan = (kinds: Record<string, 'voter'>, views: Record<string, MemberHealth>) =>
+      findMembershipStep(buildInput(kinds, views, { targetVoters: 5 }))?.member
+    expect(plan(fullGroup, { b: missing, c: barred })).to.equal(undefined)
+    expect(plan(fullGroup, { b: barred, c: barred })).to.equal(undefined)
+    const five = { ...fullGroup, d: 'voter', e: 'voter' } as const
+    expect(plan(five, { c: missing, d: missing, e: barred })).to.equal(undefined)
+    expect(plan(five, { d: missing, e: barred })).to.equal('e')
+  })
+
   it('replaces a silent voter with a learner, one step at a time', () => {
     const views = { c: SILENT }
     const first = findMembershipStep(buildInput({ ...fullGroup, d: 'learner' }, views))
--- a/packages/control/src/__tests__/lostProof.spec.ts
+++ b/packages/control/src/__tests__/lostProof.spec.ts
@@ -117,4 +117,31 @@
     expect((await group.waitForLeader(leader.name)).name).to.be.oneOf([emptied, other])
     await group.close()
   })
+
+  for (const [size, away] of [
+    [3, 1],
+    [5, 2],
+  ]) {
+    it(`does not cost the leader its majority while ${away} of ${size} voters are away`, async () => {
+      const founders = ['a', 'b', 'c', 'd', 'e'].slice(0, size)
+      const group = await createTestGroup(founders)
+      const leader = await group.waitForLeader()
+      const [emptied, ...others] = founders.filter((name) => name !== leader.name)
+      const steps = createMembershipDriver({ group, targetVoters: size })
+      const runSteps = async (turns: number) => {
+        for (let turn = 0; turn < turns; turn += 1) {
+          await group.run(ELECTION_MS / 5)
+          steps.apply()
+        }
+      }
+      for (const name of others.slice(0, away)) group.frozenMembers.add(name)
+      await runSteps(40)
+      await group.losePower([emptied])
+      await group.start(emptied, { isFounding: false })
+      await runSteps(40)
+      expect(group.leader()?.name).to.equal(leader.name)
+      await group.propose(leader, buildTable(7))
+      await group.close()
+    })
+  }
 })
--- a/packages/control/src/group/groupPlan.ts
+++ b/packages/control/src/group/groupPlan.ts
@@ -52,7 +52,7 @@
 export const SHRINK_AFTER_MS = 5_000
 /** Silence after which a learner is removed, in ms; it requests to join again when it returns. */
 export const REMOVE_LEARNER_AFTER_MS = 15_000
-/** Maximum silence of a learner that is promoted to voter, in ms. */
+/** Maximum silence, in ms, of a learner that is promoted, and of voters that are to commit a demotion. */
 const MAX_PROMOTION_SILENCE_MS = 600
 
 /** Number of voters up to which a silent voter is kept: in a group of two, one failure would stop the group. */
@@ -109,6 +109,19 @@
   return { members: { ...members, [name]: { url, kind: 'learner' } }, member: name, reason: 'join' }
 }
 
+/**
+ * Finds a voter that may not vote; as a learner that holds what is committed it may vote again. The voters that remain
+ * must be able to commit the change without it, otherwise the leader would remove its own majority.
+ */
+function findBarredVoter({ members, leader, findHealth }: MembershipPlanInput): Entry | undefined {
+  const voters = Object.entries(members).filter(([, { kind }]) => kind === 'voter')
+  const isBarred = ([name]: Entry) => name !== leader && findHealth(name).isBarred === true
+  const isInTouch = ([name]: Entry) =>
+    name === leader || findHealth(name).silentMs < MAX_PROMOTION_SILENCE_MS
+  const ready = voters.filter((voter) => !isBarred(voter) && isInTouch(voter))
+  return ready.length * 2 > voters.length - 1 ? voters.find(isBarred) : undefined
+}
+
 function findVoterStep(input: MembershipPlanInput): MembershipStep | undefined {
   const { members, leader, targetVoters, findHealth } = input
   const entries: Entry[] = Object.entries(members)
@@ -120,8 +133,7 @@
     const view = findHealth(name)
     return kind === 'learner' && view.isCaughtUp && view.silentMs < MAX_PROMOTION_SILENCE_MS
   })
-  // As a learner that holds what is committed it may vote again.
-  const barred = voters.find(([name]) => name !== leader && findHealth(name).isBarred === true)
+  const barred = findBarredVoter(input)
   if (barred) {
     const next = applyKind(members, barred, 'learner')
     return { members: next, member: barred[0], reason: 'mayNotVote' }
