fix(core): announce the end of a connection only once the bytes of its request are parsed

Cause: an answer that is written while its packet is being parsed looked like the last one; and the timer of the stop closes the listener before the event loop has polled it.

The end is announced only after the parser is through the bytes it was given, otherwise the connection ends after its last answer; and a stop lets the loop poll once before it closes the listener.

Evidence: the new test of connectionTracker.spec got one answer of three before, three now. The wait before the listener is closed has no test, since the moment cannot be hit without timing.

--- a/packages/core/src/__tests__/connectionTracker.spec.ts
+++ b/packages/core/src/__tests__/connectionTracker.spec.ts
@@ -91,4 +91,13 @@
       await Promise.all(closes)
       expect(held.map(({ destroyed }) => destroyed)).to.deep.equal([true, true])
     })
+
+  it('are answered at a planned stop, also those that are read in the turn of the first answer', async () => {
+    tracker.startStop()
+    server.on('taken', () => held.at(-1)?.end('answer'))
+    const ended = once(caller, 'end')
+    caller.write(WHOLE.repeat(3))
+    await ended
+    expect(listStatuses()).to.deep.equal([200, 200, 200])
+  })
 })
--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -87,6 +87,8 @@
   isEnding: boolean
   /** Whether a late request was logged: one line each. */
   hasLate: boolean
+  /** Whether the bytes that held the latest request are still being parsed: others may follow in them. */
+  isReading: boolean
 }
 
 /** Lets the reader of a body know that the rest of it does not come, as when its connection closes. */
@@ -189,8 +191,8 @@
   }
   /** Says in the head of an answer that the connection ends after it, if nothing else is to be answered. */
   const announceEnd = (connection: Connection, { response }: TakenRequest) => {
-    const { inFlight, end, refusal } = connection
-    const isOver = isStopping || end !== undefined
+    const { inFlight, end, refusal, isReading } = connection
+    const isOver = (isStopping && !isReading) || end !== undefined
     if (!isOver || refusal !== undefined || inFlight.size > 1 || response.headersSent) return
     connection.isEnding = true
     connection.end ??= 'plannedStop'
@@ -214,6 +216,7 @@
       refusal: undefined,
       isEnding: false,
       hasLate: false,
+      isReading: false,
     }
     connections.set(socket, connection)
     if (halfClose !== 'leave') socket.once('end', () => handleHalfClose(connection))
@@ -231,7 +234,7 @@
     if (!connection.inFlight.delete(taken)) return
     taken.owner.onEnd()
     if (connection.inFlight.size > 0 || connection.socket.destroyed) return
-    // The head of an answer that began before the end was known could not say that the connection ends.
+    // An answer whose head was written before the end was known could not say that the connection ends.
     const end = connection.end ?? (isStopping ? 'plannedStop' : undefined)
     if (end !== undefined) endAnswered(connection, end)
   }
@@ -264,6 +267,8 @@
       const taken = { request, response, owner, takenAt: timers.now() }
       connection.inFlight.add(taken)
       connection.latest = request
+      connection.isReading = true
+      process.nextTick(() => (connection.isReading = false))
       installBodyEnd(request, () => endAfterAnswers(connection, 'longBody'))
       const { writeHead } = response
       response.writeHead = ((...head: Parameters<typeof writeHead>) => {
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -22,6 +22,7 @@
 import { addMessageHold, openResponseHold, type MemoryBudget } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
 import { waitFor, type TimerService } from './timers.js'
+import { createTurnQueue } from './turnQueue.js'
 
 /** One request with its response. */
 export interface HttpExchange {
@@ -354,6 +355,8 @@
       isClosing = true
       connections.startStop()
       tlsWatch?.unsubscribe()
+      // Connections that wait to be accepted would be reset.
+      await createTurnQueue().take()
       // Node's own close also cuts idle connections at once, and with them a request that a caller
       // is just sending on one. They stay for a moment, and what arrives is still served.
       const closed = new Promise<void>((resolve) =>
