fix(router): send a stream record to each router with a disk once

What routers saw: while the list of routers is incomplete and one router with a disk is listed, it got the same batch every 0.2 s. Newer records waited behind the batch for as long as the list was incomplete, and with a full list the returned batch exceeded the bound.

Cause: a batch that fewer than two routers took was put back at the front as it was, without what had been taken.

Evidence: durableRecords.spec. 256 records and a newer one, 2 s with one router listed: it got 2560 records, none of them the newer one; now 257, each once, and the second router gets all of them when it is listed. A batch that returns to a full list: 4352 records kept, now 4096 (MAX_PENDING).

A record remembers who took it and is not sent there again. Records to send again are a list of their own, behind the new ones, and count for the bound; the oldest of them are dropped first.

--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -11,9 +11,9 @@
   type HttpClient,
 } from '@spoolgate/core'
 import { expect } from 'chai'
-import { createDurableCopies, DURABLE_COPIES } from '../streams/durableCopies.js'
+import { createDurableCopies, DURABLE_COPIES, MAX_PENDING } from '../streams/durableCopies.js'
 import { openRecordJournal } from '../streams/recordJournal.js'
-import { TAKEN_STATUS } from '../streams/recordMessages.js'
+import { MAX_RECORDS_PER_MESSAGE, TAKEN_STATUS } from '../streams/recordMessages.js'
 import { createStreamRecords, hashStreamKey } from '../streams/streamRecords.js'
 
 const VERSION = toSoftwareVersion('v1')
@@ -180,6 +180,80 @@
     await copies.close()
   })
 
+  describe('while only one of them is listed', () => {
+    const [ownUrl, holder, second] = ['http://10.0.0.1:1', 'http://10.0.0.2:1', 'http://10.0.0.3:1']
+    const createOne = () => {
+      const timers = createManualTimerService()
+      const state = { durable: [holder], isComplete: false, isHeld: false }
+      const waiting: (() => void)[] = []
+      /** Keys of the records in all messages, by router. */
+      const keys: Record<string, string[]> = { [holder]: [], [second]: [] }
+      const send = async ({ url, body }: { url: string; body?: unknown }): Promise<unknown> => {
+        const { records } = JSON.parse(String(body)) as { records: [key: string][] }
+        keys[new URL(url).origin].push(...records.map(([key]) => key))
+        if (state.isHeld) await new Promise<void>((resolve) => waiting.push(resolve))
+        return { statusCode: TAKEN_STATUS, resume: () => {} }
+      }
+      const copies = createDurableCopies({
+        ownUrl,
+        listDurable: () => state.durable,
+        listPeers: () => state.durable,
+        isListComplete: () => state.isComplete,
+        client: { send } as Pick<HttpClient, 'send'>,
+        timers,
+        logger: createQuietLogger(),
+        countMessage: () => {},
+      })
+      const run = async (ms: number) => {
+        for (let spent = 0; spent < ms; spent += 10) {
+          timers.advance(10)
+          await new Promise((resolve) => setImmediate(resolve))
+        }
+      }
+      const add = (prefix: string, count: number) => {
+        for (let number = 0; number < count; number += 1)
+          copies.add(buildRecord(`${prefix}${number}`))
+      }
+      const release = () => {
+        state.isHeld = false
+        for (const resume of waiting.splice(0)) resume()
+      }
+      const finish = async () => {
+        state.isComplete = true
+        await run(10_000)
+        await copies.close()
+      }
+      return { state, keys, run, add, release, finish }
+    }
+
+    it('are sent to it once, and newer ones do not wait behind them', async () => {
+      const { state, keys, run, add, finish } = createOne()
+      add('old', MAX_RECORDS_PER_MESSAGE)
+      await run(1_000)
+      add('new', 1)
+      await run(1_000)
+      expect(keys[holder]).to.have.length(MAX_RECORDS_PER_MESSAGE + 1)
+      expect(new Set(keys[holder])).to.include(hashStreamKey(undefined, 'new0'))
+      state.durable = [holder, second]
+      await finish()
+      expect(keys[second]).to.have.members(keys[holder])
+      expect(keys[holder]).to.have.length(MAX_RECORDS_PER_MESSAGE + 1)
+    })
+
+    it('are bounded when a batch returns to a full list', async () => {
+      const { state, keys, run, add, release, finish } = createOne()
+      state.isHeld = true
+      add('old', MAX_RECORDS_PER_MESSAGE)
+      await run(100)
+      add('new', MAX_PENDING)
+      release()
+      await run(50)
+      state.durable = [second]
+      await finish()
+      expect(new Set(keys[second])).to.have.property('size', MAX_PENDING)
+    })
+  })
+
   it('reach enough of them in a large fleet, in few messages', async () => {
     const timers = createManualTimerService()
     const urls = Array.from({ length: ROUTERS }, (_, index) => `http://10.0.0.${index}:7341`)
--- a/packages/router/src/streams/durableCopies.ts
+++ b/packages/router/src/streams/durableCopies.ts
@@ -40,6 +40,12 @@
   close(): Promise<void>
 }
 
+/** A record with the URLs of the routers that took it. */
+interface PendingRecord {
+  readonly record: StreamRecord
+  readonly takenBy: Set<string>
+}
+
 /** Routers with a disk that keep a record. */
 export const DURABLE_COPIES = 2
 /** Time for which records are gathered, in ms: per router, since their messages meet at few others, and its bounds. */
@@ -48,15 +54,21 @@
 const MAX_GATHER_MS = 1_000
 /** Time until records are sent again for which too few routers were listed or reached, in ms. */
 const RESEND_MS = 200
-/** Maximum records that wait. */
-const MAX_PENDING = 4_096
+/** Maximum records that wait, including those to send again. */
+export const MAX_PENDING = 4_096
+
+function isLacking({ takenBy }: PendingRecord): boolean {
+  return takenBy.size < DURABLE_COPIES
+}
 
 /** Creates the copies of one router. */
 export function createDurableCopies(options: DurableCopiesOptions): DurableCopies {
   const { ownUrl, listDurable, listPeers, client, timers, logger, countMessage } = options
   const { isListComplete = () => true } = options
   const rankKey = toStreamKey(ownUrl)
-  const pending: StreamRecord[] = []
+  const pending: PendingRecord[] = []
+  /** Records that too few routers took; new ones are sent first. */
+  const resending: PendingRecord[] = []
   let sending: Promise<void> | undefined
   let isClosed = false
 
@@ -72,22 +84,36 @@
       return false
     }
   }
-  /** Sends a batch to the first routers that take it; false if they are too few. */
-  const sendBatch = async (batch: readonly StreamRecord[]) => {
-    let copies = 0
+  /** Sends a batch to the first routers that take it; returns the records that too few took. */
+  const sendBatch = async (batch: readonly PendingRecord[]) => {
     for (const url of rankHolders(rankKey, listDurable(), ownUrl)) {
-      if (await sendTo(url, batch)) copies += 1
-      if (copies === DURABLE_COPIES) return true
+      const missing = batch.filter((entry) => isLacking(entry) && !entry.takenBy.has(url))
+      if (missing.length === 0) continue
+      const isTaken = await sendTo(
+        url,
+        missing.map(({ record }) => record),
+      )
+      if (isTaken) for (const { takenBy } of missing) takenBy.add(url)
     }
-    return false
+    return batch.filter(isLacking)
+  }
+  const takeBatch = () => {
+    const batch = pending.splice(0, MAX_RECORDS_PER_MESSAGE)
+    return [...batch, ...resending.splice(0, MAX_RECORDS_PER_MESSAGE - batch.length)]
+  }
+  const countPending = () => pending.length + resending.length
+  /** Keeps records for another attempt; the oldest are dropped where too many wait. */
+  const addAgain = (lacking: readonly PendingRecord[]) => {
+    const dropped = Math.max(0, countPending() + lacking.length - MAX_PENDING)
+    resending.push(...lacking.slice(dropped))
   }
   const sendPending = async () => {
-    while (pending.length > 0) {
+    while (countPending() > 0) {
       const gatherMs = Math.max(MIN_GATHER_MS, listPeers().length * GATHER_MS_PER_ROUTER)
       if (!isClosed) await waitFor(timers, Math.min(MAX_GATHER_MS, gatherMs))
-      const batch = pending.splice(0, MAX_RECORDS_PER_MESSAGE)
-      if ((await sendBatch(batch)) || isClosed || isListComplete()) continue
-      pending.unshift(...batch)
+      const lacking = await sendBatch(takeBatch())
+      if (lacking.length === 0 || isClosed || isListComplete()) continue
+      addAgain(lacking)
       await waitFor(timers, RESEND_MS)
     }
     sending = undefined
@@ -95,8 +121,8 @@
   return {
     add: (record) => {
       if (isClosed || (listDurable().length === 0 && isListComplete())) return
-      if (pending.length >= MAX_PENDING) pending.shift()
-      pending.push(record)
+      if (countPending() >= MAX_PENDING) (resending.length > 0 ? resending : pending).shift()
+      pending.push({ record, takenBy: new Set() })
       sending ??= sendPending()
     },
     close: async () => {
