fix(deploy): move the installed packages back when new ones cannot be placed

What operators would see: a build says that the installed packages were not replaced, and then there are none: neither the old ones nor the new ones. Without a registry in reach, the next build fails as well.

Cause: the old packages are moved into the folder of the install first. If a later rename fails, that folder is deleted with both of them.

Evidence: build.spec, a rename fails since the lock file names a member whose folder is absent from the checkout. Before: node_modules is gone after the build. Now it is there, and the next build without a registry succeeds.

On a failure the old packages are moved back, the root's last as for new ones. Where a place is taken by now, by the new packages or by those of another build beside it, it is left as it is.

--- a/deploy/__tests__/build.spec.js
+++ b/deploy/__tests__/build.spec.js
@@ -181,6 +181,20 @@
     expect(listRevisions()).to.deep.equal(['second', 'second'])
   })
 
+  it('keeps the packages when the new ones cannot be moved to their place', async () => {
+    installPackages()
+    fs.rmSync(packageFile('rxjs', 'index.js'))
+    const lock = { packages: { ...LOCK.packages, 'packages/absent': { version: '1.0.0' } } }
+    fs.writeFileSync(join(root, 'package-lock.json'), JSON.stringify(lock))
+    fs.mkdirSync(fixtureFile('sound/packages/absent/node_modules'), { recursive: true })
+    expect(await startBuild()).to.not.equal(0)
+    expect(countInstalls()).to.be.at.least(1)
+    fs.writeFileSync(packageFile('rxjs', 'index.js'), '')
+    fs.writeFileSync(fixtureFile('offline'), '')
+    expect(await startBuild()).to.equal(0)
+    expect(listRevisions()).to.deep.equal(['first', 'first'])
+  })
+
   it('uses a cache of its own when the one of the user cannot be used', async () => {
     fs.writeFileSync(fixtureFile('cacheLost'), '')
     expect(await startBuild()).to.equal(0)
--- a/deploy/build.js
+++ b/deploy/build.js
@@ -79,15 +79,36 @@
   return run('npm', [...INSTALL, '--cache', join(folder, 'cache')], INSTALL_TIMEOUT_MS, folder)
 }
 
-/** Puts the installed packages of a folder in place of those of the checkout. */
+/** Moves replaced packages back, unless others are in their place by now. */
+function applyPrevious(moved) {
+  for (const { place, previous } of moved.filter(({ place }) => !fs.existsSync(place))) {
+    try {
+      fs.renameSync(previous, place)
+    } catch (cause) {
+      console.error(`build: ${place} was not restored: ${cause}`)
+    }
+  }
+}
+
+/** Puts the installed packages of a folder in place of those of the checkout, which stay if that fails. */
 function applyInstall(folder) {
   // The root's packages hold npm's lock: they go first and come last, so that no mixture counts as installed.
   const folders = listMembers().map((member) => join(member, PACKAGES))
-  for (const [index, name] of folders.entries())
-    if (fs.existsSync(join(ROOT, name)))
-      fs.renameSync(join(ROOT, name), join(folder, `previous-${index}`))
-  for (const name of folders.reverse())
-    if (fs.existsSync(join(folder, name))) fs.renameSync(join(folder, name), join(ROOT, name))
+  const moved = []
+  try {
+    for (const [index, name] of folders.entries()) {
+      const place = join(ROOT, name)
+      const previous = join(folder, `previous-${index}`)
+      if (!fs.existsSync(place)) continue
+      fs.renameSync(place, previous)
+      moved.unshift({ place, previous })
+    }
+    for (const name of folders.reverse())
+      if (fs.existsSync(join(folder, name))) fs.renameSync(join(folder, name), join(ROOT, name))
+  } catch (cause) {
+    applyPrevious(moved)
+    throw cause
+  }
 }
 
 function removeAbandonedFolders() {
