--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -74,6 +74,7 @@
     const opened = await openDataFolder(path)
     const manual = createManualTimerService()
     const state = { writeMs: 1, written: 0 }
+    const settle = () => Promise.resolve()
     const openAppend: DataFolder['openAppend'] = () =>
       Promise.resolve({
         append: () => Promise.resolve(void (state.written += 1)),
@@ -81,7 +82,8 @@
         close: () => Promise.resolve(),
       } as unknown as Awaited<ReturnType<DataFolder['openAppend']>>)
     const journal = openRecordJournal({
-      folder: { ...opened, openAppend },
+      // The real disk takes a number of turns that the clock of the test does not know.
+      folder: { ...opened, write: settle, rename: settle, sync: settle, openAppend },
       records: createStreamRecords(manual),
       timers: manual,
       logger: createQuietLogger(),
