fix(core): keep a connection open while requests with bodies are parsed from the same bytes

The answer was complete and its connection ended before the next request of the packet was taken.

The end waits for the check phase of this turn of the event loop, after all of the bytes are parsed. Evidence: the new case with bodies got one answer of three before, three now; the tests of kept connections that end after their last answer are as before.

--- a/packages/core/src/__tests__/connectionTracker.spec.ts
+++ b/packages/core/src/__tests__/connectionTracker.spec.ts
@@ -92,12 +92,16 @@
       expect(held.map(({ destroyed }) => destroyed)).to.deep.equal([true, true])
     })
 
-  it('are answered at a planned stop, also those that are read in the turn of the first answer', async () => {
-    tracker.startStop()
-    server.on('taken', () => held.at(-1)?.end('answer'))
-    const ended = once(caller, 'end')
-    caller.write(WHOLE.repeat(3))
-    await ended
-    expect(listStatuses()).to.deep.equal([200, 200, 200])
-  })
+  for (const [name, text] of Object.entries({
+    'without bodies': WHOLE,
+    'with bodies': 'POST /whole HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi',
+  }))
+    it(`are answered at a planned stop, also those ${name} that are read with one that is refused at once`, async () => {
+      tracker.startStop()
+      server.on('taken', () => held.at(-1)?.end('answer'))
+      const ended = once(caller, 'end')
+      caller.write(text.repeat(3))
+      await ended
+      expect(listStatuses()).to.deep.equal([200, 200, 200])
+    })
 })
--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -236,7 +236,13 @@
     if (connection.inFlight.size > 0 || connection.socket.destroyed) return
     // An answer whose head was written before the end was known could not say that the connection ends.
     const end = connection.end ?? (isStopping ? 'plannedStop' : undefined)
-    if (end !== undefined) endAnswered(connection, end)
+    if (end === undefined) return
+    if (connection.isReading) setImmediate(() => endUnlessRead(connection, end))
+    else endAnswered(connection, end)
+  }
+  /** Ends a connection of which no other request was read with the last one. */
+  const endUnlessRead = (connection: Connection, end: ConnectionEnd) => {
+    if (connection.inFlight.size === 0) endAnswered(connection, end)
   }
   /** Lists the connections between two requests, which only Node's parsers know. */
   const listIdle = (server: Server): Connection[] => {
@@ -268,7 +274,8 @@
       connection.inFlight.add(taken)
       connection.latest = request
       connection.isReading = true
-      process.nextTick(() => (connection.isReading = false))
+      // Node runs ticks between the requests that it parses from the same bytes.
+      setImmediate(() => (connection.isReading = false))
       installBodyEnd(request, () => endAfterAnswers(connection, 'longBody'))
       const { writeHead } = response
       response.writeHead = ((...head: Parameters<typeof writeHead>) => {
