--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -244,7 +244,10 @@
   const endUnlessRead = (connection: Connection, end: ConnectionEnd) => {
     if (connection.inFlight.size === 0) endAnswered(connection, end)
   }
-  /** Lists the connections between two requests, which only Node's parsers know. */
+  /**
+   * Lists the connections between two requests. Only Node's parsers know them, and Node destroys those that it finds: their
+   * `destroy` is replaced meanwhile.
+   */
   const listIdle = (server: Server): Connection[] => {
     const idle: Connection[] = []
     for (const connection of connections.values()) {
