fix(router): begin a stream only once its turn on the connection has come

Cause: the head of a stream was written when the server gave its first event, also to an answer that waits behind another. Now its events stay unread until its turn has come; what breaks off before is tried again or refused, as before its first event.

--- a/packages/router/src/direct/responseRelay.ts
+++ b/packages/router/src/direct/responseRelay.ts
@@ -237,9 +237,14 @@
           startResponse(message, headers)
           settle()
         }
-        message.on('data', guard.wrap('response.data', handleData, abandon))
-        message.on('end', guard.wrap('response.end', handleEnd, abandon))
+        const start = () => {
+          message.on('data', guard.wrap('response.data', handleData, abandon))
+          message.on('end', guard.wrap('response.end', handleEnd, abandon))
+        }
         for (const event of ['error', 'close'] as const) message.on(event, settleCut)
+        // Without a byte sent, a stream that breaks off behind another response of its connection can be retried or refused.
+        if (response.socket === null) response.once('socket', start)
+        else start()
       }),
     finish: () => response.end(),
   }
