fix(core): announce the end of a connection also in answers that are ready at once, in a planned stop

Operators whose requests a stopping control instance answered at once got no announcement, and their connection ended behind the answer while the next request was on its way; on a clock that is moved by hand, a stop waited for ever.

Cause: the answer was written in the turn in which its request was parsed, when others may still follow in the same bytes, so that the end was not announced; and the time for which idle connections are kept began only after the poll that goes before.

While a server stops, a request is handled in the next turn, and the wait begins with the stop.

--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -300,12 +300,16 @@
     if (!connections.take(request, response, { onEnd })) return
     active.add(response)
     if (options.memory) addMessageHold(request, openResponseHold(options.memory, response))
-    dispatch(request, response)
-      .catch((cause) => sendError(response, cause))
-      .catch((cause) => {
-        guard.recordFailure('server.request', cause)
-        response.destroy()
-      })
+    const run = () =>
+      dispatch(request, response)
+        .catch((cause) => sendError(response, cause))
+        .catch((cause) => {
+          guard.recordFailure('server.request', cause)
+          response.destroy()
+        })
+    // An answer in the turn in which its request is parsed could not announce the end of its connection.
+    if (isClosing) setImmediate(run)
+    else void run()
   }
   server.on('connection', (socket: Socket) =>
     guard.run(
@@ -355,6 +359,7 @@
       isClosing = true
       connections.startStop()
       tlsWatch?.unsubscribe()
+      const grace = waitFor(options.timers, Math.min(drainMs, IDLE_GRACE_MS))
       // Connections that wait to be accepted would be reset.
       await createTurnQueue().take()
       // Node's own close also cuts idle connections at once, and with them a request that a caller
@@ -362,7 +367,7 @@
       const closed = new Promise<void>((resolve) =>
         NetServer.prototype.close.call(server, () => resolve()),
       )
-      await waitFor(options.timers, Math.min(drainMs, IDLE_GRACE_MS))
+      await grace
       await connections.closeIdle(server)
       await waitForIdle(drainMs)
       const abandoned = active.size
