--- a/packages/control/src/raft/electionDeadlock.ts
+++ b/packages/control/src/raft/electionDeadlock.ts
@@ -10,16 +10,16 @@
   readonly position: LogPosition | undefined
 }
 
-/** Why a group cannot elect a leader, whoever stands: too few of its voters can vote. */
+/** Shortage of able voters that keeps a group from electing a leader. */
 export interface ElectionDeadlock {
   /** Voters that can vote, and those that are needed. */
   readonly able: number
   readonly needed: number
-  /** By voter. */
+  /** State of each voter, by its name. */
   readonly voters: Readonly<Record<string, VoterState>>
 }
 
-/** What a vote round knows once it is over. */
+/** Evidence of a vote round that has ended. */
 export interface RoundEvidence {
   /** Groups in each of which the election must be won. */
   readonly groups: readonly MemberMap[]
--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -63,7 +63,7 @@
   close(): Promise<void>
 }
 
-/** Maximum time that the end of a process waits for the other sides of idle connections, in ms. */
+/** Maximum time for which a process that ends waits for callers to close idle connections, in ms; within the stop margin. */
 const END_LINGER_MS = 200
 
 interface TakenRequest {
@@ -77,21 +77,21 @@
   readonly socket: Socket
   /** Requests whose answer is not complete, in the order of the connection. */
   readonly inFlight: Set<TakenRequest>
-  /** What ends it, once that is known. */
+  /** End of the connection, once it is known. */
   end: ConnectionEnd | undefined
   /** The request that was taken last. */
   latest: IncomingMessage | undefined
   /** Answer to what could not be read, which follows all others. */
   refusal: string | undefined
-  /** Whether an answer, or its own end, has said that nothing follows. */
+  /** Whether no further request is taken: an answer announced the end, or it is being ended. */
   isEnding: boolean
-  /** Whether a late request was logged: one line each. */
+  /** Whether a request after the end was logged; later ones are not. */
   hasLate: boolean
   /** Whether the bytes that held the latest request are still being parsed: others may follow in them. */
   isReading: boolean
 }
 
-/** Lets the reader of a body know that the rest of it does not come, as when its connection closes. */
+/** Aborts the reading of a request's body without closing the connection. */
 function cancelBody(request: IncomingMessage): void {
   request.aborted = true
   request.emit('aborted')
--- a/packages/core/src/halfClose.ts
+++ b/packages/core/src/halfClose.ts
@@ -12,15 +12,15 @@
   | 'serve'
   /** The other side counts as gone. */
   | 'leave'
-  /** Requests are answered if the other side still reads; it is found out by an interim response. */
+  /** Requests are answered if the other side still reads, which an interim response shows. */
   | 'probe'
 
 /** Event of a response whose caller has sent its end and shows no sign that it still reads. */
 export const CALLER_SILENT = Symbol('callerSilent')
 
-/** Time in which a reset answers what was written, in ms. */
+/** Time within which a closed peer resets the connection after a write, in ms; longer ones delay each such request. */
 const RESET_MS = 100
-/** Time for which the next bytes of an answer that has begun are awaited, in ms. */
+/** Time for which the next bytes of an answer that has begun are awaited, in ms: callers that left are given up soon. */
 const NEXT_BYTES_MS = 250
 
 interface HalfClose {
@@ -46,7 +46,7 @@
   return isCallerGone(response) ? 'silent' : 'reading'
 }
 
-/** Parts that {@link startProbe} needs. */
+/** Options of {@link startProbe}. */
 export interface ProbeOptions {
   readonly timers: TimerService
   /** Called if nothing shows that the other side still reads. */
--- a/packages/core/src/lingeringClose.ts
+++ b/packages/core/src/lingeringClose.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net'
 import type { TimerService } from './timers.js'
 
-/** Maximum time for which what still arrives is read and discarded, in ms. */
+/** Maximum time for which what still arrives is discarded, in ms: a slow caller needs it to read the last answer. */
 const LINGER_MS = 1_000
 
 /** Ends a connection: sends its end, discards what still arrives until the other side ends too, then closes it. */
--- a/packages/router/src/__tests__/streamSetup.spec.ts
+++ b/packages/router/src/__tests__/streamSetup.spec.ts
@@ -28,7 +28,7 @@
       isPeerListComplete: () => true,
       changes: NEVER,
     } as unknown as FeedClient)
-    /** Measures the time after which a stream that nobody knows is refused, in ms. */
+    /** Measures how long an unknown stream is looked for before it is refused, in ms. */
     const measureRefusal = async () => {
       const startedAt = timers.now()
       let isRefused = false
--- a/packages/router/src/streams/streamSetup.ts
+++ b/packages/router/src/streams/streamSetup.ts
@@ -5,7 +5,7 @@
 import { createStreamContinuity, type StreamContinuity } from './streamContinuity.js'
 import { createStreamRecords, MAX_DURABLE_RECORDS, MAX_STREAM_RECORDS } from './streamRecords.js'
 
-/** Time after its start for which a router expects others that started with it to be missing in its lists, in ms. */
+/** Time after its start in which lists may lack routers that restarted with this one, in ms. */
 const SETTLE_MS = 5_000
 
 /** Options of {@link openStreamSetup}. */
