feat(core): budget for objects of the heap

The memory budget follows from the memory limit alone, while V8 bounds the heap apart from it: 120 MB on every machine, whether its processes may use 200 or 350 MB. Requests and parsed documents lie in the heap. A second budget follows from the heap's bound; its gauges show it beside the first. Nothing takes of it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,7 @@
   createMemoryBudget,
   findBudgetBytes,
   openResponseHold,
+  type ByteBudget,
   type MemoryBudget,
   type MemoryHold,
 } from './memoryBudget.js'
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -1,7 +1,8 @@
 /**
- * One bound on the bytes that a process holds for others: bodies of callers and of servers, and parts of events. Small
- * holds may use all of it and larger ones only a part, so that a few uploads cannot keep out everything else. At the
- * bound a hold waits briefly, after stalled holds were evicted.
+ * Bounds on the memory that a process holds for others, in two budgets: buffers (bodies of callers and of servers, parts
+ * of events), and objects of the heap (requests, parsed documents), which V8 bounds apart from the memory of the process.
+ * Small holds may use all of a budget and larger ones only a part, so that a few uploads cannot keep out everything else.
+ * At the bound a hold waits briefly, after stalled holds were evicted.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { getHeapStatistics } from 'node:v8'
@@ -11,8 +12,13 @@
 
 /** Options of {@link createMemoryBudget}. */
 export interface MemoryBudgetOptions {
-  /** Bytes of all holds together. */
+  /** Bytes of all buffers together. */
   readonly limitBytes: number
+  /**
+   * Bytes of all objects together.
+   * @default a part of the heap's bound
+   */
+  readonly heapLimitBytes?: number
   readonly timers: TimerService
 }
 
@@ -32,8 +38,8 @@
   close(): void
 }
 
-/** See {@link createMemoryBudget}. */
-export interface MemoryBudget {
+/** One budget of bytes. */
+export interface ByteBudget {
   readonly limitBytes: number
   /** Largest size of one hold: a body that is longer can never be held. */
   readonly maxHoldBytes: number
@@ -44,6 +50,12 @@
   counts(): { readonly refused: number; readonly evicted: number }
 }
 
+/** The budgets of a process: its own methods are those for buffers. */
+export interface MemoryBudget extends ByteBudget {
+  /** Budget for objects of the heap. */
+  readonly heap: ByteBudget
+}
+
 /** Size up to which a hold may use the whole budget, in bytes; most requests and answers are smaller. */
 const SMALL_HOLD_BYTES = 64 * 1024
 /** Part of the budget that larger holds may use; the rest stays free for small ones. */
@@ -61,8 +73,17 @@
   evict: (() => void) | undefined
 }
 
-/** Creates an empty budget. */
-export function createMemoryBudget({ limitBytes, timers }: MemoryBudgetOptions): MemoryBudget {
+/** Creates the empty budgets of a process. */
+export function createMemoryBudget({
+  limitBytes,
+  heapLimitBytes = findHeapBudgetBytes(getHeapStatistics().heap_size_limit),
+  timers,
+}: MemoryBudgetOptions): MemoryBudget {
+  const heap = createByteBudget(heapLimitBytes, timers)
+  return { ...createByteBudget(limitBytes, timers), heap }
+}
+
+function createByteBudget(limitBytes: number, timers: TimerService): ByteBudget {
   const holds = new Set<OpenHold>()
   const released = new Subject<void>()
   let used = 0
@@ -171,6 +192,8 @@
 const BASE_MEMORY_MB = 120
 /** Part of the memory beyond that for what is held; the rest is for copies and for what is not collected yet. */
 const HELD_RATIO = 0.3
+/** Part of the heap beyond its base for objects held for others; the rest is for what is not collected yet. */
+const HEAP_HELD_RATIO = 0.5
 const MIN_LIMIT_BYTES = 8 * 1024 * 1024
 const BYTES_PER_MB = 1_000_000
 
@@ -179,11 +202,27 @@
   return Math.max(MIN_LIMIT_BYTES, (memoryMb - BASE_MEMORY_MB) * BYTES_PER_MB * HELD_RATIO)
 }
 
+/** What V8 reserves for young objects, three semi-spaces of 16 MiB; the rest of the heap's bound is for all others. */
+const YOUNG_HEAP_BYTES = 48 * 1024 * 1024
+/** Heap of a process before it holds anything for others, in MB: code, and views of large fleets. */
+const BASE_HEAP_MB = 60
+
+/** Returns the budget for objects of a heap that V8 bounds to `heapLimitBytes`, in bytes. */
+export function findHeapBudgetBytes(heapLimitBytes: number): number {
+  const oldHeapBytes = heapLimitBytes - YOUNG_HEAP_BYTES
+  return Math.max(MIN_LIMIT_BYTES, (oldHeapBytes - BASE_HEAP_MB * BYTES_PER_MB) * HEAP_HELD_RATIO)
+}
+
 const BYTES_PER_KIB = 1_024
 
-/** Adds gauges of the budget, and of the memory of the whole process. */
+/** Adds gauges of the budgets, and of the memory of the whole process. */
 export function addMemoryGauges(metrics: Pick<Metrics, 'gauge'>, budget: MemoryBudget): void {
+  const { heap } = budget
   const gauges: readonly [name: string, description: string, read: () => number][] = [
+    ['heap_held_bytes', 'Bytes of objects held for requests and documents', heap.usedBytes],
+    ['heap_held_peak_bytes', 'Most bytes of such objects held at a time', heap.peakBytes],
+    ['heap_held_limit_bytes', 'Bound on the bytes of such objects', () => heap.limitBytes],
+    ['heap_hold_refusals', 'Such holds that found no room', () => heap.counts().refused],
     ['held_bytes', 'Bytes held for bodies and events', budget.usedBytes],
     ['held_peak_bytes', 'Most bytes held at a time', budget.peakBytes],
     ['held_limit_bytes', 'Bound on the bytes held', () => budget.limitBytes],
