fix(router): run nothing behind a request that may close its connection in a planned stop

Cause: a stopping router takes a request whose own limit ends before the stop. Behind another one on its connection its answer waits for that one, and ends with it: when it is cut at the end of the stop, or is a stream that breaks off at its limit.

Change: during a stop a request waits for those ahead of it on its connection that are streams or whose limit lies after the end. It is passed on once they are answered; if the connection closes before, it has not run. A refusal at once could not reach its caller any sooner, since answers keep their order.

--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -314,6 +314,8 @@
       // Refuse only after the body has been read: closing a connection with unread bytes may lose the response.
       const refusal = shutdown.findRefusal(plan)
       if (refusal) throw refusal
+      await tracked.waitForTurn()
+      if (response.destroyed) return
       const answerHold = openResponseHold(memory, response)
       const answerMemory = { hold: answerHold, maxBytes: memory.maxHoldBytes }
       await serveCall(context, plan, body, response, answerMemory)
--- a/packages/router/src/direct/gracefulShutdown.ts
+++ b/packages/router/src/direct/gracefulShutdown.ts
@@ -3,6 +3,8 @@
  * shutdown deadline, and logs the requests that are cut off at the deadline.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { lastValueFrom, Subject } from 'rxjs'
 import {
   SpoolgateError,
   waitFor,
@@ -21,6 +23,11 @@
   recordCall(call: DirectCall): void
   /** Records the route and deadline of the request once they are known. */
   recordPlan(plan: CallPlan): void
+  /**
+   * Waits, during the shutdown, for the requests ahead on the same connection whose end may close it: no response could
+   * be sent after that. Resolves at once while no shutdown is in progress.
+   */
+  waitForTurn(): Promise<void>
 }
 
 /** Graceful shutdown of one router; see {@link createGracefulShutdown}. */
@@ -69,10 +76,13 @@
 const MAX_CUT_OFF_LOGS = 100
 
 interface RequestInProgress {
+  readonly socket: Socket
   readonly response: ServerResponse
   readonly arrivedAt: number
   /** Whether it arrived during the shutdown. */
   readonly isLate: boolean
+  /** Completes once the request is no longer in progress. */
+  readonly ended: Subject<never>
   call: DirectCall | undefined
   plan: CallPlan | undefined
 }
@@ -102,13 +112,31 @@
       isLate,
     })
   }
+  const isBeforeEnd = ({ deadline }: CallPlan) => deadline + FINAL_RESPONSE_MS <= stopsAt
+  /** Whether the end of a request may close its connection: at the end of the shutdown, or of a stream that breaks off. */
+  const mayCloseConnection = ({ plan }: RequestInProgress) =>
+    plan === undefined || plan.route.isStream || !isBeforeEnd(plan)
+  const findBlocker = (tracked: RequestInProgress): RequestInProgress | undefined => {
+    if (startedAt === undefined) return undefined
+    for (const ahead of inProgress) {
+      if (ahead === tracked) return undefined
+      if (ahead.socket === tracked.socket && mayCloseConnection(ahead)) return ahead
+    }
+  }
+  const waitForTurn = async (tracked: RequestInProgress) => {
+    for (let ahead = findBlocker(tracked); ahead; ahead = findBlocker(tracked)) {
+      logger.info('call.waitsBehind', { request: tracked.call?.id, ahead: ahead.call?.id })
+      await lastValueFrom(ahead.ended, { defaultValue: undefined })
+    }
+  }
   return {
     isStopping: () => startedAt !== undefined,
     findBodyTimeoutMs: () => Math.max(0, stopsAt - FINAL_RESPONSE_MS - timers.now()),
     // Only the request's own deadline is considered: the durations of other requests do not predict this one's, and
     // whatever is still running at the end is cut off.
-    findRefusal: ({ deadline }) => {
-      if (deadline + FINAL_RESPONSE_MS <= stopsAt) return undefined
+    findRefusal: (plan) => {
+      if (isBeforeEnd(plan)) return undefined
+      const { deadline } = plan
       const now = timers.now()
       return new SpoolgateError('instanceStopping', 'this instance stops; send it to another one', {
         retryAfterSeconds: RETRY_AFTER_S,
@@ -117,14 +145,19 @@
     },
     track: (request, response) => {
       const tracked: RequestInProgress = {
+        socket: request.socket,
         response,
         arrivedAt: timers.now(),
         isLate: startedAt !== undefined,
+        ended: new Subject(),
         call: undefined,
         plan: undefined,
       }
       const isTaken = connections.take(request, response, {
-        onEnd: () => inProgress.delete(tracked),
+        onEnd: () => {
+          inProgress.delete(tracked)
+          tracked.ended.complete()
+        },
         describe: () => ({ request: tracked.call?.id, route: tracked.plan?.route.name }),
       })
       if (!isTaken) return undefined
@@ -136,6 +169,7 @@
         recordPlan: (plan) => {
           tracked.plan = plan
         },
+        waitForTurn: () => waitForTurn(tracked),
       }
     },
     start: (drainMs) => {
