fix(router): give a router that answers late the time to answer for a stream's record

Cause: each question was broken off after 250 ms and asked again, until the time of the lookup was over. A router that needs longer, since its machine is busy or it still reads its disk, never answers, and is asked up to seven times.

Evidence: with a router that answers after 900 ms the new test found no record in 2 s before.

Change: a router that did not answer in time gets twice as long at each further question of the lookup. One that refuses connections is asked each 100 ms as before. streams.lookupFailed has the time as ms.

--- a/packages/router/src/__tests__/recordLookup.spec.ts
+++ b/packages/router/src/__tests__/recordLookup.spec.ts
@@ -6,6 +6,7 @@
   createQuietLogger,
   createTimerService,
   toSoftwareVersion,
+  waitFor,
 } from '@spoolgate/core'
 import { expect } from 'chai'
 import { createRecordRoutes } from '../streams/recordExchange.js'
@@ -26,12 +27,14 @@
 /** A router that looks for a record, and one with a disk that has it once it runs. */
 function createPeers(options: { hasRecord: boolean }) {
   const timers = createManualTimerService()
-  const state = { isListed: true, isComplete: true, isRunning: true, asked: 0 }
+  const state = { isListed: true, isComplete: true, isRunning: true, asked: 0, answerMs: 0 }
   const list = () => (state.isListed ? [OWN, DURABLE] : [])
-  const sendJson = <T>(): Promise<T> => {
+  const sendJson = async <T>({ timeoutMs = Infinity }: { timeoutMs?: number }): Promise<T> => {
     state.asked += 1
-    if (!state.isRunning) return Promise.reject(new Error('connection refused'))
-    return Promise.resolve({ records: options.hasRecord ? [encodeRecord(RECORD)] : [] } as T)
+    if (!state.isRunning) throw new Error('connection refused')
+    if (state.answerMs > 0) await waitFor(timers, Math.min(timeoutMs, state.answerMs))
+    if (state.answerMs > timeoutMs) throw new Error(`no answer within ${timeoutMs} ms`)
+    return { records: options.hasRecord ? [encodeRecord(RECORD)] : [] } as T
   }
   const find = createRecordLookup({
     ownUrl: OWN,
@@ -64,6 +67,12 @@
     expect((await run(() => (state.isRunning = true))).version).to.equal(RECORD.version)
   })
 
+  it('finds it at a router that answers late, as one of a busy machine does', async () => {
+    const { state, run } = createPeers({ hasRecord: true })
+    state.answerMs = 900
+    expect((await run()).version).to.equal(RECORD.version)
+  })
+
   it('finds it at a router that a new leader does not list yet', async () => {
     const { state, run } = createPeers({ hasRecord: true })
     Object.assign(state, { isListed: false, isComplete: false })
--- a/packages/router/src/streams/recordLookup.ts
+++ b/packages/router/src/streams/recordLookup.ts
@@ -44,7 +44,7 @@
  */
 export type RecordLookup = (key: StreamKey, maxWaitMs: number) => Promise<LookupResult>
 
-/** Time within which a router answers, in ms. */
+/** Time within which a router answers when it is asked first, in ms; one that did not gets twice as long each time. */
 const ANSWER_TIMEOUT_MS = 250
 /** Time between two rounds, in ms; a record may be on its way while its stream is resumed already. */
 const ROUND_PERIOD_MS = 100
@@ -79,20 +79,26 @@
     const endsAt = timers.now() + maxWaitMs
     const asked = new Set<string>()
     const answered = new Set<string>()
+    const answerTimeouts = new Map<string, number>()
     const askHolder = async (url: string): Promise<StreamRecord | undefined> => {
       asked.add(url)
+      const startedAt = timers.now()
+      const timeoutMs = answerTimeouts.get(url) ?? ANSWER_TIMEOUT_MS
       try {
         const body = await client.sendJson({
           method: 'POST',
           url: `${url}${LOOKUP_PATH}`,
           json: { keys: [key] },
-          timeoutMs: Math.max(1, Math.min(ANSWER_TIMEOUT_MS, endsAt - timers.now())),
+          timeoutMs: Math.max(1, Math.min(timeoutMs, endsAt - startedAt)),
         })
         answered.add(url)
         return decodeRecords(body).at(0)
       } catch (cause) {
+        // A router that is not there yet must be asked soon; one that is slow answers only if it is given time.
+        if (timers.now() - startedAt >= timeoutMs) answerTimeouts.set(url, 2 * timeoutMs)
         logger.info('streams.lookupFailed', {
           holder: url,
+          ms: Math.round(timers.now() - startedAt),
           reason: toSpoolgateError(cause).message,
         })
         return undefined
