fix(router): send a stream's record again to a router with a disk that did not take it

Cause: once the list of routers is complete, a record that a router with a disk did not take within 500 ms was given up. In a fleet with two such routers no other one takes its place, so that one copy or none is on a disk.

Evidence: with a router that does not take a record three times the new test found it at one router of two before.

Change: such a record is sent again after 0.2 s, eight times at most. Fleets with more routers with a disk send it to another one first, as before.

No run beside load: that this is the cause of the report is suspected only.

--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -145,6 +145,37 @@
     expect(sent).to.have.length(DURABLE_COPIES)
   })
 
+  it('reach one that did not take them at first, as one of a busy machine does', async () => {
+    const timers = createManualTimerService()
+    const urls = Array.from({ length: 3 }, (_, index) => `http://10.0.0.${index}:7341`)
+    const taken: string[] = []
+    let failures = 3
+    const send = ({ url }: { url: string }): Promise<unknown> => {
+      const isLate = url.startsWith(urls[1]) && failures > 0
+      if (isLate) failures -= 1
+      else taken.push(new URL(url).origin)
+      return isLate
+        ? Promise.reject(new Error('no answer within 500 ms'))
+        : Promise.resolve({ statusCode: TAKEN_STATUS, resume: () => {} })
+    }
+    const copies = createDurableCopies({
+      ownUrl: urls[2],
+      listDurable: () => urls.slice(0, 2),
+      listPeers: () => urls,
+      client: { send } as Pick<HttpClient, 'send'>,
+      timers,
+      logger: createQuietLogger(),
+      countMessage: () => {},
+    })
+    copies.add(buildRecord('a'))
+    for (let turn = 0; turn < 200; turn += 1) {
+      timers.advance(10)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    expect(taken.sort()).to.deep.equal(urls.slice(0, DURABLE_COPIES))
+    await copies.close()
+  })
+
   it('are sent to those that a new leader lists only after the stream began', async () => {
     const timers = createManualTimerService()
     const urls = Array.from({ length: 6 }, (_, index) => `http://10.0.0.${index}:7341`)
--- a/packages/router/src/streams/durableCopies.ts
+++ b/packages/router/src/streams/durableCopies.ts
@@ -44,6 +44,8 @@
 interface PendingRecord {
   readonly record: StreamRecord
   readonly takenBy: Set<string>
+  /** Times that a router did not take it. */
+  failures: number
 }
 
 /** Routers with a disk that keep a record. */
@@ -54,6 +56,8 @@
 const MAX_GATHER_MS = 1_000
 /** Time until records are sent again for which too few routers were listed or reached, in ms. */
 const RESEND_MS = 200
+/** Failures after which a record is not sent again once all routers are listed: those of a router that stands still for seconds. */
+const MAX_FAILURES = 8
 /** Maximum records that wait, including those to send again. */
 export const MAX_PENDING = 4_096
 
@@ -93,7 +97,10 @@
         url,
         missing.map(({ record }) => record),
       )
-      if (isTaken) for (const { takenBy } of missing) takenBy.add(url)
+      for (const entry of missing) {
+        if (isTaken) entry.takenBy.add(url)
+        else entry.failures += 1
+      }
     }
     return batch.filter(isLacking)
   }
@@ -101,6 +108,9 @@
     const batch = pending.splice(0, MAX_RECORDS_PER_MESSAGE)
     return [...batch, ...resending.splice(0, MAX_RECORDS_PER_MESSAGE - batch.length)]
   }
+  /** Whether another attempt may reach more routers: some are not listed yet, or one may take it next time. */
+  const isWorthResending = ({ failures }: PendingRecord) =>
+    !isListComplete() || (failures > 0 && failures < MAX_FAILURES)
   const countPending = () => pending.length + resending.length
   /** Keeps records for another attempt; the oldest are dropped where too many wait. */
   const addAgain = (lacking: readonly PendingRecord[]) => {
@@ -111,8 +121,8 @@
     while (countPending() > 0) {
       const gatherMs = Math.max(MIN_GATHER_MS, listPeers().length * GATHER_MS_PER_ROUTER)
       if (!isClosed) await waitFor(timers, Math.min(MAX_GATHER_MS, gatherMs))
-      const lacking = await sendBatch(takeBatch())
-      if (lacking.length === 0 || isClosed || isListComplete()) continue
+      const lacking = (await sendBatch(takeBatch())).filter(isWorthResending)
+      if (lacking.length === 0 || isClosed) continue
       addAgain(lacking)
       await waitFor(timers, RESEND_MS)
     }
@@ -122,7 +132,7 @@
     add: (record) => {
       if (isClosed || (listDurable().length === 0 && isListComplete())) return
       if (countPending() >= MAX_PENDING) (resending.length > 0 ? resending : pending).shift()
-      pending.push({ record, takenBy: new Set() })
+      pending.push({ record, takenBy: new Set(), failures: 0 })
       sending ??= sendPending()
     },
     close: async () => {
