fix: bodies and documents of all clients and servers count in the budgets

Control and routers ended (SIGABRT, heap limit) or went far above their memory limit when a peer or a caller sent JSON that takes many times its length once it is parsed, or bodies of up to 64 MiB to the processes' own ports.

Cause: a parsed document takes up to 22 times its bytes in the heap and nothing counted it; one limit of 64 MiB held for every message between processes; and the servers and clients of control, its relay and the record exchange had no memory budget.

Change: `readJson` estimates from its characters what a document takes in the heap and holds that until the request is answered; what can never be held gets 413, what finds no room 503, an answer a ConnectionError. BODY_LIMITS bounds each kind of message. A declared length above the limit is refused before the body. All clients and servers of the daemons get the memory budget of the process.

--- a/packages/control/src/client/configFollower.ts
+++ b/packages/control/src/client/configFollower.ts
@@ -95,6 +95,7 @@
     const query = `after=${after}&wait=${waitMs}&node=${encodeURIComponent(options.node)}`
     const fetchAfter = (path: string) =>
       client.sendJson<ConfigReply>({
+        answer: 'configuration',
         method: 'GET',
         url: `${url}/config?${path}`,
         timeoutMs,
--- a/packages/control/src/client/controlClient.ts
+++ b/packages/control/src/client/controlClient.ts
@@ -66,7 +66,13 @@
       const url = preferredUrl
       const timeoutMs = Math.min(ATTEMPT_TIMEOUT_MS, Math.max(1, deadline - timers.now()))
       try {
-        return await client.sendJson<T>({ method, url: `${url}${path}`, json, timeoutMs })
+        return await client.sendJson<T>({
+          method,
+          url: `${url}${path}`,
+          json,
+          timeoutMs,
+          answer: 'call',
+        })
       } catch (cause) {
         handleFailure(cause, url)
       }
--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -3,19 +3,21 @@
  * it stores nothing, never votes and is never a member of the group.
  */
 import {
+  addMemoryGauges,
   createDaemonRoutes,
   createHttpClient,
   createHttpServer,
   createMetrics,
   createRandomSource,
   createTimeLimit,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   SpoolgateError,
   type CloseReport,
   type HttpExchange,
   type Logger,
+  type MemoryBudget,
   type Route,
   type TimerService,
 } from '@spoolgate/core'
@@ -41,6 +43,11 @@
   readonly seeds: () => readonly string[]
   readonly logger: Logger
   readonly timers: TimerService
+  /**
+   * Memory budgets of the process.
+   * @default undefined, bodies are bounded one by one
+   */
+  readonly memory?: MemoryBudget
 }
 
 /** What a relay and a member of the control group both offer. */
@@ -70,8 +77,9 @@
 
 /** Creates a relay; resolves once it is listening. */
 export async function createControlRelay(options: ControlRelayOptions): Promise<ControlRelay> {
-  const { logger, timers } = options
+  const { logger, timers, memory } = options
   const metrics = createMetrics('control')
+  if (memory) addMemoryGauges(metrics, memory)
   const connections = metrics.counter('connections_opened', 'Connections opened to this instance')
   const recordConnection = () => connections.add(1)
   const server = await createHttpServer({
@@ -80,12 +88,13 @@
     logger,
     metrics,
     timers,
+    memory,
     routes: [],
     onConnection: recordConnection,
   })
   const { url } = server
-  const client = createHttpClient()
-  const heartbeatClient = createHttpClient({ maxConnections: MAX_HEARTBEAT_CONNECTIONS })
+  const client = createHttpClient({ memory })
+  const heartbeatClient = createHttpClient({ memory, maxConnections: MAX_HEARTBEAT_CONNECTIONS })
   const tracker = createLeaderTracker({
     seeds: () => options.seeds().filter((seed) => seed !== url),
     client,
@@ -99,7 +108,7 @@
     timers,
   })
   const counted = metrics.counter('heartbeats', 'Heartbeats of backend servers by outcome')
-  const batchClient = createHttpClient({ maxConnections: 1 })
+  const batchClient = createHttpClient({ memory, maxConnections: 1 })
   const heartbeats = createRelayHeartbeats({
     tracker,
     sendSingle: (heartbeat) => forwarded.run('observeServer', heartbeat),
@@ -127,7 +136,7 @@
     })
   }
   const serveAnnouncement = async ({ request, response }: HttpExchange) => {
-    const announcement = await readJson(request, INTERNAL_BODY_LIMITS)
+    const announcement = await readJson(request, BODY_LIMITS.message)
     tracker.recordCandidate((announcement as LeaderAnnouncement).leaderUrl)
     sendJson(response, 200, {})
   }
--- a/packages/control/src/registry/feedClient.ts
+++ b/packages/control/src/registry/feedClient.ts
@@ -253,6 +253,7 @@
       waitMs: findWaitMs(url),
     }
     const reply = await client.sendJson<FeedReply>({
+      answer: 'feed',
       method: 'POST',
       url: `${url}${FEED_PATH}`,
       json: request,
--- a/packages/control/src/registry/fleetOperations.ts
+++ b/packages/control/src/registry/fleetOperations.ts
@@ -5,6 +5,7 @@
 import {
   SpoolgateError,
   type BackendServerId,
+  type BodyKind,
   type HttpClient,
   type Logger,
   type RejectedInputs,
@@ -70,6 +71,11 @@
 /** Name of an operation. */
 export type FleetOperationName = keyof FleetOperations
 
+/** Finds what the answer to an operation carries. */
+export function findAnswerKind(name: string): BodyKind {
+  return name === ('readTable' satisfies FleetOperationName) ? 'table' : 'message'
+}
+
 /** Options of {@link createFleetOperationRunner}. */
 export interface FleetOperationRunnerOptions {
   readonly member: RaftMember
@@ -224,6 +230,7 @@
       )
     }
     return by.sendJson({
+      answer: findAnswerKind(name),
       method: 'POST',
       url: `${leaderUrl}${OPERATION_PATH}/${name}`,
       json: input,
--- a/packages/control/src/registry/quarantineRoutes.ts
+++ b/packages/control/src/registry/quarantineRoutes.ts
@@ -1,6 +1,6 @@
 /** What operators see of quarantines, and their release; only the leader answers. */
 import {
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   toPromptPartId,
@@ -63,7 +63,7 @@
       path: RELEASE_PATH,
       handler: async ({ request, response }: HttpExchange) => {
         checkLeading()
-        await release((await readJson(request, INTERNAL_BODY_LIMITS)) as ReleaseTarget)
+        await release((await readJson(request, BODY_LIMITS.message)) as ReleaseTarget)
         sendJson(response, 200, {})
       },
     },
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -141,7 +141,8 @@
   const electionMs = options.electionMs ?? DEFAULT_ELECTION_MS
   const decoder = createTableDecoder(options.decodeTable, logger)
   const machine = createControlStateMachine({ listTeams: decoder.listTeams })
-  const client = createHttpClient()
+  const { memory } = options
+  const client = createHttpClient({ memory })
   const connections = metrics.counter('connections_opened', 'Connections opened to this instance')
   const recordConnection = () => connections.add(1)
   const server = await createHttpServer({
@@ -150,6 +151,7 @@
     logger,
     metrics,
     timers,
+    memory,
     routes: [],
     onConnection: recordConnection,
   })
@@ -208,8 +210,8 @@
   )
   options.rejectedInputs.entries.subscribe(({ source }) => rejectedInputs.add(1, { source }))
   const heartbeats = metrics.counter('heartbeats', 'Heartbeats of backend servers by outcome')
-  const heartbeatClient = createHttpClient({ maxConnections: MAX_HEARTBEAT_CONNECTIONS })
-  const batchClient = createHttpClient({ maxConnections: 1 })
+  const heartbeatClient = createHttpClient({ memory, maxConnections: MAX_HEARTBEAT_CONNECTIONS })
+  const batchClient = createHttpClient({ memory, maxConnections: 1 })
   const overload = createOverloadMonitor({ timers, logger })
   const versionGate = createVersionGate({
     versions: machine.softwareVersions,
--- a/packages/control/src/registry/registryRoutes.ts
+++ b/packages/control/src/registry/registryRoutes.ts
@@ -1,15 +1,20 @@
 /** Routes of a control instance for routers and other instances, and what its leader shows operators. */
 import {
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
+  type BodyLimits,
   type HttpExchange,
   type Route,
 } from '@spoolgate/core'
 import { PART_REPORT_PATH, type PartReport } from '../parts/partReport.js'
 import { FEED_PATH, TABLE_PATH, type FeedRequest } from './feed.js'
 import type { FeedSource } from './feedSource.js'
-import { OPERATION_PATH, type FleetOperationRunner } from './fleetOperations.js'
+import {
+  OPERATION_PATH,
+  type FleetOperationName,
+  type FleetOperationRunner,
+} from './fleetOperations.js'
 import { QUEUES_PATH } from './queueBoard.js'
 import { QUOTA_PATH, type QuotaReport } from './quotaProtocol.js'
 import { SERVERS_PATH } from './serverStatus.js'
@@ -23,6 +28,9 @@
   readonly operations: FleetOperationRunner
 }
 
+/** Operation whose input holds a whole table. */
+const TABLE_OPERATION: FleetOperationName = 'putTable'
+
 /** What the leader shows operators, by path. */
 const LEADER_VIEWS: readonly (readonly [path: string, list: (feed: FeedSource) => unknown])[] = [
   [QUOTA_PATH, (feed) => feed.listQuotas()],
@@ -35,12 +43,13 @@
 function createPostRoute<Input>(
   path: string,
   answer: (input: Input, exchange: HttpExchange) => unknown,
+  findLimits: (exchange: HttpExchange) => BodyLimits = () => BODY_LIMITS.message,
 ): Route {
   return {
     method: 'POST',
     path,
     handler: async (exchange) => {
-      const input = (await readJson(exchange.request, INTERNAL_BODY_LIMITS)) as Input
+      const input = (await readJson(exchange.request, findLimits(exchange))) as Input
       sendJson(exchange.response, 200, await answer(input, exchange))
     },
   }
@@ -63,8 +72,10 @@
     createPostRoute<TableRequest>(TABLE_PATH, (request, { response }) =>
       tableSource.answer(request, response),
     ),
-    createPostRoute<unknown>(`${OPERATION_PATH}/:name`, (input, { params }) =>
-      operations.runLocally(params.name, input),
+    createPostRoute<unknown>(
+      `${OPERATION_PATH}/:name`,
+      (input, { params }) => operations.runLocally(params.name, input),
+      ({ params }) => (params.name === TABLE_OPERATION ? BODY_LIMITS.table : BODY_LIMITS.message),
     ),
   ]
 }
--- a/packages/control/src/registry/relayOperations.ts
+++ b/packages/control/src/registry/relayOperations.ts
@@ -12,6 +12,7 @@
 } from '@spoolgate/core'
 import { findLeaderUrl } from '../group/membershipManager.js'
 import {
+  findAnswerKind,
   LEADER_TIMEOUT_MS,
   OPERATION_PATH,
   type FleetOperationName,
@@ -71,6 +72,7 @@
     const { signal, close } = limits
     try {
       const answer: unknown = await options.findClient(name).sendJson({
+        answer: findAnswerKind(name),
         method: 'POST',
         url: `${url}${OPERATION_PATH}/${name}`,
         json: input,
--- a/packages/control/src/registry/tableFetcher.ts
+++ b/packages/control/src/registry/tableFetcher.ts
@@ -53,6 +53,7 @@
     listInstances: options.listInstances,
     send: (url, signal) =>
       client.sendJson<TableUpdate>({
+        answer: 'table',
         method: 'POST',
         url: `${url}${TABLE_PATH}`,
         json: { heldVersion: findBase(), wantedVersion } satisfies TableRequest,
--- a/packages/control/src/server/configRoutes.ts
+++ b/packages/control/src/server/configRoutes.ts
@@ -7,7 +7,7 @@
   type FleetConfigInput,
 } from '@spoolgate/config'
 import {
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   SpoolgateError,
@@ -91,7 +91,7 @@
   const { member, machine, nodes, timers, processKey, operatorKey } = options
 
   const submit = async ({ request, response }: HttpExchange) => {
-    const submitted = checkSubmit(await readJson(request, INTERNAL_BODY_LIMITS))
+    const submitted = checkSubmit(await readJson(request, BODY_LIMITS.configuration))
     const source = parseSource(submitted)
     const { changeId, base, operator } = submitted
     const at = timers.wallNow()
--- a/packages/control/src/server/controlServer.ts
+++ b/packages/control/src/server/controlServer.ts
@@ -1,6 +1,7 @@
 /** Control instance: replicated log, state machine and HTTP routes. */
 import { resolveFleetConfig, type Fleet } from '@spoolgate/config'
 import {
+  addMemoryGauges,
   createDaemonRoutes,
   createHttpClient,
   createHttpServer,
@@ -10,6 +11,7 @@
   type CloseReport,
   type Invariants,
   type Logger,
+  type MemoryBudget,
   type TimerService,
   type TlsFiles,
   type TrafficCount,
@@ -44,6 +46,11 @@
   readonly operatorKey: string
   readonly logger: Logger
   readonly timers: TimerService
+  /**
+   * Memory budgets of the process.
+   * @default undefined, bodies are bounded one by one
+   */
+  readonly memory?: MemoryBudget
   /** @default undefined, plain HTTP */
   readonly tls?: TlsFiles
   /** @default 1000 */
@@ -120,12 +127,13 @@
 
 /** Creates a control instance and waits until it is listening. */
 export async function createControlServer(options: ControlServerOptions): Promise<ControlServer> {
-  const { logger, timers, processKey, operatorKey } = options
+  const { logger, timers, processKey, operatorKey, memory } = options
   const metrics = createMetrics('control')
+  if (memory) addMemoryGauges(metrics, memory)
   const invariants = createInvariants({ logger, metrics, fatal: options.isFatal })
   const electionMs = options.electionMs ?? DEFAULT_ELECTION_MS
   const machine = createControlStateMachine()
-  const client = createHttpClient({ key: processKey, caFile: options.tls?.caFile })
+  const client = createHttpClient({ memory, key: processKey, caFile: options.tls?.caFile })
   const isCut = options.isCut ?? (() => false)
   const folder =
     typeof options.dataFolder === 'string'
@@ -147,6 +155,7 @@
     logger,
     metrics,
     timers,
+    memory,
     routes: [],
   })
   const member = createRaftMember({
--- a/packages/control/src/server/groupRoutes.ts
+++ b/packages/control/src/server/groupRoutes.ts
@@ -1,6 +1,6 @@
 /** HTTP routes for Raft messages, for commands of the fleet's processes and for operators of the group. */
 import {
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   SpoolgateError,
@@ -111,7 +111,7 @@
   const handler = async ({ request, response, params, query }: HttpExchange) => {
     const handle = handlers[params.name]
     if (!handle) throw new SpoolgateError('unknownPath', 'unknown Raft message; update this member')
-    const message = await readJson(request, INTERNAL_BODY_LIMITS)
+    const message = await readJson(request, BODY_LIMITS.raft)
     sendJson(response, 200, await handle(message, query.get('to')))
   }
   return { method: 'POST', path: `${RAFT_PATH}/:name`, key: options.processKey, handler }
@@ -121,7 +121,7 @@
 export function createGroupRoutes(options: GroupRoutesOptions): Route[] {
   const { member, machine, timers, processKey, operatorKey } = options
   const serveCommand = async ({ request, response }: HttpExchange) => {
-    const command = (await readJson(request, INTERNAL_BODY_LIMITS)) as { kind: ControlCommandKind }
+    const command = (await readJson(request, BODY_LIMITS.call)) as { kind: ControlCommandKind }
     if (!PROCESS_COMMANDS.has(command.kind)) {
       throw new SpoolgateError(
         'invalidRequest',
@@ -136,13 +136,13 @@
     sendJson(response, 200, { highest })
   }
   const serveOrder = async ({ request, response }: HttpExchange) => {
-    const order = (await readJson(request, INTERNAL_BODY_LIMITS)) as object
+    const order = (await readJson(request, BODY_LIMITS.message)) as object
     const command = { ...order, kind: 'order.issue', at: timers.wallNow() }
     sendJson(response, 200, await member.propose(command))
   }
   let ledgerTerm = NO_TERM
   const serveShares = async ({ request, response }: HttpExchange) => {
-    const shareRequest = (await readJson(request, INTERNAL_BODY_LIMITS)) as ShareRequest
+    const shareRequest = (await readJson(request, BODY_LIMITS.message)) as ShareRequest
     member.checkCurrent()
     const { term } = member.status()
     // Another leader may have granted shares since the previous term that have not expired yet.
@@ -151,7 +151,7 @@
     sendJson(response, 200, options.ledger.grant(shareRequest))
   }
   const serveMemberChange = async ({ request, response }: HttpExchange) => {
-    const change = (await readJson(request, INTERNAL_BODY_LIMITS)) as MemberChange
+    const change = (await readJson(request, BODY_LIMITS.message)) as MemberChange
     await member.changeMembers(applyMemberChange(member.status().members, change))
     sendJson(response, 200, member.status())
   }
--- a/packages/core/src/__tests__/cutResponses.spec.ts
+++ b/packages/core/src/__tests__/cutResponses.spec.ts
@@ -3,7 +3,7 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import {
   createHttpClient,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readBody,
   readTextStream,
   type HttpClient,
@@ -35,7 +35,7 @@
 /** How the body of a response is read; undefined if it is not whole. */
 const READERS: Record<string, (message: IncomingMessage) => Promise<string | undefined>> = {
   readBody: (message) =>
-    readBody(message, INTERNAL_BODY_LIMITS).then(
+    readBody(message, BODY_LIMITS.call).then(
       (body) => body.toString(),
       () => undefined,
     ),
@@ -72,7 +72,7 @@
   const { server, url, recordHead } = started
   const client: HttpClient = createHttpClient({ maxConnections: 1 })
   const send = async () => client.send({ method: 'GET', url })
-  if (isWarm) await readBody(await send(), INTERNAL_BODY_LIMITS)
+  if (isWarm) await readBody(await send(), BODY_LIMITS.call)
   const message = await send().catch(() => undefined)
   const body = message && read(message)
   // The body is waited for from here on, as after any head.
--- a/packages/core/src/__tests__/httpClient.spec.ts
+++ b/packages/core/src/__tests__/httpClient.spec.ts
@@ -6,7 +6,7 @@
   createHttpServer,
   createQuietLogger,
   createTimerService,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readBody,
   sendJson,
   type HttpExchange,
@@ -112,7 +112,7 @@
     const client = createHttpClient()
     const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
     const read = async () =>
-      String(await readBody(await client.send({ method: 'GET', url }), INTERNAL_BODY_LIMITS))
+      String(await readBody(await client.send({ method: 'GET', url }), BODY_LIMITS.call))
     expect(await read()).to.equal('right')
     await new Promise((resolve) => setImmediate(resolve))
     await new Promise<void>((resolve) => first.socket?.write(format('wrong'), () => resolve()))
--- a/packages/core/src/httpBody.ts
+++ b/packages/core/src/httpBody.ts
@@ -1,25 +1,19 @@
 /** Reading of HTTP bodies with bounds on size, time and memory. */
 import type { IncomingMessage } from 'node:http'
+import type { BodyLimits } from './bodyLimits.js'
 import { ConnectionError, SpoolgateError } from './errors.js'
-import { findMessageHold, type MemoryHold } from './memoryBudget.js'
+import {
+  closeAnswerHold,
+  createOversizeError,
+  createRoomError,
+  admitDocument,
+} from './documentMemory.js'
+import { findMessageMemory, type MemoryHold } from './memoryBudget.js'
 import { CUT_REASONS, watchCompletion, type CutReason } from './responseCompletion.js'
 
-/** Bounds on a body that is read whole. */
-export interface BodyLimits {
-  /** Largest body in bytes. */
-  readonly maxBytes: number
-  /** Longest time from the first byte to the last, in milliseconds. */
-  readonly timeoutMs: number
-}
-
-/** Bounds between processes of the fleet. */
-export const INTERNAL_BODY_LIMITS: BodyLimits = { maxBytes: 64 * 1024 * 1024, timeoutMs: 30_000 }
-
 /** Bounds on draining an unneeded body; beyond them its connection is closed. */
 const MAX_DISCARDED_BYTES = 256 * 1024
 const DISCARD_MS = 1_000
-/** Seconds after which a sender that found no room may try again. */
-const ROOM_RETRY_AFTER_S = 0.5
 
 const abandonments = new WeakMap<IncomingMessage, () => void>()
 
@@ -61,7 +55,7 @@
 export function readBody(message: IncomingMessage, limits: BodyLimits): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
-    const hold = findMessageHold(message)
+    const hold = findMessageMemory(message)?.body
     const watch = watchCompletion(message)
     let size = 0
     let isSettled = false
@@ -81,26 +75,21 @@
     }
     const failLate = () =>
       fail(new SpoolgateError('bodyTimeout', `send the body within ${limits.timeoutMs} ms`))
-    const failRoom = () => {
-      const remedy = 'too much is being sent to this process at the moment; try again'
-      fail(new SpoolgateError('noRoom', remedy, { retryAfterSeconds: ROOM_RETRY_AFTER_S }))
-    }
+    const failSize = () =>
+      fail(createOversizeError(message, `send at most ${limits.maxBytes} bytes`))
     /** Holds the sender back until there is room. */
     const waitForRoom = async (held: MemoryHold) => {
       message.pause()
       const isHeld = await held.waitForRoom(size)
       if (isSettled) held.resize(0)
       else if (isHeld) message.resume()
-      else failRoom()
+      else fail(createRoomError(message))
     }
     const timeout = setTimeout(failLate, limits.timeoutMs)
     hold?.setEviction(failLate)
     message.on('data', (chunk: Buffer) => {
       size += chunk.length
-      if (size > limits.maxBytes) {
-        fail(new SpoolgateError('oversizeBody', `send at most ${limits.maxBytes} bytes`))
-        return
-      }
+      if (size > limits.maxBytes) return failSize()
       chunks.push(chunk)
       if (hold && !hold.resize(size)) void waitForRoom(hold)
     })
@@ -113,6 +102,7 @@
     })
     for (const event of ['error', 'aborted', 'close'] as const) message.on(event, failCut)
     if (message.aborted) failCut()
+    else if (Number(message.headers['content-length'] ?? 0) > limits.maxBytes) failSize()
   })
 }
 
@@ -129,7 +119,16 @@
   }
 }
 
-/** Reads and parses a JSON body. */
+/**
+ * Reads and parses a JSON body. What it takes of the heap counts in the budget of its message, if there is one.
+ * @throws as {@link readBody}, {@link admitDocument} and {@link parseJsonBody}
+ */
 export async function readJson(message: IncomingMessage, limits: BodyLimits): Promise<unknown> {
-  return parseJsonBody(await readBody(message, limits))
+  const body = await readBody(message, limits)
+  const hold = await admitDocument(message, body)
+  try {
+    return parseJsonBody(body)
+  } finally {
+    closeAnswerHold(message, hold)
+  }
 }
--- a/packages/core/src/httpClient.ts
+++ b/packages/core/src/httpClient.ts
@@ -2,9 +2,10 @@
 import { readFileSync } from 'node:fs'
 import { Agent, request as requestPlain, type ClientRequest, type IncomingMessage } from 'node:http'
 import { Agent as TlsAgent, request as requestTls } from 'node:https'
+import { BODY_LIMITS, type BodyKind } from './bodyLimits.js'
 import { ConnectionError, parseErrorBody, SpoolgateError } from './errors.js'
-import { addMessageHold, type MemoryBudget } from './memoryBudget.js'
-import { INTERNAL_BODY_LIMITS, readBody, readJson } from './httpBody.js'
+import { addAnswerMemory, type MemoryBudget } from './memoryBudget.js'
+import { readJson } from './httpBody.js'
 import { watchCompletion } from './responseCompletion.js'
 import { findResponseProblem } from './responseStatus.js'
 
@@ -26,7 +27,7 @@
    */
   readonly maxConnections?: number
   /**
-   * Memory budget in which the bodies of answers count.
+   * Memory budgets in which the bodies and documents of answers count.
    * @default undefined, they are bounded one by one
    */
   readonly memory?: MemoryBudget
@@ -52,6 +53,16 @@
   readonly isFresh?: boolean
 }
 
+/** One request with JSON, for an answer with JSON. */
+export interface JsonRequest extends Omit<HttpRequest, 'body'> {
+  readonly json?: unknown
+  /**
+   * What the answer carries, which bounds it.
+   * @default 'message'
+   */
+  readonly answer?: BodyKind
+}
+
 /** A client with kept-alive connections. */
 export interface HttpClient {
   /**
@@ -63,7 +74,7 @@
    * Sends JSON and reads JSON.
    * @throws ConnectionError when there is no whole answer, SpoolgateError for an error answer.
    */
-  sendJson<T>(request: Omit<HttpRequest, 'body'> & { readonly json?: unknown }): Promise<T>
+  sendJson<T>(request: JsonRequest): Promise<T>
   close(): void
 }
 
@@ -128,11 +139,7 @@
           reject(new ConnectionError(problem, false, false))
           return
         }
-        if (options.memory) {
-          const hold = options.memory.open()
-          addMessageHold(message, hold)
-          message.once('close', hold.close)
-        }
+        if (options.memory) addAnswerMemory(options.memory, message)
         resolve(message)
       })
       outgoing.on('error', (cause) => {
@@ -149,13 +156,13 @@
 
   return {
     send: sendOnce,
-    sendJson: async <T>(request: Omit<HttpRequest, 'body'> & { json?: unknown }): Promise<T> => {
-      const { json, ...rest } = request
+    sendJson: async <T>(request: JsonRequest): Promise<T> => {
+      const { json, answer = 'message', ...rest } = request
       const body = json === undefined ? undefined : JSON.stringify(json)
       const headers = { 'content-type': 'application/json', ...rest.headers }
       const message = await sendOnce({ ...rest, headers, body })
       if ((message.statusCode ?? 500) >= 400) throw await readErrorAnswer(message)
-      return (await readJson(message, INTERNAL_BODY_LIMITS)) as T
+      return (await readJson(message, BODY_LIMITS[answer])) as T
     },
     close: () => {
       plainAgent.destroy()
@@ -167,8 +174,7 @@
 /** Reads the typed error of an answer with an error status. */
 export async function readErrorAnswer(message: IncomingMessage): Promise<SpoolgateError> {
   try {
-    const body = await readBody(message, INTERNAL_BODY_LIMITS)
-    return parseErrorBody(JSON.parse(body.toString('utf8')))
+    return parseErrorBody(await readJson(message, BODY_LIMITS.error))
   } catch {
     return new SpoolgateError(
       'backendFailed',
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -19,7 +19,7 @@
 import { isSameSecret } from './keys.js'
 import { openPort } from './openPort.js'
 import type { Logger } from './logger.js'
-import { addMessageHold, openResponseHold, type MemoryBudget } from './memoryBudget.js'
+import { addRequestMemory, type MemoryBudget } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
 import { waitFor, type TimerService } from './timers.js'
 import { createTurnQueue } from './turnQueue.js'
@@ -299,7 +299,7 @@
     }
     if (!connections.take(request, response, { onEnd })) return
     active.add(response)
-    if (options.memory) addMessageHold(request, openResponseHold(options.memory, response))
+    if (options.memory) addRequestMemory(options.memory, request, response)
     const run = () =>
       dispatch(request, response)
         .catch((cause) => sendError(response, cause))
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,7 +67,7 @@
 } from './keys.js'
 export {
   addMemoryGauges,
-  addMessageHold,
+  addRequestMemory,
   createMemoryBudget,
   findBudgetBytes,
   openResponseHold,
@@ -75,14 +75,9 @@
   type MemoryBudget,
   type MemoryHold,
 } from './memoryBudget.js'
-export {
-  closeBody,
-  INTERNAL_BODY_LIMITS,
-  parseJsonBody,
-  readBody,
-  readJson,
-  type BodyLimits,
-} from './httpBody.js'
+export { BODY_LIMITS, type BodyKind, type BodyLimits } from './bodyLimits.js'
+export { estimateDocumentBytes, admitDocument } from './documentMemory.js'
+export { closeBody, parseJsonBody, readBody, readJson } from './httpBody.js'
 export {
   checkBearerKey,
   createHttpServer,
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -60,7 +60,7 @@
 const SMALL_HOLD_BYTES = 64 * 1024
 /** Part of the budget that larger holds may use; the rest stays free for small ones. */
 const LARGE_HOLDS_RATIO = 0.75
-/** Part of the budget that one hold may use. */
+/** Part of the budget for buffers that one hold may use. */
 const MAX_HOLD_RATIO = 0.25
 /** Time for which a hold waits for room, in ms; short enough that a refused caller can still retry elsewhere. */
 const ROOM_WAIT_MS = 250
@@ -79,11 +79,16 @@
   heapLimitBytes = findHeapBudgetBytes(getHeapStatistics().heap_size_limit),
   timers,
 }: MemoryBudgetOptions): MemoryBudget {
-  const heap = createByteBudget(heapLimitBytes, timers)
-  return { ...createByteBudget(limitBytes, timers), heap }
+  // A document can only be held whole.
+  const heap = createByteBudget(heapLimitBytes, LARGE_HOLDS_RATIO, timers)
+  return { ...createByteBudget(limitBytes, MAX_HOLD_RATIO, timers), heap }
 }
 
-function createByteBudget(limitBytes: number, timers: TimerService): ByteBudget {
+function createByteBudget(
+  limitBytes: number,
+  maxHoldRatio: number,
+  timers: TimerService,
+): ByteBudget {
   const holds = new Set<OpenHold>()
   const released = new Subject<void>()
   let used = 0
@@ -139,7 +144,7 @@
     })
   return {
     limitBytes,
-    maxHoldBytes: limitBytes * MAX_HOLD_RATIO,
+    maxHoldBytes: limitBytes * maxHoldRatio,
     open: () => {
       const hold: OpenHold = { bytes: 0, changedAt: timers.now(), evict: undefined }
       holds.add(hold)
@@ -165,13 +170,6 @@
   }
 }
 
-const holdsOfMessages = new WeakMap<IncomingMessage, MemoryHold>()
-
-/** Makes the body that is read of a message count in a hold, which the caller closes. */
-export function addMessageHold(message: IncomingMessage, hold: MemoryHold): void {
-  holdsOfMessages.set(message, hold)
-}
-
 /** Opens a hold that is closed with a response, or at once if its caller has left already. */
 export function openResponseHold(
   budget: Pick<MemoryBudget, 'open'>,
@@ -183,9 +181,45 @@
   return hold
 }
 
-/** Finds the hold of a message; undefined if what is read of it is not counted. */
-export function findMessageHold(message: IncomingMessage): MemoryHold | undefined {
-  return holdsOfMessages.get(message)
+/** What may be held for one message. */
+export interface MessageMemory {
+  /** Hold in which the body counts while it is read. */
+  readonly body: MemoryHold
+  /** Largest document that can ever be held, in bytes of the heap. */
+  readonly maxDocumentBytes: number
+  /** Opens a hold for the document in the body. */
+  openDocument(): MemoryHold
+}
+
+const memoryOfMessages = new WeakMap<IncomingMessage, MessageMemory>()
+
+/** Makes the body and the document of a request count in the budgets until its response is closed. */
+export function addRequestMemory(
+  budget: MemoryBudget,
+  request: IncomingMessage,
+  response: Pick<ServerResponse, 'destroyed' | 'once'>,
+): void {
+  memoryOfMessages.set(request, {
+    body: openResponseHold(budget, response),
+    maxDocumentBytes: budget.heap.maxHoldBytes,
+    openDocument: () => openResponseHold(budget.heap, response),
+  })
+}
+
+/** Makes the body of an answer count in the budgets until it is read, and its document until its hold is closed. */
+export function addAnswerMemory(budget: MemoryBudget, message: IncomingMessage): void {
+  const body = budget.open()
+  message.once('close', body.close)
+  memoryOfMessages.set(message, {
+    body,
+    maxDocumentBytes: budget.heap.maxHoldBytes,
+    openDocument: budget.heap.open,
+  })
+}
+
+/** Finds what may be held for a message; undefined if what is read of it is not counted. */
+export function findMessageMemory(message: IncomingMessage): MessageMemory | undefined {
+  return memoryOfMessages.get(message)
 }
 
 /** Memory of a process before it holds anything for others, in MB: code, heap, and views of large fleets. */
--- a/packages/router/src/decide/serverSelector.ts
+++ b/packages/router/src/decide/serverSelector.ts
@@ -1,7 +1,7 @@
 /** Server selection on the path through sidecars: which backend servers the router tries, in which order, and why. */
 import type { BackendServer, Fleet, PolicyName, TeamParameters } from '@spoolgate/config'
 import {
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   type BackendServerId,
   type HttpClient,
@@ -177,7 +177,7 @@
         body: JSON.stringify(chain),
         timeoutMs: PROBE_TIMEOUT_MS,
       })
-      const hints = (await readJson(message, INTERNAL_BODY_LIMITS)) as ReplyHints
+      const hints = (await readJson(message, BODY_LIMITS.message)) as ReplyHints
       if (message.statusCode === 200) recordHints(state.hints, chain, hints)
     } catch {
       ejection.record(id, 'failed', timers.now())
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -6,7 +6,7 @@
 import { createCrashReportBuffer, createFeedClient, type FeedClient } from '@spoolgate/control'
 import {
   addMemoryGauges,
-  addMessageHold,
+  addRequestMemory,
   createConnectionGuard,
   createConnectionTracker,
   createHttpClient,
@@ -94,7 +94,7 @@
   const memory =
     options.memory ?? createMemoryBudget({ limitBytes: findBudgetBytes(DEFAULT_MEMORY_MB), timers })
   addMemoryGauges(metrics, memory)
-  const client = createHttpClient()
+  const client = createHttpClient({ memory })
   const random = createRandomSource(options.seed ?? Date.now() % 2 ** 31)
   const serverStats = createServerStats(timers, () => engineAdmission?.admission.runWaiting())
   const backpressure = createBackpressure()
@@ -160,7 +160,7 @@
     findLeaderUrl: () => feed.leaderUrl(),
   })
   const { peers, recordFolder: folder } = options
-  const streamSetup = await openStreamSetup({ peers, folder, timers, logger, metrics })
+  const streamSetup = await openStreamSetup({ peers, folder, timers, logger, metrics, memory })
   const feed: FeedClient = createFeedClient({
     peerUrl: streamSetup.peerUrl,
     isPeerDurable: folder !== undefined,
@@ -308,7 +308,7 @@
       tracked.recordPlan(plan)
       const { maxBodyBytes } = plan.view.index.table.bounds
       const timeoutMs = Math.min(BODY_TIMEOUT_MS, shutdown.findBodyTimeoutMs())
-      addMessageHold(request, openResponseHold(memory, response))
+      addRequestMemory(memory, request, response)
       const body = await readBody(request, { maxBytes: maxBodyBytes, timeoutMs })
       if (response.destroyed) return
       // Refuse only after the body has been read: closing a connection with unread bytes may lose the response.
--- a/packages/router/src/relay/attempt.ts
+++ b/packages/router/src/relay/attempt.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage } from 'node:http'
 import {
   ConnectionError,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readErrorAnswer,
   readJson,
   toSpoolgateError,
@@ -161,7 +161,7 @@
 /** Reads why a sidecar declined a call; only a decline has its head, so that the call did not start whatever its body. */
 async function readDecline(response: IncomingMessage): Promise<AttemptResult> {
   try {
-    const decline = (await readJson(response, INTERNAL_BODY_LIMITS)) as Decline
+    const decline = (await readJson(response, BODY_LIMITS.message)) as Decline
     return { kind: 'declined', decline, hints: parseHints(response) }
   } catch (cause) {
     return { kind: 'lost', reason: toSpoolgateError(cause).message, notRun: true }
--- a/packages/router/src/relay/dispatchOutcome.ts
+++ b/packages/router/src/relay/dispatchOutcome.ts
@@ -24,6 +24,7 @@
     if (tries > 0) await waitFor(deps.timers, STATE_QUERY_DELAY_MS * 2 ** tries)
     try {
       return await deps.client.sendJson<DispatchState>({
+        answer: 'call',
         method: 'POST',
         url: `${server.sidecarUrl}/dispatches`,
         json: dispatch,
--- a/packages/router/src/server/callerRoutes.ts
+++ b/packages/router/src/server/callerRoutes.ts
@@ -3,6 +3,7 @@
 import {
   createCallerKeyring,
   createUniqueId,
+  admitDocument,
   readBody,
   sendJson,
   SpoolgateError,
@@ -140,7 +141,9 @@
     const accepted = acceptRequest(exchange)
     const { fleet, team } = accepted
     const body = await readBody(exchange.request, limits)
+    const document = await admitDocument(exchange.request, body)
     const generation = parseGenerationRequest(body, fleet, team)
+    document?.close()
     const { model, chain, isStream, user, maxTokens } = generation
     const context = createContext(accepted, {
       body,
--- a/packages/router/src/server/routerServer.ts
+++ b/packages/router/src/server/routerServer.ts
@@ -141,7 +141,11 @@
   const metrics = createMetrics('router')
   if (options.memory) addMemoryGauges(metrics, options.memory)
   const invariants = createInvariants({ logger, metrics, fatal: options.isFatal })
-  const client = createHttpClient({ key: processKey, caFile: options.tls?.caFile })
+  const client = createHttpClient({
+    memory: options.memory,
+    key: processKey,
+    caFile: options.tls?.caFile,
+  })
   const { instance, sources } = options
   const followerOptions = { node: instance, sources, client, timers, logger, invariants }
   const config = createConfigFollower(followerOptions)
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -5,12 +5,13 @@
 import {
   createHttpClient,
   createHttpServer,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   waitFor,
   type HttpExchange,
   type Logger,
+  type MemoryBudget,
   type Metrics,
   type Route,
   type StreamKey,
@@ -52,6 +53,11 @@
   readonly timers: TimerService
   readonly logger: Logger
   readonly metrics: Pick<Metrics, 'counter'>
+  /**
+   * Memory budgets of the process.
+   * @default undefined, bodies are bounded one by one
+   */
+  readonly memory?: MemoryBudget
 }
 
 /** See {@link openRecordExchange}. */
@@ -80,7 +86,7 @@
   journal?: Pick<RecordJournal, 'add' | 'loaded'>,
 ): Route[] {
   const takeRecords = async ({ request, response }: HttpExchange) => {
-    for (const record of decodeRecords(await readJson(request, INTERNAL_BODY_LIMITS))) {
+    for (const record of decodeRecords(await readJson(request, BODY_LIMITS.message))) {
       records.add(record)
       journal?.add(record)
     }
@@ -88,7 +94,7 @@
     response.writeHead(TAKEN_STATUS).end()
   }
   const findRecords = async ({ request, response }: HttpExchange) => {
-    const keys = decodeLookup(await readJson(request, INTERNAL_BODY_LIMITS))
+    const keys = decodeLookup(await readJson(request, BODY_LIMITS.message))
     await journal?.loaded
     const found = keys.map(records.find).filter((record) => record !== undefined)
     sendJson(response, 200, { records: found.map(encodeRecord) })
@@ -102,7 +108,7 @@
 /** Opens the exchange; resolves once it is listening. */
 export async function openRecordExchange(options: RecordExchangeOptions): Promise<RecordExchange> {
   const { endpoint, records, listPeers, listDurable, folder, timers, logger, metrics } = options
-  const { isListComplete } = options
+  const { isListComplete, memory } = options
   const journal =
     folder === undefined
       ? undefined
@@ -113,8 +119,9 @@
     logger,
     metrics,
     timers,
+    memory,
   })
-  const client = createHttpClient({ maxConnections: CONNECTIONS_PER_PEER })
+  const client = createHttpClient({ memory, maxConnections: CONNECTIONS_PER_PEER })
   const messages = metrics.counter('record_messages', 'Messages with stream records, by outcome')
   const sent = metrics.counter('records_sent', 'Stream records in them, by outcome')
   const countMessage = (outcome: 'sent' | 'failed', count: number) => {
--- a/packages/router/src/streams/streamSetup.ts
+++ b/packages/router/src/streams/streamSetup.ts
@@ -1,6 +1,6 @@
 /** Assembles what a router needs to resume streams: its records, their exchange with other routers, and the metrics. */
 import type { FeedClient } from '@spoolgate/control'
-import type { Logger, Metrics, TimerService } from '@spoolgate/core'
+import type { Logger, MemoryBudget, Metrics, TimerService } from '@spoolgate/core'
 import { openRecordExchange, type PeerEndpoint } from './recordExchange.js'
 import { createStreamContinuity, type StreamContinuity } from './streamContinuity.js'
 import { createStreamRecords, MAX_DURABLE_RECORDS, MAX_STREAM_RECORDS } from './streamRecords.js'
@@ -17,6 +17,11 @@
   readonly timers: TimerService
   readonly logger: Logger
   readonly metrics: Metrics
+  /**
+   * Memory budgets of the process.
+   * @default undefined, bodies are bounded one by one
+   */
+  readonly memory?: MemoryBudget
 }
 
 /** See {@link openStreamSetup}. */
@@ -31,7 +36,7 @@
 
 /** Opens the exchange of records, if the router has one. */
 export async function openStreamSetup(options: StreamSetupOptions): Promise<StreamSetup> {
-  const { peers: endpoint, folder, timers, logger, metrics } = options
+  const { peers: endpoint, folder, timers, logger, metrics, memory } = options
   const isDurable = folder !== undefined
   const records = createStreamRecords(timers, isDurable ? MAX_DURABLE_RECORDS : MAX_STREAM_RECORDS)
   let followed: FeedClient | undefined
@@ -53,6 +58,7 @@
       timers,
       logger,
       metrics,
+      memory,
     }))
   metrics.gauge('stream_records', 'Records of streams that may be resumed', records.count)
   return {
--- a/packages/sidecar/src/__tests__/queuedCalls.spec.ts
+++ b/packages/sidecar/src/__tests__/queuedCalls.spec.ts
@@ -11,7 +11,7 @@
   createQuietLogger,
   createTimerService,
   readBody,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   toAttemptNumber,
   toBackendServerId,
   toConfigVersion,
@@ -174,7 +174,7 @@
   }
   const readEnd = async (message: IncomingMessage): Promise<EndFrame> => {
     expect(message.statusCode).to.equal(200)
-    const text = (await readBody(message, INTERNAL_BODY_LIMITS)).toString()
+    const text = (await readBody(message, BODY_LIMITS.call)).toString()
     return JSON.parse(/event: end\ndata: (.*)\n/.exec(text)?.[1] ?? 'null') as EndFrame
   }
   /** Queues a call behind a running one, applies a change, and ends the running call; the engine answers whatever it gets. */
--- a/packages/sidecar/src/backend/backendWatcher.ts
+++ b/packages/sidecar/src/backend/backendWatcher.ts
@@ -106,7 +106,7 @@
       incarnation: Incarnation
       sequence: number
       hashes: PrefixHash[]
-    }>({ method: 'GET', url: `${url}/cache/snapshot`, signal: stopping.signal })
+    }>({ method: 'GET', url: `${url}/cache/snapshot`, answer: 'cache', signal: stopping.signal })
     if (snapshot.incarnation !== index.incarnation()) return
     index.load(snapshot.hashes, snapshot.sequence, timers.now())
     logger.info('cache.resynchronised', { blocks: snapshot.hashes.length })
@@ -115,6 +115,7 @@
     const reply = await client.sendJson<{ incarnation: Incarnation; events: CacheEvent[] }>({
       method: 'GET',
       url: `${url}/cache/events?after=${index.lastSequence()}`,
+      answer: 'cache',
       timeoutMs: EVENTS_TIMEOUT_MS,
       signal: stopping.signal,
     })
--- a/packages/sidecar/src/calls/callHandler.ts
+++ b/packages/sidecar/src/calls/callHandler.ts
@@ -1,7 +1,8 @@
 /** Routes by which routers hand over calls, resume, cancel and ask about them. */
 import type { Fleet } from '@spoolgate/config'
 import {
-  INTERNAL_BODY_LIMITS,
+  admitDocument,
+  BODY_LIMITS,
   readBody,
   readJson,
   sendJson,
@@ -225,7 +226,8 @@
 
   const serveCall = async (exchange: HttpExchange) => {
     const header = parseCallHeader(exchange.request.headers[CALL_HEADER])
-    const received = await readBody(exchange.request, INTERNAL_BODY_LIMITS)
+    const received = await readBody(exchange.request, BODY_LIMITS.call)
+    const document = await admitDocument(exchange.request, received)
     // The configuration is waited for here, and no await follows: between the checks below and
     // the start of the call nothing else may happen.
     await config.waitForVersion(header.configVersion, CONFIG_WAIT_MS)
@@ -235,6 +237,7 @@
       ? splitResumeBody(received)
       : { body: received, resumeText: undefined }
     const prepared = adapter.prepare(header, body, resumeText)
+    document?.close()
     const chain = buildChain(header, prepared.prompt, config.current())
     const matched = index.match(chain, timers.now())
     const missing = chain.totalTokens - matched
@@ -266,14 +269,14 @@
     sendJson(response, 200, {})
   }
   const serveDispatchQuestion = async ({ request, response }: HttpExchange) => {
-    const dispatch = (await readJson(request, INTERNAL_BODY_LIMITS)) as Dispatch
+    const dispatch = (await readJson(request, BODY_LIMITS.message)) as Dispatch
     const isOther = dispatch.incarnation !== options.incarnation
     const state = isOther ? { state: 'otherIncarnation' } : dispatches.bar(dispatch)
     logger.info('dispatch.asked', { claim: dispatch.claim, number: dispatch.number, ...state })
     sendJson(response, 200, state)
   }
   const serveProbe = async ({ request, response }: HttpExchange) => {
-    const { levels } = (await readJson(request, INTERNAL_BODY_LIMITS)) as PrefixChain
+    const { levels } = (await readJson(request, BODY_LIMITS.message)) as PrefixChain
     const matched = index.match({ ...EMPTY_CHAIN, levels }, timers.now())
     sendJson(response, 200, buildHints(matched))
   }
--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -3,7 +3,7 @@
 import {
   ConnectionError,
   closeBody,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readBody,
   readTextStream,
   type HttpClient,
@@ -75,7 +75,7 @@
     else call.finish({ outcome: 'failed', reason: 'stream ended without its final marker' })
     return
   }
-  const body = await readBody(message, INTERNAL_BODY_LIMITS)
+  const body = await readBody(message, BODY_LIMITS.call)
   options.onFirstToken()
   call.sendHead(head)
   call.sendBody(toBodyFrame(body))
--- a/packages/sidecar/src/server/sidecarServer.ts
+++ b/packages/sidecar/src/server/sidecarServer.ts
@@ -7,7 +7,7 @@
   createInvariants,
   createMetrics,
   createUniqueId,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   toBackendServerId,
@@ -109,7 +109,11 @@
   const metrics = createMetrics('sidecar')
   if (options.memory) addMemoryGauges(metrics, options.memory)
   const invariants = createInvariants({ logger, metrics, fatal: options.isFatal })
-  const client = createHttpClient({ key: processKey, caFile: options.tls?.caFile })
+  const client = createHttpClient({
+    memory: options.memory,
+    key: processKey,
+    caFile: options.tls?.caFile,
+  })
   const backendClient = createHttpClient({ memory: options.memory })
   const control = createControlClient({ urls: options.sources, client, timers })
   const config = createConfigFollower({
@@ -196,7 +200,7 @@
         path: '/orders',
         key: processKey,
         handler: async ({ request, response }) => {
-          await gate.apply((await readJson(request, INTERNAL_BODY_LIMITS)) as Order)
+          await gate.apply((await readJson(request, BODY_LIMITS.message)) as Order)
           await watcher.refresh()
           sendJson(response, 200, {})
         },
--- a/packages/spoolgate/src/__tests__/once.spec.ts
+++ b/packages/spoolgate/src/__tests__/once.spec.ts
@@ -1,4 +1,4 @@
-import { INTERNAL_BODY_LIMITS, readBody } from '@spoolgate/core'
+import { BODY_LIMITS, readBody } from '@spoolgate/core'
 import { expect } from 'chai'
 import type { LocalFleet } from '../index.js'
 import { createCuttableLink, createTestFleet, sendReceipt, type CuttableLink } from './fixtures.js'
@@ -106,7 +106,7 @@
       },
       body,
     })
-    return { status: reply.statusCode, body: await readBody(reply, INTERNAL_BODY_LIMITS) }
+    return { status: reply.statusCode, body: await readBody(reply, BODY_LIMITS.call) }
   }
 
   it('bars a dispatch that was asked about before it arrived', async () => {
--- a/packages/spoolgate/src/node/bench/heartbeatBench.ts
+++ b/packages/spoolgate/src/node/bench/heartbeatBench.ts
@@ -21,7 +21,7 @@
   sendJson,
   toServerName,
   waitFor,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   type HttpClient,
   type HttpExchange,
 } from '@spoolgate/core'
@@ -131,7 +131,7 @@
   let requests = 0
   const handleOperation = async ({ request, response, params }: HttpExchange) => {
     requests += 1
-    const input = await readJson(request, INTERNAL_BODY_LIMITS)
+    const input = await readJson(request, BODY_LIMITS.message)
     sendJson(response, 200, await leader.runLocally(params.name, input))
   }
   const http = await createHttpServer({
--- a/packages/standins/src/engine/engine.ts
+++ b/packages/standins/src/engine/engine.ts
@@ -5,7 +5,7 @@
   createRandomSource,
   createTimerService,
   createUniqueId,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readJson,
   sendJson,
   SpoolgateError,
@@ -221,7 +221,7 @@
   }
 
   const serveGeneration = async ({ request: incoming, response, path }: HttpExchange) => {
-    const body = (await readJson(incoming, INTERNAL_BODY_LIMITS)) as Record<string, unknown>
+    const body = (await readJson(incoming, BODY_LIMITS.call)) as Record<string, unknown>
     const request = parseEngineRequest(body, sizes)
     if (request.model !== options.model) {
       throw new SpoolgateError('unknownModel', `this engine serves ${options.model}`)
@@ -263,7 +263,7 @@
   }
 
   const serveOrder = async ({ request, response }: HttpExchange) => {
-    const order = (await readJson(request, INTERNAL_BODY_LIMITS)) as Record<string, unknown>
+    const order = (await readJson(request, BODY_LIMITS.call)) as Record<string, unknown>
     sendJson(response, 200, await orders.apply(order))
   }
 
--- a/packages/standins/src/plainService.ts
+++ b/packages/standins/src/plainService.ts
@@ -4,7 +4,7 @@
   createQuietLogger,
   createTimerService,
   createUniqueId,
-  INTERNAL_BODY_LIMITS,
+  BODY_LIMITS,
   readBody,
   sendJson,
   waitFor,
@@ -48,7 +48,7 @@
   let server: HttpServer | undefined
 
   const serveCall = async ({ request, response, path }: HttpExchange) => {
-    const body = (await readBody(request, INTERNAL_BODY_LIMITS)).toString('utf8')
+    const body = (await readBody(request, BODY_LIMITS.call)).toString('utf8')
     executions.set(body, (executions.get(body) ?? 0) + 1)
     await waitFor(timers, options.delayMs ?? 5)
     sendJson(response, 200, { path, received: body, execution: executions.get(body) })
