fix(core): bound the requests of one connection, and of all in the heap

What callers saw: a process to which four connections write small requests without waiting for answers ended by its heap, or served nobody else.

Cause: Node parses all that one read of a socket brings, up to 64 KiB, and stops only behind it, and only if responses back up. Nothing bounded the requests of one connection or of all, and the budget did not count them.

Change: the bytes of a connection go to Node's parser a request at a time while at most 16 are in flight; the rest is kept back (counted in the memory budget) and the socket is not read. What is kept back goes on in a later turn. A kept-back request is answered in a planned stop as one that was parsed. Each request holds 16 KiB of `memory.heap`; without room it is answered 503 with Retry-After in its order, has not run, and those that wait behind another one on their connection may use a half only.

Why it works: what a connection makes a process hold follows from the number of its requests, no longer from the bytes it can write.

--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -16,7 +16,10 @@
 import { installBodyEnd } from './httpBody.js'
 import { closeLingering } from './lingeringClose.js'
 import type { LogFields, Logger } from './logger.js'
+import type { MemoryBudget, MemoryHold } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
+import { startPacedRead, type PacedRead } from './pacedRead.js'
+import { admitRequest, declineRequest } from './requestRoom.js'
 import { waitFor, type TimerService } from './timers.js'
 import { createTurnQueue } from './turnQueue.js'
 
@@ -34,6 +37,16 @@
    * @default 'leave'
    */
   readonly halfClose?: HalfClosePolicy
+  /**
+   * Budget in which requests in flight count, and bytes that are kept back until their connection may have more of them.
+   * @default undefined, they are bounded for each connection only
+   */
+  readonly memory?: MemoryBudget
+  /**
+   * Maximum number of requests in flight on a connection; what arrives beyond them is read once one has ended.
+   * @default 16
+   */
+  readonly maxInFlight?: number
 }
 
 /** Callbacks of the owner of a request. */
@@ -89,6 +102,22 @@
   hasLate: boolean
   /** Whether the bytes that held the latest request are still being parsed: others may follow in them. */
   isReading: boolean
+  /** Its bytes, once Node's server has accepted it. */
+  bytes: PacedRead | undefined
+  /** Room for the bytes that are kept back. */
+  bytesHold: MemoryHold | undefined
+}
+
+const DEFAULT_MAX_IN_FLIGHT = 16
+
+/** Whether bytes of a connection have arrived that are not parsed yet. */
+function isKeptBack({ bytes }: Connection): boolean {
+  return bytes !== undefined && bytes.keptBytes() > 0
+}
+
+/** Whether requests that have arrived may not be parsed yet. */
+function isUnparsed(connection: Connection): boolean {
+  return connection.isReading || isKeptBack(connection)
 }
 
 /** Aborts the reading of a request's body without closing the connection. */
@@ -106,7 +135,8 @@
 
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
-  const { logger, timers, metrics, halfClose = 'leave' } = options
+  const { logger, timers, metrics, memory, halfClose = 'leave' } = options
+  const maxInFlight = options.maxInFlight ?? DEFAULT_MAX_IN_FLIGHT
   const connections = new Map<Socket, Connection>()
   const ended = metrics?.counter('connections_ended', 'Connections that ended, by end')
   const unanswered = metrics?.counter(
@@ -133,6 +163,7 @@
   const handleClose = (connection: Connection) => {
     const { socket, inFlight } = connection
     connections.delete(socket)
+    connection.bytesHold?.close()
     const open = [...inFlight].filter(isUnanswered)
     const end = connection.end ?? findEndOfSocket(socket, inFlight.size > 0)
     ended?.add(1, { end })
@@ -191,8 +222,8 @@
   }
   /** Says in the head of an answer that the connection ends after it, if nothing else is to be answered. */
   const announceEnd = (connection: Connection, { response }: TakenRequest) => {
-    const { inFlight, end, refusal, isReading } = connection
-    const isOver = (isStopping && !isReading) || end !== undefined
+    const { inFlight, end, refusal } = connection
+    const isOver = (isStopping && !isUnparsed(connection)) || end !== undefined
     if (!isOver || refusal !== undefined || inFlight.size > 1 || response.headersSent) return
     connection.isEnding = true
     connection.end ??= 'plannedStop'
@@ -203,7 +234,8 @@
     const { socket, inFlight } = connection
     const readBytes = socket.bytesRead
     await turns.take()
-    if (inFlight.size === 0 && socket.bytesRead === readBytes) endConnection(connection, end)
+    if (inFlight.size > 0 || isKeptBack(connection) || socket.bytesRead !== readBytes) return
+    endConnection(connection, end)
   }
   const openConnection = (socket: Socket): Connection => {
     const known = connections.get(socket)
@@ -217,6 +249,8 @@
       isEnding: false,
       hasLate: false,
       isReading: false,
+      bytes: undefined,
+      bytesHold: undefined,
     }
     connections.set(socket, connection)
     if (halfClose !== 'leave') socket.once('end', () => handleHalfClose(connection))
@@ -225,6 +259,27 @@
     socket.destroySoon = () => endConnection(connection, isStopping ? 'plannedStop' : 'announced')
     return connection
   }
+  const holdBytes = (connection: Connection, bytes: number) => {
+    if (!memory || (bytes === 0 && !connection.bytesHold)) return true
+    connection.bytesHold ??= memory.open()
+    if (connection.bytesHold.resize(bytes)) return true
+    destroy(connection.socket, 'memory')
+    return false
+  }
+  const destroy = (socket: Socket, end: ConnectionEnd) => {
+    const connection = connections.get(socket)
+    if (connection) connection.end ??= end
+    socket.destroy()
+  }
+  const acceptConnection = (socket: Socket) => {
+    const connection = openConnection(socket)
+    connection.bytes = startPacedRead(socket, {
+      canTake: () => connection.inFlight.size < maxInFlight,
+      isOver: () => connection.isEnding && connection.hasLate,
+      findLatest: () => connection.latest,
+      holdBytes: (bytes) => holdBytes(connection, bytes),
+    })
+  }
   const recordLate = (connection: Connection, { headers, url }: IncomingMessage) => {
     if (connection.hasLate) return
     connection.hasLate = true
@@ -233,16 +288,17 @@
   const finish = (connection: Connection, taken: TakenRequest) => {
     if (!connection.inFlight.delete(taken)) return
     taken.owner.onEnd()
+    connection.bytes?.resume()
     if (connection.inFlight.size > 0 || connection.socket.destroyed) return
     // An answer whose head was written before the end was known could not say that the connection ends.
     const end = connection.end ?? (isStopping ? 'plannedStop' : undefined)
     if (end === undefined) return
-    if (connection.isReading) setImmediate(() => endUnlessRead(connection, end))
+    if (isUnparsed(connection)) setImmediate(() => endUnlessRead(connection, end))
     else endAnswered(connection, end)
   }
   /** Ends a connection of which no other request was read with the last one. */
   const endUnlessRead = (connection: Connection, end: ConnectionEnd) => {
-    if (connection.inFlight.size === 0) endAnswered(connection, end)
+    if (connection.inFlight.size === 0 && !isKeptBack(connection)) endAnswered(connection, end)
   }
   /**
    * Lists the connections between two requests. Only Node's parsers know them, and Node destroys those that it finds: their
@@ -256,12 +312,12 @@
     }
     server.closeIdleConnections()
     for (const { socket } of connections.values()) Reflect.deleteProperty(socket, 'destroy')
-    return idle
+    return idle.filter((connection) => !isKeptBack(connection))
   }
   return {
     watchServer: (server) => {
       Object.assign(server, { httpAllowHalfOpen: halfClose !== 'leave' })
-      server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', openConnection)
+      server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', acceptConnection)
       server.on('timeout', (socket) => void endIdle(openConnection(socket), 'idle'))
       server.on('clientError', handleClientError)
       server.on('connect', handleConnect)
@@ -273,8 +329,9 @@
         request.resume()
         return false
       }
+      const { inFlight } = connection
       const taken = { request, response, owner, takenAt: timers.now() }
-      connection.inFlight.add(taken)
+      inFlight.add(taken)
       connection.latest = request
       connection.isReading = true
       // Node runs ticks between the requests that it parses from the same bytes.
@@ -286,16 +343,14 @@
         return writeHead.apply(response, head)
       }) as typeof writeHead
       response.once('close', () => finish(connection, taken))
-      return true
+      if (!memory || admitRequest(memory.heap, response, inFlight.size > 1)) return true
+      declineRequest(request, response)
+      return false
     },
     startStop: () => {
       isStopping = true
     },
-    destroy: (socket, end) => {
-      const connection = connections.get(socket)
-      if (connection) connection.end ??= end
-      socket.destroy()
-    },
+    destroy,
     closeIdle: async (server) => {
       // Timers run before sockets are read: what has arrived meanwhile is not idle.
       await turns.take()
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -202,7 +202,8 @@
     },
   })
   const instruments = createInstruments(metrics)
-  const connections = createConnectionTracker({ timers, logger, metrics, halfClose: 'probe' })
+  const trackerParts = { timers, logger, metrics, memory }
+  const connections = createConnectionTracker({ ...trackerParts, halfClose: 'probe' })
   const { cutOff } = instruments
   const shutdown = createGracefulShutdown({ timers, logger, connections, cutOff })
   const restartDetector = createRestartDetector({
