fix(core): accept the connections that wait before a server stops listening

Cause: libuv accepts one connection of a listening socket in a turn of the event loop, a stop waited for one turn, and the kernel resets what still waits when the socket is closed.

Evidence: a probe of Node alone, 20 callers while the loop stands still: 19 reset after one turn, none where turns are taken until one brings no new connection.

Change: stopListening takes turns until nothing waits, the backlog's size at most, for all servers.

--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
-import { Server as NetServer, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { Subscription } from 'rxjs'
 import { createConnectionTracker } from './connectionTracker.js'
 import { createConnectionGuard } from './connectionGuard.js'
@@ -21,8 +21,8 @@
 import type { Logger } from './logger.js'
 import { addRequestMemory, type MemoryBudget } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
+import { stopListening } from './stopListening.js'
 import { waitFor, type TimerService } from './timers.js'
-import { createTurnQueue } from './turnQueue.js'
 
 /** One request with its response. */
 export interface HttpExchange {
@@ -360,13 +360,8 @@
       connections.startStop()
       tlsWatch?.unsubscribe()
       const grace = waitFor(options.timers, Math.min(drainMs, IDLE_GRACE_MS))
-      // Connections that wait to be accepted would be reset.
-      await createTurnQueue().take()
-      // Node's own close also cuts idle connections at once, and with them a request that a caller
-      // is just sending on one. They stay for a moment, and what arrives is still served.
-      const closed = new Promise<void>((resolve) =>
-        NetServer.prototype.close.call(server, () => resolve()),
-      )
+      // A caller may be sending a request on an idle connection: it stays for a moment, and what arrives is still served.
+      const { closed } = await stopListening(server)
       await grace
       await connections.closeIdle(server)
       await waitForIdle(drainMs)
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -137,3 +137,4 @@
 } from './connectionGuard.js'
 export { createDaemonRoutes, createMetricsRoute } from './daemonRoutes.js'
 export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
+export { stopListening } from './stopListening.js'
--- a/packages/router/src/direct/callerServer.ts
+++ b/packages/router/src/direct/callerServer.ts
@@ -1,13 +1,14 @@
 /** The HTTP server for callers: its connections, and the bounds that the routing table in force sets on them. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as NetServer, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { FeedClient } from '@spoolgate/control'
-import type {
-  ConnectionGuard,
-  ConnectionTracker,
-  Logger,
-  MemoryBudget,
-  TimerService,
+import {
+  stopListening,
+  type ConnectionGuard,
+  type ConnectionTracker,
+  type Logger,
+  type MemoryBudget,
+  type TimerService,
 } from '@spoolgate/core'
 import type { GracefulShutdown, TrackedRequest } from './gracefulShutdown.js'
 import { startHeadWatch } from './headWatch.js'
@@ -85,8 +86,7 @@
   return {
     server,
     stopListening: async () => {
-      // Node's own close would also reset idle connections on which a request is arriving.
-      NetServer.prototype.close.call(server)
+      await stopListening(server)
       await connections.closeIdle(server)
     },
     close: async () => {
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -356,8 +356,6 @@
       shutdown.start(drainMs)
       engineAdmission?.admission.refuseStopped()
       await waitFor(timers, Math.min(READINESS_GRACE_MS, drainMs))
-      // Timers run before sockets are polled: connections that wait to be accepted would be reset.
-      await context.turns.take()
       await callerServer.stopListening()
       await shutdown.waitUntilIdle()
       const abandoned = shutdown.reportCutOff()
