fix(core): keep room for the fleet, and decline in place of a reset

Found by review on, in process: an upload in chunks that found no room was reset in place of a 503, since the bytes kept back of a body were taken for requests without room; requests of callers could use the whole heap budget, so that readiness and messages of the fleet got 503; bytes kept back could fill the whole budget; declined requests were counted nowhere and had no answer in the form of the callers` port.

Bytes that are kept back use a quarter of the budget for buffers; beyond it their connection ends once its requests are answered. The reader of a body refuses it as before. A counter, a log line once a second, and a refusal in the form of the port.

--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -13,13 +13,14 @@
   type ConnectionEnd,
 } from './connectionEnds.js'
 import { CALLER_SILENT, startProbe, type HalfClosePolicy } from './halfClose.js'
+import type { SpoolgateError } from './errors.js'
 import { installBodyEnd } from './httpBody.js'
 import { closeLingering } from './lingeringClose.js'
 import type { LogFields, Logger } from './logger.js'
 import type { MemoryBudget, MemoryHold } from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
 import { startPacedRead, type PacedRead } from './pacedRead.js'
-import { admitRequest, declineRequest } from './requestRoom.js'
+import { admitRequest, declineRequest, type RoomPriority } from './requestRoom.js'
 import { waitFor, type TimerService } from './timers.js'
 import { createTurnQueue } from './turnQueue.js'
 
@@ -47,6 +48,11 @@
    * @default 16
    */
   readonly maxInFlight?: number
+  /**
+   * Whether the requests are messages of the fleet, which may use the room that is kept free of all others.
+   * @default false
+   */
+  readonly isFleet?: boolean
 }
 
 /** Callbacks of the owner of a request. */
@@ -58,6 +64,11 @@
    * @default undefined, by its host and target
    */
   readonly describe?: () => LogFields
+  /**
+   * Sends the answer to a request for which there is no room.
+   * @default an answer without a body
+   */
+  readonly sendDecline?: (error: SpoolgateError) => void
 }
 
 /** Connections of one server; see {@link createConnectionTracker}. */
@@ -109,6 +120,10 @@
 }
 
 const DEFAULT_MAX_IN_FLIGHT = 16
+/** Part of the budget for buffers that bytes which are kept back may use. */
+const KEPT_RATIO = 0.25
+/** Time between two log lines on requests that are declined, in ms. */
+const DECLINE_LOG_MS = 1_000
 
 /** Whether bytes of a connection have arrived that are not parsed yet. */
 function isKeptBack({ bytes }: Connection): boolean {
@@ -133,17 +148,31 @@
   response.emit('close')
 }
 
+/** Creates a function that runs a log call once in a while. */
+function createSparseLog(timers: Pick<TimerService, 'now'>): (log: () => void) => void {
+  let loggedAt = -Infinity
+  return (log) => {
+    if (timers.now() - loggedAt < DECLINE_LOG_MS) return
+    loggedAt = timers.now()
+    log()
+  }
+}
+
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
   const { logger, timers, metrics, memory, halfClose = 'leave' } = options
-  const maxInFlight = options.maxInFlight ?? DEFAULT_MAX_IN_FLIGHT
+  const { maxInFlight = DEFAULT_MAX_IN_FLIGHT, isFleet = false } = options
   const connections = new Map<Socket, Connection>()
   const ended = metrics?.counter('connections_ended', 'Connections that ended, by end')
   const unanswered = metrics?.counter(
     'requests_unanswered',
     'Requests that were read whole and ended without a whole answer, by end of their connection',
   )
+  const declined = metrics?.counter('requests_declined', 'Requests without room in the heap')
+  const declineLog = createSparseLog(timers)
   const turns = createTurnQueue()
+  /** Bytes that are kept back on all connections. */
+  let keptBytes = 0
   let isStopping = false
   let notifyClosed = () => {}
 
@@ -163,6 +192,7 @@
   const handleClose = (connection: Connection) => {
     const { socket, inFlight } = connection
     connections.delete(socket)
+    keptBytes -= connection.bytesHold?.bytes() ?? 0
     connection.bytesHold?.close()
     const open = [...inFlight].filter(isUnanswered)
     const end = connection.end ?? findEndOfSocket(socket, inFlight.size > 0)
@@ -259,11 +289,22 @@
     socket.destroySoon = () => endConnection(connection, isStopping ? 'plannedStop' : 'announced')
     return connection
   }
-  const holdBytes = (connection: Connection, bytes: number) => {
+  const isKept = (connection: Connection, bytes: number) => {
     if (!memory || (bytes === 0 && !connection.bytesHold)) return true
-    connection.bytesHold ??= memory.open()
-    if (connection.bytesHold.resize(bytes)) return true
-    destroy(connection.socket, 'memory')
+    const hold = (connection.bytesHold ??= memory.open())
+    const total = keptBytes + bytes - hold.bytes()
+    if (bytes > hold.bytes() && total > memory.limitBytes * KEPT_RATIO) return false
+    const before = hold.bytes()
+    if (!hold.resize(bytes)) return false
+    keptBytes += bytes - before
+    return true
+  }
+  /** Counts the bytes that are kept back. Without room for them the connection ends once its requests are answered. */
+  const holdBytes = (connection: Connection, bytes: number) => {
+    if (isKept(connection, bytes)) return true
+    // What follows in a body is refused by its reader.
+    if (connection.latest?.complete === false) return true
+    endAfterAnswers(connection, 'memory')
     return false
   }
   const destroy = (socket: Socket, end: ConnectionEnd) => {
@@ -275,7 +316,7 @@
     const connection = openConnection(socket)
     connection.bytes = startPacedRead(socket, {
       canTake: () => connection.inFlight.size < maxInFlight,
-      isOver: () => connection.isEnding && connection.hasLate,
+      isOver: () => connection.end === 'memory' || (connection.isEnding && connection.hasLate),
       findLatest: () => connection.latest,
       holdBytes: (bytes) => holdBytes(connection, bytes),
     })
@@ -343,8 +384,11 @@
         return writeHead.apply(response, head)
       }) as typeof writeHead
       response.once('close', () => finish(connection, taken))
-      if (!memory || admitRequest(memory.heap, response, inFlight.size > 1)) return true
-      declineRequest(request, response)
+      const others: RoomPriority = inFlight.size > 1 ? 'behind' : 'first'
+      if (!memory || admitRequest(memory.heap, response, isFleet ? 'fleet' : others)) return true
+      declined?.add(1)
+      declineLog(() => logger.warn('request.declined', { host: request.headers.host }))
+      declineRequest(request, response, owner.sendDecline)
       return false
     },
     startStop: () => {
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -297,7 +297,8 @@
       active.delete(response)
       if (active.size === 0) notifyIdle()
     }
-    if (!connections.take(request, response, { onEnd })) return
+    const sendDecline = (error: SpoolgateError) => sendError(response, error)
+    if (!connections.take(request, response, { onEnd, sendDecline })) return
     active.add(response)
     if (options.memory) addRequestMemory(options.memory, request, response)
     const run = () =>
--- a/packages/router/src/__tests__/gracefulShutdown.spec.ts
+++ b/packages/router/src/__tests__/gracefulShutdown.spec.ts
@@ -47,6 +47,7 @@
       logger,
       connections: createConnectionTracker({ timers, logger }),
       cutOff,
+      caller: { sendRefusal: () => {} },
     })
   })
 
@@ -130,6 +131,7 @@
     logger,
     connections: createConnectionTracker({ timers, logger }),
     cutOff,
+    caller: { sendRefusal: () => {} },
   })
   const createPlan = (limitMs: number) => ({ deadline: timers.now() + limitMs }) as CallPlan
 
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -205,7 +205,7 @@
   const trackerParts = { timers, logger, metrics, memory }
   const connections = createConnectionTracker({ ...trackerParts, halfClose: 'probe' })
   const { cutOff } = instruments
-  const shutdown = createGracefulShutdown({ timers, logger, connections, cutOff })
+  const shutdown = createGracefulShutdown({ timers, logger, connections, cutOff, caller })
   const restartDetector = createRestartDetector({
     views: feed.changes,
     agent,
--- a/packages/router/src/direct/gracefulShutdown.ts
+++ b/packages/router/src/direct/gracefulShutdown.ts
@@ -15,7 +15,7 @@
   type TimerService,
 } from '@spoolgate/core'
 import type { CallPlan } from './callTypes.js'
-import type { DirectCall } from './protocols.js'
+import type { CallerProtocol, DirectCall } from './protocols.js'
 
 /** A request in progress: from its arrival until the response is sent or the connection closes. */
 export interface TrackedRequest {
@@ -64,6 +64,8 @@
   readonly connections: Pick<ConnectionTracker, 'take' | 'startStop'>
   /** Counts the requests that were cut off by a shutdown. */
   readonly cutOff: Counter
+  /** Refuses requests for which there is no room. */
+  readonly caller: Pick<CallerProtocol, 'sendRefusal'>
 }
 
 /** Interval at which a shutdown checks for requests in progress, in ms. */
@@ -159,6 +161,7 @@
           tracked.ended.complete()
         },
         describe: () => ({ request: tracked.call?.id, route: tracked.plan?.route.name }),
+        sendDecline: (error) => options.caller.sendRefusal(response, undefined, error),
       })
       if (!isTaken) return undefined
       inProgress.add(tracked)
