fix(router): do not give up a response that waits behind another one

Cause: an answer without progress for a second is given up when others need room. One that waits for its turn makes none, whoever reads; giving it up freed nothing, and closed the connection when its turn came.

Change: a plain answer may be given up only once it is its turn.

--- a/packages/router/src/__tests__/responseRelay.spec.ts
+++ b/packages/router/src/__tests__/responseRelay.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import {
   createServer as createHttpServer,
   get,
@@ -5,12 +6,13 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http'
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { PassThrough } from 'node:stream'
 import type { RegisteredServer } from '@spoolgate/control'
 import {
   createConnectionGuard,
   createKeepAliveAgent,
+  createManualTimerService,
   createMemoryBudget,
   createQuietLogger,
   createTimerService,
@@ -143,6 +145,47 @@
   })
 })
 
+describe('a response that waits behind another one of its connection', () => {
+  it('is not given up for the room that others need', async () => {
+    const timers = createManualTimerService()
+    const budget = createMemoryBudget({ limitBytes: 1_000, timers })
+    const server = await startScriptedServer((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond'),
+    )
+    const agent = createKeepAliveAgent({ idleMs: 5_000, marginMs: 100 })
+    const responses: ServerResponse[] = []
+    const front = createHttpServer((_, response) => responses.push(response))
+    await new Promise<void>((resolve) => front.listen(0, '127.0.0.1', resolve))
+    let received = ''
+    const caller = connect((front.address() as AddressInfo).port, '127.0.0.1')
+    caller.on('error', () => {})
+    caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(2))
+    while (responses.length < 2) await new Promise((resolve) => setImmediate(resolve))
+    const [first, second] = responses
+    const hold = budget.open()
+    await relayResponse({
+      message: await sendGet(server, agent),
+      server: {} as RegisteredServer,
+      headers: [],
+      response: second,
+      relay: {} as StreamRelay,
+      memory: { hold, maxBytes: budget.maxHoldBytes },
+      isFinished: () => false,
+    })
+    timers.advance(2_000)
+    expect(budget.open().resize(2_000)).to.equal(false)
+    const closed = once(caller, 'close')
+    caller.on('data', (chunk) => (received += chunk.toString()))
+    first.end('first')
+    await Promise.race([once(second, 'finish'), closed])
+    caller.end()
+    await closed
+    agent.destroy()
+    for (const each of [server, front]) each.close()
+    expect(received).to.include('first').and.to.include('second')
+  })
+})
+
 describe('relaying a response that is too long to be held', () => {
   const BODY = 'x'.repeat(600_000)
   /** Relays what a scripted server sends; resolves to the outcome, and to what a caller gets. */
--- a/packages/router/src/direct/attemptOutcome.ts
+++ b/packages/router/src/direct/attemptOutcome.ts
@@ -137,8 +137,11 @@
   const read = await readResponseBody(message, memory)
   if (read.kind === 'broken') return { ...read, kind: 'lost' }
   const forward = () => {
+    const allowEviction = () => memory.hold.setEviction(() => response.destroy())
     sendBufferedResponse(response, message, headers, read.body)
-    memory.hold.setEviction(() => response.destroy())
+    // A response behind another one of its connection waits for that one, not for its caller.
+    if (response.socket === null) response.once('socket', allowEviction)
+    else allowEviction()
   }
   if (isFailure) return { kind: 'failed', status, reason: `status ${status}`, forward }
   if (!isFinished()) forward()
