fix(core): start the handlers of a process over turns of its event loop

What callers saw: one caller that reads the metrics or the configuration without waiting took nearly all turns of a process; others waited seconds.

Cause: each request started its handler in the turn in which it was parsed, and each read of the metrics rendered them anew.

Change: all servers of a process, the callers' port included, start handlers through one scheduler. Reads of the metrics in one turn share a text. A handler whose caller has left meanwhile is not started.

Why it works: the time between two polls of the sockets no longer follows from the number of requests, and no connection is two handlers ahead of another.

--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -81,6 +81,7 @@
     metrics,
     timers,
     routes: [],
+    traffic: 'fleet',
     onConnection: recordConnection,
   })
   const { url } = server
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -151,6 +151,7 @@
     metrics,
     timers,
     routes: [],
+    traffic: 'fleet',
     onConnection: recordConnection,
   })
   const { url } = server
--- a/packages/core/src/daemonRoutes.ts
+++ b/packages/core/src/daemonRoutes.ts
@@ -12,11 +12,19 @@
 
 /** Creates `/metrics`. */
 export function createMetricsRoute(render: () => Promise<string>): Route {
+  let rendering: Promise<string> | undefined
+  const renderShared = async () => {
+    // Requests that arrive in one turn of the event loop share a text.
+    await new Promise((resolve) => setImmediate(resolve))
+    rendering = undefined
+    return render()
+  }
   return {
     method: 'GET',
     path: '/metrics',
     handler: async ({ response }) => {
-      const text = await render()
+      rendering ??= renderShared()
+      const text = await rendering
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
       response.end(text)
     },
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -23,6 +23,7 @@
 import type { Metrics } from './metrics.js'
 import { waitFor, type TimerService } from './timers.js'
 import { createTurnQueue } from './turnQueue.js'
+import { processTurns, type TrafficClass } from './turnScheduler.js'
 
 /** One request with its response. */
 export interface HttpExchange {
@@ -99,6 +100,11 @@
    * @default 'leave', as for processes of the fleet, which close connections altogether
    */
   readonly halfClose?: HalfClosePolicy
+  /**
+   * Whose requests start first when several servers of the process are busy.
+   * @default 'calls'
+   */
+  readonly traffic?: TrafficClass
   /**
    * Called for each new connection.
    * @default no action
@@ -267,6 +273,7 @@
 
 /** Creates a server and waits until it listens. */
 export async function createHttpServer(options: HttpServerOptions): Promise<HttpServer> {
+  const { traffic = 'calls' } = options
   const server = createServerFor(options)
   const compiled: CompiledRoute[] = []
   const addRoutes = (routes: readonly Route[]) => {
@@ -300,16 +307,20 @@
     if (!connections.take(request, response, { onEnd })) return
     active.add(response)
     if (options.memory) addMessageHold(request, openResponseHold(options.memory, response))
-    const run = () =>
-      dispatch(request, response)
+    const serve = async () => {
+      // The caller may have left while its request waited.
+      if (response.destroyed) return
+      await dispatch(request, response)
         .catch((cause) => sendError(response, cause))
         .catch((cause) => {
           guard.recordFailure('server.request', cause)
           response.destroy()
         })
+    }
+    const run = () => processTurns.run(traffic, request.socket, () => void serve())
     // An answer in the turn in which its request is parsed could not announce the end of its connection.
     if (isClosing) setImmediate(run)
-    else void run()
+    else run()
   }
   server.on('connection', (socket: Socket) =>
     guard.run(
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -140,5 +140,6 @@
   type ConnectionGuard,
   type ConnectionGuardOptions,
 } from './connectionGuard.js'
+export { processTurns, type TrafficClass } from './turnScheduler.js'
 export { createDaemonRoutes, createMetricsRoute } from './daemonRoutes.js'
 export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
--- a/packages/router/src/direct/callerServer.ts
+++ b/packages/router/src/direct/callerServer.ts
@@ -2,12 +2,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
 import type { FeedClient } from '@spoolgate/control'
-import type {
-  ConnectionGuard,
-  ConnectionTracker,
-  Logger,
-  MemoryBudget,
-  TimerService,
+import {
+  processTurns,
+  type ConnectionGuard,
+  type ConnectionTracker,
+  type Logger,
+  type MemoryBudget,
+  type TimerService,
 } from '@spoolgate/core'
 import type { GracefulShutdown, TrackedRequest } from './gracefulShutdown.js'
 import { startHeadWatch } from './headWatch.js'
@@ -70,9 +71,11 @@
       response.once('close', heads.recordRequest(request.socket).finish)
       const tracked = shutdown.track(request, response)
       if (!tracked) return
-      options.handleRequest(request, response, tracked).catch((cause) => {
-        guard.recordFailure('caller.request', cause)
-        abandon()
+      processTurns.run('calls', request.socket, () => {
+        options.handleRequest(request, response, tracked).catch((cause) => {
+          guard.recordFailure('caller.request', cause)
+          abandon()
+        })
       })
     }
     guard.run('caller.request', handle, abandon)
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -110,6 +110,7 @@
   const server = await createHttpServer({
     ...endpoint,
     routes: createRecordRoutes(records, journal),
+    traffic: 'fleet',
     logger,
     metrics,
     timers,
