--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -90,6 +90,7 @@
     timers,
     memory,
     routes: [],
+    traffic: 'fleet',
     onConnection: recordConnection,
   })
   const { url } = server
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -153,6 +153,7 @@
     timers,
     memory,
     routes: [],
+    traffic: 'fleet',
     onConnection: recordConnection,
   })
   const { url } = server
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -135,6 +135,7 @@
   type ConnectionGuard,
   type ConnectionGuardOptions,
 } from './connectionGuard.js'
+export { processTurns, type TrafficClass } from './turnScheduler.js'
 export { createDaemonRoutes, createMetricsRoute } from './daemonRoutes.js'
 export { createRandomSource, createUniqueId, type RandomSource } from './random.js'
 export { stopListening } from './stopListening.js'
--- a/packages/router/src/direct/callerServer.ts
+++ b/packages/router/src/direct/callerServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import type { FeedClient } from '@spoolgate/control'
 import {
+  processTurns,
   stopListening,
   type ConnectionGuard,
   type ConnectionTracker,
@@ -71,9 +72,11 @@
       response.once('close', heads.recordRequest(request.socket).finish)
       const tracked = shutdown.track(request, response)
       if (!tracked) return
-      options.handleRequest(request, response, tracked).catch((cause) => {
-        guard.recordFailure('caller.request', cause)
-        abandon()
+      processTurns.run('calls', request.socket, () => {
+        options.handleRequest(request, response, tracked).catch((cause) => {
+          guard.recordFailure('caller.request', cause)
+          abandon()
+        })
       })
     }
     guard.run('caller.request', handle, abandon)
