fix: documents that can never be held are refused while they arrive

Messages within the limit of their kind still took a process far above its memory: 32 record messages of 1 MiB took a router to 265 to 375 MB of 200, eight Raft messages of 15 MiB took control to 259 MB of 200 and 440 MB of 350.

--- a/packages/control/src/registry/tableWriter.ts
+++ b/packages/control/src/registry/tableWriter.ts
@@ -2,10 +2,15 @@
  * Serialises writes of the routing table at the leader: each is appended to the log as a patch against the previous
  * version.
  */
-import type { Logger } from '@spoolgate/core'
+import { BODY_LIMITS, SpoolgateError, type Logger } from '@spoolgate/core'
 import type { RaftMember } from '../raft/types.js'
 import type { PutTableResult, TableState } from '../state/tableState.js'
-import { buildTableUpdate, measureUpdate, type VersionedTable } from '../table/tableUpdate.js'
+import {
+  buildTableUpdate,
+  measureUpdate,
+  type TableUpdate,
+  type VersionedTable,
+} from '../table/tableUpdate.js'
 
 /** Options of {@link createTableWriter}. */
 export interface TableWriterOptions {
@@ -23,12 +28,20 @@
   put(table: VersionedTable): Promise<PutTableResult>
 }
 
+/** @throws SpoolgateError `oversizeBody` for a table that would not fit into a message between members. */
+function checkSize(update: TableUpdate): void {
+  const { maxBytes } = BODY_LIMITS.table
+  if (measureUpdate(update) > maxBytes)
+    throw new SpoolgateError('oversizeBody', `send a table of at most ${maxBytes} bytes packed`)
+}
+
 /** Creates the queue of table writes. */
 export function createTableWriter({ member, table, logger }: TableWriterOptions): TableWriter {
   let queueTail: Promise<unknown> = Promise.resolve()
 
   const propose = async (before: VersionedTable | undefined, next: VersionedTable) => {
     const update = buildTableUpdate(before, next)
+    checkSize(update)
     const { version } = next
     const result = (await member.propose({ kind: 'table.put', version, update })) as PutTableResult
     logger.info('table.put', {
--- a/packages/control/src/server/groupRoutes.ts
+++ b/packages/control/src/server/groupRoutes.ts
@@ -5,6 +5,7 @@
   sendJson,
   SpoolgateError,
   toBackendServerId,
+  type BodyKind,
   type HttpExchange,
   type Route,
   type TimerService,
@@ -76,6 +77,13 @@
   readonly isCut: (from: string) => boolean
 }
 
+/** Handles one kind of Raft message. */
+interface RaftHandler {
+  /** What the message carries, which bounds it. */
+  readonly body: BodyKind
+  run(message: unknown, to: string | null): Promise<unknown>
+}
+
 /** Creates the route for Raft messages between members. */
 export function createRaftRoute(options: RaftRouteOptions): Route {
   const { member } = options
@@ -90,29 +98,38 @@
       `message is addressed to member ${to}, but this is member ${name}`,
     )
   }
-  const handlers: Record<string, (message: unknown, to: string | null) => Promise<unknown>> = {
+  const handlers: Record<string, RaftHandler> = {
     // The recipient of a vote is not checked: a member with a new name at the same address answers under that name,
     // which shows the candidate that the voter's disk is lost.
-    vote: (message) => {
-      checkLink((message as VoteRequest).candidate)
-      return member.handleVote(message as VoteRequest)
+    vote: {
+      body: 'message',
+      run: (message) => {
+        checkLink((message as VoteRequest).candidate)
+        return member.handleVote(message as VoteRequest)
+      },
     },
-    append: (message, to) => {
-      checkRecipient(to)
-      checkLink((message as AppendRequest).leader)
-      return member.handleAppend(message as AppendRequest)
+    append: {
+      body: 'entries',
+      run: (message, to) => {
+        checkRecipient(to)
+        checkLink((message as AppendRequest).leader)
+        return member.handleAppend(message as AppendRequest)
+      },
     },
-    install: (message, to) => {
-      checkRecipient(to)
-      checkLink((message as InstallRequest).leader)
-      return member.handleInstall(message as InstallRequest)
+    install: {
+      body: 'snapshot',
+      run: (message, to) => {
+        checkRecipient(to)
+        checkLink((message as InstallRequest).leader)
+        return member.handleInstall(message as InstallRequest)
+      },
     },
   }
   const handler = async ({ request, response, params, query }: HttpExchange) => {
     const handle = handlers[params.name]
     if (!handle) throw new SpoolgateError('unknownPath', 'unknown Raft message; update this member')
-    const message = await readJson(request, BODY_LIMITS.raft)
-    sendJson(response, 200, await handle(message, query.get('to')))
+    const message = await readJson(request, BODY_LIMITS[handle.body])
+    sendJson(response, 200, await handle.run(message, query.get('to')))
   }
   return { method: 'POST', path: `${RAFT_PATH}/:name`, key: options.processKey, handler }
 }
--- a/packages/core/src/bodyLimits.ts
+++ b/packages/core/src/bodyLimits.ts
@@ -23,18 +23,22 @@
   heartbeat: { maxBytes: 256 * KIB, timeoutMs: SHORT_MS },
   /** What a backend server says of itself. */
   report: { maxBytes: 256 * KIB, timeoutMs: SHORT_MS },
-  /** Any other message: polls, batches of heartbeats, quotas, evidence, votes, records of streams. */
-  message: { maxBytes: MIB, timeoutMs: SHORT_MS },
+  /** Records of streams. */
+  records: { maxBytes: 128 * KIB, timeoutMs: SHORT_MS },
+  /** Any other message: polls, batches of heartbeats, quotas, evidence, votes. */
+  message: { maxBytes: 512 * KIB, timeoutMs: SHORT_MS },
   /** State of the servers for a router, and a small table. */
   feed: { maxBytes: 4 * MIB, timeoutMs: LONG_MS },
   /** What a server or a store has cached. */
   cache: { maxBytes: 8 * MIB, timeoutMs: LONG_MS },
   /** A configuration as operators send it. */
   configuration: { maxBytes: 8 * MIB, timeoutMs: SHORT_MS },
-  /** A packed configuration, which is longer than its text if it cannot be compressed. */
-  table: { maxBytes: 12 * MIB, timeoutMs: LONG_MS },
-  /** Entries of the log, or a snapshot. */
-  raft: { maxBytes: 16 * MIB, timeoutMs: LONG_MS },
+  /** A packed configuration, which is usually a tenth of its text. */
+  table: { maxBytes: 8 * MIB, timeoutMs: LONG_MS },
+  /** Entries of the log. */
+  entries: { maxBytes: 12 * MIB, timeoutMs: LONG_MS },
+  /** A snapshot of the log. */
+  snapshot: { maxBytes: 64 * MIB, timeoutMs: LONG_MS },
   /** A caller's request or its answer, which the entry bounds by its settings. */
   call: { maxBytes: 64 * MIB, timeoutMs: LONG_MS },
 } as const satisfies Record<string, BodyLimits>
--- a/packages/core/src/documentMemory.ts
+++ b/packages/core/src/documentMemory.ts
@@ -26,15 +26,34 @@
 for (const [character, bytes] of Object.entries(VALUE_BYTES))
   byteCosts[character.charCodeAt(0)] += bytes
 
-/** Estimates how many bytes of the heap a JSON document takes with its text once it is parsed. */
-export function estimateDocumentBytes(body: Uint8Array): number {
+/** Estimate of the bytes of the heap that a JSON document takes with its text once it is parsed. */
+export interface DocumentEstimate {
+  add(text: Uint8Array): void
+  bytes(): number
+}
+
+/** Creates the estimate of an empty document. */
+export function createDocumentEstimate(): DocumentEstimate {
   let bytes = 0
+  let characters = 0
   let isWide = false
-  for (let index = 0; index < body.length; index += 1) {
-    bytes += byteCosts[body[index]]
-    if (body[index] >= FIRST_WIDE_BYTE) isWide = true
+  return {
+    add: (text) => {
+      characters += text.length
+      for (let index = 0; index < text.length; index += 1) {
+        bytes += byteCosts[text[index]]
+        if (text[index] >= FIRST_WIDE_BYTE) isWide = true
+      }
+    },
+    bytes: () => (isWide ? bytes + characters * CHARACTER_BYTES : bytes),
   }
-  return isWide ? bytes + body.length * CHARACTER_BYTES : bytes
+}
+
+/** Estimates how many bytes of the heap a whole JSON document takes with its text once it is parsed. */
+export function estimateDocumentBytes(text: Uint8Array): number {
+  const estimate = createDocumentEstimate()
+  estimate.add(text)
+  return estimate.bytes()
 }
 
 function isAnswer({ statusCode }: IncomingMessage): boolean {
@@ -56,24 +75,28 @@
   return new SpoolgateError('noRoom', remedy, { retryAfterSeconds: ROOM_RETRY_AFTER_S })
 }
 
+/** Finds why the document in a body can never be held; undefined if there is no bound, or if it can. */
+export function findDocumentError(
+  message: IncomingMessage,
+  estimate: DocumentEstimate,
+): Error | undefined {
+  const limit = findMessageMemory(message)?.maxDocumentBytes
+  if (limit === undefined || estimate.bytes() <= limit) return undefined
+  const reason = `send a document that takes less than ${Math.floor(limit)} bytes once it is parsed`
+  return createOversizeError(message, reason)
+}
+
 /**
  * Holds room in the heap for the document in a body. The document of a request is held until its response is closed,
  * the caller closes the hold of an answer.
- * @throws SpoolgateError `oversizeBody` or `noRoom`; ConnectionError for an answer.
+ * @throws SpoolgateError `noRoom`; ConnectionError for an answer.
  */
-export async function admitDocument(
+export async function openDocumentHold(
   message: IncomingMessage,
-  body: Uint8Array,
+  estimate: DocumentEstimate,
 ): Promise<MemoryHold | undefined> {
-  const memory = findMessageMemory(message)
-  if (!memory) return undefined
-  const bytes = estimateDocumentBytes(body)
-  if (bytes > memory.maxDocumentBytes) {
-    const limit = Math.floor(memory.maxDocumentBytes)
-    throw createOversizeError(message, `send a smaller document: ${bytes} of ${limit} bytes parsed`)
-  }
-  const hold = memory.openDocument()
-  if (await hold.waitForRoom(bytes)) return hold
+  const hold = findMessageMemory(message)?.openDocument()
+  if (!hold || (await hold.waitForRoom(estimate.bytes()))) return hold
   hold.close()
   throw createRoomError(message)
 }
--- a/packages/core/src/httpBody.ts
+++ b/packages/core/src/httpBody.ts
@@ -4,9 +4,11 @@
 import { ConnectionError, SpoolgateError } from './errors.js'
 import {
   closeAnswerHold,
+  createDocumentEstimate,
   createOversizeError,
   createRoomError,
-  admitDocument,
+  findDocumentError,
+  openDocumentHold,
 } from './documentMemory.js'
 import { findMessageMemory, type MemoryHold } from './memoryBudget.js'
 import { CUT_REASONS, watchCompletion, type CutReason } from './responseCompletion.js'
@@ -53,6 +55,15 @@
  *   ConnectionError when a response broke off.
  */
 export function readBody(message: IncomingMessage, limits: BodyLimits): Promise<Buffer> {
+  return readChunks(message, limits, () => undefined)
+}
+
+/** Reads a body whole, unless a piece of it shows that it cannot be used. */
+function readChunks(
+  message: IncomingMessage,
+  limits: BodyLimits,
+  findProblem: (chunk: Buffer) => Error | undefined,
+): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
     const hold = findMessageMemory(message)?.body
@@ -90,6 +101,8 @@
     message.on('data', (chunk: Buffer) => {
       size += chunk.length
       if (size > limits.maxBytes) return failSize()
+      const problem = findProblem(chunk)
+      if (problem) return fail(problem)
       chunks.push(chunk)
       if (hold && !hold.resize(size)) void waitForRoom(hold)
     })
@@ -119,13 +132,32 @@
   }
 }
 
+/** The text of a document, for which there is room in the heap. */
+export interface HeldDocument {
+  readonly body: Buffer
+  /** Held until the response is closed, unless it is closed before; undefined where nothing is counted. */
+  readonly hold: MemoryHold | undefined
+}
+
 /**
- * Reads and parses a JSON body. What it takes of the heap counts in the budget of its message, if there is one.
- * @throws as {@link readBody}, {@link admitDocument} and {@link parseJsonBody}
+ * Reads a body that holds a JSON document and waits for room for what it takes of the heap once it is parsed.
+ * @throws as {@link readBody} and {@link openDocumentHold}; `oversizeBody` as soon as the document can never be held
  */
+export async function readDocument(
+  message: IncomingMessage,
+  limits: BodyLimits,
+): Promise<HeldDocument> {
+  const estimate = createDocumentEstimate()
+  const body = await readChunks(message, limits, (chunk) => {
+    estimate.add(chunk)
+    return findDocumentError(message, estimate)
+  })
+  return { body, hold: await openDocumentHold(message, estimate) }
+}
+
+/** Reads and parses a JSON body; see {@link readDocument} and {@link parseJsonBody}. */
 export async function readJson(message: IncomingMessage, limits: BodyLimits): Promise<unknown> {
-  const body = await readBody(message, limits)
-  const hold = await admitDocument(message, body)
+  const { body, hold } = await readDocument(message, limits)
   try {
     return parseJsonBody(body)
   } finally {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -76,8 +76,8 @@
   type MemoryHold,
 } from './memoryBudget.js'
 export { BODY_LIMITS, type BodyKind, type BodyLimits } from './bodyLimits.js'
-export { estimateDocumentBytes, admitDocument } from './documentMemory.js'
-export { closeBody, parseJsonBody, readBody, readJson } from './httpBody.js'
+export { estimateDocumentBytes } from './documentMemory.js'
+export { closeBody, parseJsonBody, readBody, readDocument, readJson } from './httpBody.js'
 export {
   checkBearerKey,
   createHttpServer,
--- a/packages/router/src/server/callerRoutes.ts
+++ b/packages/router/src/server/callerRoutes.ts
@@ -3,8 +3,8 @@
 import {
   createCallerKeyring,
   createUniqueId,
-  admitDocument,
   readBody,
+  readDocument,
   sendJson,
   SpoolgateError,
   toRequestId,
@@ -140,10 +140,9 @@
   const serveGeneration = async (exchange: HttpExchange) => {
     const accepted = acceptRequest(exchange)
     const { fleet, team } = accepted
-    const body = await readBody(exchange.request, limits)
-    const document = await admitDocument(exchange.request, body)
+    const { body, hold } = await readDocument(exchange.request, limits)
     const generation = parseGenerationRequest(body, fleet, team)
-    document?.close()
+    hold?.close()
     const { model, chain, isStream, user, maxTokens } = generation
     const context = createContext(accepted, {
       body,
--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -86,7 +86,7 @@
   journal?: Pick<RecordJournal, 'add' | 'loaded'>,
 ): Route[] {
   const takeRecords = async ({ request, response }: HttpExchange) => {
-    for (const record of decodeRecords(await readJson(request, BODY_LIMITS.message))) {
+    for (const record of decodeRecords(await readJson(request, BODY_LIMITS.records))) {
       records.add(record)
       journal?.add(record)
     }
@@ -94,7 +94,7 @@
     response.writeHead(TAKEN_STATUS).end()
   }
   const findRecords = async ({ request, response }: HttpExchange) => {
-    const keys = decodeLookup(await readJson(request, BODY_LIMITS.message))
+    const keys = decodeLookup(await readJson(request, BODY_LIMITS.records))
     await journal?.loaded
     const found = keys.map(records.find).filter((record) => record !== undefined)
     sendJson(response, 200, { records: found.map(encodeRecord) })
--- a/packages/router/src/streams/recordLookup.ts
+++ b/packages/router/src/streams/recordLookup.ts
@@ -85,6 +85,7 @@
         const body = await client.sendJson({
           method: 'POST',
           url: `${url}${LOOKUP_PATH}`,
+          answer: 'records',
           json: { keys: [key] },
           timeoutMs: Math.max(1, Math.min(ANSWER_TIMEOUT_MS, endsAt - timers.now())),
         })
--- a/packages/router/src/streams/recordMessages.ts
+++ b/packages/router/src/streams/recordMessages.ts
@@ -1,5 +1,5 @@
 /** Messages in which routers exchange the records of their streams. */
-import { toSoftwareVersion, toStreamKey, type StreamKey } from '@spoolgate/core'
+import { SpoolgateError, toSoftwareVersion, toStreamKey, type StreamKey } from '@spoolgate/core'
 import * as z from 'zod'
 import type { StreamRecord } from './streamRecords.js'
 
@@ -53,12 +53,19 @@
   }
 }
 
+function checkMessage<Schema extends z.ZodType>(schema: Schema, body: unknown): z.output<Schema> {
+  const checked = schema.safeParse(body)
+  if (checked.success) return checked.data
+  const [issue] = checked.error.issues
+  throw new SpoolgateError('invalidRequest', `${issue.path.join('.')}: ${issue.message}`)
+}
+
 /** Decodes the keys of a lookup. */
 export function decodeLookup(body: unknown): readonly StreamKey[] {
-  return lookupSchema.parse(body).keys.map(toStreamKey)
+  return checkMessage(lookupSchema, body).keys.map(toStreamKey)
 }
 
 /** Decodes the records of a message. */
 export function decodeRecords(body: unknown): readonly StreamRecord[] {
-  return recordsSchema.parse(body).records.map(decodeRecord)
+  return checkMessage(recordsSchema, body).records.map(decodeRecord)
 }
--- a/packages/sidecar/src/calls/callHandler.ts
+++ b/packages/sidecar/src/calls/callHandler.ts
@@ -1,9 +1,8 @@
 /** Routes by which routers hand over calls, resume, cancel and ask about them. */
 import type { Fleet } from '@spoolgate/config'
 import {
-  admitDocument,
   BODY_LIMITS,
-  readBody,
+  readDocument,
   readJson,
   sendJson,
   SpoolgateError,
@@ -226,8 +225,7 @@
 
   const serveCall = async (exchange: HttpExchange) => {
     const header = parseCallHeader(exchange.request.headers[CALL_HEADER])
-    const received = await readBody(exchange.request, BODY_LIMITS.call)
-    const document = await admitDocument(exchange.request, received)
+    const { body: received, hold } = await readDocument(exchange.request, BODY_LIMITS.call)
     // The configuration is waited for here, and no await follows: between the checks below and
     // the start of the call nothing else may happen.
     await config.waitForVersion(header.configVersion, CONFIG_WAIT_MS)
@@ -237,7 +235,7 @@
       ? splitResumeBody(received)
       : { body: received, resumeText: undefined }
     const prepared = adapter.prepare(header, body, resumeText)
-    document?.close()
+    hold?.close()
     const chain = buildChain(header, prepared.prompt, config.current())
     const matched = index.match(chain, timers.now())
     const missing = chain.totalTokens - matched
