--- a/packages/core/src/__tests__/bodyBudget.spec.ts
+++ b/packages/core/src/__tests__/bodyBudget.spec.ts
@@ -64,6 +64,20 @@
     expect(memory.peakBytes()).to.be.at.most(LIMIT_BYTES)
   })
 
+  it('are refused, not reset, where they come in chunks and find no room', async () => {
+    while (memory.open().resize(50_000));
+    const text = await new Promise<string>((resolve) => {
+      const socket = connect(server.port, '127.0.0.1')
+      sockets.push(socket)
+      socket.write('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+      for (let size = 0; size < BODY_BYTES; size += 10_000)
+        socket.write(`2710\r\n${'x'.repeat(10_000)}\r\n`)
+      socket.on('data', (data) => resolve(data.toString()))
+      socket.on('error', ({ message }) => resolve(message))
+    })
+    expect(text).to.match(/^HTTP\/1\.1 503 /)
+  })
+
   it('give their room back when their senders leave', async () => {
     for (let count = 0; count < 3; count += 1) stall()
     while (memory.usedBytes() === 0) await new Promise((resolve) => setTimeout(resolve, 5))
