fix(core): count answers that nobody reads in the heap

Texts that are sent as answers now hold their length in the heap until they are read; without room 503 with Retry-After is sent, and one that stalls for a second gives way to others. Messages of the fleet are not counted: a restarting fleet fetches its tables at once.

--- a/packages/core/src/__tests__/memoryBudget.spec.ts
+++ b/packages/core/src/__tests__/memoryBudget.spec.ts
@@ -1,7 +1,13 @@
 import { EventEmitter } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { expect } from 'chai'
-import { addMemoryGauges, createMemoryBudget, openResponseHold } from '../memoryBudget.js'
+import {
+  addMemoryGauges,
+  addResponseMemory,
+  admitResponseText,
+  createMemoryBudget,
+  openResponseHold,
+} from '../memoryBudget.js'
 import { createMetrics } from '../metrics.js'
 import { createManualTimerService } from '../timers.js'
 
@@ -96,3 +102,23 @@
     await metrics.close()
   })
 })
+
+describe('the text of a response', () => {
+  it('takes no more of the heap than there is while its callers do not read it', () => {
+    const timers = createManualTimerService()
+    const budget = createMemoryBudget({ limitBytes: LIMIT_BYTES, heapLimitBytes: 1_000, timers })
+    const open = Array.from({ length: 3 }, () => {
+      const response = Object.assign(new EventEmitter(), { destroyed: false, destroy: () => {} })
+      addResponseMemory(budget, response as unknown as ServerResponse)
+      return response as unknown as ServerResponse
+    })
+    expect(open.map((response) => admitResponseText(response, 400))).to.deep.equal([
+      true,
+      true,
+      false,
+    ])
+    open[0].emit('close')
+    expect(admitResponseText(open[2], 400)).to.equal(true)
+    expect(budget.heap.usedBytes()).to.equal(800)
+  })
+})
--- a/packages/core/src/daemonRoutes.ts
+++ b/packages/core/src/daemonRoutes.ts
@@ -1,6 +1,6 @@
 /** Routes that every daemon serves: health, readiness and metrics. */
 import type { Route } from './httpServer.js'
-import { sendJson } from './httpServer.js'
+import { sendJson, sendText } from './httpServer.js'
 import type { Metrics } from './metrics.js'
 
 /** Options of {@link createDaemonRoutes}. */
@@ -25,8 +25,7 @@
     handler: async ({ response }) => {
       rendering ??= renderShared()
       const text = await rendering
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
-      response.end(text)
+      sendText(response, 200, text, { 'content-type': 'text/plain; version=0.0.4' })
     },
   }
 }
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -19,7 +19,12 @@
 import { isSameSecret } from './keys.js'
 import { openPort } from './openPort.js'
 import type { Logger } from './logger.js'
-import { addRequestMemory, type MemoryBudget } from './memoryBudget.js'
+import {
+  addRequestMemory,
+  addResponseMemory,
+  admitResponseText,
+  type MemoryBudget,
+} from './memoryBudget.js'
 import type { Metrics } from './metrics.js'
 import { stopListening } from './stopListening.js'
 import { waitFor, type TimerService } from './timers.js'
@@ -152,6 +157,22 @@
 /** Time for which idle connections are kept in a planned stop, in ms. */
 const IDLE_GRACE_MS = 300
 
+/** Sends a text as an answer, or a refusal where there is no room for it until the caller has read it. */
+export function sendText(
+  response: ServerResponse,
+  status: number,
+  text: string,
+  headers: Readonly<Record<string, string>>,
+): void {
+  const bytes = Buffer.byteLength(text)
+  if (!admitResponseText(response, bytes)) {
+    response.writeHead(503, { 'retry-after': '1', 'content-length': 0 }).end()
+    return
+  }
+  response.writeHead(status, { 'content-length': bytes, ...headers })
+  response.end(text)
+}
+
 /** Sends a JSON answer. */
 export function sendJson(
   response: ServerResponse,
@@ -159,13 +180,10 @@
   body: unknown,
   headers: Readonly<Record<string, string>> = {},
 ): void {
-  const text = JSON.stringify(body)
-  response.writeHead(status, {
+  sendText(response, status, JSON.stringify(body), {
     'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
     ...headers,
   })
-  response.end(text)
 }
 
 /** Sends a typed error, or cuts the connection when the answer has already begun. */
@@ -308,6 +326,7 @@
     if (!connections.take(request, response, { onEnd, sendDecline })) return
     active.add(response)
     if (options.memory) addRequestMemory(options.memory, request, response)
+    if (options.memory && traffic !== 'fleet') addResponseMemory(options.memory, response)
     const serve = async () => {
       // The caller may have left while its request waited.
       if (response.destroyed) return
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -84,6 +84,7 @@
   readBearerKey,
   sendError,
   sendJson,
+  sendText,
   type CloseReport,
   type HttpExchange,
   type HttpHandler,
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -200,6 +200,29 @@
 
 const memoryOfMessages = new WeakMap<IncomingMessage, MessageMemory>()
 
+const budgetsOfResponses = new WeakMap<Pick<ServerResponse, 'destroyed' | 'once'>, ByteBudget>()
+
+/** Makes the texts that are sent as responses of a request count in the heap until their caller has read them. */
+export function addResponseMemory(budget: MemoryBudget, response: ServerResponse): void {
+  budgetsOfResponses.set(response, budget.heap)
+}
+
+/**
+ * Holds room for the text of a response until its caller has read it; false if there is none. One that its caller does not
+ * read is given up when others need the room.
+ */
+export function admitResponseText(response: ServerResponse, bytes: number): boolean {
+  const heap = budgetsOfResponses.get(response)
+  if (!heap) return true
+  const hold = openResponseHold(heap, response)
+  if (!hold.resize(bytes)) {
+    hold.close()
+    return false
+  }
+  hold.setEviction(() => response.destroy())
+  return true
+}
+
 /** Makes the body and the document of a request count in the budgets until its response is closed. */
 export function addRequestMemory(
   budget: MemoryBudget,
