fix(core): bound the connections of a server by the machine's descriptors

Change: the tracker takes a maximum. Beyond it the connection that is idle for the longest time is closed (end `crowded`), or the new one if all have requests.

Not run on it: plannedStop, processEnds, goneCallers; no flood of connections from outside.

--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -39,6 +39,11 @@
   readonly port: number
   /** URLs of control instances; called again on each use. */
   readonly seeds: () => readonly string[]
+  /**
+   * Maximum number of connections from the fleet.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
   readonly logger: Logger
   readonly timers: TimerService
 }
@@ -82,6 +87,7 @@
     timers,
     routes: [],
     traffic: 'fleet',
+    maxConnections: options.maxConnections,
     onConnection: recordConnection,
   })
   const { url } = server
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -80,6 +80,11 @@
   readonly quotaTolerance: QuotaTolerance
   /** Budget whose gauges are among the metrics. */
   readonly memory?: MemoryBudget
+  /**
+   * Maximum number of connections from the fleet.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
   /** Records external input that was rejected. */
   readonly rejectedInputs: RejectedInputs
   readonly logger: Logger
@@ -152,6 +157,7 @@
     timers,
     routes: [],
     traffic: 'fleet',
+    maxConnections: options.maxConnections,
     onConnection: recordConnection,
   })
   const { url } = server
--- a/packages/core/src/__tests__/pacedRead.spec.ts
+++ b/packages/core/src/__tests__/pacedRead.spec.ts
@@ -22,6 +22,49 @@
 }
 const LIMITS = { maxBytes: 8 * 1024 * 1024, timeoutMs: 10_000 }
 
+describe('the connections of a server', () => {
+  // Connections without requests took all descriptors, and nobody else could connect.
+  it('end the one that is idle for the longest time when there are too many', async () => {
+    const common = { logger: createQuietLogger(), timers: createTimerService() }
+    const tracker = createConnectionTracker({ ...common, maxConnections: 3 })
+    const server = createServer()
+    tracker.watchServer(server)
+    server.on('request', (request, response) => {
+      if (!tracker.take(request, response, { onEnd: () => {} })) return
+      if (request.url === '/small') response.end('answer')
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const ended: number[] = []
+    const open = async (index: number) => {
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+      socket.on('error', () => {})
+      socket.once('close', () => ended.push(index))
+      const accepted = once(server, 'connection')
+      await once(socket, 'connect')
+      await accepted
+      return socket
+    }
+    const sockets = [await open(0), await open(1), await open(2)]
+    sockets[0].write('GET /open HTTP/1.1\r\nHost: h\r\n\r\n')
+    await once(server, 'request')
+    sockets[1].write(REQUESTS['without bodies'])
+    await once(sockets[1], 'data')
+    for (const victim of [2, 1]) {
+      const closed = once(sockets[victim], 'close')
+      sockets.push(await open(sockets.length))
+      sockets.at(-1)?.write('GET /open HTTP/1.1\r\nHost: h\r\n\r\n')
+      await Promise.all([closed, once(server, 'request')])
+    }
+    const refused = await open(5)
+    await once(refused, 'close')
+    expect(ended).to.deep.equal([2, 1, 5])
+    server.close()
+    await tracker.close()
+    for (const socket of sockets) socket.destroy()
+  })
+})
+
 describe('the requests of one connection', () => {
   const timers = createTimerService()
   let server: Server
--- a/packages/core/src/connectionEnds.ts
+++ b/packages/core/src/connectionEnds.ts
@@ -13,6 +13,7 @@
   callerClosed: 'the other side closed or reset it',
   answerCut: 'an answer broke off: its source failed, or its time was over',
   longBody: 'the rest of a body that is not read is too long',
+  crowded: 'another connection needed its place',
   memory: 'others needed the memory that it held',
   processEnd: 'the process ended',
 } as const satisfies Record<string, string>
--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -47,6 +47,12 @@
    * @default 16
    */
   readonly maxInFlight?: number
+  /**
+   * Maximum number of connections. Beyond it the connection without a request for the longest time is closed, or the new one
+   * if all have requests.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
 }
 
 /** Callbacks of the owner of a request. */
@@ -136,15 +142,17 @@
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
   const { logger, timers, metrics, memory, halfClose = 'leave' } = options
-  const maxInFlight = options.maxInFlight ?? DEFAULT_MAX_IN_FLIGHT
+  const { maxInFlight = DEFAULT_MAX_IN_FLIGHT, maxConnections = Infinity } = options
   const connections = new Map<Socket, Connection>()
   const ended = metrics?.counter('connections_ended', 'Connections that ended, by end')
   const unanswered = metrics?.counter(
     'requests_unanswered',
     'Requests that were read whole and ended without a whole answer, by end of their connection',
   )
+  const declined = metrics?.counter('requests_declined', 'Requests refused for lack of heap')
   const turns = createTurnQueue()
   let isStopping = false
+  let isCrowded = false
   let notifyClosed = () => {}
 
   const recordUnanswered = ({ request, response, owner, takenAt }: TakenRequest, end: string) => {
@@ -163,6 +171,7 @@
   const handleClose = (connection: Connection) => {
     const { socket, inFlight } = connection
     connections.delete(socket)
+    if (connections.size < maxConnections / 2) isCrowded = false
     connection.bytesHold?.close()
     const open = [...inFlight].filter(isUnanswered)
     const end = connection.end ?? findEndOfSocket(socket, inFlight.size > 0)
@@ -271,8 +280,25 @@
     if (connection) connection.end ??= end
     socket.destroy()
   }
+  /** Makes room for a new connection; those that were used last stand last. */
+  const closeSurplus = (latest: Connection) => {
+    if (connections.size <= maxConnections) return
+    let surplus = latest
+    for (const connection of connections.values()) {
+      if (connection.inFlight.size > 0 || isKeptBack(connection)) continue
+      surplus = connection
+      break
+    }
+    destroy(surplus.socket, 'crowded')
+    connections.delete(surplus.socket)
+    if (isCrowded) return
+    isCrowded = true
+    logger.warn('connections.crowded', { maxConnections, remedy: 'raise the limit on open files' })
+  }
   const acceptConnection = (socket: Socket) => {
     const connection = openConnection(socket)
+    closeSurplus(connection)
+    if (socket.destroyed) return
     connection.bytes = startPacedRead(socket, {
       canTake: () => connection.inFlight.size < maxInFlight,
       isOver: () => connection.isEnding && connection.hasLate,
@@ -290,6 +316,8 @@
     taken.owner.onEnd()
     connection.bytes?.resume()
     if (connection.inFlight.size > 0 || connection.socket.destroyed) return
+    connections.delete(connection.socket)
+    connections.set(connection.socket, connection)
     // An answer whose head was written before the end was known could not say that the connection ends.
     const end = connection.end ?? (isStopping ? 'plannedStop' : undefined)
     if (end === undefined) return
@@ -344,6 +372,7 @@
       }) as typeof writeHead
       response.once('close', () => finish(connection, taken))
       if (!memory || admitRequest(memory.heap, response, inFlight.size > 1)) return true
+      declined?.add(1)
       declineRequest(request, response)
       return false
     },
--- a/packages/core/src/httpServer.ts
+++ b/packages/core/src/httpServer.ts
@@ -105,6 +105,11 @@
    * @default 'calls'
    */
   readonly traffic?: TrafficClass
+  /**
+   * Maximum number of connections; beyond it those without a request are closed first.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
   /**
    * Called for each new connection.
    * @default no action
--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -202,10 +202,10 @@
     },
   })
   const instruments = createInstruments(metrics)
-  const trackerParts = { timers, logger, metrics, memory }
+  const { maxConnections } = options
+  const trackerParts = { timers, logger, metrics, memory, maxConnections }
   const connections = createConnectionTracker({ ...trackerParts, halfClose: 'probe' })
-  const { cutOff } = instruments
-  const shutdown = createGracefulShutdown({ timers, logger, connections, cutOff })
+  const shutdown = createGracefulShutdown({ ...instruments, timers, logger, connections })
   const restartDetector = createRestartDetector({
     views: feed.changes,
     agent,
--- a/packages/router/src/direct/directRouterOptions.ts
+++ b/packages/router/src/direct/directRouterOptions.ts
@@ -26,6 +26,11 @@
    * @default Infinity
    */
   readonly maxWeightsAgeMs?: number
+  /**
+   * Maximum number of callers' connections.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
   /**
    * Where other routers reach this one to exchange the records of streams.
    * @default undefined: beside several software versions, a stream is resumed only at the router that began it
