--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -53,6 +53,12 @@
    * @default false
    */
   readonly isFleet?: boolean
+  /**
+   * Maximum number of connections. Beyond it the connection without a request for the longest time is closed, or the new one
+   * if all have requests.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
 }
 
 /** Callbacks of the owner of a request. */
@@ -161,7 +167,8 @@
 /** Creates a tracker. */
 export function createConnectionTracker(options: ConnectionTrackerOptions): ConnectionTracker {
   const { logger, timers, metrics, memory, halfClose = 'leave' } = options
-  const { maxInFlight = DEFAULT_MAX_IN_FLIGHT, isFleet = false } = options
+  const { maxInFlight = DEFAULT_MAX_IN_FLIGHT, maxConnections = Infinity } = options
+  const { isFleet = false } = options
   const connections = new Map<Socket, Connection>()
   const ended = metrics?.counter('connections_ended', 'Connections that ended, by end')
   const unanswered = metrics?.counter(
@@ -174,6 +181,7 @@
   /** Bytes that are kept back on all connections. */
   let keptBytes = 0
   let isStopping = false
+  let isCrowded = false
   let notifyClosed = () => {}
 
   const recordUnanswered = ({ request, response, owner, takenAt }: TakenRequest, end: string) => {
@@ -193,6 +201,7 @@
     const { socket, inFlight } = connection
     connections.delete(socket)
     keptBytes -= connection.bytesHold?.bytes() ?? 0
+    if (connections.size < maxConnections / 2) isCrowded = false
     connection.bytesHold?.close()
     const open = [...inFlight].filter(isUnanswered)
     const end = connection.end ?? findEndOfSocket(socket, inFlight.size > 0)
@@ -312,8 +321,25 @@
     if (connection) connection.end ??= end
     socket.destroy()
   }
+  /** Makes room for a new connection; those that were used last stand last. */
+  const closeSurplus = (latest: Connection) => {
+    if (connections.size <= maxConnections) return
+    let surplus = latest
+    for (const connection of connections.values()) {
+      if (connection.inFlight.size > 0 || isKeptBack(connection)) continue
+      surplus = connection
+      break
+    }
+    destroy(surplus.socket, 'crowded')
+    connections.delete(surplus.socket)
+    if (isCrowded) return
+    isCrowded = true
+    logger.warn('connections.crowded', { maxConnections, remedy: 'raise the limit on open files' })
+  }
   const acceptConnection = (socket: Socket) => {
     const connection = openConnection(socket)
+    closeSurplus(connection)
+    if (socket.destroyed) return
     connection.bytes = startPacedRead(socket, {
       canTake: () => connection.inFlight.size < maxInFlight,
       isOver: () => connection.end === 'memory' || (connection.isEnding && connection.hasLate),
@@ -331,6 +357,8 @@
     taken.owner.onEnd()
     connection.bytes?.resume()
     if (connection.inFlight.size > 0 || connection.socket.destroyed) return
+    connections.delete(connection.socket)
+    connections.set(connection.socket, connection)
     // An answer whose head was written before the end was known could not say that the connection ends.
     const end = connection.end ?? (isStopping ? 'plannedStop' : undefined)
     if (end === undefined) return
