fix(control): a packed patch that would fill the heap is not parsed

A packed table of 140 KB whose patch unpacks to 24 MB of empty lists ended the process that applied it. Its values are now estimated before it is parsed; the receiver asks for the whole table, as for any patch that does not apply.

No spec of its own yet: the bound follows from the heap of the process, so that it needs a process with a small one. tableUpdate.spec passes.

--- a/packages/control/src/table/tableUpdate.ts
+++ b/packages/control/src/table/tableUpdate.ts
@@ -5,6 +5,7 @@
  * Sending full documents is too expensive: with a table of 4,248 routes (1.1 MB) and 30 routers, one change saturated
  * the leader's 100 Mbit/s link for 4 s and reached the last router after 3.7 s, and the leader lost its leadership.
  */
+import { estimateDocumentBytes, findMaxDocumentBytes } from '@spoolgate/core'
 import { createHash } from 'node:crypto'
 import { deflateSync, inflateSync } from 'node:zlib'
 import { applyTextPatch, buildTextPatch, type TextPatch } from './textPatch.js'
@@ -43,6 +44,8 @@
 const DEFLATE_LEVEL = 1
 /** Maximum decompressed size of an update, which may be corrupt, in bytes: several times what operators may send. */
 const MAX_UNPACKED_BYTES = 32 * 1024 * 1024
+/** First byte of a string in JSON. */
+const QUOTE = 0x22
 /** Length of a digest in base64 characters: 96 bits. */
 const DIGEST_LENGTH = 16
 
@@ -58,6 +61,10 @@
   const unpacked = inflateSync(Buffer.from(packed, 'base64'), {
     maxOutputLength: MAX_UNPACKED_BYTES,
   })
+  // A string holds a whole document; its own values are not made before it is decoded.
+  const isText = unpacked[0] === QUOTE
+  if (!isText && estimateDocumentBytes(unpacked) > findMaxDocumentBytes())
+    throw new Error('a patch that cannot be held')
   return JSON.parse(unpacked.toString('utf8')) as string | TextPatch
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -70,6 +70,7 @@
   addRequestMemory,
   createMemoryBudget,
   findBudgetBytes,
+  findMaxDocumentBytes,
   openResponseHold,
   type ByteBudget,
   type MemoryBudget,
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -247,6 +247,11 @@
   return Math.max(MIN_LIMIT_BYTES, (oldHeapBytes - BASE_HEAP_MB * BYTES_PER_MB) * HEAP_HELD_RATIO)
 }
 
+/** Returns the largest document that this process can ever hold, in bytes of the heap. */
+export function findMaxDocumentBytes(): number {
+  return findHeapBudgetBytes(getHeapStatistics().heap_size_limit) * LARGE_HOLDS_RATIO
+}
+
 const BYTES_PER_KIB = 1_024
 
 /** Adds gauges of the budgets, and of the memory of the whole process. */
