--- a/packages/core/src/__tests__/pacedRead.spec.ts
+++ b/packages/core/src/__tests__/pacedRead.spec.ts
@@ -23,7 +23,7 @@
 const LIMITS = { maxBytes: 8 * 1024 * 1024, timeoutMs: 10_000 }
 
 describe('the connections of a server', () => {
-  // Connections without requests took all descriptors, and nobody else could connect.
+  // Connections without requests took all descriptors, and no other caller could connect.
   it('end the one that is idle for the longest time when there are too many', async () => {
     const common = { logger: createQuietLogger(), timers: createTimerService() }
     const tracker = createConnectionTracker({ ...common, maxConnections: 3 })
--- a/packages/core/src/bodyLimits.ts
+++ b/packages/core/src/bodyLimits.ts
@@ -21,7 +21,7 @@
   error: { maxBytes: 64 * KIB, timeoutMs: SHORT_MS },
   /** A heartbeat, a leave or an order. */
   heartbeat: { maxBytes: 256 * KIB, timeoutMs: SHORT_MS },
-  /** What a backend server says of itself. */
+  /** State that a backend server reports. */
   report: { maxBytes: 256 * KIB, timeoutMs: SHORT_MS },
   /** Records of streams. */
   records: { maxBytes: 128 * KIB, timeoutMs: SHORT_MS },
--- a/packages/core/src/turnScheduler.ts
+++ b/packages/core/src/turnScheduler.ts
@@ -91,7 +91,7 @@
     started += 1
     takeNext()?.()
   }
-  // What a handler goes on with at once runs before the next callback of the loop, and counts in the time of the turn.
+  // Microtasks of a handler run before the next callback of the loop, and count in the time of the turn.
   const scheduleTurn = () => {
     for (let count = Math.min(MAX_PER_TURN, waiting); count > 0; count -= 1) defer(startNext)
     defer(closeTurn)
