--- a/packages/core/src/connectionTracker.ts
+++ b/packages/core/src/connectionTracker.ts
@@ -126,7 +126,7 @@
 }
 
 const DEFAULT_MAX_IN_FLIGHT = 16
-/** Part of the budget for buffers that bytes which are kept back may use. */
+/** Part of the buffer budget for bytes that are read and not parsed yet. */
 const KEPT_RATIO = 0.25
 /** Time between two log lines on requests that are declined, in ms. */
 const DECLINE_LOG_MS = 1_000
@@ -311,7 +311,7 @@
   /** Counts the bytes that are kept back. Without room for them the connection ends once its requests are answered. */
   const holdBytes = (connection: Connection, bytes: number) => {
     if (isKept(connection, bytes)) return true
-    // What follows in a body is refused by its reader.
+    // The reader of a body refuses it if there is no room.
     if (connection.latest?.complete === false) return true
     endAfterAnswers(connection, 'memory')
     return false
@@ -321,7 +321,7 @@
     if (connection) connection.end ??= end
     socket.destroy()
   }
-  /** Makes room for a new connection; those that were used last stand last. */
+  /** Makes room for a new connection; the map lists the least recently used ones first. */
   const closeSurplus = (latest: Connection) => {
     if (connections.size <= maxConnections) return
     let surplus = latest
--- a/packages/core/src/documentMemory.ts
+++ b/packages/core/src/documentMemory.ts
@@ -16,7 +16,7 @@
 }
 /** Bytes for each character: in the text, and in the string that is made of it. */
 const CHARACTER_BYTES = 2
-/** Byte that begins a character which no string of one byte a character can have. */
+/** Lowest first byte of UTF-8 characters outside Latin-1, whose strings take two bytes a character. */
 const FIRST_WIDE_BYTE = 0xc4
 const BYTE_VALUES = 256
 /** Seconds after which a sender that found no room may try again. */
--- a/packages/core/src/memoryBudget.ts
+++ b/packages/core/src/memoryBudget.ts
@@ -139,7 +139,7 @@
       }
       const timeout = timers.after(ROOM_WAIT_MS).subscribe(() => settle(resize(hold, bytes)))
       const releases = released.subscribe(() => {
-        // Each release asks all that wait, so that none of them may look at all holds.
+        // Runs for all waiting holds on each release, and must not search the holds.
         if (!holds.has(hold)) return settle(false)
         if (!hasRoom(hold, bytes)) return
         setBytes(hold, bytes)
--- a/packages/core/src/pacedRead.ts
+++ b/packages/core/src/pacedRead.ts
@@ -21,7 +21,7 @@
 export interface PacedRead {
   /** Number of bytes that were read and are kept back from the parser. */
   keptBytes(): number
-  /** Goes on in a later turn of the event loop if requests are kept back; to be called when one has ended. */
+  /** Resumes in a later turn of the event loop if requests are kept back; to be called when a request has ended. */
   resume(): void
 }
 
@@ -79,7 +79,7 @@
     if (isParsed()) kept = Buffer.alloc(0)
     isWaiting = kept.length > 0 && !hasRoom()
     if (kept.length > 0) socket.pause()
-    // A slice keeps all of what it was cut from.
+    // A slice retains the whole buffer that it was cut from.
     if (!holdBytes(kept.length > 0 ? kept.buffer.byteLength : 0)) kept = Buffer.alloc(0)
   }
   const feed = () => {
@@ -90,7 +90,7 @@
     kept = kept.length > 0 ? Buffer.concat([kept, bytes]) : bytes
     feed()
   })
-  // Also Node's reader of a body, and its writer of responses, let a connection go on so.
+  // Node's body reader and response writer resume the socket, too.
   socket.on('resume', () => {
     if (kept.length > 0) feed()
   })
--- a/packages/core/src/stopListening.ts
+++ b/packages/core/src/stopListening.ts
@@ -5,7 +5,7 @@
 /** Maximum number of connections that wait to be accepted: Node's default backlog. */
 const LISTEN_BACKLOG = 511
 
-/** Waits until the connections that wait are accepted: the runtime accepts one in a turn of the event loop. */
+/** Waits until established connections are accepted: the runtime accepts one in a turn of the event loop. */
 async function waitForAccepted(server: Server): Promise<void> {
   const turns = createTurnQueue()
   let accepted = 0
