fix(router): refuse requests that wait for the first table when a stop ends

Callers of a router that is stopped before it has a routing table (control away after all processes were killed) lost requests: the connection ended with no answer.

Class: a wait inside a request that the end of a stop does not cut short; bodies, admission and turns behind others are bounded already.

The shutdown says once when only the time for final responses is left, and the wait for the table ends then. Later requests of the connection are refused at once.

--- a/packages/router/src/direct/directRouter.ts
+++ b/packages/router/src/direct/directRouter.ts
@@ -285,12 +285,10 @@
   const waitForTable = async ({ id, waitMs = Infinity }: DirectCall) => {
     const startedAt = timers.now()
     const maxWaitMs = Math.min(options.tableWaitMs ?? DEFAULT_TABLE_WAIT_MS, waitMs)
-    await firstValueFrom(race(feed.changes, timers.after(maxWaitMs)), { defaultValue: undefined })
-    logger.info('call.waitedForTable', {
-      request: id,
-      ms: Math.round(timers.now() - startedAt),
-      isReady: feed.current() !== undefined,
-    })
+    const waits = race(feed.changes, timers.after(maxWaitMs), shutdown.ending)
+    await firstValueFrom(waits, { defaultValue: undefined })
+    const ms = Math.round(timers.now() - startedAt)
+    logger.info('call.waitedForTable', { request: id, ms, isReady: feed.current() !== undefined })
   }
 
   const handleRequest = async (
--- a/packages/router/src/direct/gracefulShutdown.ts
+++ b/packages/router/src/direct/gracefulShutdown.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { lastValueFrom, Subject } from 'rxjs'
+import { lastValueFrom, ReplaySubject, Subject, type Observable } from 'rxjs'
 import {
   SpoolgateError,
   waitFor,
@@ -33,6 +33,8 @@
 /** Graceful shutdown of one router; see {@link createGracefulShutdown}. */
 export interface GracefulShutdown {
   isStopping(): boolean
+  /** Emits once, when requests that still wait must be refused so that their responses are sent before the end. */
+  readonly ending: Observable<void>
   /**
    * Returns how long a request body may take to arrive so that the request can still be answered, in ms;
    * Infinity while no shutdown is in progress.
@@ -100,6 +102,7 @@
 export function createGracefulShutdown(options: GracefulShutdownOptions): GracefulShutdown {
   const { timers, logger, connections, cutOff } = options
   const inProgress = new Set<RequestInProgress>()
+  const ending = new ReplaySubject<void>(1)
   let startedAt: number | undefined
   let stopsAt = Infinity
 
@@ -133,6 +136,7 @@
   }
   return {
     isStopping: () => startedAt !== undefined,
+    ending,
     findBodyTimeoutMs: () => Math.max(0, stopsAt - FINAL_RESPONSE_MS - timers.now()),
     // Only the request's own deadline is considered: the durations of other requests do not predict this one's, and
     // whatever is still running at the end is cut off.
@@ -179,6 +183,7 @@
       connections.startStop()
       startedAt = timers.now()
       stopsAt = startedAt + drainMs
+      timers.after(Math.max(0, drainMs - FINAL_RESPONSE_MS)).subscribe(ending)
       logger.info('router.stopping', {
         inProgress: inProgress.size,
         streams: [...inProgress].filter(({ plan }) => plan?.route.isStream).length,
