--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -76,6 +76,7 @@
   type MemoryBudget,
   type MemoryHold,
 } from './memoryBudget.js'
+export { startMemoryWatch, type MemoryUse, type MemoryWatchOptions } from './memoryWatch.js'
 export { BODY_LIMITS, type BodyKind, type BodyLimits } from './bodyLimits.js'
 export { estimateDocumentBytes } from './documentMemory.js'
 export { closeBody, parseJsonBody, readBody, readDocument, readJson } from './httpBody.js'
