--- a/packages/control/src/__tests__/logStore.spec.ts
+++ b/packages/control/src/__tests__/logStore.spec.ts
@@ -72,6 +72,21 @@
     }
   }
 
+  it('does not acknowledge a snapshot that could not be stored', async () => {
+    const folder = createMemoryFolder()
+    let reportFailure = () => {}
+    const failed = new Promise<void>((resolve) => (reportFailure = resolve))
+    const store = await openLogStore({ folder, logger, onFailure: reportFailure })
+    folder.crashAt(folder.operations() + 1)
+    let stored = 0
+    const compact = () => void store.compact({ index: 5, term: 1, state: 5 }).then(() => stored++)
+    compact()
+    await failed
+    compact()
+    await new Promise((resolve) => setImmediate(resolve))
+    expect(stored).to.equal(0)
+  })
+
   it(`keeps acknowledged writes over ${SEEDS} crashes at random operations`, async () => {
     let crashes = 0
     for (let seed = 1; seed <= SEEDS; seed += 1) {
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -77,7 +77,7 @@
   append(entries: readonly LogEntry[]): Promise<void>
   /** Removes all entries from index `from` on. */
   truncate(from: number): Promise<void>
-  /** Replaces all entries up to the index of a snapshot by the snapshot. */
+  /** Replaces all entries up to the index of a snapshot by the snapshot; resolves once it is on disk. */
   compact(snapshot: Snapshot): Promise<void>
   close(): Promise<void>
 }
@@ -102,6 +102,11 @@
   length: number
 }
 
+/** Result of a write that failed: what waits for it must not go on. */
+function waitForever(): Promise<never> {
+  return new Promise(() => {})
+}
+
 function formatSnapshotName(index: number): string {
   return `${SNAPSHOT_PREFIX}${index}`
 }
@@ -234,7 +239,8 @@
   }
   const compact = async (next: Snapshot) => {
     while (activeWrite) await activeWrite
-    if (failure || next.index <= base.index) return
+    if (failure) return waitForever()
+    if (next.index <= base.index) return
     const runCompaction = async () => {
       const isRetained = findTerm(next.index) === next.term
       const kept = isRetained ? entries.slice(next.index - base.index) : []
@@ -254,6 +260,8 @@
     }
     activeWrite = runCompaction()
     await activeWrite
+    // A leader would count what its follower stores by the reply to a snapshot.
+    if (failure) await waitForever()
   }
 
   return {
