fix(control): a disk that fails while control runs ends the process

What callers saw: processes that ended by themselves (FAULT) and, at the same moment, a change without an answer (LOST); while all disks were full, such an end for each control instance, on older landings again after each start.

Cause: after a write or sync that failed, nothing in memory may be trusted, and a member could drop its vote, its log and its place only by a new start. So the program ended itself and took with it what needs no disk: the answers to operators, the way to the other instances.

Change: on the platform the failed member is closed within the process. What waited for the disk never goes on, proposals get 503 (not known whether they ran), no message of the group is answered any more. The instance becomes a relay at the same address, tries the disk after a second, and starts a new member from it, to the group a restart. A sync that failed may have left pages that count as written without being on the disk: the log is written anew and synced first. All members and relays of an instance share one registry of metrics.

`logStore.spec`: without the new log a crash after the second start loses an entry that counted as durable (1 instead of 2).

Not changed: `spoolgate control`, which has no relay, still ends with `kind=diskFailed`.

--- a/packages/control/src/__tests__/logStore.spec.ts
+++ b/packages/control/src/__tests__/logStore.spec.ts
@@ -87,6 +87,27 @@
     expect(stored).to.equal(0)
   })
 
+  it('holds only what survives a crash when it is opened again after a failed sync', async () => {
+    const folder = createMemoryFolder()
+    let reportFailure = () => {}
+    const failed = new Promise<void>((resolve) => (reportFailure = resolve))
+    const store = await openLogStore({ folder, logger, onFailure: reportFailure })
+    const entries = [1, 2].map((index) => ({ index, term: 1, command: `entry ${index}` }))
+    await store.append([entries[0]])
+    folder.failSyncs(true)
+    void store.append([entries[1]])
+    await failed
+    await store.close()
+    folder.failSyncs(false)
+    const options = { folder, logger, onFailure: () => {}, isAfterFailure: true }
+    const again = await openLogStore(options)
+    const durable = again.durableIndex()
+    await again.close()
+    const restarted = await open(folder.restart(createRandomSource(1)))
+    expect(restarted.lastIndex()).to.equal(durable)
+    expect(restarted.listEntries(1, durable)).to.deep.equal(entries.slice(0, durable))
+  })
+
   it(`keeps acknowledged writes over ${SEEDS} crashes at random operations`, async () => {
     let crashes = 0
     for (let seed = 1; seed <= SEEDS; seed += 1) {
--- a/packages/control/src/__tests__/memoryFolder.ts
+++ b/packages/control/src/__tests__/memoryFolder.ts
@@ -10,6 +10,8 @@
   data: Buffer
   /** Content that survives a crash. */
   synced: Buffer
+  /** Whether a sync failed: the pages count as written after that, so that later syncs write nothing. */
+  hasFailed?: boolean
 }
 
 /** Folder whose content survives a crash of the process. */
@@ -18,6 +20,8 @@
   operations(): number
   /** Crashes at the operation with this number; undefined disables the crash. */
   crashAt(operation: number | undefined): void
+  /** Lets syncs of opened files fail from now on, or succeed again. */
+  failSyncs(areFailing: boolean): void
   /** Returns the folder as the next process finds it; unsynced data may have survived in part. */
   restart(random: RandomSource): MemoryFolder
 }
@@ -32,6 +36,7 @@
   let operations = 0
   let crashOperation: number | undefined
   let hasCrashed = false
+  let areSyncsFailing = false
 
   const countOperation = () => {
     operations += 1
@@ -55,13 +60,17 @@
       }),
     sync: () =>
       runOperation(() => {
-        file.synced = file.data
+        if (areSyncsFailing) {
+          file.hasFailed = true
+          throw new Error('sync failed')
+        }
+        if (!file.hasFailed) file.synced = file.data
       }),
     close: async () => {},
   })
   const drawSurvivingData = (file: FileState, random: RandomSource): Buffer => {
     const unsynced = file.data.length - file.synced.length
-    if (unsynced <= 0) return file.synced
+    if (unsynced <= 0 || file.hasFailed) return file.synced
     return file.data.subarray(0, file.synced.length + random.nextInt(unsynced + 1))
   }
   return {
@@ -69,6 +78,9 @@
     crashAt: (operation) => {
       crashOperation = operation
     },
+    failSyncs: (areFailing) => {
+      areSyncsFailing = areFailing
+    },
     restart: (random) => {
       const restored: FileMap = new Map()
       // Unsynced name changes either all survive or are all lost.
@@ -104,7 +116,7 @@
       runOperation(() => {
         const file = files.get(name) ?? { data: Buffer.alloc(0), synced: Buffer.alloc(0) }
         file.data = file.data.subarray(0, length)
-        file.synced = file.data
+        file.synced = file.hasFailed ? file.synced.subarray(0, length) : file.data
         files.set(name, file)
         syncedFiles.set(name, file)
         return createAppend(file)
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -41,6 +41,7 @@
   type ControlRelay,
   type ControlRelayOptions,
 } from './registry/controlRelay.js'
+export { createControlFailover, type ControlFailoverOptions } from './registry/controlFailover.js'
 export {
   createFleetOperationRunner,
   type FleetOperationRunner,
--- a/packages/control/src/log/controlDisk.ts
+++ b/packages/control/src/log/controlDisk.ts
@@ -16,8 +16,18 @@
   readonly dataFolder: string | DataFolder
   readonly logger: Logger
   readonly timers: TimerService
-  /** Called when a write or sync failed later on; the process must then end. */
+  /** Called when a write or sync failed later on: nothing that waits for the disk may be answered as done. */
   readonly onFailure: (cause: unknown) => void
+  /**
+   * Whether an earlier write or sync failed in this process.
+   * @default false
+   */
+  readonly isAfterFailure?: boolean
+  /**
+   * Ends the wait for the disk.
+   * @default never
+   */
+  readonly signal?: AbortSignal
 }
 
 /** What the disk holds. */
@@ -50,9 +60,9 @@
 }
 
 async function loadDisk(folder: DataFolder, options: ControlDiskOptions): Promise<ControlDisk> {
-  const { logger, onFailure } = options
+  const { logger, onFailure, isAfterFailure } = options
   const identity = await openIdentity({ ...options, folder })
-  return { identity, store: await openLogStore({ folder, logger, onFailure }) }
+  return { identity, store: await openLogStore({ folder, logger, onFailure, isAfterFailure }) }
 }
 
 async function openOnce(options: ControlDiskOptions): Promise<ControlDisk> {
@@ -75,7 +85,7 @@
 
 /** Opens the disk, once it can be written. */
 export function openControlDisk(options: ControlDiskOptions): Promise<ControlDisk> {
-  const { logger, timers } = options
+  const { logger, timers, signal } = options
   return waitForStartup({
     what: 'data folder',
     attempt: () => openOnce(options),
@@ -87,5 +97,6 @@
     },
     logger,
     timers,
+    signal,
   })
 }
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -79,6 +79,8 @@
   truncate(from: number): Promise<void>
   /** Replaces all entries up to the index of a snapshot by the snapshot; resolves once it is on disk. */
   compact(snapshot: Snapshot): Promise<void>
+  /** Resolves once a write or sync failed; what is written after that never settles. */
+  readonly failed: Promise<void>
   close(): Promise<void>
 }
 
@@ -88,6 +90,11 @@
   readonly logger: Logger
   /** Called when a write or sync failed: the member must not acknowledge anything any more. */
   readonly onFailure: (cause: unknown) => void
+  /**
+   * Whether an earlier sync failed. The log is written anew then: what it holds can be read, but may not be on the disk.
+   * @default false
+   */
+  readonly isAfterFailure?: boolean
 }
 
 const LOG_FILE = 'log'
@@ -155,10 +162,33 @@
   )
 }
 
+/** Lists the changes that make up a log. */
+function listChanges({
+  base,
+  voteState,
+  entries,
+}: Pick<LoadedLog, 'base' | 'voteState'> & { entries: readonly LogEntry[] }): LogChange[] {
+  return [
+    { kind: 'base', ...base },
+    { kind: 'ballot', ballot: voteState },
+    { kind: 'append', entries },
+  ]
+}
+
+/** Replaces the log file; resolves to its length once it is on disk. */
+async function writeLog(folder: DataFolder, changes: readonly LogChange[]): Promise<number> {
+  const record = encodeRecord(changes)
+  await folder.write(LOG_TEMPORARY_FILE, record)
+  await folder.rename(LOG_TEMPORARY_FILE, LOG_FILE)
+  await folder.sync()
+  return record.length
+}
+
 /** Opens the log of a data folder and truncates a torn last record. */
 export async function openLogStore(options: LogStoreOptions): Promise<LogStore> {
-  const { folder, logger, onFailure } = options
+  const { folder, logger, isAfterFailure = false } = options
   const loaded = await loadLog(folder, logger)
+  if (isAfterFailure) loaded.length = await writeLog(folder, listChanges(loaded))
   let snapshot = await loadSnapshot(folder, loaded.base.index)
   let { voteState, base } = loaded
   /** Entries after the base; the entry with index i is at position i - base.index - 1. */
@@ -170,6 +200,13 @@
   let pending: { change: LogChange; resolve: () => void }[] = []
   let activeWrite: Promise<void> | undefined
   let failure: unknown
+  let reportFailed = () => {}
+  const failed = new Promise<void>((resolve) => (reportFailed = resolve))
+  const recordFailure = (cause: unknown) => {
+    failure = cause
+    reportFailed()
+    options.onFailure(cause)
+  }
 
   const lastIndex = () => base.index + entries.length
   const findTerm = (index: number) =>
@@ -199,9 +236,8 @@
       while (pending.length > 0) await writeBatch()
     } catch (cause) {
       // After a failed sync the content of the disk is unknown, so this member must stop.
-      failure = cause
       pending = []
-      onFailure(cause)
+      recordFailure(cause)
     }
     activeWrite = undefined
   }
@@ -218,17 +254,10 @@
     await folder.write(`${name}${TEMPORARY_SUFFIX}`, encodeRecord(next))
     await folder.rename(`${name}${TEMPORARY_SUFFIX}`, name)
     await folder.sync()
-    const changes: LogChange[] = [
-      { kind: 'base', index: next.index, term: next.term },
-      { kind: 'ballot', ballot: voteState },
-      { kind: 'append', entries: kept },
-    ]
-    const record = encodeRecord(changes)
-    await folder.write(LOG_TEMPORARY_FILE, record)
+    const base = { index: next.index, term: next.term }
+    const length = await writeLog(folder, listChanges({ base, voteState, entries: kept }))
     await file.close()
-    await folder.rename(LOG_TEMPORARY_FILE, LOG_FILE)
-    await folder.sync()
-    file = await folder.openAppend(LOG_FILE, record.length)
+    file = await folder.openAppend(LOG_FILE, length)
     addedBytes = 0
   }
   const removeOldSnapshots = async (keptIndex: number) => {
@@ -252,8 +281,7 @@
         durableIndex = Math.min(base.index + kept.length, lastIndex())
         await removeOldSnapshots(next.index)
       } catch (cause) {
-        failure = cause
-        onFailure(cause)
+        recordFailure(cause)
       }
       activeWrite = undefined
       if (!failure && pending.length > 0) activeWrite = runWriter()
@@ -292,6 +320,7 @@
       return enqueueWrite({ kind: 'truncate', from })
     },
     compact,
+    failed,
     close: async () => {
       while (activeWrite) await activeWrite
       await file.close()
--- a/packages/control/src/raft/member.ts
+++ b/packages/control/src/raft/member.ts
@@ -22,6 +22,7 @@
 } from './messages.js'
 import { createLeaseGrant } from './leaseGrant.js'
 import { createMembership, type GroupCommand } from './membership.js'
+import { createMessageQueue } from './messageQueue.js'
 import { createProposals } from './proposals.js'
 import { createReplicator, type Replicator } from './replicator.js'
 import type { RaftMember, RaftMemberOptions, RaftRole } from './types.js'
@@ -52,8 +53,7 @@
   let electionTimer: Subscription | undefined
   let replicator: Replicator | undefined
   let isClosed = false
-  /** Processes one message at a time, so that log changes never overlap. */
-  let messageQueue: Promise<unknown> = Promise.resolve()
+  const messages = createMessageQueue(store.failed)
 
   const term = () => store.voteState().term
   const readPosition = () => ({ index: store.lastIndex(), term: store.lastTerm() })
@@ -302,11 +302,6 @@
     await applied.install(request.snapshot)
     return { term: term() }
   }
-  const enqueue = <T>(run: () => Promise<T>): Promise<T> => {
-    const result = messageQueue.then(run)
-    messageQueue = result.catch(() => {})
-    return result
-  }
 
   const checkLeader = () => {
     if (role === 'leader' && !isClosed) return
@@ -320,6 +315,14 @@
     return proposals.add(appendLocal(command))
   }
 
+  const stop = () => {
+    isClosed = true
+    electionTimer?.unsubscribe()
+    replicator?.close()
+    proposals.failAll()
+  }
+  void store.failed.then(stop)
+
   startElectionTimer()
   // A single-voter group need not wait for the election timeout.
   if (membership.isVoter() && countMajority(membership.members()) === 1) void runElection()
@@ -358,19 +361,16 @@
       }
       await propose({ group: 'members', members: next } satisfies GroupCommand)
     },
-    handleVote: (request) => enqueue(() => processVote(request)),
+    handleVote: (request) => messages.run(() => processVote(request)),
     handleAppend: (request) =>
-      enqueue(async () => ({
+      messages.run(async () => ({
         ...(await processAppend(request)),
         mayVote: store.voteState().mayVote,
       })),
-    handleInstall: (request) => enqueue(() => processInstall(request)),
+    handleInstall: (request) => messages.run(() => processInstall(request)),
     close: async () => {
-      isClosed = true
-      electionTimer?.unsubscribe()
-      replicator?.close()
-      proposals.failAll()
-      await messageQueue
+      stop()
+      await messages.finish()
       await store.close()
     },
   }
--- a/packages/control/src/registry/controlRelay.ts
+++ b/packages/control/src/registry/controlRelay.ts
@@ -18,6 +18,7 @@
   type HttpExchange,
   type Logger,
   type MemoryBudget,
+  type Metrics,
   type Route,
   type TimerService,
 } from '@spoolgate/core'
@@ -53,6 +54,11 @@
    * @default undefined, bodies are bounded one by one
    */
   readonly memory?: MemoryBudget
+  /**
+   * Registry of an instance that is a relay for a time; its owner closes it.
+   * @default one that is closed with this relay
+   */
+  readonly metrics?: Metrics
 }
 
 /** What a relay and a member of the control group both offer. */
@@ -83,7 +89,7 @@
 /** Creates a relay; resolves once it is listening. */
 export async function createControlRelay(options: ControlRelayOptions): Promise<ControlRelay> {
   const { logger, timers, memory } = options
-  const metrics = createMetrics('control')
+  const metrics = options.metrics ?? createMetrics('control')
   if (memory) addMemoryGauges(metrics, memory)
   const connections = metrics.counter('connections_opened', 'Connections opened to this instance')
   const recordConnection = () => connections.add(1)
@@ -167,7 +173,7 @@
       const report = await server.close(drainMs)
       await tracker.close()
       for (const used of [client, heartbeatClient, batchClient]) used.close()
-      await metrics.close()
+      if (!options.metrics) await metrics.close()
       return report
     },
   }
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -24,7 +24,7 @@
 import { createPartCoordinator } from '../parts/partCoordinator.js'
 import { createMembershipManager } from '../group/membershipManager.js'
 import { createMembershipRoutes } from '../group/membershipRoutes.js'
-import { openControlDisk } from '../log/controlDisk.js'
+import { openControlDisk, type ControlDisk, type ControlDiskOptions } from '../log/controlDisk.js'
 import type { DataFolder } from '../log/dataFolder.js'
 import { createRaftMember } from '../raft/member.js'
 import type { RaftMember } from '../raft/types.js'
@@ -104,7 +104,17 @@
    * @default now
    */
   readonly startedAt?: number
-  /** Called after a disk failure; the daemon must then exit. */
+  /**
+   * Disk that {@link openRegistryDisk} opened for this address.
+   * @default opened once the instance listens
+   */
+  readonly disk?: ControlDisk
+  /**
+   * Registry of an instance whose members follow one another; its owner closes it.
+   * @default one that is closed with this instance
+   */
+  readonly metrics?: Metrics
+  /** Called after a disk failure; this instance must then be closed. */
   readonly onFailure?: (cause: unknown) => void
 }
 
@@ -135,12 +145,35 @@
  */
 export const MAX_HEARTBEAT_CONNECTIONS = 16
 
+/** Options of {@link openRegistryDisk}. */
+export interface RegistryDiskOptions
+  extends
+    Pick<
+      RegistryControlOptions,
+      'dataFolder' | 'seeds' | 'isFirstStart' | 'logger' | 'timers' | 'onFailure'
+    >,
+    Pick<ControlDiskOptions, 'url' | 'isAfterFailure' | 'signal'> {}
+
+/** Opens the disk of an instance, once it can be written. */
+export function openRegistryDisk(options: RegistryDiskOptions): Promise<ControlDisk> {
+  const { logger, url } = options
+  const seeds = options.seeds()
+  return openControlDisk({
+    ...options,
+    seeds: seeds.length > 0 ? seeds : [url],
+    onFailure: (cause) => {
+      logger.error('disk.failed', { reason: String(cause), remedy: 'replace or empty the disk' })
+      options.onFailure?.(cause)
+    },
+  })
+}
+
 /** Creates a control instance; resolves once it is listening. */
 export async function createRegistryControl(
   options: RegistryControlOptions,
 ): Promise<RegistryControl> {
   const { logger, timers, instance } = options
-  const metrics = createMetrics('control')
+  const metrics = options.metrics ?? createMetrics('control')
   if (options.memory) addMemoryGauges(metrics, options.memory)
   const invariants = createInvariants({ logger, metrics })
   const electionMs = options.electionMs ?? DEFAULT_ELECTION_MS
@@ -163,19 +196,7 @@
     onConnection: recordConnection,
   })
   const { url } = server
-  const seeds = options.seeds()
-  const { identity, store } = await openControlDisk({
-    dataFolder: options.dataFolder,
-    url,
-    seeds: seeds.length > 0 ? seeds : [url],
-    isFirstStart: options.isFirstStart,
-    logger,
-    timers,
-    onFailure: (cause) => {
-      logger.error('disk.failed', { reason: String(cause), remedy: 'replace or empty the disk' })
-      options.onFailure?.(cause)
-    },
-  })
+  const { identity, store } = options.disk ?? (await openRegistryDisk({ ...options, url }))
   metrics.gauge('log_bytes', 'Bytes added to the log since the last snapshot', store.addedBytes)
   const member = createRaftMember({
     name: identity.name,
@@ -215,7 +236,9 @@
     'rejected_inputs',
     'Entries from outside that could not be used',
   )
-  options.rejectedInputs.entries.subscribe(({ source }) => rejectedInputs.add(1, { source }))
+  const rejections = options.rejectedInputs.entries.subscribe(({ source }) =>
+    rejectedInputs.add(1, { source }),
+  )
   const heartbeats = metrics.counter('heartbeats', 'Heartbeats of backend servers by outcome')
   const heartbeatClient = createHttpClient({ memory, maxConnections: MAX_HEARTBEAT_CONNECTIONS })
   const batchClient = createHttpClient({ memory, maxConnections: 1 })
@@ -336,7 +359,7 @@
   logger.info('control.listening', {
     url,
     member: identity.name,
-    seeds,
+    seeds: options.seeds(),
     voters: options.targetVoters,
   })
 
@@ -351,6 +374,7 @@
     recordConnection,
     close: async (drainMs) => {
       stopping.next()
+      rejections.unsubscribe()
       operations.close()
       versionGate.close()
       versionRetention.close()
@@ -362,7 +386,7 @@
       const report = await server.close(drainMs)
       await member.close()
       for (const used of [client, heartbeatClient, batchClient]) used.close()
-      await metrics.close()
+      if (!options.metrics) await metrics.close()
       return report
     },
   }
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -16,8 +16,10 @@
   counter(name: string, description: string): Counter
   /** Finds or creates a histogram; the unit is in the name, as Prometheus wants it. */
   histogram(name: string, description: string): Histogram
-  /** Creates a gauge whose value is read whenever the metrics are rendered. */
+  /** Creates a gauge whose value is read whenever the metrics are rendered, or replaces how it is read. */
   gauge(name: string, description: string, read: () => number): void
+  /** Releases what all gauges read; each is 0 until it is created again. */
+  removeGauges(): void
   /** Renders every metric in the Prometheus text format. */
   render(): Promise<string>
   /** Stops the registry. */
@@ -32,6 +34,7 @@
   const serializer = new PrometheusSerializer('spoolgate')
   const counters = new Map<string, Counter>()
   const histograms = new Map<string, Histogram>()
+  const gauges = new Map<string, (() => number) | undefined>()
   return {
     meter,
     counter: (name, description) => {
@@ -45,10 +48,16 @@
       return found
     },
     gauge: (name, description, read) => {
+      const isCreated = gauges.has(name)
+      gauges.set(name, read)
+      if (isCreated) return
       meter.createObservableGauge(name, { description }).addCallback((result) => {
-        result.observe(read())
+        result.observe(gauges.get(name)?.() ?? 0)
       })
     },
+    removeGauges: () => {
+      for (const name of gauges.keys()) gauges.set(name, undefined)
+    },
     render: async () => serializer.serialize((await exporter.collect()).resourceMetrics),
     close: () => provider.shutdown(),
   }
--- a/packages/core/src/startupWait.ts
+++ b/packages/core/src/startupWait.ts
@@ -27,6 +27,11 @@
    * @default Infinity
    */
   readonly patienceMs?: number
+  /**
+   * Ends the wait.
+   * @default never
+   */
+  readonly signal?: AbortSignal
 }
 
 const MIN_DELAY_MS = 50
@@ -35,10 +40,10 @@
 
 /**
  * Retries with exponential backoff until an attempt succeeds.
- * @throws the error of an attempt that no retry can end, or of the last one.
+ * @throws the error of an attempt that no retry can end, or of the last one, or the reason of `signal`.
  */
 export async function waitForStartup<T>(options: StartupWaitOptions<T>): Promise<T> {
-  const { what, attempt, findProblem, logger, timers, patienceMs = Infinity } = options
+  const { what, attempt, findProblem, logger, timers, patienceMs = Infinity, signal } = options
   const startedAt = timers.now()
   const measureMs = () => Math.round(timers.now() - startedAt)
   for (let delayMs = MIN_DELAY_MS; ; delayMs = Math.min(MAX_DELAY_MS, delayMs * DELAY_FACTOR)) {
@@ -51,6 +56,7 @@
       if (problem === undefined || measureMs() + delayMs > patienceMs) throw cause
       logger.warn('start.waiting', { what, ...problem, ms: measureMs(), nextMs: delayMs })
     }
-    await waitFor(timers, delayMs)
+    await waitFor(timers, delayMs, signal)
+    signal?.throwIfAborted()
   }
 }
