--- a/packages/control/src/log/controlDisk.ts
+++ b/packages/control/src/log/controlDisk.ts
@@ -7,7 +7,7 @@
 import { waitForStartup, type Logger, type TimerService } from '@spoolgate/core'
 import { openIdentity, type IdentityOptions, type MemberIdentity } from '../group/identity.js'
 import { openDataFolder, type DataFolder } from './dataFolder.js'
-import { openLogStore, type LogStore } from './logStore.js'
+import { openLogStore, removeUnfinished, type LogStore } from './logStore.js'
 import { DamagedDataError } from './records.js'
 
 /** Options of {@link openControlDisk}. */
@@ -68,6 +68,7 @@
 async function openOnce(options: ControlDiskOptions): Promise<ControlDisk> {
   const { dataFolder, logger } = options
   const folder = typeof dataFolder === 'string' ? await openDataFolder(dataFolder) : dataFolder
+  await removeUnfinished(folder)
   await checkWritable(folder)
   try {
     return await loadDisk(folder, options)
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -184,6 +184,21 @@
   return record.length
 }
 
+/** Removes files of a snapshot that was not completed: they can fill the disk, and nothing refers to them. */
+export async function removeUnfinished(folder: DataFolder): Promise<void> {
+  for (const name of await folder.list()) {
+    const isSnapshot = name.startsWith(SNAPSHOT_PREFIX) && name.endsWith(TEMPORARY_SUFFIX)
+    if (isSnapshot || name === LOG_TEMPORARY_FILE) await folder.remove(name)
+  }
+}
+
+async function removeOtherSnapshots(folder: DataFolder, keptIndex: number): Promise<void> {
+  for (const name of await folder.list()) {
+    const isOther = name.startsWith(SNAPSHOT_PREFIX) && name !== formatSnapshotName(keptIndex)
+    if (isOther) await folder.remove(name)
+  }
+}
+
 /** Opens the log of a data folder and truncates a torn last record. */
 export async function openLogStore(options: LogStoreOptions): Promise<LogStore> {
   const { folder, logger, isAfterFailure = false } = options
@@ -197,6 +212,8 @@
   /** Bytes of the log file since it was rewritten. */
   let addedBytes = loaded.length
   let file: AppendFile = await folder.openAppend(LOG_FILE, loaded.length)
+  // The name of the log is on the disk now, and with it which snapshot it needs.
+  await removeOtherSnapshots(folder, base.index)
   let pending: { change: LogChange; resolve: () => void }[] = []
   let activeWrite: Promise<void> | undefined
   let failure: unknown
@@ -260,12 +277,6 @@
     file = await folder.openAppend(LOG_FILE, length)
     addedBytes = 0
   }
-  const removeOldSnapshots = async (keptIndex: number) => {
-    for (const name of await folder.list()) {
-      const isOld = name.startsWith(SNAPSHOT_PREFIX) && name !== formatSnapshotName(keptIndex)
-      if (isOld) await folder.remove(name)
-    }
-  }
   const compact = async (next: Snapshot) => {
     while (activeWrite) await activeWrite
     if (failure) return waitForever()
@@ -279,7 +290,7 @@
         base = { index: next.index, term: next.term }
         snapshot = next
         durableIndex = Math.min(base.index + kept.length, lastIndex())
-        await removeOldSnapshots(next.index)
+        await removeOtherSnapshots(folder, next.index)
       } catch (cause) {
         recordFailure(cause)
       }
