--- a/packages/control/src/log/controlDisk.ts
+++ b/packages/control/src/log/controlDisk.ts
@@ -7,7 +7,7 @@
 import { waitForStartup, type Logger, type TimerService } from '@spoolgate/core'
 import { openIdentity, type IdentityOptions, type MemberIdentity } from '../group/identity.js'
 import { openDataFolder, type DataFolder } from './dataFolder.js'
-import { openLogStore, type LogStore } from './logStore.js'
+import { openLogStore, removeUnfinished, type LogStore } from './logStore.js'
 import { DamagedDataError } from './records.js'
 
 /** Options of {@link openControlDisk}. */
@@ -16,8 +16,18 @@
   readonly dataFolder: string | DataFolder
   readonly logger: Logger
   readonly timers: TimerService
-  /** Called when a write or sync failed later on; the process must then end. */
+  /** Called when a write or sync failed later on: nothing that waits for the disk may be answered as done. */
   readonly onFailure: (cause: unknown) => void
+  /**
+   * Whether an earlier write or sync failed in this process.
+   * @default false
+   */
+  readonly isAfterFailure?: boolean
+  /**
+   * Ends the wait for the disk.
+   * @default never
+   */
+  readonly signal?: AbortSignal
 }
 
 /** What the disk holds. */
@@ -50,14 +60,15 @@
 }
 
 async function loadDisk(folder: DataFolder, options: ControlDiskOptions): Promise<ControlDisk> {
-  const { logger, onFailure } = options
+  const { logger, onFailure, isAfterFailure } = options
   const identity = await openIdentity({ ...options, folder })
-  return { identity, store: await openLogStore({ folder, logger, onFailure }) }
+  return { identity, store: await openLogStore({ folder, logger, onFailure, isAfterFailure }) }
 }
 
 async function openOnce(options: ControlDiskOptions): Promise<ControlDisk> {
   const { dataFolder, logger } = options
   const folder = typeof dataFolder === 'string' ? await openDataFolder(dataFolder) : dataFolder
+  await removeUnfinished(folder)
   await checkWritable(folder)
   try {
     return await loadDisk(folder, options)
@@ -75,7 +86,7 @@
 
 /** Opens the disk, once it can be written. */
 export function openControlDisk(options: ControlDiskOptions): Promise<ControlDisk> {
-  const { logger, timers } = options
+  const { logger, timers, signal } = options
   return waitForStartup({
     what: 'data folder',
     attempt: () => openOnce(options),
@@ -87,5 +98,6 @@
     },
     logger,
     timers,
+    signal,
   })
 }
--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -77,8 +77,10 @@
   append(entries: readonly LogEntry[]): Promise<void>
   /** Removes all entries from index `from` on. */
   truncate(from: number): Promise<void>
-  /** Replaces all entries up to the index of a snapshot by the snapshot. */
+  /** Replaces all entries up to the index of a snapshot by the snapshot; resolves once it is on disk. */
   compact(snapshot: Snapshot): Promise<void>
+  /** Resolves once a write or sync failed; what is written after that never settles. */
+  readonly failed: Promise<void>
   close(): Promise<void>
 }
 
@@ -88,6 +90,11 @@
   readonly logger: Logger
   /** Called when a write or sync failed: the member must not acknowledge anything any more. */
   readonly onFailure: (cause: unknown) => void
+  /**
+   * Whether an earlier sync failed. The log is written anew then: what it holds can be read, but may not be on the disk.
+   * @default false
+   */
+  readonly isAfterFailure?: boolean
 }
 
 const LOG_FILE = 'log'
@@ -102,6 +109,11 @@
   length: number
 }
 
+/** Result of a write that failed: what waits for it must not go on. */
+function waitForever(): Promise<never> {
+  return new Promise(() => {})
+}
+
 function formatSnapshotName(index: number): string {
   return `${SNAPSHOT_PREFIX}${index}`
 }
@@ -150,10 +162,48 @@
   )
 }
 
+/** Lists the changes that make up a log. */
+function listChanges({
+  base,
+  voteState,
+  entries,
+}: Pick<LoadedLog, 'base' | 'voteState'> & { entries: readonly LogEntry[] }): LogChange[] {
+  return [
+    { kind: 'base', ...base },
+    { kind: 'ballot', ballot: voteState },
+    { kind: 'append', entries },
+  ]
+}
+
+/** Replaces the log file; resolves to its length once it is on disk. */
+async function writeLog(folder: DataFolder, changes: readonly LogChange[]): Promise<number> {
+  const record = encodeRecord(changes)
+  await folder.write(LOG_TEMPORARY_FILE, record)
+  await folder.rename(LOG_TEMPORARY_FILE, LOG_FILE)
+  await folder.sync()
+  return record.length
+}
+
+/** Removes files of a snapshot that was not completed: they can fill the disk, and nothing refers to them. */
+export async function removeUnfinished(folder: DataFolder): Promise<void> {
+  for (const name of await folder.list()) {
+    const isSnapshot = name.startsWith(SNAPSHOT_PREFIX) && name.endsWith(TEMPORARY_SUFFIX)
+    if (isSnapshot || name === LOG_TEMPORARY_FILE) await folder.remove(name)
+  }
+}
+
+async function removeOtherSnapshots(folder: DataFolder, keptIndex: number): Promise<void> {
+  for (const name of await folder.list()) {
+    const isOther = name.startsWith(SNAPSHOT_PREFIX) && name !== formatSnapshotName(keptIndex)
+    if (isOther) await folder.remove(name)
+  }
+}
+
 /** Opens the log of a data folder and truncates a torn last record. */
 export async function openLogStore(options: LogStoreOptions): Promise<LogStore> {
-  const { folder, logger, onFailure } = options
+  const { folder, logger, isAfterFailure = false } = options
   const loaded = await loadLog(folder, logger)
+  if (isAfterFailure) loaded.length = await writeLog(folder, listChanges(loaded))
   let snapshot = await loadSnapshot(folder, loaded.base.index)
   let { voteState, base } = loaded
   /** Entries after the base; the entry with index i is at position i - base.index - 1. */
@@ -162,9 +212,18 @@
   /** Bytes of the log file since it was rewritten. */
   let addedBytes = loaded.length
   let file: AppendFile = await folder.openAppend(LOG_FILE, loaded.length)
+  // The name of the log is on the disk now, and with it which snapshot it needs.
+  await removeOtherSnapshots(folder, base.index)
   let pending: { change: LogChange; resolve: () => void }[] = []
   let activeWrite: Promise<void> | undefined
   let failure: unknown
+  let reportFailed = () => {}
+  const failed = new Promise<void>((resolve) => (reportFailed = resolve))
+  const recordFailure = (cause: unknown) => {
+    failure = cause
+    reportFailed()
+    options.onFailure(cause)
+  }
 
   const lastIndex = () => base.index + entries.length
   const findTerm = (index: number) =>
@@ -194,9 +253,8 @@
       while (pending.length > 0) await writeBatch()
     } catch (cause) {
       // After a failed sync the content of the disk is unknown, so this member must stop.
-      failure = cause
       pending = []
-      onFailure(cause)
+      recordFailure(cause)
     }
     activeWrite = undefined
   }
@@ -213,28 +271,16 @@
     await folder.write(`${name}${TEMPORARY_SUFFIX}`, encodeRecord(next))
     await folder.rename(`${name}${TEMPORARY_SUFFIX}`, name)
     await folder.sync()
-    const changes: LogChange[] = [
-      { kind: 'base', index: next.index, term: next.term },
-      { kind: 'ballot', ballot: voteState },
-      { kind: 'append', entries: kept },
-    ]
-    const record = encodeRecord(changes)
-    await folder.write(LOG_TEMPORARY_FILE, record)
+    const base = { index: next.index, term: next.term }
+    const length = await writeLog(folder, listChanges({ base, voteState, entries: kept }))
     await file.close()
-    await folder.rename(LOG_TEMPORARY_FILE, LOG_FILE)
-    await folder.sync()
-    file = await folder.openAppend(LOG_FILE, record.length)
+    file = await folder.openAppend(LOG_FILE, length)
     addedBytes = 0
   }
-  const removeOldSnapshots = async (keptIndex: number) => {
-    for (const name of await folder.list()) {
-      const isOld = name.startsWith(SNAPSHOT_PREFIX) && name !== formatSnapshotName(keptIndex)
-      if (isOld) await folder.remove(name)
-    }
-  }
   const compact = async (next: Snapshot) => {
     while (activeWrite) await activeWrite
-    if (failure || next.index <= base.index) return
+    if (failure) return waitForever()
+    if (next.index <= base.index) return
     const runCompaction = async () => {
       const isRetained = findTerm(next.index) === next.term
       const kept = isRetained ? entries.slice(next.index - base.index) : []
@@ -244,16 +290,17 @@
         base = { index: next.index, term: next.term }
         snapshot = next
         durableIndex = Math.min(base.index + kept.length, lastIndex())
-        await removeOldSnapshots(next.index)
+        await removeOtherSnapshots(folder, next.index)
       } catch (cause) {
-        failure = cause
-        onFailure(cause)
+        recordFailure(cause)
       }
       activeWrite = undefined
       if (!failure && pending.length > 0) activeWrite = runWriter()
     }
     activeWrite = runCompaction()
     await activeWrite
+    // A leader would count what its follower stores by the reply to a snapshot.
+    if (failure) await waitForever()
   }
 
   return {
@@ -284,6 +331,7 @@
       return enqueueWrite({ kind: 'truncate', from })
     },
     compact,
+    failed,
     close: async () => {
       while (activeWrite) await activeWrite
       await file.close()
