fix(control): a start on a full disk answers nothing until it can be written

Cause: an instance listens, then waits for its disk, and has no routes before.

Change: where the disk takes no write at a start, the instance begins as the relay that it is after a failure, and starts its member once the disk can be written. It holds its port all the while, so that no second process opens the same log.

--- a/packages/control/src/log/controlDisk.ts
+++ b/packages/control/src/log/controlDisk.ts
@@ -65,9 +65,23 @@
   return { identity, store: await openLogStore({ folder, logger, onFailure, isAfterFailure }) }
 }
 
+function openFolder(dataFolder: string | DataFolder): Promise<DataFolder> | DataFolder {
+  return typeof dataFolder === 'string' ? openDataFolder(dataFolder) : dataFolder
+}
+
+/** Finds the error of a disk that does not take writes; undefined if it does. Files of a member stay as they are. */
+export async function findDiskError(dataFolder: string | DataFolder): Promise<Error | undefined> {
+  try {
+    await checkWritable(await openFolder(dataFolder))
+    return undefined
+  } catch (cause) {
+    return cause as Error
+  }
+}
+
 async function openOnce(options: ControlDiskOptions): Promise<ControlDisk> {
   const { dataFolder, logger } = options
-  const folder = typeof dataFolder === 'string' ? await openDataFolder(dataFolder) : dataFolder
+  const folder = await openFolder(dataFolder)
   await removeUnfinished(folder)
   await checkWritable(folder)
   try {
--- a/packages/control/src/registry/controlFailover.ts
+++ b/packages/control/src/registry/controlFailover.ts
@@ -1,11 +1,14 @@
 /**
  * Control instance that outlives a failure of its disk: the member of the control group is closed, the instance goes on
- * as a relay at the same address, and a new member starts from the disk once it can be written, as after a restart.
+ * as a relay at the same address, and a new member starts from the disk once it can be written, as after a restart. A
+ * start on a disk that cannot be written begins as a relay.
  */
 import { createMetrics, SpoolgateError, waitFor } from '@spoolgate/core'
+import { findDiskError } from '../log/controlDisk.js'
 import { createControlRelay, type ControlRelay } from './controlRelay.js'
 import {
   createRegistryControl,
+  DISK_REMEDY,
   openRegistryDisk,
   type RegistryControlOptions,
 } from './registryControl.js'
@@ -63,39 +66,56 @@
       retryAfterSeconds: 1,
     })
   }
-  const recover = async () => {
+  const findPort = () => Number(new URL(findCurrent().url).port)
+  const startRelay = async (port: number) => {
+    failures.add(1)
+    current = await createControlRelay({ ...options, port, metrics })
+    return current.url
+  }
+  /** Starts a member in place of the relay once the disk can be written. */
+  const recoverDisk = async (isFirstStart: boolean) => {
     const failedAt = timers.now()
     const { url } = findCurrent()
-    const port = Number(new URL(url).port)
-    await closeCurrent(0)
-    current = await createControlRelay({ ...options, port, metrics })
+    const port = findPort()
     await waitFor(timers, REOPEN_DELAY_MS, signal)
     const disk = await openRegistryDisk({
       ...options,
       url,
-      isFirstStart: false,
+      isFirstStart,
       isAfterFailure: true,
       signal,
       onFailure: handleFailure,
     })
     await closeCurrent(RELAY_DRAIN_MS)
-    await startMember({ port, isFirstStart: false, startedAt: timers.now(), disk })
+    await startMember({ port, startedAt: timers.now(), disk })
     recoveries.add(1)
     logger.info('disk.recovered', { url, ms: Math.round(timers.now() - failedAt) })
   }
-  const recoverUnlessStopped = async () => {
-    if (signal.aborted) return
-    try {
-      await recover()
-    } catch (cause) {
-      if (!signal.aborted) options.onFailure(cause)
-    }
+  const replaceMember = async () => {
+    const port = findPort()
+    await closeCurrent(0)
+    await startRelay(port)
+    await recoverDisk(false)
   }
-  const handleFailure = () => {
-    failures.add(1)
-    switching = switching.then(recoverUnlessStopped)
+  const startSwitch = (previous: Promise<unknown>, run: () => Promise<void>) => {
+    switching = previous.then(async () => {
+      try {
+        if (!signal.aborted) await run()
+      } catch (cause) {
+        if (!signal.aborted) options.onFailure(cause)
+      }
+    })
+  }
+  const handleFailure = () => startSwitch(switching, replaceMember)
+  const start = async () => {
+    const cause = await findDiskError(options.dataFolder)
+    if (cause === undefined) return startMember({})
+    logger.error('disk.failed', { reason: String(cause), remedy: DISK_REMEDY })
+    const relayUrl = await startRelay(options.port)
+    startSwitch(Promise.resolve(), () => recoverDisk(options.isFirstStart))
+    return relayUrl
   }
-  const starting = startMember({})
+  const starting = start()
   let switching: Promise<unknown> = starting
   // The disk may fail again at once, so that the first member is already gone here.
   const url = await starting
--- a/packages/control/src/registry/registryControl.ts
+++ b/packages/control/src/registry/registryControl.ts
@@ -145,6 +145,9 @@
  */
 export const MAX_HEARTBEAT_CONNECTIONS = 16
 
+/** What to do about a disk that refuses writes. */
+export const DISK_REMEDY = 'replace or empty the disk'
+
 /** Options of {@link openRegistryDisk}. */
 export interface RegistryDiskOptions
   extends
@@ -162,7 +165,7 @@
     ...options,
     seeds: seeds.length > 0 ? seeds : [url],
     onFailure: (cause) => {
-      logger.error('disk.failed', { reason: String(cause), remedy: 'replace or empty the disk' })
+      logger.error('disk.failed', { reason: String(cause), remedy: DISK_REMEDY })
       options.onFailure?.(cause)
     },
   })
