fix(control): a nearly full disk is taken back and fails at once

What callers could see: a control instance on a disk with a little room takes part, fails at the next changes, is a relay for a second, and so on, with an election each time that its member leads.

Cause: the disk is asked for 4 KiB, which a few changes use up.

Change: after a failure the disk must take 1 MiB. A start that finds its disk writable asks for 4 KiB as before. The file of the question is removed also when it did not fit.

The test failed before: a disk of 64 KiB was taken back.

--- a/packages/control/src/__tests__/controlDisk.spec.ts
+++ b/packages/control/src/__tests__/controlDisk.spec.ts
@@ -49,6 +49,26 @@
     await again.store.close()
   })
 
+  it('is not taken back after a failure while the next changes would fail again', async () => {
+    const waiting = new AbortController()
+    const logger = { ...createQuietLogger(), warn: () => waiting.abort() }
+    const open = (isAfterFailure: boolean) =>
+      openControlDisk({
+        dataFolder: checkRoom(createMemoryFolder(), 64 * 1024),
+        url: 'http://127.0.0.1:1',
+        seeds: [],
+        isFirstStart: false,
+        isAfterFailure,
+        logger,
+        timers: createTimerService(),
+        signal: waiting.signal,
+        onFailure: () => {},
+      })
+    await (await open(false)).store.close()
+    const cause: unknown = await open(true).catch((thrown: unknown) => thrown)
+    expect(cause).to.equal(waiting.signal.reason)
+  })
+
   it('keeps one copy of what was damaged, however often it is', async () => {
     const folder = createMemoryFolder()
     const damaged = Buffer.concat([encodeRecord([]), encodeRecord([])])
--- a/packages/control/src/log/controlDisk.ts
+++ b/packages/control/src/log/controlDisk.ts
@@ -39,12 +39,17 @@
 /** Name of a file that shows whether the disk takes writes, and its size in bytes. */
 const PROBE_FILE = 'probe'
 const PROBE_BYTES = 4_096
+/** Room that a disk needs to be used again after a failure, in bytes: some changes, so that it does not fail again at once. */
+const ROOM_BYTES = 1024 * 1024
 const ASIDE_PREFIX = 'damaged-'
 
 /** Checks that the disk takes writes: a full one can be read and truncated, and would end the process later. */
-async function checkWritable(folder: DataFolder): Promise<void> {
-  await folder.write(PROBE_FILE, Buffer.alloc(PROBE_BYTES))
-  await folder.remove(PROBE_FILE)
+async function checkWritable(folder: DataFolder, bytes = PROBE_BYTES): Promise<void> {
+  try {
+    await folder.write(PROBE_FILE, Buffer.alloc(bytes))
+  } finally {
+    await folder.remove(PROBE_FILE)
+  }
 }
 
 /** Sets all files aside in place of those that were set aside before, so that these never fill the disk. */
@@ -83,7 +88,7 @@
   const { dataFolder, logger } = options
   const folder = await openFolder(dataFolder)
   await removeUnfinished(folder)
-  await checkWritable(folder)
+  await checkWritable(folder, options.isAfterFailure ? ROOM_BYTES : PROBE_BYTES)
   try {
     return await loadDisk(folder, options)
   } catch (cause) {
