fix(core): a server that is closed stays in memory

What callers could see: a control instance whose disk fails again and again reaches the memory limit (200 MB) after some hundred failures. Found by failing the disk of a leader 70 times; before the instance outlived such a failure, the process ended with its servers.

Cause: a planned stop closes the listening socket by net's close, so that requests that are arriving are not cut. The timer with which Node's HTTP servers look for late requests is stopped by their own close alone: it kept each closed server and all that its handlers refer to.

Change: once the last connection is closed, the server's own close is called too.

--- a/packages/core/src/stopListening.ts
+++ b/packages/core/src/stopListening.ts
@@ -23,7 +23,11 @@
   await waitForAccepted(server)
   // Node's HTTP servers also cut idle connections in a close of their own, and with them requests that are arriving.
   const closed = new Promise<void>((resolve) =>
-    Server.prototype.close.call(server, () => resolve()),
+    Server.prototype.close.call(server, () => {
+      // Releases the timer of Node's HTTP servers, which keeps a closed server in memory.
+      server.close()
+      resolve()
+    }),
   )
   return { closed }
 }
