--- a/.ci/__tests__/knownRed.spec.js
+++ b/.ci/__tests__/knownRed.spec.js
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import {
+  EXEMPT_ISSUES,
   formatJudgement,
   judgeRun,
   MAX_KNOWN_RED,
@@ -112,6 +113,34 @@
     const judgement = judge(lines.join('\n'), [passed, ...records])
     expect(judgement.faults).to.deep.equal(['KNOWN-RED.txt: 4 tests, but 3 at most'])
   })
+
+  it('counts no line of an exempt issue against these three, and no other line as exempt', () => {
+    const exempt = ['a', 'b', 'c', 'd', 'e'].map((title) => ({ title, issue: EXEMPT_ISSUES[0] }))
+    const others = ['f', 'g', 'h', 'i'].map((title, index) => ({
+      title,
+      issue: `issue ${index}93`,
+    }))
+    others[0].issue = 'issue 9'
+    const judgeAll = (entries) =>
+      judge(entries.map(({ title, issue }) => `${title} | a cause | ${issue}`).join('\n'), [
+        passed,
+        ...entries.map(({ title }) => ({ ...red, title })),
+      ])
+    expect(EXEMPT_ISSUES).to.deep.equal(['issue 93'])
+    const most = judgeAll([...exempt, ...others.slice(1)])
+    expect(most.knownRed).to.have.length(exempt.length + MAX_KNOWN_RED)
+    expect(most.faults).to.deep.equal([])
+    expect(judgeAll([...others, ...exempt]).faults).to.deep.equal([
+      'KNOWN-RED.txt: 4 tests, but 3 at most',
+    ])
+  })
+
+  it('wants each line of an exempt issue to name one test that fails', () => {
+    const line = `${red.title} | a cause | ${EXEMPT_ISSUES[0]}`
+    expect(judge(line, [passed, { ...red, outcome: 'passed' }]).faults).to.have.length(1)
+    expect(judge(line, [passed]).faults).to.have.length(1)
+    expect(judge(`${line}\n${line}`, [passed, red]).faults).to.have.length(1)
+  })
 })
 
 describe('a run of the tests', () => {
