--- a/packages/router/src/streams/recordExchange.ts
+++ b/packages/router/src/streams/recordExchange.ts
@@ -36,6 +36,11 @@
   readonly host: string
   /** Port for traffic between routers; 0 lets the operating system choose. */
   readonly port: number
+  /**
+   * Maximum number of their connections.
+   * @default Infinity
+   */
+  readonly maxConnections?: number
 }
 
 /** Options of {@link openRecordExchange}. */
