fix(core): large chunks of a body wait behind connections with small ones

Cause: each 16 KiB of any body in chunks took a turn behind one of every other connection, whatever it costs to parse. Change: a connection takes another turn after 1 ms of parsing, which large chunks do not need.

--- a/packages/core/src/pacedRead.ts
+++ b/packages/core/src/pacedRead.ts
@@ -35,6 +35,9 @@
   readonly _paused?: boolean
 }
 
+/** Time for the chunks of a body until its connection takes another turn, in ms; only small chunks take so long. */
+const CHUNKS_TURN_MS = 1
+
 const HEAD_END = Buffer.from('\r\n\r\n')
 /** Shortest and longest piece between two bodies, in bytes: a head that is longer comes in several. */
 const HEAD_PIECE = { min: 14, max: 1_024 } as const
@@ -120,10 +123,12 @@
     if (!socket._paused) socket.resume()
   }
   const feed = () => {
+    const startedAt = performance.now()
     let isTurnOver = false
     while (kept.length > 0 && !isTurnOver && !isParsed() && !isBlocked() && hasRoom()) {
-      isTurnOver = isInChunks()
+      const isChunk = isInChunks()
       parseNext()
+      isTurnOver = isChunk && performance.now() - startedAt >= CHUNKS_TURN_MS
     }
     keepRest()
     if (isTurnOver && kept.length > 0) takeTurn()
