--- a/packages/core/src/keptBytes.ts
+++ b/packages/core/src/keptBytes.ts
@@ -11,7 +11,7 @@
   close(): void
 }
 
-/** Part of the budget that kept bytes of senders which are held back may bring its use of kept bytes to. */
+/** Maximum part of the budget for all kept bytes when a sender that is held back adds to them. */
 const KEPT_RATIO = 0.5
 
 /**
