--- a/packages/control/src/log/logStore.ts
+++ b/packages/control/src/log/logStore.ts
@@ -91,7 +91,7 @@
   /** Called when a write or sync failed: the member must not acknowledge anything any more. */
   readonly onFailure: (cause: unknown) => void
   /**
-   * Whether an earlier sync failed. The log is written anew then: what it holds can be read, but may not be on the disk.
+   * Whether an earlier sync failed. The log is then rewritten and synced, because its contents may not be on the disk.
    * @default false
    */
   readonly isAfterFailure?: boolean
--- a/packages/control/src/registry/controlFailover.ts
+++ b/packages/control/src/registry/controlFailover.ts
@@ -1,7 +1,7 @@
 /**
- * Control instance that outlives a failure of its disk: the member of the control group is closed, the instance goes on
- * as a relay at the same address, and a new member starts from the disk once it can be written, as after a restart. A
- * start on a disk that cannot be written begins as a relay.
+ * Control instance that survives a failure of its disk: it closes its member of the control group, runs as a relay at the
+ * same address, and starts a new member from the disk once the disk can be written, as after a restart. If the disk cannot
+ * be written at the start, the instance begins as a relay.
  */
 import { createMetrics, SpoolgateError, waitFor } from '@spoolgate/core'
 import { findDiskError } from '../log/controlDisk.js'
--- a/packages/core/src/memoryWatch.ts
+++ b/packages/core/src/memoryWatch.ts
@@ -1,4 +1,4 @@
-/** Watches how near a process is to the bounds on its memory, since V8 ends it at that of its heap without a last line. */
+/** Watches the memory of a process against its bounds: V8 ends a process whose heap is exhausted without a log line. */
 import { getHeapStatistics } from 'node:v8'
 import type { Logger } from './logger.js'
 import type { MemoryBudget } from './memoryBudget.js'
@@ -32,7 +32,7 @@
   return { heapBytes, heapLimitBytes, residentBytes: process.memoryUsage.rss() }
 }
 
-/** Logs when a bound comes near, and again once it came near after a while in which it was not. */
+/** Logs each time that the use of memory comes near a bound. */
 export function startMemoryWatch(options: MemoryWatchOptions): { close(): void } {
   const { memory, limitBytes, logger, timers, readUse = readProcessUse } = options
   let isNear = false
