fix(router): a run of blanks in an event ID stops a router

Cause: EVENT_ID tried the rest of a run of blanks again from each of its blanks.

Change: the expression takes the rest of the line, which cannot backtrack, and the blanks around the ID are removed by `removeOuterBlanks`, which looks at each character once.

Test: "reads runs of blanks of any length in an ID once" compares the IDs of three runs of 1 MiB and more.

--- a/packages/core/src/fieldValue.ts
+++ b/packages/core/src/fieldValue.ts
@@ -38,6 +38,19 @@
   return undefined
 }
 
+function isBlank(character: string): boolean {
+  return character === ' ' || character === '\t'
+}
+
+/** Removes the blanks and tabs at both ends of a value, which are no part of it (RFC 9110, section 5.5). */
+export function removeOuterBlanks(value: string): string {
+  let start = 0
+  let end = value.length
+  while (start < end && isBlank(value[start])) start += 1
+  while (start < end && isBlank(value[end - 1])) end -= 1
+  return value.slice(start, end)
+}
+
 /** Explains why a field cannot carry bytes, given in Latin-1, unchanged; undefined if it can. */
 export function findFieldBytesProblem(bytes: string): string | undefined {
   if (bytes === '') return 'is empty'
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -134,6 +134,7 @@
   findFieldNameProblem,
   findFieldTextProblem,
   MAX_FIELD_VALUE_BYTES,
+  removeOuterBlanks,
 } from './fieldValue.js'
 export {
   createHttpClient,
--- a/packages/router/src/__tests__/directComponents.spec.ts
+++ b/packages/router/src/__tests__/directComponents.spec.ts
@@ -63,6 +63,30 @@
       }
   })
 
+  it('reads an ID without the blanks around it, whatever ends its line', () => {
+    for (const [text, id] of [
+      ['id:1\n\n', '1'],
+      ['id: \t 1 2\t \r\n\r\n', '1 2'],
+      ['id: 1\rid: 2\rdata: 3\n\n', '2'],
+      ['data: id: 1\nidea: 2\n\n', undefined],
+      ['id: 1\nid:\t\n\n', ''],
+    ]) {
+      const cutter = createSseEventBuffer({ isResumable: false })
+      cutter.add(Buffer.from(text as string))
+      expect(cutter.lastEventId()).to.equal(id)
+    }
+  })
+
+  // Each value took the square of its length and held up all requests of the router.
+  it('reads runs of blanks of any length in an ID once', () => {
+    const run = (blank: string) => blank.repeat(1024 * 1024)
+    for (const blanks of [run(' '), run(' \t'), run(' \r')]) {
+      const cutter = createSseEventBuffer({ isResumable: false })
+      cutter.add(Buffer.from(`id: 2${blanks}.\ndata: piece\n\n`))
+      expect(cutter.lastEventId()).to.equal(blanks.includes('\r') ? '2' : `2${blanks}.`)
+    }
+  })
+
   it('does not copy the long chunks of an event without end', () => {
     const cutter = createSseEventBuffer({ isResumable: true })
     const chunks = Array.from({ length: 48 }, () => Buffer.alloc(64 * 1024, 'x'))
--- a/packages/router/src/direct/sseEventBuffer.ts
+++ b/packages/router/src/direct/sseEventBuffer.ts
@@ -1,5 +1,5 @@
 /** Splits a stream of server-sent events at event boundaries, so that incomplete events are never forwarded. */
-import { findFieldBytesProblem } from '@spoolgate/core'
+import { findFieldBytesProblem, removeOuterBlanks } from '@spoolgate/core'
 
 /** Buffers bytes and returns complete events. */
 export interface SseEventBuffer {
@@ -22,7 +22,7 @@
 }
 
 const EMPTY = Buffer.alloc(0)
-const EVENT_ID = /^id: ?[\t ]*(.*?)[\t ]*$/gm
+const EVENT_ID = /^id:([^\r\n]*)/gm
 /** Maximum size of an event, in bytes; a server that never ends one must not take the memory of the process. */
 const MAX_EVENT_BYTES = 4 * 1024 * 1024
 /** Bytes of a boundary between events that may lie before the chunk that completes it. */
@@ -113,12 +113,13 @@
   /** Reads the IDs of complete events; returns the length of the events before the first with an unusable ID. */
   const readEventIds = (events: Buffer): number => {
     for (const match of events.toString('latin1').matchAll(EVENT_ID)) {
-      const idProblem = isResumable ? findFieldBytesProblem(match[1]) : undefined
+      const id = removeOuterBlanks(match[1])
+      const idProblem = isResumable ? findFieldBytesProblem(id) : undefined
       if (idProblem !== undefined) {
         problem = `the ID of an event ${idProblem}`
         return findLastEventEnd(events.subarray(0, match.index))
       }
-      lastEventId = match[1]
+      lastEventId = id
     }
     return events.length
   }
