fix(control): ages of many models from another instance take the square of their number

Cause: the times of all models were copied for each model that changed.

Change: the changed models are collected and the times are copied once for each message.

Test: "records the ages of any number of models from another instance" with 30,000 models; on the code of before it had not ended when it was stopped after 150 s (limit of the suite: 60 s).

--- a/packages/control/src/__tests__/weightsHistory.spec.ts
+++ b/packages/control/src/__tests__/weightsHistory.spec.ts
@@ -48,4 +48,16 @@
       ],
     })
   })
+
+  // The times of all models were copied for each of them: 4,000 models held an instance up for 2 s.
+  it('records the ages of any number of models from another instance', () => {
+    const history = createWeightsHistory(createManualTimerService())
+    const models = Array.from({ length: 30_000 }, (_, index) => `m${index}`)
+    const ages = Object.fromEntries(models.map((model) => [model, [[1, 5] as const]]))
+    expect(history.recordAges(ages, 100)).to.equal(true)
+    expect(history.recordAges(ages, 100)).to.equal(false)
+    const times = history.times()
+    expect(Object.keys(times)).to.deep.equal(models)
+    expect(times.m7).to.deep.equal([{ version: 1, at: 95 }])
+  })
 })
--- a/packages/control/src/registry/weightsHistory.ts
+++ b/packages/control/src/registry/weightsHistory.ts
@@ -62,26 +62,35 @@
 export function createWeightsHistory(timers: Pick<TimerService, 'now'>): WeightsHistory {
   let times: VersionTimes = {}
 
-  const addVersion = (model: string, version: number, at: number): boolean => {
-    const tracked = times[model] ?? []
+  /** Returns the tracked versions with one more; undefined for one that is tracked since the same time or earlier. */
+  const addVersion = (
+    tracked: readonly VersionTime[],
+    { version, at }: VersionTime,
+  ): VersionTime[] | undefined => {
     const known = tracked.find((entry) => entry.version === version)
-    if (known && known.at <= at) return false
+    if (known && known.at <= at) return undefined
     const others = tracked.filter((entry) => entry !== known)
     const sorted = [...others, { version, at }].sort((a, b) => a.version - b.version)
-    times = { ...times, [model]: removeOldVersions(sorted, timers.now()) }
-    return true
+    return removeOldVersions(sorted, timers.now())
+  }
+  const addVersions = (added: Iterable<readonly [model: string, added: VersionTime]>): boolean => {
+    const changed = new Map<string, VersionTime[]>()
+    for (const [model, entry] of added) {
+      const tracked = addVersion(changed.get(model) ?? times[model] ?? [], entry)
+      if (tracked) changed.set(model, tracked)
+    }
+    if (changed.size > 0) times = { ...times, ...Object.fromEntries(changed) }
+    return changed.size > 0
   }
   return {
     record: (weights, at) =>
-      Object.entries(weights)
-        .map(([model, version]) => addVersion(model, version, at))
-        .includes(true),
+      addVersions(Object.entries(weights).map(([model, version]) => [model, { version, at }])),
     recordAges: (ages, at) =>
-      Object.entries(ages)
-        .flatMap(([model, entries]) =>
-          entries.map(([version, ageMs]) => addVersion(model, version, at - ageMs)),
-        )
-        .includes(true),
+      addVersions(
+        Object.entries(ages).flatMap(([model, entries]) =>
+          entries.map(([version, ageMs]) => [model, { version, at: at - ageMs }] as const),
+        ),
+      ),
     times: () => times,
     listAges: () =>
       Object.fromEntries(
