fix(sidecar): event streams with two kinds of line ends take the square of their length

Cause: eventsource-parser searches a piece that holds a carriage return for both ends again from each of its lines.

Change: `createEventParser` in core converts line ends to line feeds, also where a pair is cut, before the library reads them. Sidecars, the relay and the load command use it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,11 @@
   type LoggerOptions,
   type LogLevel,
 } from './logger.js'
+export {
+  createEventParser,
+  type EventParserOptions,
+  type EventSourceMessage,
+} from './eventParser.js'
 export { createLogOutput, type LogOutput, type LogOutputOptions } from './logOutput.js'
 export {
   createProcessLifecycle,
--- a/packages/router/src/relay/frameReader.ts
+++ b/packages/router/src/relay/frameReader.ts
@@ -1,8 +1,12 @@
 /** Reads the frames of an attempt and checks that they arrive once each and in order. */
 import type { IncomingMessage } from 'node:http'
-import { readTextStream, type Invariants } from '@spoolgate/core'
+import {
+  createEventParser,
+  readTextStream,
+  type EventSourceMessage,
+  type Invariants,
+} from '@spoolgate/core'
 import { FRAME_EVENTS, type BodyFrame, type EndFrame, type HeadFrame } from '@spoolgate/routing'
-import { createParser, type EventSourceMessage } from 'eventsource-parser'
 
 /** Receives the frames of a response as they arrive. */
 export interface ResponseSink {
@@ -53,7 +57,7 @@
   sink: ResponseSink,
   invariants: Invariants,
 ): Promise<void> {
-  const parser = createParser({
+  const parser = createEventParser({
     onEvent: (event) => handleFrame(event, cursor, sink, invariants),
   })
   await readTextStream(message, (text) => {
--- a/packages/sidecar/src/calls/callRunner.ts
+++ b/packages/sidecar/src/calls/callRunner.ts
@@ -3,13 +3,13 @@
 import {
   ConnectionError,
   closeBody,
+  createEventParser,
   BODY_LIMITS,
   readBody,
   readTextStream,
   type HttpClient,
 } from '@spoolgate/core'
 import type { BodyFrame, HeadFrame } from '@spoolgate/routing'
-import { createParser } from 'eventsource-parser'
 import type { BackendAdapter } from '../backend/adapters.js'
 import type { Call } from './call.js'
 
@@ -43,7 +43,7 @@
   const { call, onFirstToken } = options
   let isFirst = true
   let isDone = false
-  const parser = createParser({
+  const parser = createEventParser({
     onEvent: (event) => {
       if (isFirst) {
         call.sendHead(head)
--- a/packages/spoolgate/src/node/load/caller.ts
+++ b/packages/spoolgate/src/node/load/caller.ts
@@ -1,6 +1,7 @@
 /** A caller: sends one request, measures its answer and compares it with what it must be. */
 import {
   ConnectionError,
+  createEventParser,
   readErrorAnswer,
   SpoolgateError,
   type HttpClient,
@@ -8,7 +9,6 @@
 } from '@spoolgate/core'
 import { renderPrompt } from '@spoolgate/routing'
 import { hashPromptText, renderAnswer } from '@spoolgate/standins'
-import { createParser } from 'eventsource-parser'
 import type { WorkItem } from './workload.js'
 
 /** What became of one request. */
@@ -70,7 +70,7 @@
   let firstAt: number | undefined
   const gapsMs: number[] = []
   let usage: Chunk['usage']
-  const parser = createParser({
+  const parser = createEventParser({
     onEvent: ({ data }) => {
       if (data === DONE_MARKER) {
         isDone = true
