chore: the linter reports expressions whose time exceeds the length of a value

Cause: nothing noticed that EVENT_ID of the router, or the split of Connection, takes the square of a run of blanks.

Change: `regexp/no-super-linear-backtracking` and `regexp/no-super-linear-move` of eslint-plugin-regexp hold for all code.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,3 +1,4 @@
+import regexp from 'eslint-plugin-regexp'
 import tseslint from 'typescript-eslint'
 
 /** Verbs that may open the name of a function; docs/STYLE.md explains each. */
@@ -127,11 +128,15 @@
   complexity: ['error', 12],
   'max-depth': ['error', 3],
   eqeqeq: 'error',
+  // An expression whose time exceeds the length of a value lets one peer stop the process.
+  'regexp/no-super-linear-backtracking': ['error', { report: 'potential' }],
+  'regexp/no-super-linear-move': ['error', { report: 'potential' }],
 }
 
 export default tseslint.config(
   { ignores: ['**/dist/**', 'node_modules/**'] },
   ...tseslint.configs.recommended,
+  { plugins: { regexp } },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
