fix(router): a refusal that arrives twice passes for the answer of the next send

Cause: after a refusal for newer weights the router sends the request to the same server again, under the same ID and on the connection of the refusal, which was freed last. A second copy of the refusal, which comes before the answer, names that request and is believed. Evidence, from the record: at 8.493 s i-model1 refuses a request, at 8.497 s it runs it, at 8.512 s it writes the refusal again, and at 8.514 s i-model0 runs it too; of the other the caller has 503 2 ms after the copy. Ruled out by it: a first send that runs late, and two routers (each request went to one). The same holds where a caller sends an ID again after a 503 that says not run.

Change: the connection on which a request was refused is remembered with its ID (the last 32 of each connection), and no send under that ID takes it: another idle connection is used, or a new one opened; requests with other IDs still use it, since a copy does not name them. That holds for each path on which one request goes to one server twice: newer weights, MAX_SENDS, and a caller that uses its ID again.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -120,6 +120,7 @@
   createKeepAliveAgent,
   type KeepAliveAgent,
   type KeepAliveAgentOptions,
+  type RepeatedRequestOptions,
 } from './keepAliveAgent.js'
 export { readTextStream } from './httpTextStream.js'
 export { findResponseProblem } from './responseStatus.js'
--- a/packages/core/src/keepAliveAgent.ts
+++ b/packages/core/src/keepAliveAgent.ts
@@ -1,11 +1,13 @@
 /**
  * Connections kept open to other processes' HTTP servers. A connection is closed well before the
  * other side would, and at once when bytes arrive on it while no answer is due: they would otherwise
- * be taken for the answer to the next request.
+ * be taken for the answer to the next request. A request that was refused is sent again on another connection: a second
+ * copy of the refusal, which names the same request, would pass for the answer.
  */
-import { Agent, type ClientRequest } from 'node:http'
+import { Agent, type ClientRequest, type RequestOptions } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
+import { removeOldest } from './removeOldest.js'
 
 /** Options of {@link createKeepAliveAgent}. */
 export interface KeepAliveAgentOptions {
@@ -15,7 +17,15 @@
   readonly marginMs: number
 }
 
+/** Options of a request that may be sent more than once. */
+export interface RepeatedRequestOptions extends RequestOptions {
+  /** Names the request in all its sends. */
+  readonly requestId?: string
+}
+
 const MS_PER_S = 1_000
+/** Refused requests that are remembered for each connection. */
+const MAX_REFUSED = 32
 const KEEP_ALIVE_HINT = /timeout=(\d+)/
 
 function parseHintMs(header: string | string[] | undefined): number {
@@ -27,7 +37,16 @@
 /** What Node keeps on a socket that served a request. */
 type ServedSocket = Socket & { _httpMessage?: ClientRequest & { res?: { headers: object } } }
 
-class GuardedAgent extends Agent implements KeepAliveAgent {
+/** The method of an agent by which Node's client asks for a connection. */
+interface ConnectionSource {
+  addRequest(request: ClientRequest, options: RequestOptions): void
+}
+
+const { addRequest } = Agent.prototype as unknown as ConnectionSource
+
+class GuardedAgent extends Agent implements KeepAliveAgent, ConnectionSource {
+  private readonly refused = new WeakMap<Socket, Set<string>>()
+
   constructor(private readonly guard: KeepAliveAgentOptions) {
     super({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: Infinity, scheduling: 'lifo' })
   }
@@ -50,6 +69,28 @@
     for (const socket of [...idle]) socket.destroy()
   }
 
+  recordRefusal(socket: Socket, requestId: string): void {
+    const ids = this.refused.get(socket) ?? new Set<string>()
+    ids.delete(requestId)
+    ids.add(requestId)
+    removeOldest(ids, MAX_REFUSED)
+    this.refused.set(socket, ids)
+  }
+
+  addRequest(request: ClientRequest, options: RepeatedRequestOptions): void {
+    const { requestId } = options
+    const pools = this.freeSockets as Record<string, Socket[] | undefined>
+    const name = this.getName(options)
+    const idle = pools[name]
+    const isRefused = (socket: Socket) =>
+      requestId !== undefined && this.refused.get(socket)?.has(requestId) === true
+    if (!idle?.some(isRefused)) return addRequest.call(this, request, options)
+    const skipped = idle.filter(isRefused)
+    pools[name] = idle.filter((socket) => !isRefused(socket))
+    addRequest.call(this, request, options)
+    pools[name] = [...skipped, ...(pools[name] ?? [])]
+  }
+
   override reuseSocket(stream: Duplex, request: ClientRequest): void {
     const socket = stream as Socket
     socket.removeListener('data', closeOnData)
@@ -69,6 +110,8 @@
    * ones work, and then each of them would cost a request.
    */
   closeIdle(address: string): void
+  /** Records that the answer on a connection refused a request, which is not sent on it again. */
+  recordRefusal(socket: Socket, requestId: string): void
 }
 
 /** Creates an agent for Node's HTTP client. */
--- a/packages/router/src/__tests__/sendAttempt.spec.ts
+++ b/packages/router/src/__tests__/sendAttempt.spec.ts
@@ -39,8 +39,7 @@
       { agent, timers, guard },
       {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        method: 'POST',
-        target: '/',
+        call: { id: 'r-1', method: 'POST', target: '/' },
         findObstacle,
         buildHeaders: () => headers,
         body: { blocks: [Buffer.from('body')] },
--- a/packages/router/src/direct/responseHead.ts
+++ b/packages/router/src/direct/responseHead.ts
@@ -34,6 +34,7 @@
   if (model !== undefined && head.weightsVersion !== undefined)
     serverStats.recordVersion(server.id, model, head.weightsVersion, sentAt)
   if (head.isNotExecuted) {
+    context.agent.recordRefusal(message.socket, call.id)
     closeBody(message)
     const reason = head.isOtherServer ? 'otherServer' : `status${message.statusCode}`
     return { kind: 'notRun', reason, version: head.weightsVersion, backoff: head.backoff }
--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -14,9 +14,10 @@
   watchCompletion,
   type ConnectionGuard,
   type ReceivedBody,
+  type RepeatedRequestOptions,
   type TimerService,
 } from '@spoolgate/core'
-import type { HeaderList } from './protocols.js'
+import type { DirectCall, HeaderList } from './protocols.js'
 import { describeHeadCut, type BrokenResponse } from './responseCut.js'
 
 /** What all attempts of a router share. */
@@ -31,8 +32,7 @@
 export interface AttemptOptions {
   /** IP address and port. */
   readonly address: string
-  readonly method: string
-  readonly target: string
+  readonly call: Pick<DirectCall, 'id' | 'method' | 'target'>
   /** Returns, immediately before sending, why the request should go to another server; undefined if it should not. */
   readonly findObstacle: () => string | undefined
   /** Builds the headers immediately before sending; undefined forbids sending. */
@@ -94,14 +94,16 @@
       const headBytes = (outgoing?.socket?.bytesRead ?? 0) - readBefore
       resolve({ kind: 'lost', ...describeHeadCut(cause, headBytes) })
     }
-    outgoing = startRequest({
+    const requestOptions: RepeatedRequestOptions = {
       host,
       port: Number(port),
-      method: options.method,
-      path: options.target,
+      method: options.call.method,
+      path: options.call.target,
       agent,
       setHost: false,
-    })
+      requestId: options.call.id,
+    }
+    outgoing = startRequest(requestOptions)
     const clientRequest = outgoing
     const connectTimer = timers.after(options.connectMs).subscribe(() => {
       resolveFailure(`no connection within ${options.connectMs} ms`)
--- a/packages/router/src/direct/serveCall.ts
+++ b/packages/router/src/direct/serveCall.ts
@@ -298,8 +298,7 @@
     const { timers, liveness, agent } = context
     const attempt = startAttempt(context, {
       address: candidate.server.address,
-      method: plan.call.method,
-      target: plan.call.target,
+      call: plan.call,
       findObstacle: () => findDepartureReason(context, candidate.server.id, timers.now()),
       buildHeaders: () => this.buildHeaders(candidate),
       body: this.body,
