fix(router): a repeated header field takes the square of its number

No harm was seen or measured; found by reading.

Change: a value is appended to those of its field.

Tests: those of attempts and of the platform's fields hold; none fails on the code of before, whose result was the same.

--- a/packages/router/src/direct/sendAttempt.ts
+++ b/packages/router/src/direct/sendAttempt.ts
@@ -123,7 +123,8 @@
         clientRequest.destroy()
         return
       }
-      for (const [name, value] of mergeRepeatedFields(headers)) clientRequest.setHeader(name, value)
+      for (const [name, values] of mergeRepeatedFields(headers))
+        clientRequest.setHeader(name, values.length === 1 ? values[0] : values)
       isWritten = true
       readBefore = clientRequest.socket?.bytesRead ?? 0
       sendBlocks(clientRequest, options.body)
@@ -167,15 +168,14 @@
   }
 }
 
-/** Merges repeated header fields into arrays, as Node's HTTP client expects. */
-function mergeRepeatedFields(headers: HeaderList): Map<string, string | string[]> {
-  const fields = new Map<string, string | string[]>()
-  const firstSpellings = new Map<string, string>()
+/** Merges repeated header fields, whose values Node's HTTP client expects in an array. */
+function mergeRepeatedFields(headers: HeaderList): Iterable<readonly [string, string[]]> {
+  const fields = new Map<string, readonly [name: string, values: string[]]>()
   for (const [name, value] of headers) {
-    const key = firstSpellings.get(name.toLowerCase()) ?? name
-    firstSpellings.set(name.toLowerCase(), key)
-    const existing = fields.get(key)
-    fields.set(key, existing === undefined ? value : [...[existing].flat(), value])
+    const key = name.toLowerCase()
+    const known = fields.get(key)
+    if (known) known[1].push(value)
+    else fields.set(key, [name, [value]])
   }
-  return fields
+  return fields.values()
 }
