fix(core): a response that ends before its request was read passes for whole

Cause: the end of the connection was taken for that of the response at once, and the socket was closed, so that the reset which the rest of the upload meets was not seen.

Change: the end of a response without a length to a request with a body is held back for 100 ms after the rest of that body was written (1.1 s in all), with the socket left open; if the connection is reset meanwhile, the response is cut.

--- a/packages/core/src/responseCompletion.ts
+++ b/packages/core/src/responseCompletion.ts
@@ -46,6 +46,47 @@
 
 const watches = new WeakMap<IncomingMessage, CompletionWatch>()
 
+/** Time in which a connection that ended is reset if its request was not read, in ms: several round trips between data halls. */
+const RESET_MS = 100
+/** Longest time for the rest of a request to be written after its response has ended, in ms. */
+const REST_MS = 1_000
+
+function isSentWithBody({ req }: ReceivedMessage): boolean {
+  const length = Number(req?.getHeader('content-length') ?? 0)
+  return length > 0 || req?.hasHeader('transfer-encoding') === true
+}
+
+/**
+ * Holds back the end of a connection, which ends its response, until it shows whether the rest of the request meets a
+ * reset. A server may close the connection before it has read a long request: only the reset, which comes after the end,
+ * tells that its response broke off.
+ */
+function watchLateReset(
+  { socket, req }: IncomingMessage & ReceivedMessage,
+  onEnd: () => void,
+): void {
+  const listeners = socket.rawListeners('end')
+  socket.removeAllListeners('end')
+  // Otherwise the socket closes itself at its end, and a reset is not seen.
+  socket.allowHalfOpen = true
+  socket.once('end', () => {
+    const release = () => {
+      clearTimeout(timeout)
+      if (socket.destroyed) return
+      onEnd()
+      for (const listener of listeners) listener.call(socket)
+    }
+    let timeout = setTimeout(release, REST_MS)
+    const waitForReset = () => {
+      clearTimeout(timeout)
+      timeout = setTimeout(release, RESET_MS)
+    }
+    if (req?.writableFinished === false) req.once('finish', waitForReset)
+    else waitForReset()
+    socket.once('close', () => clearTimeout(timeout))
+  })
+}
+
 /**
  * Watches for the end of a body. To be called before the first wait after the head has arrived; later calls return the
  * same watch. Node reports a connection reset as the end of a body that ends with its connection: it swallows the
@@ -61,7 +102,9 @@
   const observeEnd = () => {
     isReset = socket.remoteAddress === undefined
   }
-  if (isDelimitedByClose) {
+  if (isDelimitedByClose && isSentWithBody(message as ReceivedMessage)) {
+    watchLateReset(message, observeEnd)
+  } else if (isDelimitedByClose) {
     socket.prependOnceListener('end', observeEnd)
     message.once('close', () => socket.removeListener('end', observeEnd))
   }
