test(control): compare all of a line behind its event

The expression that the linter reported had taken all behind the last `event=`; its replacement took the text up to a second one, so that something behind it would have gone unnoticed. Now all behind the last is compared, as before.

--- a/packages/control/src/__tests__/heartbeatBatches.spec.ts
+++ b/packages/control/src/__tests__/heartbeatBatches.spec.ts
@@ -201,10 +201,9 @@
     expect(monitor.isOverloaded()).to.equal(true)
     timers.advance(2_000)
     expect(monitor.isOverloaded()).to.equal(false)
-    expect(lines.map((line) => line.split('event=')[1])).to.deep.equal([
-      'control.overloaded delayMs=130',
-      'control.recovered delayMs=300',
-    ])
+    expect(
+      lines.map((line) => line.slice(line.lastIndexOf('event=') + 'event='.length)),
+    ).to.deep.equal(['control.overloaded delayMs=130', 'control.recovered delayMs=300'])
     monitor.close()
   })
 })
