test(router): move the clock past the end of a short record, in place of waiting 1 ms

Traced by reading: its short records live 1 ms of real time, and a fast next process loads them before that.

The test was wrong, not the product: a record whose time is not over must be found.

--- a/packages/router/src/__tests__/durableRecords.spec.ts
+++ b/packages/router/src/__tests__/durableRecords.spec.ts
@@ -29,6 +29,9 @@
   ttlMs,
 })
 
+/** Time to live of records that are over once the clock has moved by it, in ms. */
+const SHORT_MS = 1_000
+
 describe('records of streams on a disk', () => {
   const timers = createTimerService()
   let path: string
@@ -38,9 +41,9 @@
   })
   afterEach(() => rmSync(path, { recursive: true, force: true }))
 
-  const open = (folder: string | DataFolder = path) => {
-    const records = createStreamRecords(timers)
-    const common = { timers, logger: createQuietLogger(), metrics: createMetrics('router') }
+  const open = (folder: string | DataFolder = path, clock = timers) => {
+    const records = createStreamRecords(clock)
+    const common = { timers: clock, logger: createQuietLogger(), metrics: createMetrics('router') }
     const journal = openRecordJournal({ folder, records, ...common })
     const add = (id: string, ttlMs?: number) => {
       records.add(buildRecord(id, ttlMs))
@@ -59,10 +62,10 @@
       const journal = open()
       await journal.loaded
       journal.add(id)
-      journal.add(`short ${id}`, 1)
+      journal.add(`short ${id}`, SHORT_MS)
       await journal.close()
     }
-    const journal = open()
+    const journal = open(path, { ...timers, wallNow: () => timers.wallNow() + SHORT_MS })
     await journal.loaded
     const found = ['first', 'second', 'short first', 'short second'].map(journal.find)
     expect(found).to.deep.equal([VERSION, VERSION, undefined, undefined])
